Lay out modules, kernel and transport

The build has one module per role with a test bundle beside it. The kernel holds identifiers, settings, errors, the timeline and platform interfaces; the transport carries Thrift frames over Netty with heartbeats.

No performance was measured yet.

--- /dev/null
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of the product on one machine. */
+package org.clementineford.bench;
--- /dev/null
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/package-info.java
@@ -0,0 +1,2 @@
+/** Command-line client for operators. */
+package org.clementineford.client;
--- /dev/null
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Document, sections, revisions, spread, membership and leases. */
+package org.clementineford.configuration;
--- /dev/null
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/package-info.java
@@ -0,0 +1,2 @@
+/** Main classes of the daemons. */
+package org.clementineford.daemons;
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Entry VM: accepts requests of callers and dispatches them. */
+package org.clementineford.entry;
--- /dev/null
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/errors/PlatformException.java
@@ -0,0 +1,27 @@
+package org.clementineford.kernel.errors;
+
+/** A call to the platform failed or its outcome is not known. */
+public class PlatformException extends ClementinefordException {
+  private static final long serialVersionUID = 1L;
+
+  /**
+   * Creates an exception.
+   *
+   * @param kind the kind of failure
+   * @param message what failed and what to do about it
+   */
+  public PlatformException(ErrorKind kind, String message) {
+    super(kind, message);
+  }
+
+  /**
+   * Creates an exception with a cause.
+   *
+   * @param kind the kind of failure
+   * @param message what failed and what to do about it
+   * @param cause the underlying failure
+   */
+  public PlatformException(ErrorKind kind, String message, Throwable cause) {
+    super(kind, message, cause);
+  }
+}
--- /dev/null
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/errors/package-info.java
@@ -0,0 +1,2 @@
+/** Checked exceptions and their kinds. */
+package org.clementineford.kernel.errors;
--- /dev/null
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/plugins/PlugInRegistry.java
@@ -0,0 +1,56 @@
+package org.clementineford.kernel.plugins;
+
+import java.util.Map;
+import java.util.ServiceLoader;
+import java.util.TreeMap;
+import org.clementineford.kernel.errors.SettingException;
+
+/**
+ * Plug-ins of one type by name.
+ *
+ * @param <T> type of the plug-ins
+ */
+public final class PlugInRegistry<T extends PlugIn> {
+  private final String typeName;
+  private final Map<String, T> plugIns;
+
+  private PlugInRegistry(String typeName, Map<String, T> plugIns) {
+    this.typeName = typeName;
+    this.plugIns = plugIns;
+  }
+
+  /**
+   * Finds all plug-ins of a type that are registered with {@link ServiceLoader}.
+   *
+   * @param type type of the plug-ins
+   * @param <T> type of the plug-ins
+   * @return the registry
+   */
+  public static <T extends PlugIn> PlugInRegistry<T> load(Class<T> type) {
+    Map<String, T> found = new TreeMap<>();
+    for (T plugIn : ServiceLoader.load(type, type.getClassLoader())) {
+      T other = found.putIfAbsent(plugIn.name(), plugIn);
+      if (other != null) {
+        throw new IllegalStateException(
+            "two plug-ins of type " + type.getName() + " have the name " + plugIn.name());
+      }
+    }
+    return new PlugInRegistry<>(type.getSimpleName(), found);
+  }
+
+  /**
+   * Returns a plug-in by name.
+   *
+   * @param name name of the plug-in
+   * @return the plug-in
+   * @throws SettingException if none has that name; the message lists the known names
+   */
+  public T get(String name) throws SettingException {
+    T plugIn = plugIns.get(name);
+    if (plugIn == null) {
+      throw new SettingException(
+          "no " + typeName + " is named \"" + name + "\"; use one of " + plugIns.keySet());
+    }
+    return plugIn;
+  }
+}
--- /dev/null
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/plugins/package-info.java
@@ -0,0 +1,2 @@
+/** Discovery of plug-ins by ServiceLoader. */
+package org.clementineford.kernel.plugins;
--- /dev/null
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/settings/SettingParser.java
@@ -0,0 +1,148 @@
+package org.clementineford.kernel.settings;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.errors.SettingException;
+
+/**
+ * Checks and converts the text of a setting.
+ *
+ * @param <T> type of the value
+ */
+@FunctionalInterface
+public interface SettingParser<T> {
+  /**
+   * Converts a text.
+   *
+   * @param text the text as given
+   * @return the value
+   * @throws SettingException if the text is invalid; the message says what is valid
+   */
+  T parse(String text) throws SettingException;
+
+  /**
+   * Accepts any text that is not empty.
+   *
+   * @return the parser
+   */
+  static SettingParser<String> text() {
+    return text -> {
+      if (text.isBlank()) {
+        throw new SettingException("the value is empty; give a name");
+      }
+      return text;
+    };
+  }
+
+  /**
+   * Accepts any text, also the empty one.
+   *
+   * @return the parser
+   */
+  static SettingParser<String> optionalText() {
+    return text -> text;
+  }
+
+  /**
+   * Accepts whole numbers in a range.
+   *
+   * @param lowest lowest valid value
+   * @param highest highest valid value
+   * @return the parser
+   */
+  static SettingParser<Long> wholeNumber(long lowest, long highest) {
+    return text -> {
+      try {
+        long value = Long.parseLong(text.trim());
+        if (value >= lowest && value <= highest) {
+          return value;
+        }
+      } catch (NumberFormatException e) {
+        // Reported below together with values out of range.
+      }
+      throw new SettingException("give a whole number from " + lowest + " to " + highest);
+    };
+  }
+
+  /**
+   * Accepts numbers in a range.
+   *
+   * @param lowest lowest valid value
+   * @param highest highest valid value
+   * @return the parser
+   */
+  static SettingParser<Double> number(double lowest, double highest) {
+    return text -> {
+      try {
+        double value = Double.parseDouble(text.trim());
+        if (value >= lowest && value <= highest) {
+          return value;
+        }
+      } catch (NumberFormatException e) {
+        // Reported below together with values out of range.
+      }
+      throw new SettingException("give a number from " + lowest + " to " + highest);
+    };
+  }
+
+  /**
+   * Accepts {@code true} and {@code false}.
+   *
+   * @return the parser
+   */
+  static SettingParser<Boolean> flag() {
+    return text -> {
+      if (text.equals("true") || text.equals("false")) {
+        return Boolean.valueOf(text);
+      }
+      throw new SettingException("give true or false");
+    };
+  }
+
+  /**
+   * Accepts an address.
+   *
+   * @return the parser
+   */
+  static SettingParser<HostPort> hostPort() {
+    return HostPort::parse;
+  }
+
+  /**
+   * Accepts addresses separated by commas; the empty text is the empty list.
+   *
+   * @return the parser
+   */
+  static SettingParser<List<HostPort>> hostPorts() {
+    return text -> {
+      List<HostPort> addresses = new ArrayList<>();
+      for (String part : text.split(",")) {
+        if (!part.isBlank()) {
+          addresses.add(HostPort.parse(part.trim()));
+        }
+      }
+      return List.copyOf(addresses);
+    };
+  }
+
+  /**
+   * Accepts a URL with scheme, IP address and port.
+   *
+   * @return the parser
+   */
+  static SettingParser<URI> url() {
+    return text -> {
+      try {
+        URI uri = URI.create(text.trim());
+        if (uri.getScheme() != null && uri.getHost() != null && uri.getPort() > 0) {
+          return uri;
+        }
+      } catch (IllegalArgumentException e) {
+        // Reported below together with incomplete URLs.
+      }
+      throw new SettingException("give a URL such as http://127.0.0.1:7100");
+    };
+  }
+}
--- /dev/null
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/settings/Settings.java
@@ -0,0 +1,141 @@
+package org.clementineford.kernel.settings;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.clementineford.kernel.errors.SettingException;
+
+/** Checked values of the settings of one process. Flags go before environment variables. */
+public final class Settings {
+  private static final String HELP = "help";
+
+  private final Map<String, Object> values;
+  private final List<String> arguments;
+  private final boolean helpRequested;
+
+  private Settings(Map<String, Object> values, List<String> arguments, boolean helpRequested) {
+    this.values = values;
+    this.arguments = arguments;
+    this.helpRequested = helpRequested;
+  }
+
+  /**
+   * Reads and checks all settings.
+   *
+   * @param declared settings of the process
+   * @param commandLine arguments of the process
+   * @param environment environment variables
+   * @return the values; only {@link #isHelpRequested()} is useful if help was requested
+   * @throws SettingException if a flag is unknown or a value is missing or invalid
+   */
+  public static Settings read(
+      List<Setting<?>> declared, String[] commandLine, Map<String, String> environment)
+      throws SettingException {
+    CommandLine parsed;
+    try {
+      parsed = new DefaultParser(false).parse(options(declared), commandLine);
+    } catch (ParseException e) {
+      throw new SettingException(e.getMessage() + "; --help lists the flags");
+    }
+    if (parsed.hasOption(HELP)) {
+      return new Settings(Map.of(), List.of(), true);
+    }
+    Map<String, Object> values = new HashMap<>();
+    for (Setting<?> setting : declared) {
+      values.put(setting.name(), value(setting, parsed, environment));
+    }
+    return new Settings(values, List.copyOf(parsed.getArgList()), false);
+  }
+
+  /**
+   * Returns the options of the command line, for the help text.
+   *
+   * @param declared settings of the process
+   * @return one option for each setting, and {@code --help}
+   */
+  public static Options options(List<Setting<?>> declared) {
+    Options options = new Options();
+    for (Setting<?> setting : declared) {
+      String suffix =
+          setting.isRequired()
+              ? " (required; " + setting.environmentVariable() + ")"
+              : " (default \""
+                  + setting.defaultText()
+                  + "\"; "
+                  + setting.environmentVariable()
+                  + ")";
+      options.addOption(
+          Option.builder()
+              .longOpt(setting.name())
+              .hasArg()
+              .argName("value")
+              .desc(setting.description() + suffix)
+              .get());
+    }
+    options.addOption(Option.builder("h").longOpt(HELP).desc("Prints this help.").get());
+    return options;
+  }
+
+  private static Object value(
+      Setting<?> setting, CommandLine parsed, Map<String, String> environment)
+      throws SettingException {
+    String source = "--" + setting.name();
+    String text = parsed.getOptionValue(setting.name());
+    if (text == null) {
+      source = setting.environmentVariable();
+      text = environment.get(source);
+    }
+    if (text == null) {
+      source = "default of --" + setting.name();
+      text = setting.defaultText();
+    }
+    if (text == null) {
+      throw new SettingException(
+          "setting --"
+              + setting.name()
+              + " is missing; give the flag or set "
+              + setting.environmentVariable());
+    }
+    try {
+      return setting.parser().parse(text);
+    } catch (SettingException e) {
+      throw new SettingException(
+          "setting " + source + " has the value \"" + text + "\": " + e.getMessage());
+    }
+  }
+
+  /**
+   * Returns the value of a setting.
+   *
+   * @param setting one of the declared settings
+   * @param <T> type of the value
+   * @return the value
+   */
+  @SuppressWarnings("unchecked")
+  public <T> T get(Setting<T> setting) {
+    return (T) values.get(setting.name());
+  }
+
+  /**
+   * Returns the arguments that are not flags.
+   *
+   * @return the arguments in order
+   */
+  public List<String> arguments() {
+    return arguments;
+  }
+
+  /**
+   * Tells whether help was requested instead of a run.
+   *
+   * @return true after {@code --help}
+   */
+  public boolean isHelpRequested() {
+    return helpRequested;
+  }
+}
--- /dev/null
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings read from flags and environment variables. */
+package org.clementineford.kernel.settings;
--- /dev/null
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** Typed events and the clock that orders them over all processes. */
+package org.clementineford.kernel.timeline;
--- /dev/null
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/NodeContext.java
@@ -0,0 +1,46 @@
+package org.clementineford.node;
+
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.platform.ObjectStore;
+import org.clementineford.kernel.timeline.Timeline;
+import org.clementineford.transport.PeerNetwork;
+import org.clementineford.transport.http.HttpClient;
+
+/**
+ * What the components of a process share.
+ *
+ * @param self identity of this process
+ * @param eventLoops threads for sockets and timers
+ * @param scheduler timers
+ * @param nanoClock monotonic clock
+ * @param epochClock wall clock
+ * @param network connections to other processes
+ * @param payloads routes exchanges that peers open to components
+ * @param configuration configuration in force
+ * @param membership what is believed about other processes
+ * @param lease lease of the rollout controller; never held by an endpoint VM
+ * @param objectStore the platform's object API
+ * @param httpClient client for HTTP services
+ * @param timeline events of this process
+ * @param metrics registry of this process's metrics
+ */
+public record NodeContext(
+    VmIdentity self,
+    EventLoopGroup eventLoops,
+    Scheduler scheduler,
+    NanoClock nanoClock,
+    EpochClock epochClock,
+    PeerNetwork network,
+    PayloadRouter payloads,
+    ConfigurationView configuration,
+    MembershipView membership,
+    LeaseView lease,
+    ObjectStore objectStore,
+    HttpClient httpClient,
+    Timeline timeline,
+    PrometheusRegistry metrics) {}
--- /dev/null
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/package-info.java
@@ -0,0 +1,2 @@
+/** What every process of the project shares. */
+package org.clementineford.node;
--- /dev/null
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP adapters of the platform, engines and plain services. */
+package org.clementineford.platform;
--- /dev/null
+++ b/org.clementineford.standins/src/main/java/org/clementineford/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Small stand-ins of outside systems, for tests and measurements. */
+package org.clementineford.standins;
--- /dev/null
+++ b/org.clementineford.testing/src/main/java/org/clementineford/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Paused time for tests. */
+package org.clementineford.testing;
--- /dev/null
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
@@ -0,0 +1,107 @@
+package org.clementineford.transport;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.transport.http.HttpClient;
+import org.clementineford.transport.http.HttpExchange;
+import org.clementineford.transport.http.HttpHandler;
+import org.clementineford.transport.http.HttpRequest;
+import org.clementineford.transport.http.HttpResponse;
+import org.clementineford.transport.http.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HttpTest {
+  private EventLoopGroup eventLoops;
+  private HttpClient client;
+  private HttpServer server;
+
+  @BeforeEach
+  void start() {
+    eventLoops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    client = new HttpClient(eventLoops, LinkShaping.NONE);
+  }
+
+  @AfterEach
+  void stop() {
+    client.close();
+    server.close();
+    eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private CompletableFuture<HttpResponse> call(HttpHandler handler, String body) throws Exception {
+    server =
+        HttpServer.start(
+            eventLoops, new HostPort("127.0.0.1", 0), 1 << 20, LinkShaping.NONE, handler);
+    HttpRequest request =
+        new HttpRequest("POST", "/echo?x=1", Map.of(), body.getBytes(StandardCharsets.UTF_8));
+    return client.call(server.address(), request, 5000);
+  }
+
+  // Guards against lost or reordered parts of a streamed body.
+  @Test
+  void streamedPartsArriveInOrder() throws Exception {
+    HttpResponse response =
+        call(
+                exchange -> {
+                  exchange.start(200, Map.of("X-Test", "yes"));
+                  exchange.write("one ".getBytes(StandardCharsets.UTF_8));
+                  exchange.write(exchange.request().body());
+                  exchange.finish();
+                },
+                "two")
+            .get(5, TimeUnit.SECONDS);
+    assertThat(response.status()).isEqualTo(200);
+    assertThat(response.headers()).containsEntry("x-test", "yes");
+    assertThat(new String(response.body(), StandardCharsets.UTF_8)).isEqualTo("one two");
+  }
+
+  // Guards against a truncated body that looks complete.
+  @Test
+  void abortedStreamFails() throws Exception {
+    CompletableFuture<HttpResponse> response =
+        call(
+            exchange -> {
+              exchange.start(200, Map.of());
+              exchange.write("one".getBytes(StandardCharsets.UTF_8));
+              exchange.abort();
+            },
+            "");
+    assertThat(response).failsWithin(5, TimeUnit.SECONDS);
+  }
+
+  // Guards against work that goes on after its caller went away.
+  @Test
+  void cancelledCallClosesTheExchange() throws Exception {
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    CompletableFuture<HttpExchange> opened = new CompletableFuture<>();
+    server =
+        HttpServer.start(
+            eventLoops,
+            new HostPort("127.0.0.1", 0),
+            1 << 20,
+            LinkShaping.NONE,
+            exchange -> {
+              exchange.onClosed(() -> closed.complete(null));
+              opened.complete(exchange);
+            });
+    var call =
+        client.send(
+            server.address(),
+            new HttpRequest("GET", "/", Map.of(), new byte[0]),
+            5000,
+            new IgnoringListener());
+    opened.get(5, TimeUnit.SECONDS);
+    call.cancel();
+    assertThat(closed).succeedsWithin(5, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/SingleReply.java
@@ -0,0 +1,41 @@
+package org.clementineford.transport;
+
+import java.util.concurrent.CompletableFuture;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.wire.Payload;
+
+/** Turns an exchange with a single reply into a future. */
+final class SingleReply implements ExchangeListener {
+  private final HostPort address;
+  private final CompletableFuture<Payload> future = new CompletableFuture<>();
+
+  SingleReply(HostPort address) {
+    this.address = address;
+  }
+
+  CompletableFuture<Payload> future() {
+    return future;
+  }
+
+  @Override
+  public void onPayload(Payload payload, boolean last) {
+    if (payload.isSetFailure()) {
+      future.completeExceptionally(
+          new ClementinefordException(
+              ErrorKind.UNAVAILABLE, address + " refused: " + payload.getFailure().getMessage()));
+    } else if (last) {
+      future.complete(payload);
+    }
+  }
+
+  @Override
+  public void onFailure(ExchangeFailure failure) {
+    ErrorKind kind =
+        failure.provesNotReceived() ? ErrorKind.UNAVAILABLE : ErrorKind.OUTCOME_UNKNOWN;
+    future.completeExceptionally(
+        new ClementinefordException(
+            kind, "connection to " + address + " was lost; check that the process runs"));
+  }
+}
--- /dev/null
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Netty handlers and connection state. */
+package org.clementineford.transport.internal;
--- /dev/null
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about weights: manifests, chunks, sources and policies. */
+package org.clementineford.weights;
