--- a/org.clementineford.node/src/main/java/org/clementineford/node/NodeContext.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/NodeContext.java
@@ -27,6 +27,7 @@
  * @param objectStore the platform's object API
  * @param httpClient client for HTTP services
  * @param timeline events of this process
+ * @param shared objects that components offer to later ones
  * @param metrics registry of this process's metrics
  */
 public record NodeContext(
@@ -43,4 +44,5 @@
     ObjectStore objectStore,
     HttpClient httpClient,
     Timeline timeline,
+    SharedServices shared,
     PrometheusRegistry metrics) {}
