Route caller requests through the entry VM

The entry VM had no front for callers. RequestEntry accepts chat completions and service calls over HTTP, chooses an endpoint, dispatches over the peer network, checks offsets, length and CRC32C of the answer, and makes claims for non-idempotent requests with a key. The decisions (endpoint table, router, retry budget, attempt plan, claim decision, memory limit) are pure classes of the requests module.

A claimed attempt keeps the endpoint's tick from before the claim was written. Taking the tick at dispatch was ruled out: an entry VM that pauses longer than revocations are kept would then send a revoked attempt with a fresh tick.

HttpExchange gains onWritable, so that bytes for a slow caller wait in the response and not in the connection's queue.

A resend while no endpoint was connected was first refused although the claim held the answer (seen failing); the claim is now read in that case.

--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/Accounts.java
@@ -0,0 +1,54 @@
+package org.clementineford.entry.internal.requests;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.Locale;
+import java.util.Map;
+import org.clementineford.configuration.ClientAccount;
+
+/** Client accounts by the SHA-256 of their bearer token. */
+final class Accounts {
+  private static final String SCHEME = "Bearer ";
+
+  private volatile Snapshot snapshot = new Snapshot(Map.of(), 1);
+
+  void update(Map<String, ClientAccount> accounts) {
+    Map<String, ClientAccount> byToken = new HashMap<>();
+    long total = 0;
+    for (ClientAccount account : accounts.values()) {
+      byToken.put(account.tokenSha256().toLowerCase(Locale.ROOT), account);
+      total += account.weight();
+    }
+    snapshot = new Snapshot(byToken, Math.max(1, total));
+  }
+
+  /** Returns the account of an Authorization header, or null. */
+  ClientAccount find(String authorization) {
+    if (authorization == null || !authorization.startsWith(SCHEME)) {
+      return null;
+    }
+    byte[] token = authorization.substring(SCHEME.length()).getBytes(StandardCharsets.UTF_8);
+    return snapshot.byToken().get(sha256(token));
+  }
+
+  long totalWeight() {
+    return snapshot.totalWeight();
+  }
+
+  static String sha256(byte[]... parts) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      for (byte[] part : parts) {
+        digest.update(part);
+      }
+      return HexFormat.of().formatHex(digest.digest());
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+
+  private record Snapshot(Map<String, ClientAccount> byToken, long totalWeight) {}
+}
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/AttemptExchange.java
@@ -0,0 +1,136 @@
+package org.clementineford.entry.internal.requests;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import org.clementineford.requests.attempts.AnswerCheck;
+import org.clementineford.transport.Exchange;
+import org.clementineford.transport.ExchangeFailure;
+import org.clementineford.transport.ExchangeListener;
+import org.clementineford.wire.AnswerEnd;
+import org.clementineford.wire.AnswerHead;
+import org.clementineford.wire.AnswerPart;
+import org.clementineford.wire.Payload;
+import org.clementineford.wire.Refusal;
+
+/**
+ * One attempt at an endpoint. Hands on only what belongs to its own request and attempt, in order
+ * and complete; anything else ends the attempt.
+ */
+final class AttemptExchange implements ExchangeListener {
+  private final Target target;
+  private final String requestId;
+  private final Events events;
+  private final Counter dropped;
+  private final AnswerCheck check;
+  private Exchange exchange;
+  private boolean headReceived;
+  private boolean ended;
+
+  /** What happens to an attempt. At most one of the last four is called, and nothing after it. */
+  interface Events {
+    void head(AnswerHead head);
+
+    void part(byte[] bytes);
+
+    void end(AnswerEnd end);
+
+    void refused(Refusal refusal);
+
+    void corrupt(String reason);
+
+    void lost(ExchangeFailure failure);
+  }
+
+  AttemptExchange(Target target, String requestId, Events events, Counter dropped) {
+    this.target = target;
+    this.requestId = requestId;
+    this.events = events;
+    this.dropped = dropped;
+    this.check = new AnswerCheck(requestId);
+  }
+
+  Target target() {
+    return target;
+  }
+
+  void opened(Exchange opened) {
+    exchange = opened;
+  }
+
+  /** Ends the attempt without a further event; {@code tellPeer} cancels the work as well. */
+  void abandon(boolean tellPeer) {
+    ended = true;
+    if (tellPeer && exchange != null) {
+      exchange.cancel();
+    }
+  }
+
+  @Override
+  public void onPayload(Payload payload, boolean last) {
+    if (ended) {
+      dropped.labelValues("late").inc();
+      return;
+    }
+    switch (payload.getSetField()) {
+      case ANSWER_HEAD -> head(payload.getAnswerHead());
+      case ANSWER_PART -> part(payload.getAnswerPart());
+      case ANSWER_END -> end(payload.getAnswerEnd());
+      case REFUSAL -> refusal(payload.getRefusal());
+      default -> corrupt("unexpected " + payload.getSetField());
+    }
+    if (last && !ended) {
+      corrupt("the answer has no end");
+    }
+  }
+
+  private void head(AnswerHead head) {
+    if (!requestId.equals(head.getRequestId())
+        || !target.attemptId().equals(head.getAttemptId())
+        || headReceived) {
+      corrupt("head of another request");
+      return;
+    }
+    headReceived = true;
+    events.head(head);
+  }
+
+  private void part(AnswerPart part) {
+    byte[] bytes = part.getBytes();
+    if (!headReceived || !check.part(part.getRequestId(), part.getOffset(), bytes)) {
+      corrupt("part of another request or at a wrong offset");
+      return;
+    }
+    events.part(bytes);
+  }
+
+  private void end(AnswerEnd end) {
+    if (!headReceived || !check.end(end.getRequestId(), end.getLength(), end.getCrc32c())) {
+      corrupt("length or checksum does not match");
+      return;
+    }
+    ended = true;
+    events.end(end);
+  }
+
+  private void refusal(Refusal refusal) {
+    if (!requestId.equals(refusal.getRequestId())) {
+      corrupt("refusal of another request");
+      return;
+    }
+    ended = true;
+    events.refused(refusal);
+  }
+
+  private void corrupt(String reason) {
+    ended = true;
+    dropped.labelValues("mixed-up").inc();
+    events.corrupt(reason);
+  }
+
+  @Override
+  public void onFailure(ExchangeFailure failure) {
+    if (!ended) {
+      ended = true;
+      events.lost(failure);
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/AttemptInquiry.java
@@ -0,0 +1,115 @@
+package org.clementineford.entry.internal.requests;
+
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.requests.claims.AttemptReport;
+import org.clementineford.requests.claims.Claim;
+import org.clementineford.transport.ExchangeFailure;
+import org.clementineford.transport.ExchangeListener;
+import org.clementineford.transport.PeerInfo;
+import org.clementineford.wire.Payload;
+import org.clementineford.wire.ReportOrRevoke;
+import org.clementineford.wire.RunReport;
+
+/** Asks an endpoint to report or revoke an attempt, again after a lost connection. */
+final class AttemptInquiry {
+  // A restarted or replaced endpoint refuses connections at once; a connection that became
+  // unresponsive takes its 3 s deadline, after which a new one works.
+  private static final int MAX_TRIES = 4;
+  private static final long RETRY_DELAY_MS = 250;
+
+  private final PeerLink link;
+  private final Scheduler scheduler;
+
+  AttemptInquiry(PeerLink link, Scheduler scheduler) {
+    this.link = link;
+    this.scheduler = scheduler;
+  }
+
+  /** Receives the result; called once. */
+  interface Result {
+    /**
+     * The endpoint answered, or does not answer.
+     *
+     * @param report what is known
+     * @param details the endpoint's report, or null
+     */
+    void reported(AttemptReport report, RunReport details);
+  }
+
+  /** Asks; {@code wanted} is checked before each further try. */
+  void ask(
+      Claim claim,
+      String account,
+      String key,
+      java.util.function.BooleanSupplier wanted,
+      Result result) {
+    ask(claim, account, key, wanted, result, 1);
+  }
+
+  private void ask(
+      Claim claim,
+      String account,
+      String key,
+      java.util.function.BooleanSupplier wanted,
+      Result result,
+      int attempt) {
+    ReportOrRevoke question =
+        new ReportOrRevoke()
+            .setAttemptId(claim.attemptId())
+            .setClientAccount(account)
+            .setIdempotencyKey(key)
+            .setTargetIncarnation(claim.incarnation())
+            .setWaitForEnd(true);
+    ExchangeListener listener =
+        new ExchangeListener() {
+          @Override
+          public void onPayload(Payload payload, boolean last) {
+            if (payload.isSetRunReport()) {
+              received(claim, payload.getRunReport(), result);
+            } else if (last) {
+              result.reported(AttemptReport.UNREACHABLE, null);
+            }
+          }
+
+          @Override
+          public void onFailure(ExchangeFailure failure) {
+            if (attempt >= MAX_TRIES || !wanted.getAsBoolean()) {
+              result.reported(AttemptReport.UNREACHABLE, null);
+              return;
+            }
+            scheduler.schedule(
+                () -> ask(claim, account, key, wanted, result, attempt + 1),
+                RETRY_DELAY_MS,
+                TimeUnit.MILLISECONDS);
+          }
+        };
+    if (otherLifeAnswers(claim)) {
+      result.reported(AttemptReport.FORGOTTEN, null);
+      return;
+    }
+    link.open(claim.address(), Payload.reportOrRevoke(question), listener);
+  }
+
+  private boolean otherLifeAnswers(Claim claim) {
+    PeerInfo peer = link.peer(claim.address());
+    return peer.identity() != null
+        && (!peer.identity().getVm().equals(claim.vm())
+            || peer.identity().getIncarnation() != claim.incarnation());
+  }
+
+  private static void received(Claim claim, RunReport report, Result result) {
+    if (!claim.attemptId().equals(report.getAttemptId())) {
+      result.reported(AttemptReport.UNREACHABLE, null);
+      return;
+    }
+    AttemptReport known =
+        switch (report.getPhase()) {
+          case REVOKED -> AttemptReport.REVOKED;
+          case RUNNING -> AttemptReport.RUNNING;
+          case FINISHED -> AttemptReport.FINISHED;
+          case FORGOTTEN -> AttemptReport.FORGOTTEN;
+        };
+    result.reported(known, report);
+  }
+}
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/LoadReports.java
@@ -0,0 +1,67 @@
+package org.clementineford.entry.internal.requests;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.errors.SettingException;
+import org.clementineford.requests.routing.BackEnd;
+import org.clementineford.requests.routing.BackEndReport;
+import org.clementineford.requests.routing.EndpointReport;
+import org.clementineford.requests.routing.EndpointTable;
+import org.clementineford.transport.ExchangeHandler;
+import org.clementineford.transport.IncomingExchange;
+import org.clementineford.transport.Payloads;
+import org.clementineford.wire.BackEndLoad;
+import org.clementineford.wire.LoadReport;
+import org.clementineford.wire.Payload;
+
+/** Takes the load reports of endpoints and connects to each endpoint that reports. */
+final class LoadReports implements ExchangeHandler {
+  private final EndpointTable table;
+  private final PeerLink link;
+  private final NanoClock clock;
+
+  LoadReports(EndpointTable table, PeerLink link, NanoClock clock) {
+    this.table = table;
+    this.link = link;
+    this.clock = clock;
+  }
+
+  @Override
+  public void onOpen(Payload opening, IncomingExchange exchange) {
+    try {
+      EndpointReport report = fromWire(opening.getLoadReport());
+      table.report(report, clock.nanoTime());
+      // The connection must stand before the first request, which needs the endpoint's tick.
+      link.peer(report.endpoint().address());
+      exchange.finish(Payloads.acknowledgement());
+    } catch (SettingException e) {
+      exchange.finish(Payloads.failure("malformed-report", e.getMessage()));
+    }
+  }
+
+  private static EndpointReport fromWire(LoadReport report) throws SettingException {
+    VmIdentity sender = Payloads.fromWire(report.getSender());
+    List<BackEndReport> backEnds = new ArrayList<>();
+    for (BackEndLoad load : report.getBackEnds()) {
+      boolean model = load.isSetModel();
+      // An endpoint without an activated version serves nothing yet.
+      if (!model || load.isSetModelVersion()) {
+        BackEnd backEnd =
+            model
+                ? new BackEnd(load.getModel(), load.getModelVersion())
+                : new BackEnd(load.getBackEnd(), null);
+        backEnds.add(
+            new BackEndReport(
+                backEnd,
+                load.getBackEnd(),
+                load.getRunning(),
+                load.getQueued(),
+                load.getSlots(),
+                load.isHealthy()));
+      }
+    }
+    return new EndpointReport(sender, backEnds, report.isLeaving());
+  }
+}
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/Refusals.java
@@ -0,0 +1,55 @@
+package org.clementineford.entry.internal.requests;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.HashMap;
+import java.util.Map;
+import org.clementineford.kernel.MessageCatalog;
+import org.clementineford.requests.attempts.EntryRefusal;
+import org.clementineford.requests.attempts.RunKnowledge;
+
+/** Final answers to refused requests. */
+final class Refusals {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(Refusals.class);
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final long MS_PER_SECOND = 1000;
+
+  private Refusals() {}
+
+  /** A refusal as the caller gets it. */
+  record Response(int status, Map<String, String> headers, byte[] body, String kind) {}
+
+  static Response of(EntryRefusal refusal, RunKnowledge run, String requestId, String detail) {
+    return response(
+        refusal.name(),
+        refusal.status(),
+        refusal.retryAfterMs(),
+        run,
+        requestId,
+        MESSAGES.format(refusal.name(), detail));
+  }
+
+  static Response response(
+      String kind,
+      int status,
+      long retryAfterMs,
+      RunKnowledge run,
+      String requestId,
+      String message) {
+    Map<String, String> headers = new HashMap<>();
+    headers.put("Content-Type", "application/json");
+    headers.put("Clementineford-Request", requestId);
+    headers.put("Clementineford-Run", run.headerValue());
+    if (retryAfterMs > 0) {
+      // The header counts whole seconds; rounding down would invite callers back too early.
+      long seconds = (retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND;
+      headers.put("Retry-After", Long.toString(seconds));
+    }
+    Map<String, String> error = Map.of("kind", kind, "message", message, "run", run.headerValue());
+    try {
+      return new Response(status, headers, JSON.writeValueAsBytes(Map.of("error", error)), kind);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a map of texts is always valid JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestFront.java
@@ -0,0 +1,141 @@
+package org.clementineford.entry.internal.requests;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.configuration.ClientAccount;
+import org.clementineford.configuration.ConfigurationSnapshot;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.node.ConfigurationView;
+import org.clementineford.requests.attempts.EntryRefusal;
+import org.clementineford.requests.attempts.InFlightLimit;
+import org.clementineford.requests.attempts.RunKnowledge;
+import org.clementineford.transport.http.HttpExchange;
+import org.clementineford.transport.http.HttpHandler;
+
+/** Accepts requests of callers, or refuses them with their final status. */
+final class RequestFront implements HttpHandler {
+  private static final String READY_PATH = "/ready";
+  // Memory of a request besides its body: buffers of the connection and the run's own state.
+  private static final long REQUEST_OVERHEAD_BYTES = 16 << 10;
+
+  private final VmIdentity self;
+  private final ConfigurationView configuration;
+  private final EntryServices services;
+  private final InFlightLimit limit;
+  private final Accounts accounts = new Accounts();
+  private final RequestParser parser = new RequestParser();
+  private final AtomicLong lastRequest = new AtomicLong();
+  private final AtomicInteger inFlight = new AtomicInteger();
+  private final CompletableFuture<Void> idle = new CompletableFuture<>();
+  private volatile boolean leaving;
+  private volatile boolean refusing;
+
+  RequestFront(
+      VmIdentity self, ConfigurationView configuration, EntryServices services, long memoryBytes) {
+    this.self = self;
+    this.configuration = configuration;
+    this.services = services;
+    this.limit = new InFlightLimit(memoryBytes);
+    configured(configuration.current());
+    configuration.onChange(this::configured);
+  }
+
+  private void configured(ConfigurationSnapshot snapshot) {
+    NanoClock clock = services.clock();
+    accounts.update(snapshot.clientAccounts());
+    services.endpoints().leavingByDocument(snapshot.leavingVms(), clock.nanoTime());
+  }
+
+  /** Makes {@code /ready} fail; requests are still accepted. */
+  void failReadiness() {
+    leaving = true;
+  }
+
+  /** Refuses new requests; the future completes when none is in flight. */
+  CompletableFuture<Void> refuseNewRequests() {
+    refusing = true;
+    if (inFlight.get() == 0) {
+      idle.complete(null);
+    }
+    return idle;
+  }
+
+  @Override
+  public void handle(HttpExchange http) {
+    if (http.request().path().equals(READY_PATH)) {
+      int status = leaving ? 503 : 200;
+      http.respond(status, Map.of("Content-Type", "text/plain"), new byte[0]);
+      return;
+    }
+    String requestId = newRequestId();
+    ClientAccount account = accounts.find(http.request().header("Authorization"));
+    if (account == null) {
+      refuse(http, EntryRefusal.UNAUTHENTICATED, requestId, "");
+      return;
+    }
+    try {
+      ConfigurationSnapshot snapshot = configuration.current();
+      accept(http, parser.parse(requestId, http.request(), account, snapshot), account);
+    } catch (RequestParser.Rejection rejection) {
+      refuse(http, rejection.refusal(), requestId, rejection.getMessage());
+    }
+  }
+
+  private void accept(HttpExchange http, CallerRequest request, ClientAccount account) {
+    // Counted before the check, so that a drain cannot miss a request that passed it.
+    inFlight.incrementAndGet();
+    if (refusing) {
+      refuse(http, EntryRefusal.ENTRY_LEAVING, request.requestId(), "");
+      ended();
+      return;
+    }
+    InFlightLimit.Reservation reservation =
+        limit.reserve(
+            account.name(),
+            request.body().length + REQUEST_OVERHEAD_BYTES,
+            account.weight(),
+            accounts.totalWeight());
+    if (reservation == null) {
+      refuse(http, EntryRefusal.ACCOUNT_LIMIT, request.requestId(), "");
+      ended();
+      return;
+    }
+    services.metrics().inFlight.inc();
+    double share = configuration.current().policies().retryBudgetShare();
+    services.budget().deposit(share, services.clock().nanoTime());
+    Runnable onEnd =
+        () -> {
+          limit.release(reservation);
+          services.metrics().inFlight.dec();
+          ended();
+        };
+    RequestRun run = new RequestRun(services, request, http, onEnd);
+    http.onWritable(run::callerWritable);
+    http.onClosed(run::callerGone);
+    run.begin();
+  }
+
+  private void ended() {
+    if (inFlight.decrementAndGet() == 0 && refusing) {
+      idle.complete(null);
+    }
+  }
+
+  private void refuse(HttpExchange http, EntryRefusal refusal, String requestId, String detail) {
+    String run = RunKnowledge.NOT_RUN.headerValue();
+    services.metrics().refusals.labelValues(refusal.name(), run).inc();
+    Refusals.Response response = Refusals.of(refusal, RunKnowledge.NOT_RUN, requestId, detail);
+    http.respond(response.status(), response.headers(), response.body());
+  }
+
+  private String newRequestId() {
+    return self.vm()
+        + "-"
+        + Long.toString(self.incarnation(), Character.MAX_RADIX)
+        + "-"
+        + Long.toString(lastRequest.incrementAndGet(), Character.MAX_RADIX);
+  }
+}
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestRun.java
@@ -0,0 +1,426 @@
+package org.clementineford.entry.internal.requests;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.requests.attempts.AttemptPlan;
+import org.clementineford.requests.attempts.AttemptPlan.Next;
+import org.clementineford.requests.attempts.EntryRefusal;
+import org.clementineford.requests.attempts.RunKnowledge;
+import org.clementineford.requests.claims.AttemptReport;
+import org.clementineford.requests.claims.Claim;
+import org.clementineford.requests.claims.StoredAnswer;
+import org.clementineford.transport.ExchangeFailure;
+import org.clementineford.transport.http.HttpExchange;
+import org.clementineford.wire.AnswerEnd;
+import org.clementineford.wire.AnswerHead;
+import org.clementineford.wire.Payload;
+import org.clementineford.wire.Refusal;
+import org.clementineford.wire.RunReport;
+import org.clementineford.wire.RunState;
+
+/** One request of a caller from its acceptance to its final answer. Guarded by its own lock. */
+final class RequestRun {
+  private static final long CONNECT_WAIT_MS = 10;
+  // Two connect timeouts of the peer network.
+  private static final long MAX_CONNECT_WAIT_MS = 2000;
+
+  private final EntryServices services;
+  private final CallerRequest request;
+  private final CallerResponse response;
+  private final AttemptPlan plan;
+  private final ClaimRun claim;
+  private final AttemptInquiry inquiry;
+  private final Runnable onEnd;
+  private final long startNanos;
+  private final long deadlineNanos;
+  private Scheduler.Cancellable deadline = () -> {};
+  private AttemptExchange attempt;
+  private Refusals.Response lastFailure;
+  private int named;
+  private boolean callerPresent = true;
+  private boolean ended;
+
+  RequestRun(EntryServices services, CallerRequest request, HttpExchange http, Runnable onEnd) {
+    this.services = services;
+    this.request = request;
+    this.response = new CallerResponse(http, request.stream());
+    this.onEnd = onEnd;
+    this.startNanos = services.clock().nanoTime();
+    this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(request.timeoutMs());
+    this.plan = new AttemptPlan(request.idempotent(), deadlineNanos, services.budget());
+    this.inquiry = new AttemptInquiry(services.link(), services.scheduler());
+    this.claim = request.isClaimed() ? new ClaimRun(services, request, inquiry, this) : null;
+  }
+
+  synchronized void begin() {
+    deadline =
+        services
+            .scheduler()
+            .schedule(this::deadlinePassed, request.timeoutMs(), TimeUnit.MILLISECONDS);
+    if (claim == null) {
+      nextAttempt();
+    } else {
+      claim.begin();
+    }
+  }
+
+  synchronized void callerWritable() {
+    response.onWritable();
+  }
+
+  synchronized boolean isWanted() {
+    return !ended && callerPresent && services.clock().nanoTime() < deadlineNanos;
+  }
+
+  synchronized boolean isEnded() {
+    return ended;
+  }
+
+  /** Names an attempt at a connected endpoint, and sends it once its claim stands. */
+  synchronized void nextAttempt() {
+    if (ended) {
+      return;
+    }
+    long now = services.clock().nanoTime();
+    Optional<Target> target = choose(plan::wasTried, now);
+    if (target.isEmpty() && plan.mayRepeatEndpoint()) {
+      target = choose(vm -> false, now);
+    }
+    if (target.isPresent()) {
+      named++;
+      if (claim == null) {
+        dispatch(target.get());
+      } else {
+        claim.prepared(target.get());
+      }
+      return;
+    }
+    Predicate<String> excluded = vm -> plan.wasTried(vm) && !plan.mayRepeatEndpoint();
+    boolean connecting = services.chooser().mayBecomeUsable(request.backEnd(), excluded, now);
+    long waited = TimeUnit.NANOSECONDS.toMillis(now - startNanos);
+    if (connecting && waited < MAX_CONNECT_WAIT_MS) {
+      services.scheduler().schedule(this::nextAttempt, CONNECT_WAIT_MS, TimeUnit.MILLISECONDS);
+    } else if (lastFailure != null) {
+      refuse(lastFailure);
+    } else if (claim != null) {
+      claim.noEndpoint();
+    } else {
+      refuse(EntryRefusal.NO_ENDPOINT);
+    }
+  }
+
+  private Optional<Target> choose(Predicate<String> excluded, long now) {
+    String attemptId = request.requestId() + "." + (named + 1);
+    return services
+        .chooser()
+        .choose(request.backEnd(), request.prefixHash(), attemptId, excluded, now);
+  }
+
+  /** Writes an attempt to its endpoint. */
+  synchronized void dispatch(Target target) {
+    if (ended) {
+      return;
+    }
+    long now = services.clock().nanoTime();
+    long remainingMs = TimeUnit.NANOSECONDS.toMillis(deadlineNanos - now);
+    if (remainingMs <= 0) {
+      deadlinePassed();
+      return;
+    }
+    if (plan.attempts() == 0) {
+      services.timeline().record(EventKind.REQUEST_DISPATCHED, details(target));
+    } else {
+      services.timeline().record(EventKind.REQUEST_RETRIED, details(target));
+    }
+    plan.started(target.vm());
+    target.candidate().countSent();
+    AttemptExchange opened =
+        new AttemptExchange(
+            target, request.requestId(), new Handler(), services.metrics().droppedPayloads);
+    attempt = opened;
+    Payload payload = Payload.dispatch(request.toDispatch(target, remainingMs));
+    opened.opened(services.link().open(target.address(), payload, new Guarded(opened)));
+  }
+
+  private String[] details(Target target) {
+    return new String[] {
+      "request", request.requestId(), "attempt", target.attemptId(), "endpoint", target.vm()
+    };
+  }
+
+  private void follow(Next next, String reason, Refusals.Response otherwise) {
+    switch (next) {
+      case GO_ELSEWHERE -> {
+        services.metrics().retries.labelValues(reason).inc();
+        response.reset();
+        lastFailure = otherwise;
+        if (claim == null) {
+          nextAttempt();
+        } else {
+          claim.notRun();
+        }
+      }
+      case ASK -> {
+        Claim asked = attempt.target().toClaim(request.digest());
+        inquiry.ask(asked, request.account(), request.key(), this::isWanted, this::reported);
+      }
+      default -> refuse(otherwise);
+    }
+  }
+
+  private synchronized void reported(AttemptReport report, RunReport details) {
+    if (ended) {
+      return;
+    }
+    switch (report) {
+      case FINISHED -> replay(answerOf(details), "endpoint");
+      case REVOKED -> {
+        services.timeline().record(EventKind.ATTEMPT_REVOKED, details(attempt.target()));
+        follow(
+            plan.notRun(true, services.clock().nanoTime()),
+            "revoked",
+            refusal(EntryRefusal.RETRY_BUDGET));
+      }
+      case RUNNING -> follow(Next.ASK, "running", null);
+      default -> {
+        plan.noReport();
+        refuse(EntryRefusal.CONNECTION_LOST);
+      }
+    }
+  }
+
+  /** Returns the answer in an endpoint's report, or null if the endpoint did not keep it. */
+  StoredAnswer answerOf(RunReport report) {
+    if (!report.isSetHead() || !report.isSetBody()) {
+      return null;
+    }
+    AnswerHead head = report.getHead();
+    return new StoredAnswer(head.getStatus(), callerHeaders(head), report.getBody());
+  }
+
+  /** Answers with the answer of an attempt that ended earlier. */
+  synchronized void replay(StoredAnswer answer, String source) {
+    if (ended) {
+      return;
+    }
+    services
+        .timeline()
+        .record(EventKind.REQUEST_REPLAYED, "request", request.requestId(), "source", source);
+    services.metrics().replays.labelValues(source).inc();
+    if (claim != null) {
+      claim.finished(answer);
+    }
+    if (answer == null) {
+      refuse(refusal(EntryRefusal.ANSWER_NOT_KEPT, RunKnowledge.RAN));
+      return;
+    }
+    Map<String, String> headers = new HashMap<>(answer.headers());
+    headers.put("Clementineford-Request", request.requestId());
+    countAnswer(answer.status());
+    response.respond(answer.status(), headers, answer.body());
+    end();
+  }
+
+  private Map<String, String> callerHeaders(AnswerHead head) {
+    Map<String, String> headers = new HashMap<>(head.getHeaders());
+    headers.keySet().removeIf(HopHeaders::isHopByHop);
+    headers.put("Clementineford-Request", request.requestId());
+    if (head.isSetModelVersion()) {
+      headers.put("Clementineford-Model-Version", head.getModelVersion());
+    }
+    if (head.isSetWeightsDigest()) {
+      headers.put("Clementineford-Weights-Digest", head.getWeightsDigest());
+    }
+    return headers;
+  }
+
+  private Refusals.Response refusal(EntryRefusal refusal) {
+    return refusal(refusal, knowledge());
+  }
+
+  private Refusals.Response refusal(EntryRefusal refusal, RunKnowledge run) {
+    return Refusals.of(refusal, run, request.requestId(), request.backEnd().name());
+  }
+
+  private RunKnowledge knowledge() {
+    return claim != null && claim.knowledge() != RunKnowledge.NOT_RUN
+        ? claim.knowledge()
+        : plan.knowledge();
+  }
+
+  synchronized void refuse(EntryRefusal refusal) {
+    refuse(refusal(refusal));
+  }
+
+  synchronized void refuse(EntryRefusal refusal, RunKnowledge run) {
+    refuse(refusal(refusal, run));
+  }
+
+  private void refuse(Refusals.Response refusal) {
+    if (ended) {
+      return;
+    }
+    String run = refusal.headers().get("Clementineford-Run");
+    services.metrics().refusals.labelValues(refusal.kind(), run).inc();
+    services
+        .timeline()
+        .record(
+            EventKind.REQUEST_REFUSED,
+            "request",
+            request.requestId(),
+            "reason",
+            refusal.kind(),
+            "run",
+            run);
+    countAnswer(refusal.status());
+    response.respond(refusal.status(), refusal.headers(), refusal.body());
+    end();
+  }
+
+  /** Cuts an answer off whose start the caller has; the missing end tells the caller. */
+  private void breakOff(String reason) {
+    services.metrics().brokenAnswers.labelValues(reason).inc();
+    services
+        .timeline()
+        .record(EventKind.REQUEST_BROKEN, "request", request.requestId(), "reason", reason);
+    response.abort();
+    end();
+  }
+
+  private synchronized void deadlinePassed() {
+    if (ended) {
+      return;
+    }
+    // A claimed run goes on, so that a resend with the key finds its answer.
+    if (attempt != null) {
+      attempt.abandon(claim == null);
+    }
+    if (response.isStarted()) {
+      breakOff("deadline");
+    } else {
+      refuse(EntryRefusal.DEADLINE);
+    }
+  }
+
+  synchronized void callerGone() {
+    if (ended) {
+      return;
+    }
+    callerPresent = false;
+    services.metrics().callersGone.inc();
+    if (attempt != null) {
+      attempt.abandon(claim == null);
+    }
+    end();
+  }
+
+  private void countAnswer(int status) {
+    services.metrics().requests.labelValues(request.account(), Integer.toString(status)).inc();
+  }
+
+  private void end() {
+    if (!ended) {
+      ended = true;
+      deadline.cancel();
+      onEnd.run();
+    }
+  }
+
+  /** Takes the run's lock before an event of the current attempt. */
+  private final class Guarded implements org.clementineford.transport.ExchangeListener {
+    private final AttemptExchange opened;
+
+    Guarded(AttemptExchange opened) {
+      this.opened = opened;
+    }
+
+    @Override
+    public void onPayload(Payload payload, boolean last) {
+      synchronized (RequestRun.this) {
+        opened.onPayload(payload, last);
+      }
+    }
+
+    @Override
+    public void onFailure(ExchangeFailure failure) {
+      synchronized (RequestRun.this) {
+        opened.onFailure(failure);
+      }
+    }
+  }
+
+  /** Events of the current attempt, called under the run's lock. */
+  private final class Handler implements AttemptExchange.Events {
+    @Override
+    public void head(AnswerHead head) {
+      response.head(head.getStatus(), callerHeaders(head));
+    }
+
+    @Override
+    public void part(byte[] bytes) {
+      if (!response.part(bytes)) {
+        attempt.abandon(claim == null);
+        breakOff("slow-caller");
+      }
+    }
+
+    @Override
+    public void end(AnswerEnd answerEnd) {
+      countAnswer(response.status());
+      if (claim != null) {
+        claim.finished(response.kept());
+      }
+      response.end(RequestRun.this::end);
+    }
+
+    @Override
+    public void refused(Refusal refusal) {
+      long now = services.clock().nanoTime();
+      EndpointRefusal known = EndpointRefusal.of(refusal);
+      if (known.isLeaving()) {
+        Target target = attempt.target();
+        services.endpoints().markLeaving(target.vm(), target.incarnation(), now);
+      }
+      if (response.isStarted()) {
+        breakOff("endpoint-" + refusal.getKind());
+        return;
+      }
+      Next next =
+          refusal.getRun() == RunState.NOT_RUN
+              ? plan.notRun(known.isRetryableElsewhere(), now)
+              : plan.refusedUnknown(now);
+      RunKnowledge run = refusal.getRun() == RunState.RAN ? RunKnowledge.RAN : knowledge();
+      follow(next, "refused", known.response(run, request.requestId()));
+    }
+
+    @Override
+    public void corrupt(String reason) {
+      attempt.abandon(request.idempotent());
+      interrupted("corrupt", EntryRefusal.CORRUPT_ANSWER);
+    }
+
+    @Override
+    public void lost(ExchangeFailure failure) {
+      long now = services.clock().nanoTime();
+      if (failure.provesNotReceived()) {
+        follow(plan.neverWritten(now), "never-written", refusal(EntryRefusal.NO_ENDPOINT));
+      } else {
+        interrupted("connection-lost", EntryRefusal.CONNECTION_LOST);
+      }
+    }
+
+    private void interrupted(String reason, EntryRefusal otherwise) {
+      if (response.isStarted()) {
+        breakOff(reason);
+        return;
+      }
+      Next next = plan.unknown(services.clock().nanoTime());
+      follow(next, reason, refusal(otherwise));
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/TargetChooser.java
@@ -0,0 +1,53 @@
+package org.clementineford.entry.internal.requests;
+
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.clementineford.requests.routing.BackEnd;
+import org.clementineford.requests.routing.Candidate;
+import org.clementineford.requests.routing.Router;
+import org.clementineford.transport.PeerInfo;
+
+/** Chooses an endpoint to which a connection stands. */
+final class TargetChooser {
+  private final Router router;
+  private final PeerLink link;
+
+  TargetChooser(Router router, PeerLink link) {
+    this.router = router;
+    this.link = link;
+  }
+
+  Optional<Target> choose(
+      BackEnd backEnd,
+      String prefixHash,
+      String attemptId,
+      Predicate<String> excluded,
+      long nowNanos) {
+    Predicate<Candidate> usable =
+        candidate -> !excluded.test(candidate.endpoint().vm()) && isConnected(candidate);
+    return router
+        .choose(backEnd, prefixHash, usable, nowNanos)
+        .map(candidate -> target(candidate, attemptId));
+  }
+
+  /** Tells whether an endpoint could serve the request once a connection to it stands. */
+  boolean mayBecomeUsable(BackEnd backEnd, Predicate<String> excluded, long nowNanos) {
+    Predicate<Candidate> usable = candidate -> !excluded.test(candidate.endpoint().vm());
+    return router.choose(backEnd, null, usable, nowNanos).isPresent();
+  }
+
+  private Target target(Candidate candidate, String attemptId) {
+    PeerInfo peer = link.peer(candidate.endpoint().address());
+    // The connection may have been replaced since the check; an unknown incarnation is refused by
+    // the endpoint as not run.
+    long incarnation = peer.identity() == null ? 0 : peer.identity().getIncarnation();
+    return new Target(attemptId, candidate, incarnation, peer.lastTick());
+  }
+
+  private boolean isConnected(Candidate candidate) {
+    PeerInfo peer = link.peer(candidate.endpoint().address());
+    return peer.identity() != null
+        && peer.lastTick() != 0
+        && peer.identity().getVm().equals(candidate.endpoint().vm());
+  }
+}
--- /dev/null
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/routing/BackEnd.java
@@ -0,0 +1,18 @@
+package org.clementineford.requests.routing;
+
+/**
+ * What serves a request.
+ *
+ * @param name name of the model or of the plain service
+ * @param version version of the model, or null for a plain service
+ */
+public record BackEnd(String name, String version) {
+  /**
+   * Tells whether the back end is a model engine.
+   *
+   * @return false for a plain service
+   */
+  public boolean isModel() {
+    return version != null;
+  }
+}
--- /dev/null
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Choice of the endpoint that gets a request. */
+package org.clementineford.requests.routing;
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpExchange.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpExchange.java
@@ -58,4 +58,11 @@
    * @return false if the sender should wait
    */
   boolean isWritable();
+
+  /**
+   * Sets what runs each time the connection becomes writable again while this request is answered.
+   *
+   * @param action the action, on the connection's thread
+   */
+  void onWritable(Runnable action);
 }
