--- /dev/null
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpWeightSource.java
@@ -0,0 +1,89 @@
+package org.clementineford.platform;
+
+import static org.clementineford.platform.HttpCalls.convert;
+import static org.clementineford.platform.HttpCalls.encodePath;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.errors.PlatformException;
+import org.clementineford.kernel.platform.WeightSource;
+import org.clementineford.transport.http.HttpClient;
+import org.clementineford.transport.http.HttpRequest;
+import org.clementineford.transport.http.HttpResponse;
+
+/**
+ * An origin or weight store over HTTP. The manifest fails after 2 s without an answer; a range
+ * fails once no byte arrives for 2 s, however long the whole takes. Fails with {@code NOT_FOUND} if
+ * the source answers that it has no such version, else with {@code UNAVAILABLE}.
+ */
+public final class HttpWeightSource implements WeightSource {
+  private final HttpCalls calls;
+
+  /**
+   * Creates an adapter.
+   *
+   * @param client client that makes the calls
+   * @param address address of the source
+   */
+  public HttpWeightSource(HttpClient client, HostPort address) {
+    this.calls = new HttpCalls(client, address);
+  }
+
+  @Override
+  public CompletableFuture<byte[]> manifest(String model, String version) {
+    String subject = "the manifest of " + model + " " + version;
+    return convert(
+        calls.read(path(model, version, "manifest"), subject, HttpCalls.TIMEOUT_MS),
+        answer -> {
+          checkStatus(subject, answer, 200);
+          return answer.body();
+        });
+  }
+
+  @Override
+  public CompletableFuture<byte[]> read(String model, String version, long offset, int length) {
+    String subject = length + " bytes at " + offset + " of " + model + " " + version;
+    String range = "bytes=" + offset + "-" + (offset + length - 1);
+    HttpRequest request =
+        new HttpRequest("GET", path(model, version, "data"), Map.of("Range", range), new byte[0]);
+    CompletableFuture<byte[]> bytes = new CompletableFuture<>();
+    BodyTransfer.start(calls.client(), calls.address(), request, length)
+        .whenComplete(
+            (answer, failure) -> {
+              try {
+                if (failure != null) {
+                  throw calls.readFailed(subject, HttpCalls.unwrap(failure));
+                }
+                bytes.complete(range(subject, answer, length));
+              } catch (PlatformException e) {
+                bytes.completeExceptionally(e);
+              }
+            });
+    return bytes;
+  }
+
+  private byte[] range(String subject, HttpResponse answer, int length) throws PlatformException {
+    checkStatus(subject, answer, 206);
+    if (answer.body().length != length) {
+      throw calls.malformed(
+          ErrorKind.UNAVAILABLE, subject, "it has " + answer.body().length + " bytes");
+    }
+    return answer.body();
+  }
+
+  private void checkStatus(String subject, HttpResponse answer, int expected)
+      throws PlatformException {
+    if (answer.status() == 404) {
+      throw HttpCalls.failure(ErrorKind.NOT_FOUND, null, "not-found", subject, calls.address());
+    }
+    if (answer.status() != expected) {
+      throw calls.readFailed(subject, "status " + answer.status());
+    }
+  }
+
+  private static String path(String model, String version, String part) {
+    return "/weights/" + encodePath(model) + "/" + encodePath(version) + "/" + part;
+  }
+}
