Use one idle timer for each HTTP call

Cause: the idle timer was cancelled and scheduled again for each part of a stream, which costs a timer-queue operation per token. The call now notes the time of the last part and one timer checks it.

Ruled out: Netty's IdleStateHandler, which is per connection and would need a pipeline change for each pooled request.

A test for a server that never answers passes.

--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
@@ -104,4 +104,24 @@
     call.cancel();
     assertThat(closed).succeedsWithin(5, TimeUnit.SECONDS);
   }
+
+  // Guards against a request that waits for ever on a server that accepts and never answers.
+  @Test
+  void silentServerEndsTheCallAfterTheIdleTimeout() throws Exception {
+    CompletableFuture<ExchangeFailure> failure = new CompletableFuture<>();
+    server =
+        HttpServer.start(
+            eventLoops, new HostPort("127.0.0.1", 0), 1024, LinkShaping.NONE, exchange -> {});
+    client.send(
+        server.address(),
+        new HttpRequest("GET", "/", Map.of(), new byte[0]),
+        100,
+        new IgnoringListener() {
+          @Override
+          public void onFailure(ExchangeFailure reason, String cause) {
+            failure.complete(reason);
+          }
+        });
+    assertThat(failure.get(5, TimeUnit.SECONDS)).isEqualTo(ExchangeFailure.UNKNOWN);
+  }
 }
--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/IgnoringListener.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/IgnoringListener.java
@@ -4,7 +4,7 @@
 import org.clementineford.transport.http.HttpResponseListener;
 
 /** Ignores the response. */
-final class IgnoringListener implements HttpResponseListener {
+class IgnoringListener implements HttpResponseListener {
   @Override
   public void onHead(int status, Map<String, String> headers) {}
 
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
@@ -24,6 +24,7 @@
   private final Consumer<Channel> release;
   private Channel channel;
   private ScheduledFuture<?> idleCheck;
+  private long lastActivityNanos;
   private boolean ended;
 
   HttpClientCall(
@@ -62,27 +63,33 @@
     message.headers().set(HttpHeaderNames.HOST, address.toString());
     message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
     connected.writeAndFlush(message);
-    rearm();
+    noteActivity();
+    checkIdleAfter(TimeUnit.MILLISECONDS.toNanos(idleTimeoutMs));
   }
 
-  private void rearm() {
-    if (idleCheck != null) {
-      idleCheck.cancel(false);
+  private void noteActivity() {
+    lastActivityNanos = channel.eventLoop().ticker().nanoTime();
+  }
+
+  // One timer for each call, since moving it for every part of a stream would cost more than the
+  // part itself.
+  private void checkIdleAfter(long delayNanos) {
+    idleCheck = channel.eventLoop().schedule(this::checkIdle, delayNanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void checkIdle() {
+    long idleNanos = channel.eventLoop().ticker().nanoTime() - lastActivityNanos;
+    long remainingNanos = TimeUnit.MILLISECONDS.toNanos(idleTimeoutMs) - idleNanos;
+    if (remainingNanos > 0) {
+      checkIdleAfter(remainingNanos);
+      return;
     }
-    idleCheck =
-        channel
-            .eventLoop()
-            .schedule(
-                () -> {
-                  fail(ExchangeFailure.UNKNOWN, "nothing received for " + idleTimeoutMs + " ms");
-                  channel.close();
-                },
-                idleTimeoutMs,
-                TimeUnit.MILLISECONDS);
+    fail(ExchangeFailure.UNKNOWN, "nothing received for " + idleTimeoutMs + " ms");
+    channel.close();
   }
 
   void head(HttpResponse response) {
-    rearm();
+    noteActivity();
     Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
     response.headers().forEach(header -> headers.put(header.getKey(), header.getValue()));
     if (!isEnded()) {
@@ -91,7 +98,7 @@
   }
 
   void body(byte[] bytes) {
-    rearm();
+    noteActivity();
     if (!isEnded()) {
       listener.onBody(bytes);
     }
