Test the failures of claims and attempts

The entry VM had tests for resends only. Each failure that callers can meet now has a test on paused time with an in-memory platform: outage before, during and after the claim, lost reply, restarted endpoint, copies held by a connection or by a paused entry VM, unresponsive connection, broken stream, crossed answers, absent caller and leaving endpoint.

The state of a run uses the shared RunState, and refusals of endpoints take status and retry rule from RefusalKind.

--- /dev/null
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/AttemptFailuresTest.java
@@ -0,0 +1,251 @@
+package org.clementineford.entry.internal.requests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.clementineford.entry.internal.requests.FakeEndpoint.Behavior;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class AttemptFailuresTest {
+  private final Fleet fleet = new Fleet();
+
+  private void shortWhile() {
+    fleet.time.advance(50, TimeUnit.MILLISECONDS);
+  }
+
+  private void everywhere(Behavior behavior) {
+    fleet.endpoints.values().forEach(endpoint -> endpoint.behavior = behavior);
+  }
+
+  private int runs() {
+    return fleet.runs("/reservations");
+  }
+
+  @Nested
+  class IdempotentRequests {
+    // Guards against losing lookups with the endpoint that had them.
+    @Test
+    void goElsewhereAfterLostConnection() {
+      fleet.endpoint(1).behavior = Behavior.LOSE_ANSWER;
+      for (int i = 0; i < 20; i++) {
+        FakeCall call = fleet.chat(fleet.entry(1), false);
+        shortWhile();
+        assertThat(call.status).isEqualTo(200);
+      }
+      assertThat(fleet.endpoint(1).runs).isNotEmpty();
+    }
+
+    // Guards against waiting for ever on a connection that stays open but carries nothing.
+    @Test
+    void goElsewhereAfterThreeSecondsOnAnUnresponsiveConnection() {
+      fleet.onlyEndpoint().behavior = Behavior.HOLD_CONNECTION;
+      FakeCall call = fleet.chat(fleet.entry(1), false);
+      fleet.endpoint(2).reachable = true;
+      fleet.pass(3100);
+      assertThat(call.status).isEqualTo(200);
+    }
+
+    // Guards against retries that multiply the load of a fleet that is down.
+    @Test
+    void stopAtTheRetryBudget() {
+      everywhere(Behavior.LOSE_ANSWER);
+      int calls = 200;
+      for (int i = 0; i < calls; i++) {
+        FakeCall call = fleet.chat(fleet.entry(1), false);
+        fleet.time.advance(2, TimeUnit.MILLISECONDS);
+        assertThat(call.status).isIn(0, 502);
+      }
+      shortWhile();
+      int dispatches = fleet.endpoints.values().stream().mapToInt(e -> e.dispatches.size()).sum();
+      // A tenth of the first attempts, the reserve of 10, and 10 a second for 0.45 s.
+      assertThat(dispatches - calls).isLessThanOrEqualTo(20 + 10 + 5);
+    }
+
+    // Guards against answers that mix two attempts.
+    @Test
+    void dropWhatFailedAttemptDelivered() {
+      fleet.endpoint(1).behavior = Behavior.SKIP_PART;
+      for (int i = 0; i < 10; i++) {
+        FakeCall call = fleet.chat(fleet.entry(1), false);
+        shortWhile();
+        assertThat(call.body()).startsWith("answer to {");
+      }
+    }
+  }
+
+  @Nested
+  class RequestsWithoutKey {
+    // Guards against a second run after the answer was lost.
+    @Test
+    void getTheAnswerOfTheirOnlyRunAfterLostConnection() {
+      everywhere(Behavior.LOSE_ANSWER);
+      FakeCall call = fleet.reserve(fleet.entry(1), null);
+      shortWhile();
+      assertThat(call.body()).isEqualTo("answer to 10 kg of lot 7");
+      assertThat(runs()).isEqualTo(1);
+    }
+
+    // Guards against a wrong "not run" for a request that ran on an endpoint that died.
+    @Test
+    void endAsUnknownIfTheEndpointDied() {
+      everywhere(Behavior.KEEP_RUNNING);
+      final FakeCall call = fleet.reserve(fleet.entry(1), null);
+      shortWhile();
+      everywhere(Behavior.LOSE_ANSWER);
+      fleet
+          .endpoints
+          .values()
+          .forEach(
+              endpoint -> {
+                endpoint.finishRuns();
+                endpoint.restart();
+              });
+      fleet.pass(2000);
+      assertThat(call.status).isEqualTo(502);
+      assertThat(call.run()).isEqualTo("unknown");
+      assertThat(runs()).isEqualTo(1);
+    }
+
+    // Guards against giving up a request that no endpoint saw.
+    @Test
+    void goElsewhereIfRefusedAsNotRun() {
+      fleet.endpoint(1).behavior = Behavior.REFUSE;
+      for (int i = 0; i < 8; i++) {
+        FakeCall call = fleet.reserve(fleet.entry(1), null);
+        shortWhile();
+        assertThat(call.status).isEqualTo(200);
+      }
+      assertThat(runs()).isEqualTo(8);
+    }
+
+    // Guards against a late answer, or none, when every endpoint refuses.
+    @Test
+    void areRefusedAtOnceWithTheEndpointsWordWhenAllRefuse() {
+      everywhere(Behavior.REFUSE);
+      FakeCall call = fleet.reserve(fleet.entry(1), null);
+      fleet.time.advance(5, TimeUnit.MILLISECONDS);
+      assertThat(call.status).isEqualTo(429);
+      assertThat(call.run()).isEqualTo("not-run");
+      assertThat(call.headers).containsEntry("Retry-After", "2");
+    }
+  }
+
+  @Nested
+  class Streams {
+    // Guards against a broken stream that looks like a short but complete answer.
+    @Test
+    void thatBreakCloseTheCallersConnection() {
+      everywhere(Behavior.BREAK_STREAM);
+      FakeCall call = fleet.chat(fleet.entry(1), true);
+      shortWhile();
+      assertThat(call.body()).isEqualTo("ans");
+      assertThat(call.aborted).isTrue();
+      assertThat(call.complete).isFalse();
+      assertThat(fleet.entry(1).metrics.brokenAnswers.labelValues("connection-lost").get())
+          .isEqualTo(1);
+    }
+
+    // Guards against an answer with a hole that ends as if it were whole.
+    @Test
+    void thatLackPartCloseTheCallersConnection() {
+      everywhere(Behavior.SKIP_PART);
+      FakeCall call = fleet.chat(fleet.entry(1), true);
+      shortWhile();
+      assertThat(call.aborted).isTrue();
+      assertThat(call.complete).isFalse();
+    }
+
+    // Guards against unbounded memory for a caller that does not read.
+    @Test
+    void waitForSlowCaller() {
+      everywhere(Behavior.KEEP_RUNNING);
+      FakeCall call = fleet.chat(fleet.entry(1), true);
+      call.writable = false;
+      shortWhile();
+      fleet.endpoints.values().forEach(FakeEndpoint::finishRuns);
+      assertThat(call.body()).isEmpty();
+      assertThat(call.complete).isFalse();
+      call.writable = true;
+      call.onWritable.run();
+      assertThat(call.complete).isTrue();
+      assertThat(call.body()).startsWith("answer to");
+    }
+  }
+
+  @Nested
+  class Answers {
+    // Guards against handing the answer of one request to the caller of another.
+    @Test
+    void ofOtherRequestsAreDroppedAndCounted() {
+      fleet.endpoint(1).behavior = Behavior.CROSS_ANSWER;
+      for (int i = 0; i < 10; i++) {
+        FakeCall call = fleet.chat(fleet.entry(1), false);
+        shortWhile();
+        assertThat(call.status).isEqualTo(200);
+      }
+      assertThat(fleet.entry(1).metrics.droppedPayloads.labelValues("mixed-up").get()).isPositive();
+    }
+
+    // Guards against work of engines for callers that went away.
+    @Test
+    void forCallersThatWentAwayAreCancelled() {
+      everywhere(Behavior.KEEP_RUNNING);
+      FakeCall call = fleet.chat(fleet.entry(1), true);
+      shortWhile();
+      call.closed.run();
+      assertThat(fleet.endpoints.values().stream().mapToInt(e -> e.cancelled).sum()).isEqualTo(1);
+    }
+
+    // Guards against callers that wait after their deadline.
+    @Test
+    void afterTheDeadlineAreRefusedAsUnknown() {
+      everywhere(Behavior.KEEP_RUNNING);
+      FakeCall call = fleet.reserve(fleet.entry(1), null);
+      fleet.pass(30_000);
+      assertThat(call.status).isEqualTo(504);
+      assertThat(call.run()).isEqualTo("unknown");
+    }
+  }
+
+  @Nested
+  class LeavingEndpoint {
+    private void assertNothingNewOn(FakeEndpoint leaving) {
+      for (int i = 0; i < 20; i++) {
+        FakeCall call = fleet.chat(fleet.entry(1), false);
+        shortWhile();
+        assertThat(call.status).isEqualTo(200);
+      }
+      assertThat(leaving.dispatches).isEmpty();
+    }
+
+    // Guards against new work for an endpoint that said itself that it leaves, without platform.
+    @Test
+    void byItsOwnReportGetsNothingNewWhileThePlatformIsDown() {
+      fleet.store.fault(FakeStore.Fault.DOWN);
+      fleet.entry(1).report(fleet.endpoint(1), true);
+      // A report that was sent earlier and arrives later must not undo it.
+      fleet.report();
+      assertNothingNewOn(fleet.endpoint(1));
+    }
+
+    // Guards against new work for an endpoint that the operators' document calls leaving.
+    @Test
+    void byTheDocumentGetsNothingNew() {
+      fleet.leaveByDocument("endpoint-1");
+      assertNothingNewOn(fleet.endpoint(1));
+    }
+
+    // Guards against new work for an endpoint that stopped without any statement.
+    @Test
+    void thatFallsSilentGetsNothingNewAfterThreeSeconds() {
+      fleet.time.advance(3001, TimeUnit.MILLISECONDS);
+      for (FakeEndpoint endpoint : fleet.endpoints.values()) {
+        if (endpoint != fleet.endpoint(1)) {
+          fleet.entry(1).report(endpoint, false);
+        }
+      }
+      assertNothingNewOn(fleet.endpoint(1));
+    }
+  }
+}
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/ClaimFailuresTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/ClaimFailuresTest.java
@@ -2,12 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class ClaimFailuresTest {
   private static final String KEY = "order-1";
+  private static final String LOT = "10 kg of lot 7";
 
   private final Fleet fleet = new Fleet();
 
@@ -18,7 +20,7 @@
   private void assertAnswered(FakeCall call) {
     assertThat(call.complete).isTrue();
     assertThat(call.status).isEqualTo(200);
-    assertThat(call.body()).isEqualTo("answer to 10 kg of lot 7");
+    assertThat(call.body()).isEqualTo("answer to " + LOT);
   }
 
   @Nested
@@ -74,4 +76,131 @@
       assertThat(fleet.runs(KEY)).isEqualTo(1);
     }
   }
+
+  @Nested
+  class PlatformOutage {
+    // Guards against a run without a claim, which a resend could not find.
+    @Test
+    void beforeTheClaimRefusesAsNotRun() {
+      fleet.store.fault(FakeStore.Fault.DOWN);
+      FakeCall call = fleet.reserve(fleet.entry(1), KEY);
+      assertThat(call.status).isEqualTo(503);
+      assertThat(call.run()).isEqualTo("not-run");
+      assertThat(call.headers).containsKey("Retry-After");
+      fleet.pass(20_000);
+      assertThat(fleet.runs(KEY)).isZero();
+    }
+
+    // Guards against a run after the refusal when the claim stands but nobody can read it back.
+    @Test
+    void duringTheClaimRefusesAsNotRunAndTheResendRunsOnce() {
+      fleet.store.fault(FakeStore.Fault.LOSE_REPLY_THEN_DOWN);
+      FakeCall first = fleet.reserve(fleet.entry(1), KEY);
+      assertThat(first.status).isEqualTo(503);
+      assertThat(first.run()).isEqualTo("not-run");
+      fleet.pass(5000);
+      assertThat(fleet.runs(KEY)).isZero();
+      fleet.store.fault(FakeStore.Fault.NONE);
+      FakeCall second = fleet.reserve(fleet.entry(2), KEY);
+      shortWhile();
+      assertAnswered(second);
+      assertThat(fleet.runs(KEY)).isEqualTo(1);
+    }
+
+    // Guards against a lost answer because its end could not be recorded.
+    @Test
+    void afterTheClaimAnswersAndTheResendGetsTheEndpointsReport() {
+      fleet.endpoints.values().forEach(e -> e.behavior = FakeEndpoint.Behavior.KEEP_RUNNING);
+      final FakeCall first = fleet.reserve(fleet.entry(1), KEY);
+      shortWhile();
+      fleet.store.fault(FakeStore.Fault.DOWN);
+      fleet.endpoints.values().forEach(FakeEndpoint::finishRuns);
+      assertAnswered(first);
+      FakeCall refused = fleet.reserve(fleet.entry(2), KEY);
+      assertThat(refused.status).isEqualTo(503);
+      fleet.store.fault(FakeStore.Fault.NONE);
+      FakeCall second = fleet.reserve(fleet.entry(2), KEY);
+      shortWhile();
+      assertAnswered(second);
+      assertThat(fleet.runs(KEY)).isEqualTo(1);
+    }
+
+    // Guards against refusing idempotent requests, which need no claim.
+    @Test
+    void leavesIdempotentRequestsAlone() {
+      fleet.store.fault(FakeStore.Fault.DOWN);
+      FakeCall call = fleet.chat(fleet.entry(1), false);
+      shortWhile();
+      assertThat(call.status).isEqualTo(200);
+    }
+
+    // Guards against a second attempt when the reply of a write that took effect was lost.
+    @Test
+    void thatLosesTheReplyOfTheClaimRunsOnce() {
+      fleet.store.fault(FakeStore.Fault.LOSE_WRITE_REPLIES);
+      FakeCall call = fleet.reserve(fleet.entry(1), KEY);
+      shortWhile();
+      assertAnswered(call);
+      assertThat(fleet.runs(KEY)).isEqualTo(1);
+    }
+  }
+
+  @Nested
+  class EndpointRestart {
+    // Guards against a second run after the endpoint forgot the first.
+    @Test
+    void duringTheRunMakesTheOutcomeUnknownForEver() {
+      fleet.endpoints.values().forEach(e -> e.behavior = FakeEndpoint.Behavior.KEEP_RUNNING);
+      fleet.reserve(fleet.entry(1), KEY);
+      shortWhile();
+      assertThat(fleet.runs(KEY)).isEqualTo(1);
+      fleet.endpoints.values().forEach(FakeEndpoint::restart);
+      fleet.report();
+      FakeCall second = fleet.reserve(fleet.entry(2), KEY);
+      fleet.pass(2000);
+      assertThat(second.status).isEqualTo(502);
+      assertThat(second.run()).isEqualTo("unknown");
+      assertThat(fleet.runs(KEY)).isEqualTo(1);
+    }
+  }
+
+  @Nested
+  class LateCopy {
+    // Guards against a copy that runs long after its revocation was forgotten.
+    @Test
+    void heldByTheConnectionNeverRunsTwice() {
+      FakeEndpoint slow = fleet.onlyEndpoint();
+      slow.behavior = FakeEndpoint.Behavior.HOLD_CONNECTION;
+      final FakeCall first = fleet.reserve(fleet.entry(1), KEY);
+      fleet.time.advance(100, TimeUnit.MILLISECONDS);
+      fleet.endpoint(2).reachable = true;
+      fleet.report();
+      FakeCall second = fleet.reserve(fleet.entry(2), KEY);
+      fleet.time.advance(100, TimeUnit.MILLISECONDS);
+      assertAnswered(second);
+      fleet.pass(4000);
+      assertAnswered(first);
+      slow.behavior = FakeEndpoint.Behavior.ANSWER;
+      fleet.pass(120_000);
+      slow.deliverHeld();
+      assertThat(slow.refusals).contains("stale-dispatch");
+      assertThat(fleet.runs(KEY)).isEqualTo(1);
+    }
+
+    // Guards against an entry VM that pauses after its claim and dispatches with a fresh tick.
+    @Test
+    void heldByThePausedEntryNeverRunsTwice() {
+      fleet.store.fault(FakeStore.Fault.HOLD_REPLIES);
+      fleet.reserve(fleet.entry(1), KEY, LOT, Map.of("Clementineford-Timeout-Ms", "600000"));
+      fleet.store.fault(FakeStore.Fault.NONE);
+      FakeCall second = fleet.reserve(fleet.entry(2), KEY);
+      shortWhile();
+      assertAnswered(second);
+      // Longer than endpoints remember revocations.
+      fleet.pass(70_000);
+      fleet.store.releaseReplies();
+      shortWhile();
+      assertThat(fleet.runs(KEY)).isEqualTo(1);
+    }
+  }
 }
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
@@ -38,7 +38,7 @@
     SKIP_PART,
     /** Dispatches wait on a connection that carries nothing, until {@link #deliverHeld}. */
     HOLD_CONNECTION,
-    REFUSE_BUSY
+    REFUSE
   }
 
   private static final long OLDEST_TICK_MS = 10_000;
@@ -97,13 +97,13 @@
     dispatches.add(dispatch);
     String id = dispatch.getAttemptId();
     if (dispatch.getTargetIncarnation() != incarnation) {
-      refuse("OTHER_INCARNATION", dispatch, listener);
+      refuse("other-incarnation", dispatch, listener);
     } else if (tick() - dispatch.getAdmissionTick() > OLDEST_TICK_MS) {
-      refuse("STALE_DISPATCH", dispatch, listener);
+      refuse("stale-dispatch", dispatch, listener);
     } else if (tick() - revoked.getOrDefault(id, -REVOCATION_MS) < REVOCATION_MS) {
-      refuse("REVOKED", dispatch, listener);
-    } else if (behavior == Behavior.REFUSE_BUSY) {
-      refuse("BUSY", dispatch, listener);
+      refuse("revoked", dispatch, listener);
+    } else if (behavior == Behavior.REFUSE) {
+      refuse("queue-full", dispatch, listener);
     } else {
       run(dispatch, listener);
     }
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/Fleet.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/Fleet.java
@@ -144,7 +144,12 @@
   }
 
   FakeCall reserve(Entry entry, String key, String body) {
-    Map<String, String> headers = new HashMap<>(Map.of("Authorization", "Bearer " + TOKEN));
+    return reserve(entry, key, body, Map.of());
+  }
+
+  FakeCall reserve(Entry entry, String key, String body, Map<String, String> more) {
+    Map<String, String> headers = new HashMap<>(more);
+    headers.put("Authorization", "Bearer " + TOKEN);
     if (key != null) {
       headers.put("Idempotency-Key", key);
     }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/ClaimRun.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/ClaimRun.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import org.clementineford.kernel.timeline.EventKind;
-import org.clementineford.requests.attempts.RunKnowledge;
+import org.clementineford.requests.RunState;
 import org.clementineford.requests.claims.AttemptReport;
 import org.clementineford.requests.claims.Claim;
 import org.clementineford.requests.claims.ClaimAction;
@@ -47,7 +47,7 @@
     act(decision.notRun());
   }
 
-  RunKnowledge knowledge() {
+  RunState knowledge() {
     return decision.knowledge();
   }
 
@@ -164,6 +164,7 @@
                 request.requestId(),
                 "attempt",
                 decision.current().attemptId());
+        run.avoid(decision.current().vm());
       }
       act(decision.reported(report, null));
     }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/EndpointRefusal.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/EndpointRefusal.java
@@ -1,8 +1,9 @@
 package org.clementineford.entry.internal.requests;
 
-import org.clementineford.requests.attempts.RunKnowledge;
+import java.util.Optional;
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.requests.RunState;
 import org.clementineford.wire.Refusal;
-import org.clementineford.wire.RunState;
 
 /** A refusal of an endpoint with the status that the caller gets for it. */
 final class EndpointRefusal {
@@ -10,27 +11,48 @@
   private static final long DEFAULT_RETRY_AFTER_MS = 1000;
 
   private final Refusal refusal;
+  private final Optional<RefusalKind> kind;
+  private final RunState run;
 
-  private EndpointRefusal(Refusal refusal) {
+  EndpointRefusal(Refusal refusal) {
     this.refusal = refusal;
+    this.kind = RefusalKind.fromWireName(refusal.getKind());
+    this.run = refusal.getRun() == null ? RunState.UNKNOWN : toRunState(refusal);
   }
 
-  static EndpointRefusal of(Refusal refusal) {
-    return new EndpointRefusal(refusal);
+  private static RunState toRunState(Refusal refusal) {
+    return switch (refusal.getRun()) {
+      case NOT_RUN -> RunState.NOT_RUN;
+      case RAN -> RunState.RAN;
+      case UNKNOWN -> RunState.UNKNOWN;
+    };
   }
 
-  boolean isLeaving() {
-    return refusal.getKind().equals("LEAVING");
+  /** Returns the kind, or null if a newer endpoint sent one that is not known here. */
+  RefusalKind kind() {
+    return kind.orElse(null);
   }
 
-  boolean isRetryableElsewhere() {
-    return refusal.getRun() == RunState.NOT_RUN;
+  RunState run() {
+    return run;
   }
 
-  Refusals.Response response(RunKnowledge run, String requestId) {
+  boolean mayGoElsewhere(CallerRequest request) {
+    if (kind() == RefusalKind.REVOKED) {
+      // Another submission revoked the attempt to run its own; the claim says which one that is.
+      return request.isClaimed();
+    }
+    return kind.map(known -> known.mayRetryElsewhere(run, request.idempotent()))
+        .orElse(run.allowsAnotherRun(request.idempotent()));
+  }
+
+  Refusals.Response response(RunState known, String requestId) {
+    // A key that was seen under another attempt may have run there.
+    RunState stated = kind() == RefusalKind.KEY_SEEN ? RunState.UNKNOWN : known;
     long retryAfterMs =
         refusal.getRetryAfterMs() > 0 ? refusal.getRetryAfterMs() : DEFAULT_RETRY_AFTER_MS;
+    int status = kind.map(RefusalKind::httpStatus).orElse(SERVICE_UNAVAILABLE);
     return Refusals.response(
-        refusal.getKind(), SERVICE_UNAVAILABLE, retryAfterMs, run, requestId, refusal.getMessage());
+        refusal.getKind(), status, retryAfterMs, stated, requestId, refusal.getMessage());
   }
 }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/Refusals.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/Refusals.java
@@ -5,8 +5,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import org.clementineford.kernel.MessageCatalog;
+import org.clementineford.requests.RunState;
 import org.clementineford.requests.attempts.EntryRefusal;
-import org.clementineford.requests.attempts.RunKnowledge;
 
 /** Final answers to refused requests. */
 final class Refusals {
@@ -19,9 +19,9 @@
   /** A refusal as the caller gets it. */
   record Response(int status, Map<String, String> headers, byte[] body, String kind) {}
 
-  static Response of(EntryRefusal refusal, RunKnowledge run, String requestId, String detail) {
+  static Response of(EntryRefusal refusal, RunState run, String requestId, String detail) {
     return response(
-        refusal.name(),
+        refusal.wireName(),
         refusal.status(),
         refusal.retryAfterMs(),
         run,
@@ -30,12 +30,7 @@
   }
 
   static Response response(
-      String kind,
-      int status,
-      long retryAfterMs,
-      RunKnowledge run,
-      String requestId,
-      String message) {
+      String kind, int status, long retryAfterMs, RunState run, String requestId, String message) {
     Map<String, String> headers = new HashMap<>();
     headers.put("Content-Type", "application/json");
     headers.put("Clementineford-Request", requestId);
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestFront.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestFront.java
@@ -9,9 +9,9 @@
 import org.clementineford.configuration.ConfigurationSnapshot;
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.node.ConfigurationView;
+import org.clementineford.requests.RunState;
 import org.clementineford.requests.attempts.EntryRefusal;
 import org.clementineford.requests.attempts.InFlightLimit;
-import org.clementineford.requests.attempts.RunKnowledge;
 import org.clementineford.transport.http.HttpExchange;
 import org.clementineford.transport.http.HttpHandler;
 
@@ -99,7 +99,7 @@
             account.weight(),
             accounts.totalWeight());
     if (reservation == null) {
-      refuse(http, EntryRefusal.ACCOUNT_LIMIT, request.requestId(), "");
+      refuse(http, EntryRefusal.ENTRY_FULL, request.requestId(), "");
       ended();
       return;
     }
@@ -125,9 +125,9 @@
   }
 
   private void refuse(HttpExchange http, EntryRefusal refusal, String requestId, String detail) {
-    String run = RunKnowledge.NOT_RUN.headerValue();
-    services.metrics().refusals.labelValues(refusal.name(), run).inc();
-    Refusals.Response response = Refusals.of(refusal, RunKnowledge.NOT_RUN, requestId, detail);
+    String run = RunState.NOT_RUN.headerValue();
+    services.metrics().refusals.labelValues(refusal.wireName(), run).inc();
+    Refusals.Response response = Refusals.of(refusal, RunState.NOT_RUN, requestId, detail);
     http.respond(response.status(), response.headers(), response.body());
   }
 
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestRun.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestRun.java
@@ -7,10 +7,11 @@
 import java.util.function.Predicate;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.requests.RunState;
 import org.clementineford.requests.attempts.AttemptPlan;
 import org.clementineford.requests.attempts.AttemptPlan.Next;
 import org.clementineford.requests.attempts.EntryRefusal;
-import org.clementineford.requests.attempts.RunKnowledge;
 import org.clementineford.requests.claims.AttemptReport;
 import org.clementineford.requests.claims.Claim;
 import org.clementineford.requests.claims.StoredAnswer;
@@ -21,7 +22,6 @@
 import org.clementineford.wire.Payload;
 import org.clementineford.wire.Refusal;
 import org.clementineford.wire.RunReport;
-import org.clementineford.wire.RunState;
 
 /** One request of a caller from its acceptance to its final answer. Guarded by its own lock. */
 final class RequestRun {
@@ -77,6 +77,11 @@
     return !ended && callerPresent && services.clock().nanoTime() < deadlineNanos;
   }
 
+  /** Prefers other endpoints to one that revoked an attempt of the same key. */
+  synchronized void avoid(String vm) {
+    plan.avoid(vm);
+  }
+
   synchronized boolean isEnded() {
     return ended;
   }
@@ -216,7 +221,7 @@
       claim.finished(answer);
     }
     if (answer == null) {
-      refuse(refusal(EntryRefusal.ANSWER_NOT_KEPT, RunKnowledge.RAN));
+      refuse(refusal(EntryRefusal.ANSWER_NOT_KEPT, RunState.RAN));
       return;
     }
     Map<String, String> headers = new HashMap<>(answer.headers());
@@ -243,12 +248,12 @@
     return refusal(refusal, knowledge());
   }
 
-  private Refusals.Response refusal(EntryRefusal refusal, RunKnowledge run) {
+  private Refusals.Response refusal(EntryRefusal refusal, RunState run) {
     return Refusals.of(refusal, run, request.requestId(), request.backEnd().name());
   }
 
-  private RunKnowledge knowledge() {
-    return claim != null && claim.knowledge() != RunKnowledge.NOT_RUN
+  private RunState knowledge() {
+    return claim != null && claim.knowledge() != RunState.NOT_RUN
         ? claim.knowledge()
         : plan.knowledge();
   }
@@ -257,7 +262,7 @@
     refuse(refusal(refusal));
   }
 
-  synchronized void refuse(EntryRefusal refusal, RunKnowledge run) {
+  synchronized void refuse(EntryRefusal refusal, RunState run) {
     refuse(refusal(refusal, run));
   }
 
@@ -303,7 +308,7 @@
     if (response.isStarted()) {
       breakOff("deadline");
     } else {
-      refuse(EntryRefusal.DEADLINE);
+      refuse(EntryRefusal.DEADLINE_PASSED);
     }
   }
 
@@ -381,8 +386,8 @@
     @Override
     public void refused(Refusal refusal) {
       long now = services.clock().nanoTime();
-      EndpointRefusal known = EndpointRefusal.of(refusal);
-      if (known.isLeaving()) {
+      EndpointRefusal known = new EndpointRefusal(refusal);
+      if (known.kind() == RefusalKind.LEAVING) {
         Target target = attempt.target();
         services.endpoints().markLeaving(target.vm(), target.incarnation(), now);
       }
@@ -390,11 +395,12 @@
         breakOff("endpoint-" + refusal.getKind());
         return;
       }
+      boolean retryable = known.mayGoElsewhere(request);
       Next next =
-          refusal.getRun() == RunState.NOT_RUN
-              ? plan.notRun(known.isRetryableElsewhere(), now)
-              : plan.refusedUnknown(now);
-      RunKnowledge run = refusal.getRun() == RunState.RAN ? RunKnowledge.RAN : knowledge();
+          known.run() == RunState.NOT_RUN
+              ? plan.notRun(retryable, now)
+              : plan.refusedUnknown(retryable, now);
+      RunState run = known.run() == RunState.RAN ? RunState.RAN : knowledge();
       follow(next, "refused", known.response(run, request.requestId()));
     }
 
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/attempts/AttemptPlan.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/attempts/AttemptPlan.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import org.clementineford.requests.RunState;
 
 /**
  * Decides what to do after each attempt of one request. Not safe for use by several threads.
@@ -58,6 +59,15 @@
     pending = true;
   }
 
+  /**
+   * Uses an endpoint only when no other is left.
+   *
+   * @param vm name of the endpoint
+   */
+  public void avoid(String vm) {
+    tried.add(vm);
+  }
+
   /**
    * Tells whether an endpoint was tried.
    *
@@ -141,14 +151,15 @@
   /**
    * The endpoint refused and the request may have run there.
    *
+   * @param retryableElsewhere true if another endpoint may accept it
    * @param nowNanos monotonic time
    * @return what to do next
    */
-  public Next refusedUnknown(long nowNanos) {
+  public Next refusedUnknown(boolean retryableElsewhere, long nowNanos) {
     pending = false;
     lastRefused = true;
     mayHaveRun = true;
-    return idempotent && mayRetry(nowNanos) ? Next.GO_ELSEWHERE : Next.REFUSE;
+    return idempotent && retryableElsewhere && mayRetry(nowNanos) ? Next.GO_ELSEWHERE : Next.REFUSE;
   }
 
   /**
@@ -156,8 +167,8 @@
    *
    * @return UNKNOWN as soon as any attempt may have run or may still run
    */
-  public RunKnowledge knowledge() {
-    return mayHaveRun || pending ? RunKnowledge.UNKNOWN : RunKnowledge.NOT_RUN;
+  public RunState knowledge() {
+    return mayHaveRun || pending ? RunState.UNKNOWN : RunState.NOT_RUN;
   }
 
   private boolean mayRetry(long nowNanos) {
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/claims/ClaimAction.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/claims/ClaimAction.java
@@ -1,7 +1,7 @@
 package org.clementineford.requests.claims;
 
+import org.clementineford.requests.RunState;
 import org.clementineford.requests.attempts.EntryRefusal;
-import org.clementineford.requests.attempts.RunKnowledge;
 
 /** What the owner of a {@link ClaimDecision} must do next. */
 public sealed interface ClaimAction {
@@ -53,5 +53,5 @@
    * @param refusal the reason
    * @param run what is known about a run
    */
-  record Refuse(EntryRefusal refusal, RunKnowledge run) implements ClaimAction {}
+  record Refuse(EntryRefusal refusal, RunState run) implements ClaimAction {}
 }
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/claims/ClaimDecision.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/claims/ClaimDecision.java
@@ -2,8 +2,8 @@
 
 import java.util.Optional;
 import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.requests.RunState;
 import org.clementineford.requests.attempts.EntryRefusal;
-import org.clementineford.requests.attempts.RunKnowledge;
 import org.clementineford.requests.claims.ClaimAction.Ask;
 import org.clementineford.requests.claims.ClaimAction.Create;
 import org.clementineford.requests.claims.ClaimAction.Dispatch;
@@ -119,7 +119,7 @@
     current = claim.get();
     version = readVersion;
     if (!current.digest().equals(digest)) {
-      return new Refuse(EntryRefusal.KEY_REUSED, RunKnowledge.NOT_RUN);
+      return new Refuse(EntryRefusal.KEY_REUSED, RunState.NOT_RUN);
     }
     if (own != null && current.attemptId().equals(own.attemptId()) && !current.done()) {
       return written(readVersion);
@@ -152,7 +152,7 @@
       }
       case RUNNING -> new Ask(current);
       case REVOKED -> notRun();
-      case FORGOTTEN, UNREACHABLE -> new Refuse(EntryRefusal.OUTCOME_UNKNOWN, RunKnowledge.UNKNOWN);
+      case FORGOTTEN, UNREACHABLE -> new Refuse(EntryRefusal.OUTCOME_UNKNOWN, RunState.UNKNOWN);
     };
   }
 
@@ -171,8 +171,8 @@
    *
    * @return UNKNOWN while an attempt of another submission may run
    */
-  public RunKnowledge knowledge() {
-    return otherMayRun ? RunKnowledge.UNKNOWN : RunKnowledge.NOT_RUN;
+  public RunState knowledge() {
+    return otherMayRun ? RunState.UNKNOWN : RunState.NOT_RUN;
   }
 
   /**
@@ -199,6 +199,6 @@
   }
 
   private ClaimAction platformUnavailable() {
-    return new Refuse(EntryRefusal.PLATFORM_UNAVAILABLE, knowledge());
+    return new Refuse(EntryRefusal.PLATFORM_DOWN, knowledge());
   }
 }
