--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/Activation.java
@@ -0,0 +1,102 @@
+package org.clementineford.endpoint.internal.weights;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.clementineford.endpoint.ServedVersions.ServedVersion;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.errors.PlatformException;
+import org.clementineford.kernel.platform.ModelEngine;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.kernel.timeline.Timeline;
+import org.clementineford.weights.Manifest;
+import org.clementineford.weights.OrderNumber;
+
+/** Orders the engines of one model to load a whole copy, and publishes the version afterwards. */
+final class Activation {
+  private final List<ModelEngine> engines;
+  private final PublishedVersions published;
+  private final Timeline timeline;
+
+  Activation(List<ModelEngine> engines, PublishedVersions published, Timeline timeline) {
+    this.engines = List.copyOf(engines);
+    this.published = published;
+    this.timeline = timeline;
+  }
+
+  /**
+   * Loads a version and publishes it.
+   *
+   * @param manifest the version, of which a whole copy is held
+   * @param url where the engines read the copy
+   * @param number number of the order that this follows
+   * @return completes after the version was published; fails with {@code PlatformException}
+   */
+  CompletableFuture<Void> activate(Manifest manifest, String url, OrderNumber number) {
+    ModelEngine.LoadOrder order =
+        new ModelEngine.LoadOrder(
+            manifest.model(),
+            manifest.version(),
+            manifest.digest(),
+            manifest.length(),
+            url,
+            number.combined());
+    timeline.record(
+        EventKind.LOAD_ORDERED,
+        "model",
+        manifest.model(),
+        "version",
+        manifest.version(),
+        "number",
+        String.valueOf(number.combined()));
+    CompletableFuture<?>[] loads =
+        engines.stream()
+            .map(engine -> engine.load(order).thenCompose(loaded -> check(manifest, loaded)))
+            .toArray(CompletableFuture[]::new);
+    return CompletableFuture.allOf(loads)
+        .thenRun(() -> publish(manifest))
+        .whenComplete((done, failure) -> recordFailure(manifest, failure));
+  }
+
+  private static CompletableFuture<Void> check(Manifest manifest, ModelEngine.Loaded loaded) {
+    if (manifest.digest().equals(loaded.digest()) && manifest.version().equals(loaded.version())) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return CompletableFuture.failedFuture(
+        new PlatformException(
+            ErrorKind.CORRUPT_DATA,
+            "the engine loaded "
+                + loaded.version()
+                + " with digest "
+                + loaded.digest()
+                + " instead of "
+                + manifest.version()
+                + " with digest "
+                + manifest.digest()
+                + "; it gets no requests for that version until it is loaded again"));
+  }
+
+  private void publish(Manifest manifest) {
+    published.publish(new ServedVersion(manifest.model(), manifest.version(), manifest.digest()));
+    timeline.record(
+        EventKind.VERSION_ACTIVATED,
+        "model",
+        manifest.model(),
+        "version",
+        manifest.version(),
+        "digest",
+        manifest.digest());
+  }
+
+  private void recordFailure(Manifest manifest, Throwable failure) {
+    if (failure != null) {
+      timeline.record(
+          EventKind.ACTIVATION_FAILED,
+          "model",
+          manifest.model(),
+          "version",
+          manifest.version(),
+          "reason",
+          String.valueOf(failure.getMessage()));
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ChunkUploads.java
@@ -0,0 +1,87 @@
+package org.clementineford.endpoint.internal.weights;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.transport.IncomingExchange;
+import org.clementineford.transport.Payloads;
+import org.clementineford.weights.Manifest;
+import org.clementineford.weights.UploadSlots;
+import org.clementineford.wire.ChunkFetch;
+import org.clementineford.wire.ChunkRefusal;
+import org.clementineford.wire.ChunkRefusalKind;
+import org.clementineford.wire.ManifestBytes;
+import org.clementineford.wire.ManifestFetch;
+import org.clementineford.wire.Payload;
+
+/** Answers peers that fetch manifests and chunks. */
+final class ChunkUploads {
+  private static final long BUSY_RETRY_MS = 20;
+  private static final long ABSENT_RETRY_MS = TimeUnit.SECONDS.toMillis(1);
+
+  private final TransferTools tools;
+  private final UploadSlots slots;
+  private final Map<String, Manifest> manifests = new ConcurrentHashMap<>();
+
+  ChunkUploads(TransferTools tools) {
+    this.tools = tools;
+    this.slots = new UploadSlots(tools.limits().uploadSlots());
+  }
+
+  void offer(Manifest manifest) {
+    manifests.put(manifest.address(), manifest);
+  }
+
+  void withdraw(String manifestAddress) {
+    manifests.remove(manifestAddress);
+  }
+
+  void sendManifest(Payload opening, IncomingExchange exchange) {
+    ManifestFetch fetch = opening.getManifestFetch();
+    Optional<Manifest> found =
+        manifests.values().stream()
+            .filter(manifest -> manifest.model().equals(fetch.getModel()))
+            .filter(manifest -> manifest.version().equals(fetch.getVersion()))
+            .findFirst();
+    if (found.isEmpty()) {
+      exchange.finish(
+          Payloads.failure("no-manifest", "this VM has no manifest of that version yet"));
+      return;
+    }
+    ManifestBytes reply = new ManifestBytes();
+    reply.setManifest(found.get().toJson());
+    exchange.finish(Payload.manifestBytes(reply));
+  }
+
+  void sendChunk(Payload opening, IncomingExchange exchange) {
+    ChunkFetch fetch = opening.getChunkFetch();
+    Manifest manifest = manifests.get(fetch.getManifestDigest());
+    int chunk = fetch.getChunk();
+    if (manifest == null) {
+      refuse(exchange, chunk, ChunkRefusalKind.OTHER_MANIFEST, ABSENT_RETRY_MS);
+    } else if (chunk < 0
+        || chunk >= manifest.chunks()
+        || !tools.store().contains(manifest.chunkDigests().get(chunk))) {
+      refuse(exchange, chunk, ChunkRefusalKind.ABSENT, ABSENT_RETRY_MS);
+    } else if (!slots.take()) {
+      refuse(exchange, chunk, ChunkRefusalKind.BUSY, BUSY_RETRY_MS);
+    } else {
+      tools.metrics().sent(manifest.chunkLength(chunk));
+      new ChunkUpload(
+              tools.store(),
+              fetch.getManifestDigest(),
+              chunk,
+              manifest.chunkDigests().get(chunk),
+              manifest.chunkLength(chunk),
+              exchange,
+              slots::release)
+          .start();
+    }
+  }
+
+  private static void refuse(
+      IncomingExchange exchange, int chunk, ChunkRefusalKind kind, long retryAfterMs) {
+    exchange.finish(Payload.chunkRefusal(new ChunkRefusal(chunk, kind, retryAfterMs)));
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ManifestSearch.java
@@ -0,0 +1,127 @@
+package org.clementineford.endpoint.internal.weights;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.weights.Manifest;
+import org.clementineford.weights.RendezvousHash;
+import org.clementineford.wire.ManifestFetch;
+import org.clementineford.wire.Payload;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Finds the manifest of a version: from peers, and from the origin by the VM that ranks first for
+ * the version. The next ranks read the origin if they still have no manifest after their delay.
+ */
+final class ManifestSearch {
+  private static final Logger LOG = LoggerFactory.getLogger(ManifestSearch.class);
+  private static final long RETRY_MS = 50;
+
+  private final TransferTools tools;
+  private final String model;
+  private final String version;
+  private final Consumer<Manifest> onFound;
+  private final long startedNanos;
+  private Scheduler.Cancellable timer;
+  private boolean originAsked;
+  private boolean ended;
+  private int attempts;
+
+  ManifestSearch(TransferTools tools, String model, String version, Consumer<Manifest> onFound) {
+    this.tools = tools;
+    this.model = model;
+    this.version = version;
+    this.onFound = onFound;
+    this.startedNanos = tools.context().nanoClock().nanoTime();
+  }
+
+  synchronized void start() {
+    timer =
+        tools.context().scheduler().scheduleEvery(this::attempt, RETRY_MS, TimeUnit.MILLISECONDS);
+    attempt();
+  }
+
+  synchronized void stop() {
+    ended = true;
+    timer.cancel();
+  }
+
+  private synchronized void attempt() {
+    if (ended) {
+      return;
+    }
+    List<VmIdentity> ranked = ranked();
+    int rank = ranked.indexOf(tools.context().self());
+    long waited = tools.context().nanoClock().nanoTime() - startedNanos;
+    if (!originAsked && waited >= rank * tools.limits().rankNanos()) {
+      originAsked = true;
+      tools.outside().manifest(model, version).whenComplete(this::originAnswered);
+    }
+    ranked.remove(tools.context().self());
+    if (!ranked.isEmpty()) {
+      // The first rank is asked most often, because it reads the manifest first.
+      int index = attempts % 2 == 0 ? 0 : attempts / 2 % ranked.size();
+      attempts++;
+      askPeer(ranked.get(index).address());
+    }
+  }
+
+  private List<VmIdentity> ranked() {
+    List<VmIdentity> vms = new ArrayList<>(Endpoints.alive(tools.context()));
+    List<String> order =
+        RendezvousHash.order(vms.stream().map(VmIdentity::vm).toList(), model + "/" + version);
+    vms.sort(java.util.Comparator.comparingInt(vm -> order.indexOf(vm.vm())));
+    return vms;
+  }
+
+  private void askPeer(HostPort address) {
+    Payload request = Payload.manifestFetch(new ManifestFetch(model, version));
+    tools
+        .context()
+        .network()
+        .call(address, request)
+        .thenAccept(
+            reply -> {
+              if (reply.isSetManifestBytes()) {
+                found(reply.getManifestBytes().getManifest());
+              }
+            });
+  }
+
+  private void originAnswered(byte[] json, Throwable failure) {
+    if (failure == null) {
+      found(json);
+    } else {
+      LOG.warn("manifest of {} {} cannot be read: {}", model, version, failure.getMessage());
+      retryOrigin();
+    }
+  }
+
+  private synchronized void retryOrigin() {
+    originAsked = false;
+  }
+
+  private void found(byte[] json) {
+    Manifest manifest;
+    try {
+      manifest = Manifest.parse(json);
+    } catch (ClementinefordException e) {
+      LOG.warn("ignoring a manifest of {} {}: {}", model, version, e.getMessage());
+      retryOrigin();
+      return;
+    }
+    synchronized (this) {
+      if (ended || !manifest.model().equals(model) || !manifest.version().equals(version)) {
+        return;
+      }
+      stop();
+    }
+    onFound.accept(manifest);
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/MapAnnouncer.java
@@ -0,0 +1,191 @@
+package org.clementineford.endpoint.internal.weights;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.transport.Exchange;
+import org.clementineford.transport.ExchangeFailure;
+import org.clementineford.transport.ExchangeListener;
+import org.clementineford.weights.ChunkMap;
+import org.clementineford.weights.Fetch;
+import org.clementineford.weights.Manifest;
+import org.clementineford.weights.OriginAssignment;
+import org.clementineford.weights.RendezvousHash;
+import org.clementineford.wire.Payload;
+
+/**
+ * Tells peers which chunks this VM holds.
+ *
+ * <p>Neighbours in the region hear of each change, the VMs that bring a chunk into other regions
+ * hear of the chunks that this VM read from the origin, and two random VMs of other regions hear
+ * everything now and then, which repairs what was lost. The VM announces through one exchange for
+ * each peer, which stays open. Callers synchronize.
+ */
+final class MapAnnouncer {
+  private static final long REPAIR_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final int REPAIR_PEERS = 2;
+
+  private final TransferTools tools;
+  private final Manifest manifest;
+  private final String address;
+  private final SplittableRandom random;
+  private final Map<HostPort, Exchange> exchanges = new HashMap<>();
+  private final Set<HostPort> broken = new HashSet<>();
+  private final List<Integer> readFromOrigin = new ArrayList<>();
+  private int announcedChunks = -1;
+  private boolean announcedWhole;
+  private boolean membersChanged;
+  private long repairedNanos;
+
+  MapAnnouncer(TransferTools tools, Manifest manifest, String address) {
+    this.tools = tools;
+    this.manifest = manifest;
+    this.address = address;
+    this.random = new SplittableRandom(RendezvousHash.seed(tools.context().self().vm()));
+    this.repairedNanos = tools.context().nanoClock().nanoTime();
+  }
+
+  void gained(Fetch fetch) {
+    if (!fetch.kind().isPeer()) {
+      readFromOrigin.add(fetch.chunk());
+    }
+  }
+
+  void membersChanged() {
+    membersChanged = true;
+  }
+
+  /** Sends the map where it is news. */
+  void announce(ChunkMap held, OriginAssignment assignment, boolean whole) {
+    long now = tools.context().nanoClock().nanoTime();
+    boolean changed = held.count() != announcedChunks || whole != announcedWhole || membersChanged;
+    boolean repair = now - repairedNanos >= REPAIR_NANOS;
+    if (!changed && !repair) {
+      return;
+    }
+    Map<String, VmIdentity> receivers = new LinkedHashMap<>();
+    if (changed) {
+      neighbours().forEach(vm -> receivers.put(vm.vm(), vm));
+      for (int chunk : readFromOrigin) {
+        assignment.importers(chunk).forEach(vm -> receivers.put(vm.vm(), vm));
+      }
+      readFromOrigin.clear();
+    }
+    if (repair) {
+      repairedNanos = now;
+      repairPeers().forEach(vm -> receivers.put(vm.vm(), vm));
+    }
+    if (whole) {
+      Endpoints.entries(tools.context()).forEach(vm -> receivers.put(vm.vm(), vm));
+    }
+    announcedChunks = held.count();
+    announcedWhole = whole;
+    membersChanged = false;
+    send(held, whole, receivers.values());
+  }
+
+  private void send(ChunkMap held, boolean whole, Collection<VmIdentity> receivers) {
+    byte[] bitmap = held.toBytes();
+    for (VmIdentity receiver : receivers) {
+      org.clementineford.wire.ChunkMap map =
+          new org.clementineford.wire.ChunkMap(
+              tools.context().network().self(),
+              manifest.model(),
+              manifest.version(),
+              address,
+              ByteBuffer.wrap(bitmap),
+              whole);
+      send(receiver.address(), Payload.chunkMap(map));
+    }
+  }
+
+  private void send(HostPort receiver, Payload payload) {
+    synchronized (broken) {
+      if (broken.remove(receiver)) {
+        exchanges.remove(receiver);
+      }
+    }
+    Exchange open = exchanges.get(receiver);
+    if (open != null) {
+      open.send(payload);
+    } else {
+      exchanges.put(
+          receiver, tools.context().network().open(receiver, payload, new Listener(receiver)));
+    }
+  }
+
+  private List<VmIdentity> neighbours() {
+    VmIdentity self = tools.context().self();
+    List<VmIdentity> region = new ArrayList<>();
+    for (VmIdentity vm : Endpoints.alive(tools.context())) {
+      if (vm.region().equals(self.region()) && !vm.vm().equals(self.vm())) {
+        region.add(vm);
+      }
+    }
+    if (region.size() <= tools.limits().neighbours()) {
+      return region;
+    }
+    Map<String, VmIdentity> byName = new HashMap<>();
+    region.forEach(vm -> byName.put(vm.vm(), vm));
+    return RendezvousHash.order(List.copyOf(byName.keySet()), self.vm()).stream()
+        .limit(tools.limits().neighbours())
+        .map(byName::get)
+        .toList();
+  }
+
+  private List<VmIdentity> repairPeers() {
+    VmIdentity self = tools.context().self();
+    List<VmIdentity> others = new ArrayList<>();
+    for (VmIdentity vm : Endpoints.alive(tools.context())) {
+      if (!vm.vm().equals(self.vm())) {
+        others.add(vm);
+      }
+    }
+    List<VmIdentity> chosen = new ArrayList<>();
+    for (int i = 0; i < REPAIR_PEERS && !others.isEmpty(); i++) {
+      chosen.add(others.remove(random.nextInt(others.size())));
+    }
+    return chosen;
+  }
+
+  void close() {
+    exchanges.values().forEach(Exchange::cancel);
+    exchanges.clear();
+  }
+
+  private final class Listener implements ExchangeListener {
+    private final HostPort receiver;
+
+    Listener(HostPort receiver) {
+      this.receiver = receiver;
+    }
+
+    @Override
+    public void onPayload(Payload payload, boolean last) {
+      if (last) {
+        markBroken();
+      }
+    }
+
+    @Override
+    public void onFailure(ExchangeFailure failure) {
+      markBroken();
+    }
+
+    private void markBroken() {
+      synchronized (broken) {
+        broken.add(receiver);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ModelRollout.java
@@ -0,0 +1,262 @@
+package org.clementineford.endpoint.internal.weights;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.configuration.ConfigurationSnapshot;
+import org.clementineford.configuration.ModelSpecification;
+import org.clementineford.endpoint.ServedVersions.ServedVersion;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.errors.PlatformException;
+import org.clementineford.weights.ActivationPacing;
+import org.clementineford.weights.Manifest;
+import org.clementineford.weights.OrderNumber;
+import org.clementineford.wire.ModelStatus;
+
+/** Brings the wanted version of one model onto this VM and into its engines. */
+final class ModelRollout {
+  /** Assumed time of one load, which spreads VMs that activate without an order. */
+  private static final long LOAD_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private final String model;
+  private final TransferTools tools;
+  private final ChunkUploads uploads;
+  private final CopyServer copies;
+  private final Activation activation;
+  private final PublishedVersions published;
+  private ModelSpecification wanted;
+  private ManifestSearch search;
+  private VersionTransfer transfer;
+  private Manifest served;
+  private Scheduler.Cancellable fallback;
+  private CompletableFuture<Void> loading;
+
+  ModelRollout(
+      String model,
+      TransferTools tools,
+      ChunkUploads uploads,
+      CopyServer copies,
+      Activation activation,
+      PublishedVersions published) {
+    this.model = model;
+    this.tools = tools;
+    this.uploads = uploads;
+    this.copies = copies;
+    this.activation = activation;
+    this.published = published;
+  }
+
+  /** Follows the document: starts, replaces or keeps the transfer. */
+  synchronized void follow(ModelSpecification specification) {
+    boolean sameVersion = wanted != null && wanted.version().equals(specification.version());
+    final boolean resumed = wanted != null && wanted.paused() && !specification.paused();
+    wanted = specification;
+    if (!sameVersion) {
+      dropTransfer();
+    }
+    if (specification.paused()) {
+      cancelFallback();
+      return;
+    }
+    if (search == null && transfer == null) {
+      String version = specification.version();
+      search = new ManifestSearch(tools, model, version, manifest -> begin(manifest));
+      search.start();
+    } else if (resumed && transfer != null && transfer.isWhole()) {
+      scheduleFallback(transfer);
+    }
+  }
+
+  private void dropTransfer() {
+    cancelFallback();
+    if (search != null) {
+      search.stop();
+      search = null;
+    }
+    if (transfer != null) {
+      transfer.stop();
+      boolean stillServed = served != null && served.address().equals(transfer.address());
+      if (stillServed) {
+        tools.store().pin(served);
+      } else {
+        uploads.withdraw(transfer.address());
+        copies.withdraw(transfer.address());
+      }
+      transfer = null;
+    }
+  }
+
+  private synchronized void begin(Manifest manifest) {
+    if (wanted == null || !wanted.version().equals(manifest.version()) || transfer != null) {
+      return;
+    }
+    transfer = new VersionTransfer(tools, manifest, wanted.policy(), this::becameWhole);
+    uploads.offer(manifest);
+    transfer.start();
+  }
+
+  private synchronized void becameWhole(VersionTransfer whole) {
+    if (whole != transfer) {
+      return;
+    }
+    if (!isServing(whole)) {
+      scheduleFallback(whole);
+    }
+  }
+
+  private void scheduleFallback(VersionTransfer whole) {
+    cancelFallback();
+    if (wanted.paused() || isServing(whole)) {
+      return;
+    }
+    List<String> vms =
+        Endpoints.alive(tools.context()).stream()
+            .filter(vm -> vm.dataCentre().equals(tools.context().self().dataCentre()))
+            .map(VmIdentity::vm)
+            .toList();
+    ConfigurationSnapshot configuration = tools.context().configuration().current();
+    long delay =
+        ActivationPacing.fallbackDelay(
+            tools.context().self().vm(),
+            model + "/" + whole.manifest().version(),
+            vms,
+            configuration.policies().activationShare(),
+            LOAD_NANOS);
+    fallback =
+        tools
+            .context()
+            .scheduler()
+            .schedule(() -> activateAlone(whole), delay, TimeUnit.NANOSECONDS);
+  }
+
+  private void cancelFallback() {
+    if (fallback != null) {
+      fallback.cancel();
+      fallback = null;
+    }
+  }
+
+  private synchronized void activateAlone(VersionTransfer whole) {
+    if (whole == transfer && !wanted.paused()) {
+      long revision = tools.context().configuration().current().revision();
+      activate(whole.manifest().version(), whole.address(), new OrderNumber(revision, 0));
+    }
+  }
+
+  /**
+   * Activates a version.
+   *
+   * @param version version that the order names
+   * @param address manifest that the order names
+   * @param number number of the order
+   * @return completes when the version is served; fails with {@code ClementinefordException}
+   */
+  synchronized CompletableFuture<Void> activate(
+      String version, String address, OrderNumber number) {
+    if (transfer == null || !transfer.address().equals(address) || wanted.paused()) {
+      return refused("this VM does not want " + model + " " + version + " now");
+    }
+    if (!transfer.isWhole()) {
+      return refused("the copy of " + model + " " + version + " is not whole yet");
+    }
+    if (isServing(transfer)) {
+      return CompletableFuture.completedFuture(null);
+    }
+    if (loading != null && !loading.isDone()) {
+      return loading;
+    }
+    cancelFallback();
+    VersionTransfer whole = transfer;
+    loading =
+        activation
+            .activate(whole.manifest(), copies.offer(whole.manifest()), number)
+            .whenComplete((done, failure) -> loaded(whole, failure));
+    return loading;
+  }
+
+  private static CompletableFuture<Void> refused(String reason) {
+    return CompletableFuture.failedFuture(
+        new PlatformException(ErrorKind.CONFLICT, reason + "; order it again later"));
+  }
+
+  private synchronized void loaded(VersionTransfer whole, Throwable failure) {
+    if (failure != null) {
+      if (whole == transfer) {
+        scheduleFallback(whole);
+      }
+      return;
+    }
+    Manifest previous = served;
+    served = whole.manifest();
+    if (previous != null && !previous.address().equals(served.address())) {
+      tools.store().unpin(previous.address());
+      uploads.withdraw(previous.address());
+      copies.withdraw(previous.address());
+    }
+  }
+
+  private boolean isServing(VersionTransfer whole) {
+    Optional<ServedVersion> current = published.current(model);
+    return current.isPresent()
+        && current.get().version().equals(whole.manifest().version())
+        && current.get().digest().equals(whole.manifest().digest());
+  }
+
+  synchronized void membersChanged(List<VmIdentity> alive) {
+    if (transfer != null) {
+      transfer.membersChanged(alive);
+    }
+  }
+
+  void mapReceived(VmIdentity sender, String address, byte[] bitmap) {
+    VersionTransfer current;
+    synchronized (this) {
+      current = transfer;
+    }
+    if (current != null && current.address().equals(address)) {
+      current.mapReceived(sender, bitmap);
+    }
+  }
+
+  synchronized ModelStatus status() {
+    ModelStatus status = new ModelStatus();
+    status.setModel(model);
+    published
+        .current(model)
+        .ifPresent(
+            current -> {
+              status.setServingVersion(current.version());
+              status.setServingDigest(current.digest());
+            });
+    if (wanted != null) {
+      status.setTargetVersion(wanted.version());
+    }
+    if (transfer != null) {
+      status.setChunksHeld(transfer.chunksHeld());
+      status.setChunksTotal(transfer.manifest().chunks());
+      status.setBytesFromOrigin(transfer.counts().fromOrigin());
+      status.setBytesFromPeers(transfer.counts().fromPeers());
+      status.setBytesRefetched(transfer.counts().refetched());
+    }
+    return status;
+  }
+
+  synchronized void close() {
+    dropTransfer();
+  }
+
+  /**
+   * Returns the failure that a caller of {@link #activate} should report.
+   *
+   * @param failure failure of the future, with or without a wrapper
+   * @return text with the remedy
+   */
+  static String reason(Throwable failure) {
+    Throwable cause = failure.getCause() == null ? failure : failure.getCause();
+    return cause instanceof ClementinefordException ? cause.getMessage() : failure.toString();
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/PeerFetch.java
@@ -0,0 +1,97 @@
+package org.clementineford.endpoint.internal.weights;
+
+import java.util.concurrent.TimeUnit;
+import org.clementineford.transport.Exchange;
+import org.clementineford.transport.ExchangeFailure;
+import org.clementineford.transport.ExchangeListener;
+import org.clementineford.transport.PeerNetwork;
+import org.clementineford.weights.Fetch;
+import org.clementineford.weights.FetchOutcome;
+import org.clementineford.wire.ChunkBytes;
+import org.clementineford.wire.ChunkFetch;
+import org.clementineford.wire.ChunkRefusal;
+import org.clementineford.wire.ChunkRefusalKind;
+import org.clementineford.wire.Payload;
+
+/** Fetches one chunk from a peer. */
+final class PeerFetch implements ExchangeListener {
+  private final Fetch fetch;
+  private final String manifestAddress;
+  private final byte[] bytes;
+  private final Listener listener;
+  private volatile Exchange exchange;
+  private volatile int received;
+
+  PeerFetch(Fetch fetch, String manifestAddress, int length, Listener listener) {
+    this.fetch = fetch;
+    this.manifestAddress = manifestAddress;
+    this.bytes = new byte[length];
+    this.listener = listener;
+  }
+
+  void start(PeerNetwork network) {
+    ChunkFetch request = new ChunkFetch(manifestAddress, fetch.chunk(), network.self());
+    exchange = network.open(fetch.peer().address(), Payload.chunkFetch(request), this);
+  }
+
+  /** Gives the fetch up and returns how many bytes had arrived. */
+  int cancel() {
+    Exchange current = exchange;
+    if (current != null) {
+      current.cancel();
+    }
+    return received;
+  }
+
+  @Override
+  public void onPayload(Payload payload, boolean last) {
+    if (payload.isSetChunkBytes()) {
+      onBytes(payload.getChunkBytes(), last);
+    } else if (payload.isSetChunkRefusal()) {
+      ChunkRefusal refusal = payload.getChunkRefusal();
+      FetchOutcome outcome =
+          refusal.getKind() == ChunkRefusalKind.BUSY ? FetchOutcome.BUSY : FetchOutcome.ABSENT;
+      listener.failed(
+          fetch, outcome, TimeUnit.MILLISECONDS.toNanos(refusal.getRetryAfterMs()), received);
+    } else {
+      listener.failed(fetch, FetchOutcome.ABSENT, 0, received);
+    }
+  }
+
+  private void onBytes(ChunkBytes part, boolean last) {
+    byte[] content = part.getBytes();
+    boolean fits =
+        part.getManifestDigest().equals(manifestAddress)
+            && part.getChunk() == fetch.chunk()
+            && part.getOffset() == received
+            && content.length <= bytes.length - received;
+    if (!fits) {
+      cancel();
+      listener.failed(fetch, FetchOutcome.CORRUPT, 0, received + content.length);
+      return;
+    }
+    System.arraycopy(content, 0, bytes, received, content.length);
+    received += content.length;
+    listener.progressed(fetch);
+    if (last) {
+      listener.received(fetch, bytes);
+    }
+  }
+
+  @Override
+  public void onFailure(ExchangeFailure failure) {
+    listener.failed(fetch, FetchOutcome.LOST, 0, received);
+  }
+
+  /** Is told how a fetch goes on, on the connection's thread. */
+  interface Listener {
+    /** Called when bytes arrived. */
+    void progressed(Fetch fetch);
+
+    /** Called once with the bytes, not yet verified; a short chunk fails verification. */
+    void received(Fetch fetch, byte[] bytes);
+
+    /** Called once if the chunk did not arrive. */
+    void failed(Fetch fetch, FetchOutcome outcome, long retryAfterNanos, int bytesInVain);
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
@@ -0,0 +1,298 @@
+package org.clementineford.endpoint.internal.weights;
+
+import java.security.MessageDigest;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.clementineford.kernel.DistributionPolicy;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.weights.ChunkMap;
+import org.clementineford.weights.Digests;
+import org.clementineford.weights.Fetch;
+import org.clementineford.weights.FetchOutcome;
+import org.clementineford.weights.Manifest;
+import org.clementineford.weights.OriginAssignment;
+import org.clementineford.weights.TransferActions;
+import org.clementineford.weights.TransferState;
+
+/** Carries out the transfer of one manifest to this VM. */
+final class VersionTransfer implements PeerFetch.Listener {
+  private final TransferTools tools;
+  private final Manifest manifest;
+  private final String address;
+  private final TransferState state;
+  private final Consumer<VersionTransfer> onWhole;
+  private final TransferCounts counts = new TransferCounts();
+  private final Map<Long, PeerFetch> peerFetches = new HashMap<>();
+  private final MapAnnouncer announcer;
+  private Scheduler.Cancellable timer;
+  private boolean checkingWhole;
+  private boolean stopped;
+  private volatile boolean whole;
+
+  VersionTransfer(
+      TransferTools tools,
+      Manifest manifest,
+      DistributionPolicy policy,
+      Consumer<VersionTransfer> onWhole) {
+    this.tools = tools;
+    this.manifest = manifest;
+    this.address = manifest.address();
+    this.onWhole = onWhole;
+    this.state =
+        new TransferState(
+            tools.context().self(), address, manifest.chunks(), policy, tools.limits());
+    this.announcer = new MapAnnouncer(tools, manifest, address);
+  }
+
+  synchronized void start() {
+    tools.store().pin(manifest);
+    record(EventKind.TRANSFER_STARTED);
+    for (int chunk = 0; chunk < manifest.chunks(); chunk++) {
+      if (tools.store().contains(manifest.chunkDigests().get(chunk))) {
+        state.hold(chunk);
+      }
+    }
+    state.setMembers(Endpoints.alive(tools.context()));
+    timer =
+        tools
+            .context()
+            .scheduler()
+            .scheduleEvery(this::tick, tools.limits().announceNanos(), TimeUnit.NANOSECONDS);
+    proceed();
+  }
+
+  /** Stops fetching; the chunks stay until their space is needed. */
+  synchronized void stop() {
+    stopped = true;
+    if (timer != null) {
+      timer.cancel();
+    }
+    peerFetches.values().forEach(PeerFetch::cancel);
+    peerFetches.clear();
+    announcer.close();
+    tools.store().unpin(address);
+    if (!whole) {
+      record(EventKind.TRANSFER_DROPPED);
+    }
+  }
+
+  synchronized void membersChanged(List<VmIdentity> alive) {
+    state.setMembers(alive);
+    announcer.membersChanged();
+    proceed();
+  }
+
+  synchronized void mapReceived(VmIdentity sender, byte[] bitmap) {
+    state.setMap(sender, ChunkMap.fromBytes(bitmap, manifest.chunks()));
+    proceed();
+  }
+
+  private synchronized void tick() {
+    if (!stopped) {
+      announcer.announce(state.held(), state.assignment(), whole);
+      proceed();
+    }
+  }
+
+  private void proceed() {
+    if (stopped || whole) {
+      return;
+    }
+    TransferActions actions = state.plan(now());
+    actions.cancelled().forEach(this::giveUp);
+    actions.started().forEach(this::startFetch);
+    if (state.held().isWhole() && !checkingWhole) {
+      checkingWhole = true;
+      tools.verifier().execute(this::checkWhole);
+    }
+  }
+
+  private void startFetch(Fetch fetch) {
+    int length = manifest.chunkLength(fetch.chunk());
+    if (fetch.kind().isPeer()) {
+      PeerFetch peerFetch = new PeerFetch(fetch, address, length, this);
+      peerFetches.put(fetch.id(), peerFetch);
+      peerFetch.start(tools.context().network());
+      return;
+    }
+    tools
+        .outside()
+        .read(manifest.model(), manifest.version(), manifest.offset(fetch.chunk()), length)
+        .whenComplete(
+            (bytes, failure) -> {
+              if (failure == null) {
+                received(fetch, bytes);
+              } else {
+                failed(fetch, FetchOutcome.LOST, 0, 0);
+              }
+            });
+  }
+
+  private void giveUp(Fetch fetch) {
+    PeerFetch peerFetch = peerFetches.remove(fetch.id());
+    if (peerFetch != null) {
+      inVain(peerFetch.cancel());
+    }
+    tools
+        .context()
+        .timeline()
+        .record(
+            EventKind.SOURCE_MARKED_DOWN,
+            "model",
+            manifest.model(),
+            "version",
+            manifest.version(),
+            "source",
+            source(fetch),
+            "reason",
+            FetchOutcome.SILENT.name());
+  }
+
+  private static String source(Fetch fetch) {
+    return fetch.peer() == null ? fetch.kind().name() : fetch.peer().vm();
+  }
+
+  private void inVain(long bytes) {
+    counts.inVain(bytes);
+    tools.metrics().refetched(bytes);
+  }
+
+  @Override
+  public synchronized void progressed(Fetch fetch) {
+    state.progress(fetch.id(), now());
+  }
+
+  @Override
+  public void received(Fetch fetch, byte[] bytes) {
+    tools.verifier().execute(() -> verify(fetch, bytes));
+  }
+
+  private void verify(Fetch fetch, byte[] bytes) {
+    String expected = manifest.chunkDigests().get(fetch.chunk());
+    if (!Digests.sha256Hex(bytes).equals(expected)) {
+      failed(fetch, FetchOutcome.CORRUPT, 0, bytes.length);
+      return;
+    }
+    if (!tools.store().put(expected, bytes)) {
+      failed(fetch, FetchOutcome.BUSY, tools.limits().progressNanos(), bytes.length);
+      return;
+    }
+    stored(fetch, bytes.length);
+  }
+
+  private synchronized void stored(Fetch fetch, int length) {
+    peerFetches.remove(fetch.id());
+    final boolean alreadyHeld = state.held().holds(fetch.chunk());
+    for (Fetch obsolete : state.succeeded(fetch.id(), now())) {
+      PeerFetch other = peerFetches.remove(obsolete.id());
+      if (other != null) {
+        inVain(other.cancel());
+      }
+    }
+    // A read that was given up may still bring a chunk that is missing.
+    state.hold(fetch.chunk());
+    counts.received(fetch.kind().isPeer(), length);
+    tools.metrics().received(fetch.kind().name(), length);
+    if (alreadyHeld) {
+      inVain(length);
+    }
+    announcer.gained(fetch);
+    tools.metrics().held(manifest.model(), manifest.version(), state.held().count());
+    proceed();
+  }
+
+  @Override
+  public synchronized void failed(
+      Fetch fetch, FetchOutcome outcome, long retryAfterNanos, int bytesInVain) {
+    if (peerFetches.remove(fetch.id()) == null && fetch.kind().isPeer()) {
+      return;
+    }
+    inVain(bytesInVain);
+    state.failed(fetch.id(), outcome, retryAfterNanos, now());
+    if (outcome == FetchOutcome.CORRUPT) {
+      tools
+          .context()
+          .timeline()
+          .record(
+              EventKind.CHUNK_REFETCHED,
+              "model",
+              manifest.model(),
+              "version",
+              manifest.version(),
+              "chunk",
+              String.valueOf(fetch.chunk()),
+              "source",
+              source(fetch));
+    }
+    proceed();
+  }
+
+  private void checkWhole() {
+    MessageDigest digest = Digests.sha256();
+    for (int chunk = 0; chunk < manifest.chunks(); chunk++) {
+      String chunkDigest = manifest.chunkDigests().get(chunk);
+      tools.store().read(chunkDigest, 0, manifest.chunkLength(chunk)).ifPresent(digest::update);
+    }
+    if (Digests.hex(digest.digest()).equals(manifest.digest())) {
+      wholeChecked();
+    } else {
+      record(EventKind.ACTIVATION_FAILED, "reason", "the chunks do not make up the whole digest");
+    }
+  }
+
+  private void wholeChecked() {
+    synchronized (this) {
+      if (stopped) {
+        return;
+      }
+      whole = true;
+      record(EventKind.TRANSFER_WHOLE);
+      announcer.announce(state.held(), state.assignment(), true);
+    }
+    onWhole.accept(this);
+  }
+
+  private void record(EventKind kind, String... details) {
+    String[] all = new String[details.length + 4];
+    all[0] = "model";
+    all[1] = manifest.model();
+    all[2] = "version";
+    all[3] = manifest.version();
+    System.arraycopy(details, 0, all, 4, details.length);
+    tools.context().timeline().record(kind, all);
+  }
+
+  private long now() {
+    return tools.context().nanoClock().nanoTime();
+  }
+
+  Manifest manifest() {
+    return manifest;
+  }
+
+  String address() {
+    return address;
+  }
+
+  /** Tells whether all chunks and the whole digest are verified. */
+  boolean isWhole() {
+    return whole;
+  }
+
+  synchronized int chunksHeld() {
+    return state.held().count();
+  }
+
+  synchronized OriginAssignment assignment() {
+    return state.assignment();
+  }
+
+  TransferCounts counts() {
+    return counts;
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponent.java
@@ -0,0 +1,137 @@
+package org.clementineford.endpoint.internal.weights;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.clementineford.configuration.ConfigurationSnapshot;
+import org.clementineford.configuration.ModelSpecification;
+import org.clementineford.endpoint.ServedVersions;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.SettingException;
+import org.clementineford.kernel.platform.ModelEngine;
+import org.clementineford.node.NodeComponent;
+import org.clementineford.node.NodeContext;
+import org.clementineford.node.StatusContributor;
+import org.clementineford.transport.IncomingExchange;
+import org.clementineford.transport.Payloads;
+import org.clementineford.weights.FencingGuard;
+import org.clementineford.wire.ChunkMap;
+import org.clementineford.wire.ModelStatus;
+import org.clementineford.wire.Payload;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps the wanted model versions on this VM and in its engines. */
+public final class WeightsComponent implements NodeComponent, StatusContributor {
+  private static final Logger LOG = LoggerFactory.getLogger(WeightsComponent.class);
+
+  private final NodeContext context;
+  private final TransferTools tools;
+  private final Map<String, List<ModelEngine>> engines;
+  private final HostPort copyAddress;
+  private final PublishedVersions published = new PublishedVersions();
+  private final Map<String, ModelRollout> rollouts = new TreeMap<>();
+  private CopyServer copies;
+
+  /**
+   * Creates the component and offers {@link ServedVersions} and {@link StatusContributor}.
+   *
+   * @param tools what the transfers share
+   * @param engines engines of this VM by the model that they run
+   * @param copyAddress loopback address from which engines load
+   */
+  WeightsComponent(
+      TransferTools tools, Map<String, List<ModelEngine>> engines, HostPort copyAddress) {
+    this.context = tools.context();
+    this.tools = tools;
+    this.engines = Map.copyOf(engines);
+    this.copyAddress = copyAddress;
+    context.shared().offer(ServedVersions.class, published);
+    context.shared().offer(StatusContributor.class, this);
+  }
+
+  @Override
+  public void start() throws ClementinefordException {
+    copies = new CopyServer(tools.store(), context.eventLoops(), copyAddress);
+    ChunkUploads uploads = new ChunkUploads(tools);
+    engines.forEach(
+        (model, modelEngines) ->
+            rollouts.put(
+                model,
+                new ModelRollout(
+                    model,
+                    tools,
+                    uploads,
+                    copies,
+                    new Activation(modelEngines, published, context.timeline()),
+                    published)));
+    OrderHandler orders = new OrderHandler(new FencingGuard(), rollouts, context.timeline());
+    context.payloads().register(Payload._Fields.CHUNK_MAP, this::mapOpened);
+    context.payloads().register(Payload._Fields.CHUNK_FETCH, uploads::sendChunk);
+    context.payloads().register(Payload._Fields.MANIFEST_FETCH, uploads::sendManifest);
+    context.payloads().register(Payload._Fields.ACTIVATE_ORDER, orders::activate);
+    context.membership().onChange(members -> membersChanged());
+    context.configuration().onChange(this::follow);
+    follow(context.configuration().current());
+  }
+
+  private void follow(ConfigurationSnapshot configuration) {
+    for (Map.Entry<String, ModelRollout> entry : rollouts.entrySet()) {
+      ModelSpecification wanted = configuration.models().get(entry.getKey());
+      if (wanted != null) {
+        entry.getValue().follow(wanted);
+      }
+    }
+  }
+
+  private void membersChanged() {
+    List<VmIdentity> alive = Endpoints.alive(context);
+    rollouts.values().forEach(rollout -> rollout.membersChanged(alive));
+  }
+
+  private void mapOpened(Payload opening, IncomingExchange exchange) {
+    exchange.onPayload(this::mapReceived);
+    mapReceived(opening);
+  }
+
+  private void mapReceived(Payload payload) {
+    if (!payload.isSetChunkMap()) {
+      return;
+    }
+    ChunkMap map = payload.getChunkMap();
+    ModelRollout rollout = rollouts.get(map.getModel());
+    if (rollout == null) {
+      return;
+    }
+    try {
+      VmIdentity sender = Payloads.fromWire(map.getSender());
+      rollout.mapReceived(sender, map.getManifestDigest(), map.getBitmap());
+    } catch (SettingException e) {
+      LOG.warn("ignoring a chunk map: {}", e.getMessage());
+    }
+  }
+
+  @Override
+  public List<ModelStatus> modelStatus() {
+    List<ModelStatus> statuses = new ArrayList<>();
+    rollouts.values().forEach(rollout -> statuses.add(rollout.status()));
+    return statuses;
+  }
+
+  @Override
+  public CompletableFuture<Void> drain() {
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public void close() {
+    rollouts.values().forEach(ModelRollout::close);
+    if (copies != null) {
+      copies.close();
+    }
+  }
+}
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpExchange.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpExchange.java
@@ -58,4 +58,13 @@
    * @return false if the sender should wait
    */
   boolean isWritable();
+
+  /**
+   * Sets what runs each time the connection becomes writable again.
+   *
+   * @param action the action, on the connection's thread
+   */
+  default void onWritable(Runnable action) {
+    throw new UnsupportedOperationException("this exchange does not report writability");
+  }
 }
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServerConnection.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServerConnection.java
@@ -61,6 +61,14 @@
     }
   }
 
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext context) {
+    if (current != null && context.channel().isWritable()) {
+      current.writable();
+    }
+    context.fireChannelWritabilityChanged();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     if (current != null) {
@@ -80,6 +88,7 @@
     private final HttpRequest request;
     private final boolean keepAlive;
     private Runnable closedAction;
+    private Runnable writableAction;
     private boolean started;
     private boolean ended;
     private boolean closed;
@@ -184,6 +193,21 @@
       return context.channel().isWritable();
     }
 
+    @Override
+    public synchronized void onWritable(Runnable action) {
+      writableAction = action;
+    }
+
+    void writable() {
+      Runnable action;
+      synchronized (this) {
+        action = ended ? null : writableAction;
+      }
+      if (action != null) {
+        action.run();
+      }
+    }
+
     void closed() {
       Runnable action;
       synchronized (this) {
--- /dev/null
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/Manifest.java
@@ -0,0 +1,147 @@
+package org.clementineford.weights;
+
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.ErrorKind;
+
+/**
+ * Description of one version of a model's weights, published by the origin as JSON.
+ *
+ * @param model name of the model
+ * @param version name of the version
+ * @param digest SHA-256 of the whole weights, lower-case hexadecimal
+ * @param length length of the weights in bytes
+ * @param chunkLength length of each chunk but the last, in bytes
+ * @param chunkDigests SHA-256 of each chunk, lower-case hexadecimal
+ */
+@JsonIgnoreProperties(ignoreUnknown = true)
+public record Manifest(
+    String model,
+    String version,
+    String digest,
+    long length,
+    int chunkLength,
+    List<String> chunkDigests) {
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int DIGEST_DIGITS = 64;
+
+  /** Copies the list. */
+  public Manifest {
+    chunkDigests = chunkDigests == null ? List.of() : List.copyOf(chunkDigests);
+  }
+
+  /**
+   * Parses and checks a manifest.
+   *
+   * @param json manifest as published
+   * @return the manifest
+   * @throws ClementinefordException kind {@code CORRUPT_DATA} if the text is not a manifest
+   */
+  public static Manifest parse(byte[] json) throws ClementinefordException {
+    Manifest manifest;
+    try {
+      manifest = JSON.readValue(json, Manifest.class);
+    } catch (IOException e) {
+      throw new ClementinefordException(
+          ErrorKind.CORRUPT_DATA, "manifest is not valid JSON; publish it again", e);
+    }
+    manifest.check();
+    return manifest;
+  }
+
+  /**
+   * Describes weights that are in memory.
+   *
+   * @param model name of the model
+   * @param version name of the version
+   * @param weights the whole weights
+   * @param chunkLength length of a chunk in bytes
+   * @return the manifest
+   */
+  public static Manifest describe(String model, String version, byte[] weights, int chunkLength) {
+    List<String> digests = new ArrayList<>();
+    for (int offset = 0; offset < weights.length; offset += chunkLength) {
+      int end = Math.min(weights.length, offset + chunkLength);
+      digests.add(Digests.sha256Hex(java.util.Arrays.copyOfRange(weights, offset, end)));
+    }
+    return new Manifest(
+        model, version, Digests.sha256Hex(weights), weights.length, chunkLength, digests);
+  }
+
+  private void check() throws ClementinefordException {
+    boolean shape =
+        model != null
+            && version != null
+            && isDigest(digest)
+            && length > 0
+            && chunkLength > 0
+            && chunkDigests.size() == (length + chunkLength - 1) / chunkLength
+            && chunkDigests.stream().allMatch(Manifest::isDigest);
+    if (!shape) {
+      throw new ClementinefordException(
+          ErrorKind.CORRUPT_DATA,
+          "manifest of " + model + " " + version + " is incomplete; publish it again");
+    }
+  }
+
+  private static boolean isDigest(String text) {
+    return text != null && text.length() == DIGEST_DIGITS;
+  }
+
+  /**
+   * Returns the JSON form.
+   *
+   * @return UTF-8 text
+   */
+  public byte[] toJson() {
+    try {
+      return JSON.writeValueAsBytes(this);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a manifest has a JSON form", e);
+    }
+  }
+
+  /**
+   * Returns the content address, under which peers exchange the chunks. It covers everything that
+   * the manifest says, in the form of {@link #toJson()}.
+   *
+   * @return SHA-256 in lower-case hexadecimal
+   */
+  public String address() {
+    return Digests.sha256Hex(toJson());
+  }
+
+  /**
+   * Returns the number of chunks.
+   *
+   * @return at least 1
+   */
+  public int chunks() {
+    return chunkDigests.size();
+  }
+
+  /**
+   * Returns where a chunk begins.
+   *
+   * @param chunk number of the chunk, from 0
+   * @return offset in bytes
+   */
+  public long offset(int chunk) {
+    return (long) chunk * chunkLength;
+  }
+
+  /**
+   * Returns the length of a chunk.
+   *
+   * @param chunk number of the chunk, from 0
+   * @return length in bytes; only the last chunk may be shorter than the others
+   */
+  public int chunkLength(int chunk) {
+    return (int) Math.min(chunkLength, length - offset(chunk));
+  }
+}
--- /dev/null
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/RendezvousHash.java
@@ -0,0 +1,58 @@
+package org.clementineford.weights;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Ranks names for a key so that removing one name changes no other order.
+ *
+ * <p>Source: D. Thaler, C. Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", IEEE/ACM
+ * Transactions on Networking 6(1), 1998.
+ */
+public final class RendezvousHash {
+  private RendezvousHash() {}
+
+  /**
+   * Returns a number for a name, the same in every process.
+   *
+   * @param name the name
+   * @return first 64 bits of its SHA-256
+   */
+  public static long seed(String name) {
+    byte[] digest = Digests.sha256().digest(name.getBytes(StandardCharsets.UTF_8));
+    return ByteBuffer.wrap(digest).getLong();
+  }
+
+  /**
+   * Returns the weight of a name for a key; the highest weight ranks first.
+   *
+   * @param nameSeed {@link #seed} of the name
+   * @param keySeed number of the key
+   * @return the weight
+   */
+  public static long weight(long nameSeed, long keySeed) {
+    return new SplittableRandom(nameSeed ^ Long.rotateLeft(keySeed * 0x9E3779B97F4A7C15L, 31))
+        .nextLong();
+  }
+
+  /**
+   * Sorts names for a key.
+   *
+   * @param names the names
+   * @param key the key
+   * @return the names, first rank first
+   */
+  public static List<String> order(List<String> names, String key) {
+    long keySeed = seed(key);
+    List<String> ordered = new ArrayList<>(names);
+    ordered.sort(
+        Comparator.comparingLong((String name) -> weight(seed(name), keySeed))
+            .reversed()
+            .thenComparing(Comparator.naturalOrder()));
+    return ordered;
+  }
+}
--- /dev/null
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/SourceSelection.java
@@ -0,0 +1,92 @@
+package org.clementineford.weights;
+
+import java.util.BitSet;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+
+/**
+ * Chooses which chunk to fetch next and from whom: the rarest in the data centre first, from the
+ * nearest peer that is least asked.
+ */
+final class SourceSelection {
+  private final SwarmView swarm;
+  private final TransferLimits limits;
+  private final SplittableRandom random;
+
+  SourceSelection(SwarmView swarm, TransferLimits limits, long seed) {
+    this.swarm = swarm;
+    this.limits = limits;
+    this.random = new SplittableRandom(seed);
+  }
+
+  /**
+   * Chooses the rarest chunk that a peer can send.
+   *
+   * @param wanted chunks to choose from
+   * @param accepted which peers may be asked
+   * @param now monotonic time in nanoseconds
+   * @return the chunk and the peer, or empty if no accepted peer can send a wanted chunk now
+   */
+  Optional<Choice> choose(BitSet wanted, Predicate<SwarmPeer> accepted, long now) {
+    int bestCopies = Integer.MAX_VALUE;
+    int ties = 0;
+    SwarmPeer bestPeer = null;
+    int bestChunk = -1;
+    for (int chunk = wanted.nextSetBit(0); chunk >= 0; chunk = wanted.nextSetBit(chunk + 1)) {
+      int copies = swarm.copiesInDataCentre(chunk);
+      if (copies > bestCopies) {
+        continue;
+      }
+      SwarmPeer peer = sender(chunk, accepted, now);
+      if (peer == null) {
+        continue;
+      }
+      ties = copies < bestCopies ? 1 : ties + 1;
+      // Each of the equally rare chunks is kept with the same probability, so that VMs differ.
+      if (copies < bestCopies || random.nextInt(ties) == 0) {
+        bestCopies = copies;
+        bestChunk = chunk;
+        bestPeer = peer;
+      }
+    }
+    return bestPeer == null ? Optional.empty() : Optional.of(new Choice(bestChunk, bestPeer));
+  }
+
+  private SwarmPeer sender(int chunk, Predicate<SwarmPeer> accepted, long now) {
+    SwarmPeer best = null;
+    SwarmPeer lastResort = null;
+    boolean otherHolder = false;
+    int ties = 0;
+    for (SwarmPeer peer : swarm.peers()) {
+      if (!peer.map().holds(chunk) || !accepted.test(peer)) {
+        continue;
+      }
+      if (peer.isUsable(now, limits.fetchesPerPeer())) {
+        int order = best == null ? -1 : compare(peer, best);
+        ties = order < 0 ? 1 : order == 0 ? ties + 1 : ties;
+        if (order < 0 || order == 0 && random.nextInt(ties) == 0) {
+          best = peer;
+        }
+      } else if (peer.isLastResort(now)) {
+        lastResort = peer;
+      } else {
+        otherHolder |= !peer.isAvoided(now);
+      }
+    }
+    return best != null || otherHolder ? best : lastResort;
+  }
+
+  private static int compare(SwarmPeer a, SwarmPeer b) {
+    int byKind = a.kind().compareTo(b.kind());
+    return byKind != 0 ? byKind : Integer.compare(a.outstanding(), b.outstanding());
+  }
+
+  /**
+   * A chunk and the peer to ask for it.
+   *
+   * @param chunk number of the chunk
+   * @param peer the peer
+   */
+  record Choice(int chunk, SwarmPeer peer) {}
+}
--- /dev/null
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/SwarmPeer.java
@@ -0,0 +1,66 @@
+package org.clementineford.weights;
+
+import org.clementineford.kernel.VmIdentity;
+
+/** What a transfer knows about one peer. */
+final class SwarmPeer {
+  private final VmIdentity identity;
+  private final SourceKind kind;
+  private ChunkMap map;
+  private int outstanding;
+  private long busyUntilNanos = Long.MIN_VALUE;
+  private long avoidedUntilNanos = Long.MIN_VALUE;
+  private long lastResortNanos = Long.MIN_VALUE;
+
+  SwarmPeer(VmIdentity identity, SourceKind kind, int chunks) {
+    this.identity = identity;
+    this.kind = kind;
+    this.map = new ChunkMap(chunks);
+  }
+
+  VmIdentity identity() {
+    return identity;
+  }
+
+  SourceKind kind() {
+    return kind;
+  }
+
+  ChunkMap map() {
+    return map;
+  }
+
+  void setMap(ChunkMap map) {
+    this.map = map;
+  }
+
+  int outstanding() {
+    return outstanding;
+  }
+
+  void addOutstanding(int change) {
+    outstanding = Math.max(0, outstanding + change);
+  }
+
+  void busyUntil(long nanos) {
+    busyUntilNanos = Math.max(busyUntilNanos, nanos);
+  }
+
+  void avoid(long now, long duration, long lastResortDelay) {
+    avoidedUntilNanos = Math.max(avoidedUntilNanos, now + duration);
+    lastResortNanos = now + lastResortDelay;
+  }
+
+  boolean isAvoided(long now) {
+    return now < avoidedUntilNanos;
+  }
+
+  boolean isUsable(long now, int perPeer) {
+    return outstanding < perPeer && now >= busyUntilNanos && !isAvoided(now);
+  }
+
+  /** Tells whether an avoided peer may be asked because no other peer holds the chunk. */
+  boolean isLastResort(long now) {
+    return isAvoided(now) && outstanding == 0 && now >= busyUntilNanos && now >= lastResortNanos;
+  }
+}
--- /dev/null
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferLimits.java
@@ -0,0 +1,43 @@
+package org.clementineford.weights;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Limits of the transfers of one VM.
+ *
+ * @param localFetches outstanding fetches from peers of the same region
+ * @param importFetches outstanding fetches from peers of other regions
+ * @param originFetches outstanding reads of the origin
+ * @param fetchesPerPeer outstanding fetches from one peer
+ * @param uploadSlots chunks that are sent to peers at a time
+ * @param neighbours peers of the region that get each chunk map
+ * @param announceNanos time between chunk maps while chunks arrive
+ * @param progressNanos a fetch that receives no byte for this long is given up
+ * @param penaltyNanos how long a sender of corrupted chunks, or a silent one, is avoided
+ * @param rankNanos how long each next rank waits before it reads in place of a VM before it
+ */
+public record TransferLimits(
+    int localFetches,
+    int importFetches,
+    int originFetches,
+    int fetchesPerPeer,
+    int uploadSlots,
+    int neighbours,
+    long announceNanos,
+    long progressNanos,
+    long penaltyNanos,
+    long rankNanos) {
+  /** Limits of the product. */
+  public static final TransferLimits DEFAULT =
+      new TransferLimits(
+          6,
+          2,
+          2,
+          2,
+          4,
+          24,
+          TimeUnit.MILLISECONDS.toNanos(50),
+          TimeUnit.SECONDS.toNanos(1),
+          TimeUnit.SECONDS.toNanos(30),
+          TimeUnit.SECONDS.toNanos(1));
+}
--- /dev/null
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
@@ -0,0 +1,371 @@
+package org.clementineford.weights;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.clementineford.kernel.DistributionPolicy;
+import org.clementineford.kernel.VmIdentity;
+
+/**
+ * Decisions of one VM about the transfer of one manifest. It is told what happened and returns what
+ * to do; it holds no bytes, opens no connection and reads no clock. Times are nanoseconds of one
+ * monotonic clock. Callers synchronize.
+ */
+public final class TransferState {
+  /** Largest number of fetches of one chunk near the end of a transfer. */
+  private static final int END_GAME_FETCHES = 2;
+
+  /** Multiple of the slowest successful fetch after which one from outside is given up. */
+  private static final int OUTSIDE_PATIENCE = 4;
+
+  private final VmIdentity self;
+  private final int chunks;
+  private final TransferLimits limits;
+  private final ChunkMap held;
+  private final BitSet missing;
+  private final SwarmView swarm;
+  private final AssignedReads assigned;
+  private final SourceSelection selection;
+  private final Map<Long, Running> running = new HashMap<>();
+  private final int[] fetchesOfChunk;
+  private final Map<SourceKind, Integer> fetchesOfKind = new HashMap<>();
+  private final Map<SourceKind, Long> slowestNanos = new HashMap<>();
+  private final Set<String> lostVms = new HashSet<>();
+  private List<VmIdentity> members = List.of();
+  private long originRetryNanos = Long.MIN_VALUE;
+  private long nextId = 1;
+
+  /**
+   * Creates the state of a transfer of which no chunk is held yet.
+   *
+   * @param self this VM
+   * @param manifestAddress content address of the manifest
+   * @param chunks number of chunks
+   * @param policy what the distribution saves first
+   * @param limits limits of the transfers of this VM
+   */
+  public TransferState(
+      VmIdentity self,
+      String manifestAddress,
+      int chunks,
+      DistributionPolicy policy,
+      TransferLimits limits) {
+    this.self = self;
+    this.chunks = chunks;
+    this.limits = limits;
+    this.held = new ChunkMap(chunks);
+    this.missing = new BitSet(chunks);
+    this.missing.set(0, chunks);
+    this.swarm = new SwarmView(self, chunks);
+    this.assigned = new AssignedReads(self, manifestAddress, policy, chunks, limits.rankNanos());
+    this.selection =
+        new SourceSelection(
+            swarm, limits, RendezvousHash.seed(self.vm() + self.incarnation() + manifestAddress));
+    this.fetchesOfChunk = new int[chunks];
+  }
+
+  /**
+   * Takes in the live endpoint VMs.
+   *
+   * @param live members that are not dead, with or without this VM
+   */
+  public void setMembers(Collection<VmIdentity> live) {
+    members = List.copyOf(live);
+    swarm.setMembers(live);
+    assign();
+  }
+
+  private void assign() {
+    assigned.setMembers(members.stream().filter(member -> !lostVms.contains(member.vm())).toList());
+  }
+
+  /**
+   * Takes in what a peer holds.
+   *
+   * @param sender the peer
+   * @param map chunks of the same manifest that it holds
+   */
+  public void setMap(VmIdentity sender, ChunkMap map) {
+    if (sender.vm().equals(self.vm())) {
+      return;
+    }
+    swarm.setMap(sender, map);
+    if (lostVms.remove(sender.vm())) {
+      assign();
+    }
+  }
+
+  /**
+   * Notes a verified chunk, also one that was reused from another version.
+   *
+   * @param chunk number of the chunk
+   * @return false if it was held already
+   */
+  public boolean hold(int chunk) {
+    missing.clear(chunk);
+    return held.add(chunk);
+  }
+
+  /**
+   * Notes that bytes of a fetch arrived.
+   *
+   * @param id number of the fetch
+   * @param now monotonic time
+   */
+  public void progress(long id, long now) {
+    Running fetch = running.get(id);
+    if (fetch != null) {
+      fetch.lastProgressNanos = now;
+    }
+  }
+
+  /**
+   * Ends a fetch whose chunk was verified, and others of the same chunk.
+   *
+   * @param id number of the fetch
+   * @param now monotonic time
+   * @return the fetches of the same chunk to cancel
+   */
+  public List<Fetch> succeeded(long id, long now) {
+    Running done = end(id);
+    if (done == null) {
+      return List.of();
+    }
+    slowestNanos.merge(done.fetch.kind(), now - done.startedNanos, Math::max);
+    hold(done.fetch.chunk());
+    List<Fetch> obsolete = new ArrayList<>();
+    for (Running other : List.copyOf(running.values())) {
+      if (other.fetch.chunk() == done.fetch.chunk()) {
+        end(other.fetch.id());
+        obsolete.add(other.fetch);
+      }
+    }
+    return obsolete;
+  }
+
+  /**
+   * Ends a fetch without a valid chunk.
+   *
+   * @param id number of the fetch
+   * @param outcome what went wrong
+   * @param retryAfterNanos how long the sender asked to wait; 0 if it did not
+   * @param now monotonic time
+   */
+  public void failed(long id, FetchOutcome outcome, long retryAfterNanos, long now) {
+    Running done = end(id);
+    if (done == null) {
+      return;
+    }
+    if (!done.fetch.kind().isPeer()) {
+      originRetryNanos = now + Math.max(retryAfterNanos, limits.announceNanos());
+      return;
+    }
+    SwarmPeer peer = swarm.find(done.fetch.peer());
+    if (peer != null) {
+      punish(peer, outcome, retryAfterNanos, now);
+    }
+  }
+
+  private void punish(SwarmPeer peer, FetchOutcome outcome, long retryAfterNanos, long now) {
+    switch (outcome) {
+      case CORRUPT, SILENT -> peer.avoid(now, limits.penaltyNanos(), limits.progressNanos());
+      case BUSY -> peer.busyUntil(now + retryAfterNanos);
+      case ABSENT -> swarm.forgetMap(peer);
+      case LOST -> {
+        swarm.forgetMap(peer);
+        if (lostVms.add(peer.identity().vm())) {
+          assign();
+        }
+      }
+      default -> throw new IllegalStateException("unhandled outcome " + outcome);
+    }
+  }
+
+  private Running end(long id) {
+    Running done = running.remove(id);
+    if (done != null) {
+      Fetch fetch = done.fetch;
+      fetchesOfChunk[fetch.chunk()]--;
+      fetchesOfKind.merge(fetch.kind(), -1, Integer::sum);
+      SwarmPeer peer = fetch.peer() == null ? null : swarm.find(fetch.peer());
+      if (peer != null) {
+        peer.addOutstanding(-1);
+      }
+    }
+    return done;
+  }
+
+  /**
+   * Decides what to do now. Called after each event and at least once in each announce interval.
+   *
+   * @param now monotonic time
+   * @return fetches to cancel and to start
+   */
+  public TransferActions plan(long now) {
+    List<Fetch> cancelled = giveUpSilent(now);
+    if (held.isWhole()) {
+      return new TransferActions(cancelled, List.of());
+    }
+    List<Fetch> started = new ArrayList<>();
+    BitSet idle = new BitSet(chunks);
+    idle.or(missing);
+    for (Running fetch : running.values()) {
+      idle.clear(fetch.fetch.chunk());
+    }
+    readFromOutside(idle, started, now);
+    fetchFromPeers(idle, SourceKind::isLocal, limits.localFetches(), started, now);
+    if (idle.isEmpty()) {
+      endGame(started, now);
+    }
+    return new TransferActions(cancelled, started);
+  }
+
+  private List<Fetch> giveUpSilent(long now) {
+    List<Fetch> silent = new ArrayList<>();
+    for (Running fetch : List.copyOf(running.values())) {
+      if (now - fetch.lastProgressNanos >= patience(fetch.fetch.kind())) {
+        silent.add(fetch.fetch);
+        failed(fetch.fetch.id(), FetchOutcome.SILENT, 0, now);
+      }
+    }
+    return silent;
+  }
+
+  /**
+   * Returns how long a fetch may receive nothing. Links between regions and to the origin are
+   * shared by many VMs, so fetches over them are measured against the slowest one that succeeded.
+   */
+  private long patience(SourceKind kind) {
+    if (kind.isLocal()) {
+      return limits.progressNanos();
+    }
+    long slowest = slowestNanos.getOrDefault(kind, limits.progressNanos());
+    return Math.max(limits.progressNanos(), OUTSIDE_PATIENCE * slowest);
+  }
+
+  private void readFromOutside(BitSet idle, List<Fetch> started, long now) {
+    BitSet absent = new BitSet(chunks);
+    for (int chunk = missing.nextSetBit(0); chunk >= 0; chunk = missing.nextSetBit(chunk + 1)) {
+      absent.set(chunk, swarm.copiesInRegion(chunk) == 0);
+    }
+    assigned.update(absent, now);
+    absent.and(idle);
+    BitSet imports = new BitSet(chunks);
+    List<Integer> originReads = new ArrayList<>();
+    for (int chunk = absent.nextSetBit(0); chunk >= 0; chunk = absent.nextSetBit(chunk + 1)) {
+      if (swarm.copiesElsewhere(chunk) > 0) {
+        imports.set(chunk, assigned.mayImport(chunk, now));
+      } else if (assigned.mayReadOrigin(chunk, now)) {
+        originReads.add(chunk);
+      }
+    }
+    int before = started.size();
+    fetchFromPeers(imports, kind -> !kind.isLocal(), limits.importFetches(), started, now);
+    started.subList(before, started.size()).forEach(fetch -> idle.clear(fetch.chunk()));
+    readOrigin(originReads, idle, started, now);
+  }
+
+  private void readOrigin(List<Integer> chunksToRead, BitSet idle, List<Fetch> started, long now) {
+    for (int chunk : chunksToRead) {
+      if (count(SourceKind.ORIGIN) >= limits.originFetches() || now < originRetryNanos) {
+        return;
+      }
+      idle.clear(chunk);
+      started.add(start(chunk, SourceKind.ORIGIN, null, now));
+    }
+  }
+
+  private void fetchFromPeers(
+      BitSet wanted, Predicate<SourceKind> kinds, int limit, List<Fetch> started, long now) {
+    while (countPeers(kinds) < limit) {
+      Optional<SourceSelection.Choice> choice =
+          selection.choose(wanted, peer -> kinds.test(peer.kind()), now);
+      if (choice.isEmpty()) {
+        return;
+      }
+      SwarmPeer peer = choice.get().peer();
+      wanted.clear(choice.get().chunk());
+      started.add(start(choice.get().chunk(), peer.kind(), peer.identity(), now));
+    }
+  }
+
+  private void endGame(List<Fetch> started, long now) {
+    BitSet single = new BitSet(chunks);
+    for (Running fetch : running.values()) {
+      int chunk = fetch.fetch.chunk();
+      // A fetch that just started or just received bytes is left alone to save the link.
+      boolean slow = now - fetch.lastProgressNanos >= 2 * limits.announceNanos();
+      single.set(chunk, slow && fetchesOfChunk[chunk] < END_GAME_FETCHES);
+    }
+    fetchFromPeers(single, SourceKind::isLocal, limits.localFetches(), started, now);
+  }
+
+  private Fetch start(int chunk, SourceKind kind, VmIdentity peer, long now) {
+    Fetch fetch = new Fetch(nextId++, chunk, kind, peer);
+    running.put(fetch.id(), new Running(fetch, now));
+    fetchesOfChunk[chunk]++;
+    fetchesOfKind.merge(kind, 1, Integer::sum);
+    if (peer != null) {
+      swarm.find(peer).addOutstanding(1);
+    }
+    return fetch;
+  }
+
+  private int count(SourceKind kind) {
+    return fetchesOfKind.getOrDefault(kind, 0);
+  }
+
+  private int countPeers(Predicate<SourceKind> kinds) {
+    int sum = 0;
+    for (SourceKind kind : SourceKind.values()) {
+      sum += kind.isPeer() && kinds.test(kind) ? count(kind) : 0;
+    }
+    return sum;
+  }
+
+  /**
+   * Returns the verified chunks.
+   *
+   * @return the live map; callers must not change it
+   */
+  public ChunkMap held() {
+    return held;
+  }
+
+  /**
+   * Returns who reads which chunk from outside.
+   *
+   * @return the assignment for the members last seen
+   */
+  public OriginAssignment assignment() {
+    return assigned.assignment();
+  }
+
+  /**
+   * Returns the fetches in progress.
+   *
+   * @return in no particular order
+   */
+  public List<Fetch> running() {
+    return running.values().stream().map(fetch -> fetch.fetch).toList();
+  }
+
+  private static final class Running {
+    private final Fetch fetch;
+    private final long startedNanos;
+    private long lastProgressNanos;
+
+    Running(Fetch fetch, long now) {
+      this.fetch = fetch;
+      this.startedNanos = now;
+      this.lastProgressNanos = now;
+    }
+  }
+}
