--- /dev/null
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/RunPlan.java
@@ -0,0 +1,43 @@
+package org.clementineford.bench.distribution;
+
+import org.clementineford.kernel.DistributionPolicy;
+
+/**
+ * What one run distributes.
+ *
+ * @param vms endpoint VMs, spread evenly over three regions
+ * @param policy what the distribution saves first
+ * @param copyBytes length of the weights
+ * @param chunkBytes length of a chunk
+ * @param transferSeconds time that one copy needs over one VM's link, called T
+ * @param regionLinkShare bandwidth of a link between two regions as a share of a VM's link
+ * @param faults true if VMs are killed, links stalled and chunks corrupted
+ * @param seed seed of the weights and of the faults
+ */
+record RunPlan(
+    int vms,
+    DistributionPolicy policy,
+    int copyBytes,
+    int chunkBytes,
+    double transferSeconds,
+    double regionLinkShare,
+    boolean faults,
+    long seed) {
+
+  double vmBytesPerSecond() {
+    return copyBytes / transferSeconds;
+  }
+
+  /** Returns a plan whose copy is shorter by a factor, with the same number of chunks. */
+  RunPlan shortened(int factor) {
+    return new RunPlan(
+        vms,
+        policy,
+        copyBytes / factor,
+        chunkBytes / factor,
+        transferSeconds / factor,
+        regionLinkShare,
+        false,
+        seed);
+  }
+}
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponent.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponent.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import org.clementineford.configuration.ConfigurationSnapshot;
 import org.clementineford.configuration.ModelSpecification;
 import org.clementineford.endpoint.ServedVersions;
@@ -18,7 +19,9 @@
 import org.clementineford.node.StatusContributor;
 import org.clementineford.transport.IncomingExchange;
 import org.clementineford.transport.Payloads;
+import org.clementineford.weights.ChunkStore;
 import org.clementineford.weights.FencingGuard;
+import org.clementineford.weights.TransferLimits;
 import org.clementineford.wire.ChunkMap;
 import org.clementineford.wire.ModelStatus;
 import org.clementineford.wire.Payload;
@@ -40,16 +43,31 @@
   /**
    * Creates the component and offers {@link ServedVersions} and {@link StatusContributor}.
    *
-   * @param tools what the transfers share
+   * @param context what the components of the process share
+   * @param sources where chunks come from that no peer holds
    * @param engines engines of this VM by the model that they run
-   * @param copyAddress loopback address from which engines load
+   * @param limits limits of the transfers
+   * @param area bounds of the memory for copies and the address from which engines load
+   * @param verifier computes digests away from the event loops
    */
-  WeightsComponent(
-      TransferTools tools, Map<String, List<ModelEngine>> engines, HostPort copyAddress) {
-    this.context = tools.context();
-    this.tools = tools;
+  public WeightsComponent(
+      NodeContext context,
+      WeightSources sources,
+      Map<String, List<ModelEngine>> engines,
+      TransferLimits limits,
+      WeightsArea area,
+      Executor verifier) {
+    this.context = context;
+    this.tools =
+        new TransferTools(
+            context,
+            new ChunkStore(area.bytes()),
+            new OutsideSources(sources.store(), sources.origin()),
+            verifier,
+            limits,
+            new WeightsMetrics(context.metrics()));
     this.engines = Map.copyOf(engines);
-    this.copyAddress = copyAddress;
+    this.copyAddress = area.copyAddress();
     context.shared().offer(ServedVersions.class, published);
     context.shared().offer(StatusContributor.class, this);
   }
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/rollout/ModelProgress.java
@@ -0,0 +1,73 @@
+package org.clementineford.entry.internal.rollout;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.weights.ActivationPacing;
+
+/** Which endpoint VMs of the data centre hold, load and serve one version of one model. */
+final class ModelProgress {
+  private final String model;
+  private final String version;
+  private final Map<String, Copy> whole = new HashMap<>();
+  private final Set<String> loading = new HashSet<>();
+  private final Map<String, VmIdentity> serving = new HashMap<>();
+  private final Map<String, Long> retryNanos = new HashMap<>();
+
+  ModelProgress(String model, String version) {
+    this.model = model;
+    this.version = version;
+  }
+
+  String version() {
+    return version;
+  }
+
+  void holdsWhole(VmIdentity vm, String manifestAddress) {
+    whole.put(vm.vm(), new Copy(vm, manifestAddress));
+  }
+
+  /** Chooses the copies to activate now and counts them as loading. */
+  List<Copy> next(List<VmIdentity> endpoints, double share, long now) {
+    Map<String, VmIdentity> alive = new HashMap<>();
+    endpoints.forEach(vm -> alive.put(vm.vm(), vm));
+    loading.retainAll(alive.keySet());
+    Map<String, Copy> waiting = new HashMap<>(whole);
+    waiting
+        .values()
+        .removeIf(
+            copy ->
+                !copy.vm().equals(alive.get(copy.vm().vm()))
+                    || copy.vm().equals(serving.get(copy.vm().vm()))
+                    || now < retryNanos.getOrDefault(copy.vm().vm(), Long.MIN_VALUE));
+    List<String> chosen =
+        ActivationPacing.next(
+            waiting.keySet(),
+            loading,
+            ActivationPacing.slots(share, endpoints.size()),
+            model + "/" + version);
+    loading.addAll(chosen);
+    return chosen.stream().map(waiting::get).toList();
+  }
+
+  void served(VmIdentity vm) {
+    loading.remove(vm.vm());
+    serving.put(vm.vm(), vm);
+  }
+
+  void failed(VmIdentity vm, long retryAtNanos) {
+    loading.remove(vm.vm());
+    retryNanos.put(vm.vm(), retryAtNanos);
+  }
+
+  /**
+   * A whole copy on a VM.
+   *
+   * @param vm the VM
+   * @param manifestAddress content address of its manifest
+   */
+  record Copy(VmIdentity vm, String manifestAddress) {}
+}
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/rollout/RolloutController.java
@@ -0,0 +1,200 @@
+package org.clementineford.entry.internal.rollout;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.configuration.ConfigurationSnapshot;
+import org.clementineford.configuration.ModelSpecification;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.VmRole;
+import org.clementineford.kernel.errors.SettingException;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.node.MembershipView;
+import org.clementineford.node.NodeComponent;
+import org.clementineford.node.NodeContext;
+import org.clementineford.transport.IncomingExchange;
+import org.clementineford.transport.Payloads;
+import org.clementineford.wire.ActivateOrder;
+import org.clementineford.wire.ChunkMap;
+import org.clementineford.wire.Payload;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Orders the endpoint VMs of this data centre to activate, a share at a time, while this process
+ * holds the lease. Every entry VM listens to the endpoints, so a new holder knows who is whole.
+ */
+final class RolloutController implements NodeComponent {
+  private static final Logger LOG = LoggerFactory.getLogger(RolloutController.class);
+  private static final long INTERVAL_MS = 100;
+  private static final long RETRY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+  private final NodeContext context;
+  private final Map<String, ModelProgress> progress = new HashMap<>();
+  private Scheduler.Cancellable timer;
+  private boolean draining;
+
+  RolloutController(NodeContext context) {
+    this.context = context;
+  }
+
+  @Override
+  public void start() {
+    context.payloads().register(Payload._Fields.CHUNK_MAP, this::mapOpened);
+    timer = context.scheduler().scheduleEvery(this::order, INTERVAL_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void mapOpened(Payload opening, IncomingExchange exchange) {
+    exchange.onPayload(this::mapReceived);
+    mapReceived(opening);
+  }
+
+  private void mapReceived(Payload payload) {
+    if (!payload.isSetChunkMap() || !payload.getChunkMap().isWhole()) {
+      return;
+    }
+    ChunkMap map = payload.getChunkMap();
+    try {
+      VmIdentity sender = Payloads.fromWire(map.getSender());
+      synchronized (this) {
+        ModelProgress model = progressOf(map.getModel());
+        if (model != null && model.version().equals(map.getVersion())) {
+          model.holdsWhole(sender, map.getManifestDigest());
+        }
+      }
+      order();
+    } catch (SettingException e) {
+      LOG.warn("ignoring a chunk map: {}", e.getMessage());
+    }
+  }
+
+  private ModelProgress progressOf(String model) {
+    ModelSpecification wanted = context.configuration().current().models().get(model);
+    if (wanted == null) {
+      return null;
+    }
+    ModelProgress known = progress.get(model);
+    if (known == null || !known.version().equals(wanted.version())) {
+      known = new ModelProgress(model, wanted.version());
+      progress.put(model, known);
+    }
+    return known;
+  }
+
+  private void order() {
+    ConfigurationSnapshot configuration = context.configuration().current();
+    for (ModelSpecification wanted : configuration.models().values()) {
+      if (!wanted.paused()) {
+        choose(wanted, configuration).forEach(copy -> send(copy, wanted, configuration));
+      }
+    }
+  }
+
+  private synchronized List<ModelProgress.Copy> choose(
+      ModelSpecification wanted, ConfigurationSnapshot configuration) {
+    if (draining || context.lease().fencingNumber().isEmpty()) {
+      return List.of();
+    }
+    return progressOf(wanted.name())
+        .next(
+            endpoints(),
+            configuration.policies().activationShare(),
+            context.nanoClock().nanoTime());
+  }
+
+  private List<VmIdentity> endpoints() {
+    List<VmIdentity> endpoints = new ArrayList<>();
+    for (MembershipView.Member member : context.membership().members()) {
+      VmIdentity vm = member.identity();
+      if (vm.role() == VmRole.ENDPOINT
+          && vm.dataCentre().equals(context.self().dataCentre())
+          && member.phase() == MembershipView.Phase.ALIVE) {
+        endpoints.add(vm);
+      }
+    }
+    return endpoints;
+  }
+
+  private void send(
+      ModelProgress.Copy copy, ModelSpecification wanted, ConfigurationSnapshot configuration) {
+    OptionalLong fencingNumber = context.lease().fencingNumber();
+    if (fencingNumber.isEmpty()) {
+      finished(copy, wanted, false);
+      return;
+    }
+    ActivateOrder order =
+        new ActivateOrder(
+            wanted.name(),
+            wanted.version(),
+            copy.manifestAddress(),
+            configuration.revision(),
+            fencingNumber.getAsLong(),
+            context.self().vm());
+    context
+        .timeline()
+        .record(
+            EventKind.ORDER_SENT,
+            "model",
+            wanted.name(),
+            "version",
+            wanted.version(),
+            "endpoint",
+            copy.vm().vm());
+    context
+        .network()
+        .call(copy.vm().address(), Payload.activateOrder(order))
+        .whenComplete((reply, failure) -> answered(copy, wanted, reply, failure));
+  }
+
+  private void answered(
+      ModelProgress.Copy copy, ModelSpecification wanted, Payload reply, Throwable failure) {
+    boolean accepted =
+        failure == null && reply.isSetOrderReply() && reply.getOrderReply().isAccepted();
+    if (!accepted) {
+      LOG.warn(
+          "{} did not activate {} {}: {}",
+          copy.vm().vm(),
+          wanted.name(),
+          wanted.version(),
+          failure != null ? failure.getMessage() : reply);
+    }
+    finished(copy, wanted, accepted);
+    if (accepted) {
+      order();
+    }
+  }
+
+  private synchronized void finished(
+      ModelProgress.Copy copy, ModelSpecification wanted, boolean accepted) {
+    ModelProgress model = progress.get(wanted.name());
+    if (model == null || !model.version().equals(wanted.version())) {
+      return;
+    }
+    if (accepted) {
+      model.served(copy.vm());
+    } else {
+      model.failed(copy.vm(), context.nanoClock().nanoTime() + RETRY_NANOS);
+    }
+  }
+
+  @Override
+  public CompletableFuture<Void> drain() {
+    synchronized (this) {
+      draining = true;
+    }
+    if (timer != null) {
+      timer.cancel();
+    }
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public void close() {
+    drain();
+  }
+}
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferLimits.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferLimits.java
@@ -40,4 +40,24 @@
           TimeUnit.SECONDS.toNanos(1),
           TimeUnit.SECONDS.toNanos(30),
           TimeUnit.SECONDS.toNanos(1));
+
+  /**
+   * Returns these limits with another number of upload slots.
+   *
+   * @param slots chunks that are sent to peers at a time
+   * @return the changed limits
+   */
+  public TransferLimits withUploadSlots(int slots) {
+    return new TransferLimits(
+        localFetches,
+        importFetches,
+        originFetches,
+        fetchesPerPeer,
+        slots,
+        neighbours,
+        announceNanos,
+        progressNanos,
+        penaltyNanos,
+        rankNanos);
+  }
 }
