--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpExchange.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpExchange.java
@@ -60,9 +60,11 @@
   boolean isWritable();
 
   /**
-   * Sets what runs each time the connection becomes writable again while this request is answered.
+   * Sets what runs each time the connection becomes writable again.
    *
    * @param action the action, on the connection's thread
    */
-  void onWritable(Runnable action);
+  default void onWritable(Runnable action) {
+    throw new UnsupportedOperationException("this exchange does not report writability");
+  }
 }
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServerConnection.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServerConnection.java
@@ -63,7 +63,7 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
-    if (context.channel().isWritable() && current != null) {
+    if (current != null && context.channel().isWritable()) {
       current.writable();
     }
     context.fireChannelWritabilityChanged();
