--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/AnswerBuffer.java
@@ -0,0 +1,102 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.zip.CRC32C;
+import org.clementineford.wire.AnswerEnd;
+import org.clementineford.wire.AnswerHead;
+import org.clementineford.wire.AnswerPart;
+import org.clementineford.wire.Payload;
+
+/** Parts of an answer as they arrive; guarded by the lock of its run until it is complete. */
+final class AnswerBuffer {
+  /** Longest answer that is kept for other exchanges; a longer one is only streamed. */
+  static final long MAX_KEPT_BYTES = 4 << 20;
+
+  private final String requestId;
+  private final List<byte[]> parts = new ArrayList<>();
+  private final CRC32C checksum = new CRC32C();
+  private final CostMeter cost = new CostMeter();
+  private AnswerHead head;
+  private long length;
+  private boolean kept = true;
+  private AnswerEnd end;
+
+  AnswerBuffer(String requestId) {
+    this.requestId = requestId;
+  }
+
+  Payload begin(AnswerHead head) {
+    this.head = head;
+    return Payload.answerHead(head);
+  }
+
+  AnswerHead head() {
+    return head;
+  }
+
+  boolean isBegun() {
+    return head != null;
+  }
+
+  long length() {
+    return length;
+  }
+
+  /** Tells whether all parts so far are kept. */
+  boolean isKept() {
+    return kept;
+  }
+
+  Payload append(byte[] bytes) {
+    final Payload part = part(length, bytes);
+    checksum.update(bytes);
+    cost.append(bytes);
+    length += bytes.length;
+    if (kept && length <= MAX_KEPT_BYTES) {
+      parts.add(bytes);
+    } else {
+      kept = false;
+      parts.clear();
+    }
+    return part;
+  }
+
+  private Payload part(long offset, byte[] bytes) {
+    return Payload.answerPart(new AnswerPart(requestId, offset, ByteBuffer.wrap(bytes)));
+  }
+
+  Payload complete(long estimatedCost) {
+    end = new AnswerEnd(requestId, length, checksum.getValue(), cost.tokens(estimatedCost));
+    return Payload.answerEnd(end);
+  }
+
+  /** Actual cost of a complete answer in tokens. */
+  long actualCost() {
+    return end.getActualCostTokens();
+  }
+
+  /** Everything that has arrived, in order. */
+  List<Payload> payloads() {
+    List<Payload> payloads = new ArrayList<>();
+    if (head != null) {
+      payloads.add(Payload.answerHead(head));
+    }
+    long offset = 0;
+    for (byte[] bytes : parts) {
+      payloads.add(part(offset, bytes));
+      offset += bytes.length;
+    }
+    if (end != null) {
+      payloads.add(Payload.answerEnd(end));
+    }
+    return payloads;
+  }
+
+  byte[] body() {
+    ByteBuffer body = ByteBuffer.allocate((int) length);
+    parts.forEach(body::put);
+    return body.array();
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEndHealth.java
@@ -0,0 +1,52 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Decides when a back end is down and when it is probed. A refused connection marks it down at
+ * once, other failures after three in a row. The time between probes doubles up to a limit.
+ */
+final class BackEndHealth {
+  private static final int FAILURES_IN_A_ROW = 3;
+  private static final long FIRST_PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final long SLOWEST_PROBE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+  private int failures;
+  private boolean down;
+  private long backoffNanos;
+  private long nextProbeNanos;
+
+  synchronized boolean isDown() {
+    return down;
+  }
+
+  /** Records a failure; returns true if the back end goes down now. */
+  synchronized boolean failed(boolean connectionRefused, long nowNanos) {
+    failures++;
+    if (down || (!connectionRefused && failures < FAILURES_IN_A_ROW)) {
+      return false;
+    }
+    down = true;
+    backoffNanos = FIRST_PROBE_NANOS;
+    nextProbeNanos = nowNanos + backoffNanos;
+    return true;
+  }
+
+  /** Records an answer; returns true if the back end was down until now. */
+  synchronized boolean succeeded() {
+    boolean wasDown = down;
+    failures = 0;
+    down = false;
+    return wasDown;
+  }
+
+  /** Tells whether a probe is due and delays the one after it. */
+  synchronized boolean takeProbe(long nowNanos) {
+    if (!down || nowNanos - nextProbeNanos < 0) {
+      return false;
+    }
+    backoffNanos = Math.min(2 * backoffNanos, SLOWEST_PROBE_NANOS);
+    nextProbeNanos = nowNanos + backoffNanos;
+    return true;
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/CostMeter.java
@@ -0,0 +1,39 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Reads the number of tokens from the {@code usage} object at the end of a chat completion, as in
+ * the OpenAI API reference. Only the last bytes are kept, so that the body is not parsed.
+ */
+final class CostMeter {
+  private static final int TAIL_BYTES = 512;
+  private static final Pattern TOTAL = Pattern.compile("\"total_tokens\"\\s*:\\s*(\\d{1,18})");
+
+  private final byte[] tail = new byte[TAIL_BYTES];
+  private int used;
+
+  void append(byte[] bytes) {
+    if (bytes.length >= TAIL_BYTES) {
+      System.arraycopy(bytes, bytes.length - TAIL_BYTES, tail, 0, TAIL_BYTES);
+      used = TAIL_BYTES;
+      return;
+    }
+    int keep = Math.min(used, TAIL_BYTES - bytes.length);
+    System.arraycopy(tail, used - keep, tail, 0, keep);
+    System.arraycopy(bytes, 0, tail, keep, bytes.length);
+    used = keep + bytes.length;
+  }
+
+  /** Returns the tokens that the back end stated last, or the estimate if it stated none. */
+  long tokens(long estimate) {
+    Matcher matcher = TOTAL.matcher(new String(tail, 0, used, StandardCharsets.ISO_8859_1));
+    long tokens = estimate;
+    while (matcher.find()) {
+      tokens = Long.parseLong(matcher.group(1));
+    }
+    return tokens;
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/DispatchHandler.java
@@ -0,0 +1,113 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.util.Map;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.requests.RunState;
+import org.clementineford.requests.admission.Admission;
+import org.clementineford.requests.admission.Attempt;
+import org.clementineford.requests.admission.AttemptReport;
+import org.clementineford.transport.ExchangeHandler;
+import org.clementineford.transport.IncomingExchange;
+import org.clementineford.wire.Dispatch;
+import org.clementineford.wire.Payload;
+import org.clementineford.wire.ReportOrRevoke;
+import org.clementineford.wire.RunPhase;
+import org.clementineford.wire.RunReport;
+
+/** Answers {@code Dispatch} and {@code ReportOrRevoke}. */
+final class DispatchHandler implements ExchangeHandler {
+  private final Map<String, BackEnd> backEnds;
+  private final RequestServices services;
+
+  DispatchHandler(Map<String, BackEnd> backEnds, RequestServices services) {
+    this.backEnds = backEnds;
+    this.services = services;
+  }
+
+  @Override
+  public void onOpen(Payload opening, IncomingExchange exchange) {
+    if (opening.isSetDispatch()) {
+      onDispatch(opening.getDispatch(), exchange);
+    } else {
+      onReportOrRevoke(opening.getReportOrRevoke(), exchange);
+    }
+  }
+
+  private void onDispatch(Dispatch dispatch, IncomingExchange exchange) {
+    Attempt attempt =
+        new Attempt(
+            dispatch.getAttemptId(),
+            dispatch.getClientAccount(),
+            dispatch.getIdempotencyKey(),
+            dispatch.isIdempotent(),
+            dispatch.getTargetIncarnation(),
+            dispatch.getAdmissionTick());
+    BackEnd backEnd = backEnds.get(dispatch.getBackEnd());
+    Run run = new Run(dispatch, attempt, backEnd, services);
+    long now = services.clock().nanoTime();
+    // Counted before admission, so that a drain cannot end between the two.
+    services.drain().begin(now);
+    Admission<Run, AnswerBuffer> admission = services.registry().admit(attempt, run, now);
+    if (admission.verdict() == Admission.Verdict.START) {
+      run.attach(exchange);
+      start(run, backEnd);
+      return;
+    }
+    services.drain().end(now);
+    switch (admission.verdict()) {
+      case ATTACH -> admission.run().attach(exchange);
+      case REPLAY -> {
+        services.timeline().record(EventKind.REQUEST_REPLAYED, "attempt", attempt.attemptId());
+        admission.answer().payloads().forEach(payload -> Run.sendTo(exchange, payload));
+      }
+      default -> refuse(dispatch, admission.refusal(), admission.runState(), exchange);
+    }
+  }
+
+  private void start(Run run, BackEnd backEnd) {
+    if (backEnd == null) {
+      run.refuseQueued(RefusalKind.UNKNOWN_BACK_END);
+      return;
+    }
+    RefusalKind refusal = backEnd.accept(run.request());
+    if (refusal != null) {
+      run.refuseQueued(refusal);
+      return;
+    }
+    backEnd.startNext();
+  }
+
+  private void refuse(
+      Dispatch dispatch, RefusalKind kind, RunState run, IncomingExchange exchange) {
+    services.metrics().refused(kind);
+    exchange.finish(
+        Refusals.refusal(dispatch.getRequestId(), kind, run, "attempt " + dispatch.getAttemptId()));
+  }
+
+  private void onReportOrRevoke(ReportOrRevoke question, IncomingExchange exchange) {
+    Attempt attempt =
+        new Attempt(
+            question.getAttemptId(),
+            question.getClientAccount(),
+            question.getIdempotencyKey(),
+            false,
+            question.getTargetIncarnation(),
+            0);
+    AttemptReport<Run, AnswerBuffer> report =
+        services.registry().reportOrRevoke(attempt, services.clock().nanoTime());
+    if (report.phase() == AttemptReport.Phase.RUNNING && question.isWaitForEnd()) {
+      report.run().whenEnded(() -> onReportOrRevoke(question, exchange));
+      return;
+    }
+    if (report.phase() == AttemptReport.Phase.REVOKED) {
+      services.timeline().record(EventKind.ATTEMPT_REVOKED, "attempt", attempt.attemptId());
+    }
+    RunReport reply = new RunReport(attempt.attemptId(), RunPhase.valueOf(report.phase().name()));
+    if (report.answer() != null) {
+      reply.setHead(report.answer().head());
+      reply.setBody(report.answer().body());
+    }
+    exchange.finish(Payload.runReport(reply));
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadReporter.java
@@ -0,0 +1,103 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.VmRole;
+import org.clementineford.node.MembershipView.Member;
+import org.clementineford.node.NodeContext;
+import org.clementineford.requests.admission.FairQueue;
+import org.clementineford.transport.ExchangeHandler;
+import org.clementineford.transport.IncomingExchange;
+import org.clementineford.transport.Payloads;
+import org.clementineford.wire.BackEndLoad;
+import org.clementineford.wire.LoadReport;
+import org.clementineford.wire.Payload;
+
+/** Makes load reports, answers requests for them and sends them to entry VMs. */
+final class LoadReporter implements ExchangeHandler {
+  private final NodeContext context;
+  private final List<LoadPoll> polls;
+  private final ActivatedVersions versions;
+  private final BooleanSupplier leaving;
+
+  LoadReporter(
+      NodeContext context,
+      List<LoadPoll> polls,
+      ActivatedVersions versions,
+      BooleanSupplier leaving) {
+    this.context = context;
+    this.polls = polls;
+    this.versions = versions;
+    this.leaving = leaving;
+  }
+
+  @Override
+  public void onOpen(Payload opening, IncomingExchange exchange) {
+    exchange.finish(report());
+  }
+
+  private Payload report() {
+    List<BackEndLoad> loads = new ArrayList<>();
+    polls.forEach(poll -> loads.add(load(poll)));
+    return Payload.loadReport(
+        new LoadReport(Payloads.toWire(context.self()), loads, leaving.getAsBoolean()));
+  }
+
+  private BackEndLoad load(LoadPoll poll) {
+    BackEnd backEnd = poll.backEnd();
+    FairQueue.Depth depth = backEnd.queue().depth();
+    BackEndLoad load =
+        new BackEndLoad()
+            .setBackEnd(backEnd.name())
+            .setRunning(depth.running())
+            .setQueued(depth.queued())
+            .setQueuedCostTokens(depth.queuedCost())
+            .setSlots(depth.slots())
+            .setAgeMs(poll.ageMs())
+            .setHealthy(!backEnd.isDown());
+    if (backEnd.kind() == BackEndKind.ENGINE) {
+      load.setModel(backEnd.name());
+      versions
+          .current(backEnd.name())
+          .ifPresent(
+              served -> load.setModelVersion(served.version()).setWeightsDigest(served.digest()));
+    }
+    return load;
+  }
+
+  /** Sends a report to the entry VMs of this data centre that answer. */
+  void sendToOwnDataCentre() {
+    String dataCentre = context.self().dataCentre();
+    send(entryVms(identity -> identity.dataCentre().equals(dataCentre)), () -> {});
+  }
+
+  /** Returns the addresses of all entry VMs that answer. */
+  List<HostPort> entryVms() {
+    return entryVms(identity -> true);
+  }
+
+  private List<HostPort> entryVms(Predicate<VmIdentity> wanted) {
+    List<HostPort> addresses = new ArrayList<>();
+    for (Member member : context.membership().members()) {
+      VmIdentity identity = member.identity();
+      if (identity.role() == VmRole.ENTRY
+          && member.phase().takesNewWork()
+          && wanted.test(identity)) {
+        addresses.add(identity.address());
+      }
+    }
+    return addresses;
+  }
+
+  /** Sends a report, and runs an action for each receiver that confirmed or cannot be reached. */
+  void send(List<HostPort> receivers, Runnable settled) {
+    Payload report = report();
+    for (HostPort receiver : receivers) {
+      context.network().call(receiver, report).whenComplete((reply, failure) -> settled.run());
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
@@ -0,0 +1,136 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.configuration.ClientAccount;
+import org.clementineford.configuration.ConfigurationSnapshot;
+import org.clementineford.endpoint.ServedVersions;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.node.NodeComponent;
+import org.clementineford.node.NodeContext;
+import org.clementineford.requests.admission.FairQueue;
+import org.clementineford.requests.admission.FairQueueLimits;
+import org.clementineford.requests.admission.RunRegistry;
+import org.clementineford.requests.admission.RunRegistryLimits;
+import org.clementineford.wire.Payload;
+
+/** Runs requests of entry VMs on the back ends of this VM. */
+public final class RequestEndpoint implements NodeComponent {
+  private static final long REPORT_INTERVAL_MS = 1000;
+  private static final long PROBE_INTERVAL_MS = 50;
+
+  private final NodeContext context;
+  private final RequestServices services;
+  private final Map<String, BackEnd> backEnds = new HashMap<>();
+  private final List<LoadPoll> polls = new ArrayList<>();
+  private final List<Scheduler.Cancellable> timers = new ArrayList<>();
+  private final LoadReporter reporter;
+  private volatile boolean draining;
+  private volatile boolean told;
+
+  /**
+   * Creates the component.
+   *
+   * @param context what the components of the process share
+   * @param engines addresses of the engines by name of the model
+   * @param plainServices addresses of the plain services by name
+   * @param slots requests that may run at a time on a back end that states no number
+   */
+  public RequestEndpoint(
+      NodeContext context,
+      Map<String, HostPort> engines,
+      Map<String, HostPort> plainServices,
+      int slots) {
+    this.context = context;
+    this.services =
+        new RequestServices(
+            new RunRegistry<>(RunRegistryLimits.DEFAULT, context.self().incarnation()),
+            new ActivatedVersions(context.shared().get(ServedVersions.class)),
+            context.httpClient(),
+            context.nanoClock(),
+            context.scheduler(),
+            context.timeline(),
+            new RequestMetrics(context.metrics()),
+            new DrainGate());
+    engines.forEach((name, address) -> add(name, BackEndKind.ENGINE, address, slots));
+    plainServices.forEach((name, address) -> add(name, BackEndKind.SERVICE, address, slots));
+    this.reporter = new LoadReporter(context, polls, services.versions(), this::isLeaving);
+  }
+
+  private void add(String name, BackEndKind kind, HostPort address, int slots) {
+    FairQueue<Run> queue = new FairQueue<>(FairQueueLimits.DEFAULT, slots, this::weight);
+    BackEnd backEnd = new BackEnd(name, kind, address, queue, services);
+    backEnds.put(name, backEnd);
+    polls.add(new LoadPoll(backEnd, services));
+  }
+
+  private int weight(String clientAccount) {
+    ClientAccount account = context.configuration().current().clientAccounts().get(clientAccount);
+    return account == null ? 1 : account.weight();
+  }
+
+  private boolean isLeaving() {
+    return draining || context.configuration().current().leavingVms().contains(context.self().vm());
+  }
+
+  @Override
+  public void start() {
+    DispatchHandler handler = new DispatchHandler(backEnds, services);
+    context.payloads().register(Payload._Fields.DISPATCH, handler);
+    context.payloads().register(Payload._Fields.REPORT_OR_REVOKE, handler);
+    context.payloads().register(Payload._Fields.LOAD_REPORT, reporter);
+    context.configuration().onChange(this::configurationChanged);
+    every(this::report, REPORT_INTERVAL_MS);
+    every(() -> polls.forEach(LoadPoll::probe), PROBE_INTERVAL_MS);
+    polls.forEach(LoadPoll::refresh);
+    configurationChanged(context.configuration().current());
+  }
+
+  private void every(Runnable task, long intervalMs) {
+    timers.add(context.scheduler().scheduleEvery(task, intervalMs, TimeUnit.MILLISECONDS));
+  }
+
+  private void report() {
+    reporter.sendToOwnDataCentre();
+    polls.forEach(LoadPoll::refresh);
+  }
+
+  private void configurationChanged(ConfigurationSnapshot configuration) {
+    backEnds.values().forEach(backEnd -> backEnd.queue().refreshWeights());
+    applyLeaving();
+  }
+
+  private void applyLeaving() {
+    boolean leaving = isLeaving();
+    services.registry().setLeaving(leaving);
+    if (leaving && !told) {
+      reporter.send(reporter.entryVms(), () -> {});
+    }
+    told = leaving;
+  }
+
+  @Override
+  public CompletableFuture<Void> drain() {
+    draining = true;
+    services.registry().setLeaving(true);
+    told = true;
+    DrainGate gate = services.drain();
+    long now = context.nanoClock().nanoTime();
+    List<HostPort> entryVms = reporter.entryVms();
+    gate.leave(entryVms.size(), now);
+    reporter.send(entryVms, () -> gate.noticeConfirmed(context.nanoClock().nanoTime()));
+    every(() -> gate.check(context.nanoClock().nanoTime()), PROBE_INTERVAL_MS);
+    gate.check(now);
+    return gate.drained();
+  }
+
+  @Override
+  public void close() {
+    timers.forEach(Scheduler.Cancellable::cancel);
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
@@ -0,0 +1,343 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.requests.RunState;
+import org.clementineford.requests.admission.Attempt;
+import org.clementineford.requests.admission.QueuedRequest;
+import org.clementineford.transport.ExchangeFailure;
+import org.clementineford.transport.IncomingExchange;
+import org.clementineford.transport.http.HttpCall;
+import org.clementineford.transport.http.HttpRequest;
+import org.clementineford.transport.http.HttpResponseListener;
+import org.clementineford.wire.AnswerHead;
+import org.clementineford.wire.Dispatch;
+import org.clementineford.wire.Payload;
+
+/**
+ * One attempt from its admission to its end. Its answer goes to every exchange that attached.
+ *
+ * <p>The lock of the run is held while payloads are sent, so each exchange gets them in order. It
+ * is not held while the back end's queue starts other runs.
+ */
+final class Run implements HttpResponseListener {
+  static final String REQUEST_ID_HEADER = "X-Request-Id";
+
+  /** An engine sends tokens every 30 ms; a back end that is silent for this long hangs. */
+  private static final long SILENCE_MS = 10_000;
+
+  private static final Set<String> CONNECTION_HEADERS =
+      Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "host", "te");
+
+  private final Dispatch dispatch;
+  private final Attempt attempt;
+  private final BackEnd backEnd;
+  private final RequestServices services;
+  private final QueuedRequest<Run> request;
+  private final AnswerBuffer answer;
+  private final List<IncomingExchange> exchanges = new ArrayList<>(1);
+  private final List<Runnable> endActions = new ArrayList<>(0);
+  private State state = State.QUEUED;
+  private Payload refusal;
+  private HttpCall call;
+  private boolean sentAgain;
+
+  Run(Dispatch dispatch, Attempt attempt, BackEnd backEnd, RequestServices services) {
+    this.dispatch = dispatch;
+    this.attempt = attempt;
+    this.backEnd = backEnd;
+    this.services = services;
+    this.answer = new AnswerBuffer(dispatch.getRequestId());
+    long timeout = TimeUnit.MILLISECONDS.toNanos(dispatch.getTimeoutMs());
+    this.request =
+        new QueuedRequest<>(
+            dispatch.getClientAccount(),
+            dispatch.isUrgent(),
+            dispatch.getEstimatedCostTokens(),
+            services.clock().nanoTime() + timeout,
+            this);
+  }
+
+  QueuedRequest<Run> request() {
+    return request;
+  }
+
+  /** Sends the answer so far, and the rest as it arrives, to an exchange. */
+  void attach(IncomingExchange exchange) {
+    synchronized (this) {
+      if (refusal != null) {
+        exchange.finish(refusal);
+        return;
+      }
+      if (!answer.isKept()) {
+        exchange.finish(
+            Refusals.refusal(
+                dispatch.getRequestId(), RefusalKind.ANSWER_NOT_KEPT, RunState.RAN, "too long"));
+        return;
+      }
+      answer.payloads().forEach(payload -> sendTo(exchange, payload));
+      if (state == State.ENDED) {
+        return;
+      }
+      exchanges.add(exchange);
+    }
+    exchange.onWritable(() -> setReading(true));
+    exchange.onCancel(() -> detach(exchange));
+  }
+
+  static void sendTo(IncomingExchange exchange, Payload payload) {
+    if (payload.isSetAnswerEnd()) {
+      exchange.finish(payload);
+    } else {
+      exchange.send(payload);
+    }
+  }
+
+  /** Runs an action once the run has ended; at once if it has ended already. */
+  void whenEnded(Runnable action) {
+    synchronized (this) {
+      if (state != State.ENDED) {
+        endActions.add(action);
+        return;
+      }
+    }
+    action.run();
+  }
+
+  private void detach(IncomingExchange exchange) {
+    boolean occupiedSlot;
+    synchronized (this) {
+      exchanges.remove(exchange);
+      if (!exchanges.isEmpty() || state == State.ENDED) {
+        setReading(true);
+        return;
+      }
+      if (state == State.RUNNING && !attempt.idempotent()) {
+        // Its effect may have happened already; the outcome is remembered for whoever asks.
+        setReading(true);
+        return;
+      }
+      occupiedSlot = state == State.RUNNING;
+      if (occupiedSlot) {
+        cancelCall();
+        end(RefusalKind.CANCELLED, RunState.UNKNOWN, "while running");
+      } else {
+        end(RefusalKind.CANCELLED, RunState.NOT_RUN, "while queued");
+      }
+    }
+    afterEnd(occupiedSlot, request.estimatedCost());
+  }
+
+  private void cancelCall() {
+    if (call != null) {
+      call.cancel();
+    }
+  }
+
+  private synchronized void setReading(boolean reading) {
+    if (call != null && state == State.RUNNING) {
+      call.setReading(reading);
+    }
+  }
+
+  /** Refuses a run that does not occupy a slot. */
+  void refuseQueued(RefusalKind kind) {
+    synchronized (this) {
+      if (state != State.QUEUED) {
+        return;
+      }
+      end(kind, RunState.NOT_RUN, dispatch.getBackEnd());
+    }
+    afterEnd(false, 0);
+  }
+
+  /** Sends the request to the back end; returns false if the run has ended already. */
+  boolean start() {
+    synchronized (this) {
+      if (state != State.QUEUED) {
+        return false;
+      }
+      state = State.RUNNING;
+    }
+    send();
+    return true;
+  }
+
+  private void send() {
+    Map<String, String> headers = new HashMap<>(dispatch.getHeaders());
+    headers.keySet().removeIf(Run::concernsConnection);
+    headers.put(REQUEST_ID_HEADER, dispatch.getRequestId());
+    HttpRequest sent =
+        new HttpRequest(dispatch.getMethod(), dispatch.getPath(), headers, dispatch.getBody());
+    HttpCall started = services.httpClient().send(backEnd.address(), sent, SILENCE_MS, this);
+    synchronized (this) {
+      call = started;
+      if (state == State.ENDED) {
+        started.cancel();
+      }
+    }
+  }
+
+  private static boolean concernsConnection(String header) {
+    return CONNECTION_HEADERS.contains(header.toLowerCase(java.util.Locale.ROOT));
+  }
+
+  @Override
+  public void onHead(int status, Map<String, String> headers) {
+    String echoed = headers.get(REQUEST_ID_HEADER);
+    if (!dispatch.getRequestId().equals(echoed)) {
+      fail(RefusalKind.WRONG_REQUEST_ID, RunState.UNKNOWN, "got " + echoed);
+      return;
+    }
+    if (!headers.containsKey("Content-Length") && !headers.containsKey("Transfer-Encoding")) {
+      // The end of such a body cannot be told from a lost connection.
+      fail(RefusalKind.BACK_END_BROKEN, RunState.RAN, "no length or chunked encoding");
+      return;
+    }
+    String version = headers.get(EngineHeaders.MODEL_VERSION);
+    String digest = headers.get(EngineHeaders.WEIGHTS_DIGEST);
+    Optional<String> problem =
+        backEnd.kind().weightsProblem(services.versions(), backEnd.name(), status, version, digest);
+    if (problem.isPresent()) {
+      fail(RefusalKind.MIXED_WEIGHTS, RunState.RAN, problem.get());
+      return;
+    }
+    AnswerHead head =
+        new AnswerHead(
+            dispatch.getRequestId(), dispatch.getAttemptId(), status, forwardable(headers));
+    head.setModelVersion(version).setWeightsDigest(digest);
+    synchronized (this) {
+      if (state == State.RUNNING) {
+        broadcast(answer.begin(head));
+      }
+    }
+  }
+
+  private static Map<String, String> forwardable(Map<String, String> headers) {
+    Map<String, String> forwarded = new TreeMap<>(headers);
+    forwarded.keySet().removeIf(Run::concernsConnection);
+    return forwarded;
+  }
+
+  private void broadcast(Payload payload) {
+    boolean writable = true;
+    for (IncomingExchange exchange : exchanges) {
+      sendTo(exchange, payload);
+      writable &= exchange.isWritable();
+    }
+    if (!writable && call != null) {
+      call.setReading(false);
+    }
+  }
+
+  @Override
+  public synchronized void onBody(byte[] bytes) {
+    if (state == State.RUNNING) {
+      broadcast(answer.append(bytes));
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    synchronized (this) {
+      if (state != State.RUNNING) {
+        return;
+      }
+      state = State.ENDED;
+      Payload last = answer.complete(request.estimatedCost());
+      long now = services.clock().nanoTime();
+      if (answer.isKept()) {
+        services.registry().endAnswered(attempt, answer, answer.length(), now);
+      } else {
+        services.registry().endWithoutAnswer(attempt, RunState.RAN, now);
+      }
+      broadcast(last);
+    }
+    services.metrics().answered(backEnd.name(), dispatch.getClientAccount(), answer.actualCost());
+    backEnd.succeeded();
+    afterEnd(true, answer.actualCost());
+  }
+
+  @Override
+  public void onFailure(ExchangeFailure failure, String cause) {
+    if (failure.provesNotReceived()) {
+      if (!sentAgain) {
+        // An idle connection that the back end has just closed is no sign of a failure.
+        sentAgain = true;
+        send();
+        return;
+      }
+      fail(RefusalKind.BACK_END_DOWN, RunState.NOT_RUN, backEnd.name());
+      return;
+    }
+    RunState run = answer.isBegun() ? RunState.RAN : RunState.UNKNOWN;
+    fail(RefusalKind.BACK_END_BROKEN, run, cause);
+  }
+
+  private void fail(RefusalKind kind, RunState run, String detail) {
+    synchronized (this) {
+      if (state != State.RUNNING) {
+        return;
+      }
+      cancelCall();
+      end(kind, run, detail);
+    }
+    services
+        .timeline()
+        .record(
+            EventKind.REQUEST_BROKEN,
+            "request",
+            dispatch.getRequestId(),
+            "kind",
+            kind.wireName(),
+            "detail",
+            detail);
+    backEnd.failed(run == RunState.NOT_RUN, detail);
+    afterEnd(true, run == RunState.NOT_RUN ? 0 : request.estimatedCost());
+  }
+
+  private void end(RefusalKind kind, RunState run, String detail) {
+    state = State.ENDED;
+    refusal = Refusals.refusal(dispatch.getRequestId(), kind, run, detail);
+    services.metrics().refused(kind);
+    long now = services.clock().nanoTime();
+    if (run == RunState.NOT_RUN) {
+      services.registry().endNotRun(attempt, now);
+    } else {
+      services.registry().endWithoutAnswer(attempt, run, now);
+    }
+    exchanges.forEach(exchange -> exchange.finish(refusal));
+  }
+
+  private void afterEnd(boolean occupiedSlot, long actualCost) {
+    List<Runnable> actions;
+    synchronized (this) {
+      actions = List.copyOf(endActions);
+      endActions.clear();
+      exchanges.clear();
+    }
+    actions.forEach(Runnable::run);
+    if (backEnd != null) {
+      if (occupiedSlot) {
+        backEnd.finished(request, actualCost);
+      } else {
+        backEnd.queue().remove(request);
+      }
+    }
+    services.drain().end(services.clock().nanoTime());
+  }
+
+  private enum State {
+    QUEUED,
+    RUNNING,
+    ENDED
+  }
+}
--- /dev/null
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/Admission.java
@@ -0,0 +1,51 @@
+package org.clementineford.requests.admission;
+
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.requests.RunState;
+
+/**
+ * What to do with a dispatch.
+ *
+ * @param verdict the decision
+ * @param run the run to attach to if the verdict is {@link Verdict#ATTACH}, else null
+ * @param answer the stored answer if the verdict is {@link Verdict#REPLAY}, else null
+ * @param refusal why the dispatch is refused if the verdict is {@link Verdict#REFUSE}, else null
+ * @param runState what the refusal states about the attempt, else null
+ * @param <R> type of runs
+ * @param <A> type of answers
+ */
+public record Admission<R, A>(
+    Verdict verdict, R run, A answer, RefusalKind refusal, RunState runState) {
+
+  static <R, A> Admission<R, A> start() {
+    return new Admission<>(Verdict.START, null, null, null, null);
+  }
+
+  static <R, A> Admission<R, A> attach(R run) {
+    return new Admission<>(Verdict.ATTACH, run, null, null, null);
+  }
+
+  static <R, A> Admission<R, A> replay(A answer) {
+    return new Admission<>(Verdict.REPLAY, null, answer, null, null);
+  }
+
+  static <R, A> Admission<R, A> refuse(RefusalKind kind) {
+    return refuse(kind, kind.defaultRun());
+  }
+
+  static <R, A> Admission<R, A> refuse(RefusalKind kind, RunState runState) {
+    return new Admission<>(Verdict.REFUSE, null, null, kind, runState);
+  }
+
+  /** Kind of the decision. */
+  public enum Verdict {
+    /** The attempt is new and is now registered; the caller must run it or end it as not run. */
+    START,
+    /** The same attempt runs already; its answer also goes to this exchange. */
+    ATTACH,
+    /** The same attempt has ended; its stored answer is sent again. */
+    REPLAY,
+    /** The dispatch is refused. */
+    REFUSE
+  }
+}
--- /dev/null
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/AttemptReport.java
@@ -0,0 +1,25 @@
+package org.clementineford.requests.admission;
+
+/**
+ * What the registry knows about an attempt that somebody asked to report or revoke.
+ *
+ * @param phase phase of the attempt
+ * @param run the run if the phase is {@link Phase#RUNNING}, else null
+ * @param answer the stored answer if the phase is {@link Phase#FINISHED}, else null
+ * @param <R> type of runs
+ * @param <A> type of answers
+ */
+public record AttemptReport<R, A>(Phase phase, R run, A answer) {
+
+  /** Phase of an attempt. */
+  public enum Phase {
+    /** The attempt was not run and will not be run. */
+    REVOKED,
+    /** The attempt waits for a back end or runs. */
+    RUNNING,
+    /** The attempt ran and its answer is stored. */
+    FINISHED,
+    /** It is not known whether the attempt ran, or its answer is not stored. */
+    FORGOTTEN
+  }
+}
--- /dev/null
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/RegistryShard.java
@@ -0,0 +1,198 @@
+package org.clementineford.requests.admission;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.requests.RunState;
+
+/** The attempts whose identities hash to one number. */
+final class RegistryShard<R, A> {
+  private final RunRegistryLimits limits;
+  private final KeyIndex keys;
+  private final int capacity;
+  private final long answerCapacity;
+  private final Map<String, RegistryEntry<R, A>> entries = new HashMap<>();
+  private final ArrayDeque<RegistryEntry<R, A>> notRun = new ArrayDeque<>();
+  private final ArrayDeque<RegistryEntry<R, A>> idempotentEnded = new ArrayDeque<>();
+  private final ArrayDeque<RegistryEntry<R, A>> ended = new ArrayDeque<>();
+  private final ArrayDeque<RegistryEntry<R, A>> answered = new ArrayDeque<>();
+  private final ForgottenAttempts forgotten;
+  private long answerBytes;
+
+  RegistryShard(RunRegistryLimits limits, KeyIndex keys) {
+    this.limits = limits;
+    this.keys = keys;
+    this.capacity = Math.max(1, limits.attempts() / limits.shards());
+    this.answerCapacity = limits.answerBytes() / limits.shards();
+    this.forgotten = new ForgottenAttempts(capacity);
+  }
+
+  synchronized int size() {
+    return entries.size();
+  }
+
+  synchronized Admission<R, A> admit(
+      Attempt attempt, R run, RefusalKind refusalOfNew, long nowNanos) {
+    dropExpired(nowNanos);
+    RegistryEntry<R, A> known = entries.get(attempt.attemptId());
+    if (known != null) {
+      return admitKnown(known);
+    }
+    if (refusalOfNew != null) {
+      // Dropped attempts ended before any dispatch that is not stale was sent.
+      boolean mayHaveRun =
+          refusalOfNew == RefusalKind.STALE_DISPATCH
+              && forgotten.mayContain(attempt.attemptId(), nowNanos);
+      return Admission.refuse(mayHaveRun ? RefusalKind.OUTCOME_UNKNOWN : refusalOfNew);
+    }
+    if (!makeRoom(nowNanos)) {
+      return Admission.refuse(RefusalKind.REGISTRY_FULL);
+    }
+    RegistryEntry<R, A> entry = new RegistryEntry<>(attempt, run);
+    KeyIndex.Holder holder = claimKey(entry, false);
+    entries.put(entry.attemptId, entry);
+    if (holder != null) {
+      end(entry, RunState.NOT_RUN, nowNanos);
+      return Admission.refuse(holder.revoked() ? RefusalKind.REVOKED : RefusalKind.KEY_SEEN);
+    }
+    return Admission.start();
+  }
+
+  private Admission<R, A> admitKnown(RegistryEntry<R, A> known) {
+    if (known.isRunning()) {
+      return Admission.attach(known.run);
+    }
+    if (known.answer != null) {
+      return Admission.replay(known.answer);
+    }
+    return switch (known.ended) {
+      case NOT_RUN -> Admission.refuse(RefusalKind.REVOKED);
+      case RAN -> Admission.refuse(RefusalKind.ANSWER_NOT_KEPT);
+      case UNKNOWN -> Admission.refuse(RefusalKind.OUTCOME_UNKNOWN);
+    };
+  }
+
+  private KeyIndex.Holder claimKey(RegistryEntry<R, A> entry, boolean revoked) {
+    return entry.key == null
+        ? null
+        : keys.claim(entry.key, new KeyIndex.Holder(entry.attemptId, revoked));
+  }
+
+  synchronized void endNotRun(Attempt attempt, long nowNanos) {
+    RegistryEntry<R, A> entry = entries.get(attempt.attemptId());
+    if (entry != null && entry.isRunning()) {
+      end(entry, RunState.NOT_RUN, nowNanos);
+      releaseKey(entry);
+    }
+  }
+
+  private void end(RegistryEntry<R, A> entry, RunState state, long nowNanos) {
+    entry.end(state, nowNanos);
+    if (state == RunState.NOT_RUN) {
+      notRun.addLast(entry);
+    }
+  }
+
+  synchronized void endRan(Attempt attempt, A answer, long bytes, RunState state, long nowNanos) {
+    RegistryEntry<R, A> entry = entries.get(attempt.attemptId());
+    if (entry == null || !entry.isRunning()) {
+      return;
+    }
+    end(entry, state, nowNanos);
+    if (attempt.idempotent()) {
+      idempotentEnded.addLast(entry);
+      return;
+    }
+    ended.addLast(entry);
+    if (answer != null && bytes <= answerCapacity) {
+      store(entry, answer, bytes);
+    }
+  }
+
+  private void store(RegistryEntry<R, A> entry, A answer, long bytes) {
+    entry.answer = answer;
+    entry.answerBytes = bytes;
+    answerBytes += bytes;
+    answered.addLast(entry);
+    while (answerBytes > answerCapacity) {
+      RegistryEntry<R, A> oldest = answered.removeFirst();
+      answerBytes -= oldest.answerBytes;
+      oldest.dropAnswer();
+    }
+  }
+
+  synchronized AttemptReport<R, A> reportOrRevoke(Attempt attempt, long nowNanos) {
+    dropExpired(nowNanos);
+    RegistryEntry<R, A> known = entries.get(attempt.attemptId());
+    if (known != null) {
+      return report(known, nowNanos);
+    }
+    if (forgotten.mayContain(attempt.attemptId(), nowNanos) || !makeRoom(nowNanos)) {
+      return new AttemptReport<>(AttemptReport.Phase.FORGOTTEN, null, null);
+    }
+    RegistryEntry<R, A> entry = new RegistryEntry<>(attempt, null);
+    entries.put(entry.attemptId, entry);
+    end(entry, RunState.NOT_RUN, nowNanos);
+    claimKey(entry, true);
+    return new AttemptReport<>(AttemptReport.Phase.REVOKED, null, null);
+  }
+
+  private AttemptReport<R, A> report(RegistryEntry<R, A> known, long nowNanos) {
+    if (known.isRunning()) {
+      return new AttemptReport<>(AttemptReport.Phase.RUNNING, known.run, null);
+    }
+    if (known.answer != null) {
+      return new AttemptReport<>(AttemptReport.Phase.FINISHED, null, known.answer);
+    }
+    if (known.ended == RunState.NOT_RUN) {
+      // Confirming the revocation again extends it, because the asker relies on it from now on.
+      notRun.remove(known);
+      known.endedNanos = nowNanos;
+      notRun.addLast(known);
+      return new AttemptReport<>(AttemptReport.Phase.REVOKED, null, null);
+    }
+    return new AttemptReport<>(AttemptReport.Phase.FORGOTTEN, null, null);
+  }
+
+  private void releaseKey(RegistryEntry<R, A> entry) {
+    if (entry.key != null) {
+      keys.release(entry.key, entry.attemptId);
+    }
+  }
+
+  private void dropExpired(long nowNanos) {
+    drop(notRun, nowNanos - limits.nanos(limits.revocationMs()));
+    drop(idempotentEnded, nowNanos - limits.nanos(limits.idempotentMs()));
+  }
+
+  private void drop(ArrayDeque<RegistryEntry<R, A>> queue, long endedBefore) {
+    while (!queue.isEmpty() && queue.peekFirst().endedNanos - endedBefore < 0) {
+      remove(queue.removeFirst());
+    }
+  }
+
+  private void remove(RegistryEntry<R, A> entry) {
+    entries.remove(entry.attemptId);
+    releaseKey(entry);
+  }
+
+  /** Drops the oldest ended attempt if the shard is full; never a revocation that still holds. */
+  private boolean makeRoom(long nowNanos) {
+    if (entries.size() < capacity) {
+      return true;
+    }
+    RegistryEntry<R, A> oldest = ended.peekFirst();
+    if (oldest == null || nowNanos - oldest.endedNanos < limits.nanos(limits.revocationMs())) {
+      return false;
+    }
+    ended.removeFirst();
+    if (oldest.answer != null) {
+      answered.remove(oldest);
+      answerBytes -= oldest.answerBytes;
+    }
+    forgotten.add(oldest.attemptId, nowNanos);
+    remove(oldest);
+    return true;
+  }
+}
--- /dev/null
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Admission on the endpoint VM: fair queue over client accounts and the registry of runs. */
+package org.clementineford.requests.admission;
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
@@ -25,6 +25,7 @@
   private Channel channel;
   private ScheduledFuture<?> idleCheck;
   private boolean ended;
+  private boolean paused;
 
   HttpClientCall(
       HttpRequest request,
@@ -69,16 +70,20 @@
     if (idleCheck != null) {
       idleCheck.cancel(false);
     }
-    idleCheck =
-        channel
-            .eventLoop()
-            .schedule(
-                () -> {
-                  fail(ExchangeFailure.UNKNOWN, "nothing received for " + idleTimeoutMs + " ms");
-                  channel.close();
-                },
-                idleTimeoutMs,
-                TimeUnit.MILLISECONDS);
+    idleCheck = channel.eventLoop().schedule(this::checkIdle, idleTimeoutMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkIdle() {
+    if (isPaused()) {
+      rearm();
+      return;
+    }
+    fail(ExchangeFailure.UNKNOWN, "nothing received for " + idleTimeoutMs + " ms");
+    channel.close();
+  }
+
+  private synchronized boolean isPaused() {
+    return paused && !ended;
   }
 
   void head(HttpResponse response) {
@@ -105,6 +110,7 @@
         return;
       }
       ended = true;
+      connection.config().setAutoRead(true);
     }
     if (keepAlive) {
       release.accept(connection);
@@ -143,4 +149,12 @@
       channel.close();
     }
   }
+
+  @Override
+  public synchronized void setReading(boolean reading) {
+    paused = !reading;
+    if (channel != null && !ended) {
+      channel.config().setAutoRead(reading);
+    }
+  }
 }
