Test dispatch against a stand-in back end

The request component streams an answer with offsets, length, CRC32C and actual cost, and refuses broken streams, wrong request ids, weights that were not activated, revoked attempts and passed deadlines. A second copy of an attempt attaches to the first. Load reports are read through the engine adapter of the platform module.

--- /dev/null
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/DispatchTest.java
@@ -0,0 +1,197 @@
+package org.clementineford.endpoint.internal.requests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.zip.CRC32C;
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.requests.RunState;
+import org.clementineford.transport.http.HttpExchange;
+import org.clementineford.wire.AnswerEnd;
+import org.clementineford.wire.Refusal;
+import org.clementineford.wire.RunPhase;
+import org.clementineford.wire.RunReport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DispatchTest {
+  private static final int SLOTS = 2;
+
+  private EndpointFixture fixture;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture = new EndpointFixture(SLOTS);
+  }
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  private static void assertRefused(RecordingExchange exchange, RefusalKind kind, RunState run)
+      throws Exception {
+    Refusal refusal = exchange.awaitLast().getRefusal();
+    assertThat(refusal.getKind()).isEqualTo(kind.wireName());
+    assertThat(refusal.getRun().name()).isEqualTo(run.name());
+  }
+
+  @Nested
+  class Streams {
+    // Guards against lost, reordered or wrongly counted parts of an answer.
+    @Test
+    void carryOffsetsLengthChecksumAndActualCost() throws Exception {
+      RecordingExchange exchange = fixture.dispatch("1", dispatch -> {});
+      EndpointFixture.answer(fixture.nextCall(), "one ", "{\"total_tokens\": 42}");
+      final AnswerEnd end = exchange.awaitLast().getAnswerEnd();
+      byte[] body = exchange.body().getBytes(StandardCharsets.UTF_8);
+      assertThat(exchange.body()).isEqualTo("one {\"total_tokens\": 42}");
+      CRC32C checksum = new CRC32C();
+      checksum.update(body);
+      assertThat(end.getLength()).isEqualTo(body.length);
+      assertThat(end.getCrc32c()).isEqualTo(checksum.getValue());
+      assertThat(end.getActualCostTokens()).isEqualTo(42);
+      assertThat(exchange.payloads().get(0).getAnswerHead().getWeightsDigest()).isEqualTo("d1");
+    }
+
+    // Guards against a truncated answer that looks complete.
+    @Test
+    void thatTheEngineBreaksEndAsRefusals() throws Exception {
+      RecordingExchange exchange = fixture.dispatch("1", dispatch -> {});
+      HttpExchange call = fixture.nextCall();
+      call.start(200, EndpointFixture.engineHeaders(call));
+      call.write("one".getBytes(StandardCharsets.UTF_8));
+      exchange.awaitFirst();
+      call.abort();
+      assertRefused(exchange, RefusalKind.BACK_END_BROKEN, RunState.RAN);
+    }
+
+    // Guards against calling a request not run although the back end may have run it.
+    @Test
+    void thatBreakBeforeTheirHeadHaveAnUnknownOutcome() throws Exception {
+      RecordingExchange exchange = fixture.dispatch("1", EndpointFixture::reservation);
+      fixture.nextCall().abort();
+      assertRefused(exchange, RefusalKind.BACK_END_BROKEN, RunState.UNKNOWN);
+    }
+
+    // Guards against passing on the answer to another request.
+    @Test
+    void withAnotherRequestIdAreRefused() throws Exception {
+      RecordingExchange exchange = fixture.dispatch("1", dispatch -> {});
+      fixture.nextCall().respond(200, Map.of(Run.REQUEST_ID_HEADER, "request-2"), new byte[9]);
+      assertRefused(exchange, RefusalKind.WRONG_REQUEST_ID, RunState.UNKNOWN);
+      assertThat(exchange.payloads()).hasSize(1);
+    }
+
+    // Guards against answers from partial or mixed weights.
+    @Test
+    void fromWeightsThatWereNotActivatedAreRefused() throws Exception {
+      RecordingExchange exchange = fixture.dispatch("1", dispatch -> {});
+      HttpExchange call = fixture.nextCall();
+      Map<String, String> headers = new java.util.HashMap<>(EndpointFixture.engineHeaders(call));
+      headers.put(EngineHeaders.WEIGHTS_DIGEST, "d2");
+      call.respond(200, headers, new byte[9]);
+      assertRefused(exchange, RefusalKind.MIXED_WEIGHTS, RunState.RAN);
+      assertThat(exchange.payloads()).hasSize(1);
+    }
+
+    // Guards against an answer that fills the memory because its receiver is slow.
+    @Test
+    void waitForSlowReceivers() throws Exception {
+      RecordingExchange exchange = fixture.dispatch("1", dispatch -> {});
+      HttpExchange call = fixture.nextCall();
+      call.start(200, EndpointFixture.engineHeaders(call));
+      exchange.awaitFirst();
+      exchange.setWritable(false);
+      byte[] part = new byte[1 << 20];
+      for (int i = 0; i < 16; i++) {
+        call.write(part);
+      }
+      call.finish();
+      for (int i = 0; i < 20; i++) {
+        RecordingExchange other = fixture.dispatch("other-" + i, dispatch -> {});
+        EndpointFixture.answer(fixture.nextCall(), "done");
+        other.awaitLast();
+      }
+      assertThat(exchange.isFinished()).isFalse();
+      exchange.setWritable(true);
+      assertThat(exchange.awaitLast().getAnswerEnd().getLength()).isEqualTo(16L << 20);
+    }
+  }
+
+  @Nested
+  class Attempts {
+    // Guards against a late copy of a dispatch that runs after its revocation was confirmed.
+    @Test
+    void thatWereRevokedNeverRun() throws Exception {
+      RunReport report = fixture.reportOrRevoke("1", false).awaitLast().getRunReport();
+      assertThat(report.getPhase()).isEqualTo(RunPhase.REVOKED);
+      assertRefused(
+          fixture.dispatch("1", EndpointFixture::reservation),
+          RefusalKind.REVOKED,
+          RunState.NOT_RUN);
+      assertThat(fixture.received).isEmpty();
+    }
+
+    // Guards against a second run of an attempt that arrives on two connections.
+    @Test
+    void thatArriveTwiceRunOnceAndAnswerBoth() throws Exception {
+      RecordingExchange first = fixture.dispatch("1", EndpointFixture::reservation);
+      RecordingExchange second = fixture.dispatch("1", EndpointFixture::reservation);
+      EndpointFixture.answer(fixture.nextCall(), "lot 5");
+      first.awaitLast();
+      second.awaitLast();
+      RecordingExchange third = fixture.dispatch("1", EndpointFixture::reservation);
+      third.awaitLast();
+      assertThat(first.body()).isEqualTo("lot 5").isEqualTo(second.body()).isEqualTo(third.body());
+      assertThat(fixture.received).isEmpty();
+    }
+
+    // Guards against a reservation whose outcome is lost because its caller went away.
+    @Test
+    void thatAreNotIdempotentGoOnAfterCancel() throws Exception {
+      RecordingExchange exchange = fixture.dispatch("1", EndpointFixture::reservation);
+      HttpExchange call = fixture.nextCall();
+      exchange.cancel();
+      RecordingExchange waiting = fixture.reportOrRevoke("1", true);
+      assertThat(waiting.isFinished()).isFalse();
+      EndpointFixture.answer(call, "lot 5");
+      RunReport report = waiting.awaitLast().getRunReport();
+      assertThat(report.getPhase()).isEqualTo(RunPhase.FINISHED);
+      assertThat(new String(report.getBody(), StandardCharsets.UTF_8)).isEqualTo("lot 5");
+    }
+
+    // Guards against an engine that works for a caller that went away.
+    @Test
+    void thatAreIdempotentEndOnCancel() throws Exception {
+      RecordingExchange exchange = fixture.dispatch("1", dispatch -> {});
+      HttpExchange call = fixture.nextCall();
+      CompletableFuture<Void> closed = new CompletableFuture<>();
+      call.onClosed(() -> closed.complete(null));
+      exchange.cancel();
+      assertThat(closed).succeedsWithin(5, TimeUnit.SECONDS);
+    }
+  }
+
+  @Nested
+  class Queues {
+    // Guards against a request that starts, or waits on, after its deadline.
+    @Test
+    void refuseRequestsWhoseDeadlinePassed() throws Exception {
+      for (int i = 0; i < SLOTS; i++) {
+        fixture.dispatch("running-" + i, dispatch -> {});
+        fixture.nextCall();
+      }
+      RecordingExchange queued = fixture.dispatch("1", dispatch -> dispatch.setTimeoutMs(100));
+      fixture.time.advance(99, TimeUnit.MILLISECONDS);
+      assertThat(queued.isFinished()).isFalse();
+      fixture.time.advance(1, TimeUnit.MILLISECONDS);
+      assertRefused(queued, RefusalKind.DEADLINE_PASSED, RunState.NOT_RUN);
+    }
+  }
+}
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEndKind.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEndKind.java
@@ -6,11 +6,6 @@
 enum BackEndKind {
   /** A model engine; answers from weights that this daemon activated and reports its load. */
   ENGINE {
-    @Override
-    String probePath() {
-      return "/load";
-    }
-
     @Override
     boolean isServed(ActivatedVersions versions, String name) {
       return versions.current(name).isPresent();
@@ -29,11 +24,6 @@
   },
   /** A plain service; has no weights. */
   SERVICE {
-    @Override
-    String probePath() {
-      return "/";
-    }
-
     @Override
     boolean isServed(ActivatedVersions versions, String name) {
       return true;
@@ -46,9 +36,6 @@
     }
   };
 
-  /** Path that shows whether the back end is up; any response counts. */
-  abstract String probePath();
-
   /** Tells whether the back end can answer now. */
   abstract boolean isServed(ActivatedVersions versions, String name);
 
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoll.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoll.java
@@ -1,24 +1,29 @@
 package org.clementineford.endpoint.internal.requests;
 
-import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.kernel.platform.ModelEngine;
+import org.clementineford.platform.HttpModelEngine;
 import org.clementineford.transport.http.HttpRequest;
-import org.clementineford.transport.http.HttpResponse;
 
 /** Reads the load of one back end and probes it while it is down. */
 final class LoadPoll {
-  private static final long TIMEOUT_MS = 1000;
+  private static final long PROBE_TIMEOUT_MS = 1000;
+
+  /** Any response shows that a plain service is up. */
+  private static final HttpRequest PROBE = new HttpRequest("GET", "/", Map.of(), new byte[0]);
 
   private final BackEnd backEnd;
   private final RequestServices services;
+  private final ModelEngine engine;
   private boolean pending;
   private long reportedNanos;
 
   LoadPoll(BackEnd backEnd, RequestServices services) {
     this.backEnd = backEnd;
     this.services = services;
+    this.engine = new HttpModelEngine(services.httpClient(), backEnd.address());
     this.reportedNanos = services.clock().nanoTime();
   }
 
@@ -54,41 +59,31 @@
       }
       pending = true;
     }
-    HttpRequest request = new HttpRequest("GET", backEnd.kind().probePath(), Map.of(), new byte[0]);
-    services
-        .httpClient()
-        .call(backEnd.address(), request, TIMEOUT_MS)
-        .whenComplete(
-            (response, failure) -> {
-              synchronized (this) {
-                pending = false;
-              }
-              if (failure != null) {
-                backEnd.failed(false, failure.getMessage());
-              } else {
-                received(response);
-              }
-            });
+    CompletableFuture<?> answer =
+        backEnd.kind() == BackEndKind.ENGINE
+            ? engine.readLoad().thenAccept(this::received)
+            : services.httpClient().call(backEnd.address(), PROBE, PROBE_TIMEOUT_MS);
+    answer.whenComplete((report, failure) -> answered(failure));
   }
 
-  private void received(HttpResponse response) {
-    backEnd.succeeded();
-    if (backEnd.kind() == BackEndKind.SERVICE || response.status() != 200) {
-      return;
+  private void received(ModelEngine.Load load) {
+    synchronized (this) {
+      reportedNanos = services.clock().nanoTime() - TimeUnit.MILLISECONDS.toNanos(load.ageMs());
     }
-    try {
-      EngineLoad load = EngineLoad.parse(response.body());
-      synchronized (this) {
-        reportedNanos = services.clock().nanoTime() - TimeUnit.MILLISECONDS.toNanos(load.ageMs());
-      }
-      if (load.slots() > 0) {
-        backEnd.queue().setSlots(load.slots());
-        backEnd.startNext();
-      }
-    } catch (IOException e) {
-      services
-          .timeline()
-          .record(EventKind.BACK_END_DOWN, "backEnd", backEnd.name(), "cause", e.getMessage());
+    if (load.slots() > 0) {
+      backEnd.queue().setSlots(load.slots());
     }
   }
+
+  private void answered(Throwable failure) {
+    synchronized (this) {
+      pending = false;
+    }
+    if (failure != null) {
+      backEnd.failed(false, String.valueOf(failure.getMessage()));
+      return;
+    }
+    backEnd.succeeded();
+    backEnd.startNext();
+  }
 }
