--- /dev/null
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/DocumentCheck.java
@@ -0,0 +1,87 @@
+package org.clementineford.configuration;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.clementineford.configuration.errors.DocumentException;
+import org.clementineford.kernel.errors.ErrorKind;
+
+/** Turns a document into what it says, and finds names that two sections define. */
+public final class DocumentCheck {
+  private DocumentCheck() {}
+
+  /**
+   * Checks all sections and merges them.
+   *
+   * @param document the document
+   * @return what it says
+   * @throws DocumentException kind {@code INVALID_DOCUMENT} if a section does not match the schema
+   *     or a name is in two sections
+   */
+  public static ConfigurationSnapshot snapshot(Document document) throws DocumentException {
+    Merge merge = new Merge();
+    for (DocumentSection section : document.presentSections()) {
+      merge.add(section.name(), SectionSchema.parse(section.name(), section.text()));
+    }
+    return merge.snapshot(document.revision());
+  }
+
+  private static final class Merge {
+    private final Map<String, String> definedIn = new HashMap<>();
+    private final Map<String, ModelSpecification> models = new TreeMap<>();
+    private final Map<String, ClientAccount> accounts = new TreeMap<>();
+    private final Map<String, ServiceSpecification> services = new TreeMap<>();
+    private final Set<String> joining = new TreeSet<>();
+    private final Set<String> leaving = new TreeSet<>();
+    private final Map<String, Double> policies = new TreeMap<>();
+
+    void add(String section, SectionContent content) throws DocumentException {
+      models.putAll(define("model", section, content.models()));
+      accounts.putAll(define("client account", section, content.clientAccounts()));
+      services.putAll(define("service", section, content.services()));
+      policies.putAll(define("policy", section, content.policies()));
+      joining.addAll(content.joiningVms());
+      leaving.addAll(content.leavingVms());
+    }
+
+    private <T> Map<String, T> define(String kind, String section, Map<String, T> values)
+        throws DocumentException {
+      for (String name : values.keySet()) {
+        String other = definedIn.putIfAbsent(kind + " " + name, section);
+        if (other != null) {
+          throw new DocumentException(
+              ErrorKind.INVALID_DOCUMENT,
+              kind
+                  + " \""
+                  + name
+                  + "\" is defined in the sections \""
+                  + other
+                  + "\" and \""
+                  + section
+                  + "\"; keep it in one of them");
+        }
+      }
+      return values;
+    }
+
+    ConfigurationSnapshot snapshot(long revision) {
+      Function<String, Double> value = policies::get;
+      Policies defaults = Policies.DEFAULT;
+      Policies merged =
+          new Policies(
+              or(value.apply("activationShare"), defaults.activationShare()),
+              or(value.apply("transferLinkShare"), defaults.transferLinkShare()),
+              or(value.apply("retryBudgetShare"), defaults.retryBudgetShare()),
+              (long) or(value.apply("requestTimeoutMs"), defaults.requestTimeoutMs()));
+      return new ConfigurationSnapshot(
+          revision, models, accounts, services, joining, leaving, merged);
+    }
+
+    private static double or(Double value, double fallback) {
+      return value == null ? fallback : value;
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/DocumentEdit.java
@@ -0,0 +1,160 @@
+package org.clementineford.configuration;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.clementineford.configuration.errors.DocumentException;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.platform.ObjectStore;
+
+/**
+ * A change of one section.
+ *
+ * @param identity identity that the operator's client chose; the same change never applies twice
+ * @param section name of the section
+ * @param team team that makes the change
+ * @param baseRevision revision of the section that the editor started from; 0 if it had no text
+ * @param text new YAML text, or null to remove the section
+ */
+public record DocumentEdit(
+    String identity, String section, String team, long baseRevision, String text) {
+  // A client reads back within minutes; the design size has 2,600 changes a day.
+  private static final int KEPT_CHANGES = 200;
+  private static final int KEPT_REMOVED_SECTIONS = 100;
+  private static final double WARNING_SHARE = 0.9;
+  private static final int LISTED_SECTIONS = 3;
+
+  /**
+   * What an edit leads to.
+   *
+   * @param document document with the change
+   * @param change the change as it is recorded
+   * @param alreadyApplied true if the document had the change before
+   * @param warnings texts for the operator
+   */
+  public record Result(
+      Document document, AppliedChange change, boolean alreadyApplied, List<String> warnings) {}
+
+  /**
+   * Applies the edit.
+   *
+   * @param current document as read from the platform
+   * @param epochMs wall-clock time, only for display
+   * @return the result
+   * @throws DocumentException kind {@code CONFLICT} if the section changed since the base revision,
+   *     {@code NOT_OWNER} if another team owns it, {@code INVALID_DOCUMENT} if the new document
+   *     does not match the schema or is too long
+   */
+  public Result apply(Document current, long epochMs) throws DocumentException {
+    Optional<AppliedChange> earlier = current.findChange(identity);
+    if (earlier.isPresent()) {
+      return new Result(current, earlier.get(), true, List.of());
+    }
+    if (section.isBlank() || team.isBlank() || identity.isBlank()) {
+      throw new DocumentException(
+          ErrorKind.INVALID_DOCUMENT, "section, team and change identity must not be empty");
+    }
+    check(current.sections().get(section));
+    long revision = current.revision() + 1;
+    AppliedChange change = new AppliedChange(identity, section, team, revision, epochMs);
+    Map<String, DocumentSection> sections = new TreeMap<>(current.sections());
+    sections.put(section, new DocumentSection(section, team, revision, identity, text));
+    forgetOldRemovals(sections);
+    List<AppliedChange> changes = new ArrayList<>(current.changes());
+    changes.add(change);
+    Document next =
+        new Document(
+            revision,
+            sections,
+            changes.subList(Math.max(0, changes.size() - KEPT_CHANGES), changes.size()));
+    DocumentCheck.snapshot(next);
+    return new Result(next, change, false, checkSize(next));
+  }
+
+  private void check(DocumentSection existing) throws DocumentException {
+    boolean present = existing != null && !existing.isRemoved();
+    if (present && !existing.owner().equals(team)) {
+      throw new DocumentException(
+          ErrorKind.NOT_OWNER,
+          "section \""
+              + section
+              + "\" belongs to team \""
+              + existing.owner()
+              + "\", not to \""
+              + team
+              + "\"; ask that team for the change");
+    }
+    long actual = present ? existing.revision() : 0;
+    if (actual != baseRevision && !(existing != null && baseRevision == existing.revision())) {
+      throw new DocumentException(
+          ErrorKind.CONFLICT,
+          "section \""
+              + section
+              + "\" changed since revision "
+              + baseRevision
+              + (present
+                  ? ": it has revision "
+                      + actual
+                      + " by change "
+                      + existing.changeIdentity()
+                      + " and now reads:\n"
+                      + existing.text()
+                      + "\n"
+                  : ": it was removed; ")
+              + "Read the section again and repeat the edit on it.");
+    }
+    if (text == null && !present) {
+      throw new DocumentException(
+          ErrorKind.NOT_FOUND, "section \"" + section + "\" does not exist; check its name");
+    }
+  }
+
+  private static void forgetOldRemovals(Map<String, DocumentSection> sections) {
+    List<DocumentSection> removed =
+        sections.values().stream()
+            .filter(DocumentSection::isRemoved)
+            .sorted(Comparator.comparingLong(DocumentSection::revision).reversed())
+            .skip(KEPT_REMOVED_SECTIONS)
+            .toList();
+    removed.forEach(old -> sections.remove(old.name()));
+  }
+
+  private static List<String> checkSize(Document next) throws DocumentException {
+    int size = next.toJson().length;
+    if (size > ObjectStore.MAX_VALUE_BYTES) {
+      throw new DocumentException(
+          ErrorKind.INVALID_DOCUMENT,
+          "the document would have "
+              + size
+              + " bytes; the limit is "
+              + ObjectStore.MAX_VALUE_BYTES
+              + ". The largest sections are "
+              + largest(next)
+              + "; shorten one of them");
+    }
+    if (size >= WARNING_SHARE * ObjectStore.MAX_VALUE_BYTES) {
+      return List.of(
+          "the document has "
+              + size
+              + " of at most "
+              + ObjectStore.MAX_VALUE_BYTES
+              + " bytes; the largest sections are "
+              + largest(next));
+    }
+    return List.of();
+  }
+
+  private static String largest(Document document) {
+    return document.presentSections().stream()
+        .sorted(
+            Comparator.comparingInt((DocumentSection section) -> section.text().length())
+                .reversed())
+        .limit(LISTED_SECTIONS)
+        .map(section -> section.name() + " (" + section.text().length() + " characters)")
+        .collect(Collectors.joining(", "));
+  }
+}
--- /dev/null
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/errors/package-info.java
@@ -0,0 +1,2 @@
+/** Checked exceptions of the configuration. */
+package org.clementineford.configuration.errors;
--- /dev/null
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Leases on objects of the platform. */
+package org.clementineford.configuration.lease;
--- /dev/null
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
@@ -0,0 +1,98 @@
+package org.clementineford.daemons;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.SystemEpochClock;
+import org.agrona.concurrent.SystemNanoClock;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.clementineford.kernel.VmRole;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.settings.Setting;
+import org.clementineford.kernel.settings.Settings;
+import org.clementineford.node.Node;
+import org.clementineford.node.NodeComponentFactories;
+import org.clementineford.node.NodeComponentFactory;
+import org.clementineford.node.NodeEnvironment;
+import org.clementineford.node.NodeSettings;
+import org.clementineford.platform.HttpObjectStore;
+import org.clementineford.platform.HttpVmList;
+import org.clementineford.transport.EventLoopScheduler;
+import org.clementineford.transport.LinkShaping;
+
+/** Reads the settings of a role and runs a node. */
+final class Daemon {
+  private static final int EVENT_LOOPS = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
+  private static final long SHUTDOWN_MS = 500;
+
+  private Daemon() {}
+
+  static void run(String name, VmRole role, String[] arguments) {
+    try {
+      start(name, role, arguments);
+    } catch (ClementinefordException e) {
+      fail(e.kind(), e.getMessage());
+    } catch (RuntimeException e) {
+      fail(ErrorKind.INTERNAL, "unexpected failure (" + e + "); report this defect");
+    }
+  }
+
+  private static void fail(ErrorKind kind, String message) {
+    System.err.println(message.replace('\n', ' '));
+    System.exit(kind.exitCode());
+  }
+
+  private static void start(String name, VmRole role, String[] arguments)
+      throws ClementinefordException {
+    List<NodeComponentFactory> factories = NodeComponentFactories.of(role);
+    List<Setting<?>> declared = new ArrayList<>(NodeSettings.declared());
+    factories.forEach(factory -> declared.addAll(factory.settings()));
+    Settings settings = Settings.read(declared, arguments, System.getenv());
+    if (settings.isHelpRequested()) {
+      printHelp(name, declared);
+      System.exit(0);
+    }
+    NodeSettings nodeSettings = NodeSettings.of(settings, role, SystemEpochClock.INSTANCE);
+    EventLoopGroup eventLoops =
+        new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
+    Node node =
+        new Node(
+            nodeSettings,
+            new NodeEnvironment(
+                eventLoops,
+                new EventLoopScheduler(eventLoops),
+                SystemNanoClock.INSTANCE,
+                SystemEpochClock.INSTANCE,
+                LinkShaping.NONE,
+                HttpObjectStore::new,
+                HttpVmList::new));
+    node.start(factories, settings);
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, eventLoops), "drain"));
+  }
+
+  private static void stop(Node node, EventLoopGroup eventLoops) {
+    node.stop();
+    eventLoops
+        .shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS)
+        .awaitUninterruptibly(SHUTDOWN_MS);
+    // The Java runtime ends with status 143 after SIGTERM; a drained stop is a success.
+    Runtime.getRuntime().halt(0);
+  }
+
+  private static void printHelp(String name, List<Setting<?>> declared) {
+    try {
+      HelpFormatter.builder()
+          .setShowSince(false)
+          .get()
+          .printHelp(name, "", Settings.options(declared), "", true);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/EndpointDaemon.java
@@ -0,0 +1,17 @@
+package org.clementineford.daemons;
+
+import org.clementineford.kernel.VmRole;
+
+/** Process of an endpoint VM. */
+public final class EndpointDaemon {
+  private EndpointDaemon() {}
+
+  /**
+   * Runs until SIGTERM.
+   *
+   * @param arguments flags; {@code --help} lists them
+   */
+  public static void main(String[] arguments) {
+    Daemon.run("endpoint", VmRole.ENDPOINT, arguments);
+  }
+}
--- /dev/null
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -0,0 +1,287 @@
+package org.clementineford.node;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.clementineford.configuration.lease.LeaseTiming;
+import org.clementineford.configuration.membership.MembershipTiming;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.VmRole;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.platform.ObjectStore;
+import org.clementineford.kernel.settings.Settings;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.kernel.timeline.HybridLogicalClock;
+import org.clementineford.kernel.timeline.Timeline;
+import org.clementineford.node.internal.AdminRoutes;
+import org.clementineford.node.internal.AdminServer;
+import org.clementineford.node.internal.ConfigurationAgent;
+import org.clementineford.node.internal.DocumentOperations;
+import org.clementineford.node.internal.LeaseAgent;
+import org.clementineford.node.internal.MembershipAgent;
+import org.clementineford.node.internal.NodeMetrics;
+import org.clementineford.node.internal.ObservationAgent;
+import org.clementineford.node.internal.PlatformWatch;
+import org.clementineford.transport.PeerNetwork;
+import org.clementineford.transport.PeerTiming;
+import org.clementineford.transport.http.HttpClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A running process of the fleet: agents that every process has, and the components of its role.
+ */
+public final class Node {
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+  private static final int TIMELINE_CAPACITY = 10_000;
+
+  private final NodeSettings settings;
+  private final NodeEnvironment environment;
+  private final PeerNetwork network;
+  private final HttpClient httpClient;
+  private final List<NodeComponent> components = new ArrayList<>();
+  private final AtomicBoolean leaving = new AtomicBoolean();
+  private final AtomicBoolean started = new AtomicBoolean();
+  private NodeContext context;
+  private MembershipAgent membership;
+  private LeaseAgent lease;
+  private PlatformWatch watch;
+  private AdminServer admin;
+
+  /**
+   * Creates a node that does not listen yet.
+   *
+   * @param settings settings of every process
+   * @param environment threads, clocks and adapters
+   */
+  public Node(NodeSettings settings, NodeEnvironment environment) {
+    this.settings = settings;
+    this.environment = environment;
+    this.network =
+        new PeerNetwork(
+            environment.eventLoops(),
+            org.clementineford.transport.Payloads.toWire(settings.identity()),
+            PeerTiming.DEFAULT,
+            environment.nanoClock(),
+            environment.shaping());
+    this.httpClient = new HttpClient(environment.eventLoops(), environment.shaping());
+  }
+
+  /**
+   * Starts the agents and the components, in their order.
+   *
+   * @param factories factories of the role, in the order in which the components start
+   * @param allSettings checked settings of the node and of all factories
+   * @throws ClementinefordException if an address cannot be used or a component cannot start; the
+   *     node is closed then
+   */
+  public void start(List<NodeComponentFactory> factories, Settings allSettings)
+      throws ClementinefordException {
+    try {
+      startAgents();
+      for (NodeComponentFactory factory : factories) {
+        NodeComponent component = factory.create(context, allSettings);
+        component.start();
+        components.add(component);
+        LOG.info("component {} started", factory.name());
+      }
+    } catch (ClementinefordException | RuntimeException e) {
+      close();
+      throw e;
+    }
+    started.set(true);
+    context.timeline().record(EventKind.PROCESS_STARTED, "role", context.self().role().name());
+    LOG.info("{} listens on {}, admin on {}", context.self().vm(), peerAddress(), adminAddress());
+  }
+
+  private void startAgents() throws ClementinefordException {
+    VmIdentity wanted = settings.identity();
+    HostPort address = network.listen(wanted.address());
+    final VmIdentity self =
+        new VmIdentity(
+            wanted.vm(),
+            wanted.role(),
+            wanted.dataCentre(),
+            wanted.region(),
+            wanted.incarnation(),
+            address);
+    Timeline timeline =
+        new Timeline(
+            new HybridLogicalClock(environment.epochClock()),
+            self.vm(),
+            self.incarnation(),
+            TIMELINE_CAPACITY);
+    final ObjectStore store = environment.objectStores().apply(httpClient, settings.platform());
+    membership =
+        new MembershipAgent(
+            self,
+            network,
+            environment.nanoClock(),
+            environment.scheduler(),
+            MembershipTiming.DEFAULT,
+            settings.seeds(),
+            timeline);
+    ConfigurationAgent configuration =
+        new ConfigurationAgent(
+            network,
+            timeline,
+            environment.nanoClock(),
+            environment.epochClock(),
+            membership::receivers);
+    lease =
+        new LeaseAgent(
+            self,
+            store,
+            environment.nanoClock(),
+            environment.scheduler(),
+            LeaseTiming.DEFAULT,
+            () -> isWatcher(self),
+            timeline);
+    watch = new PlatformWatch(store, configuration, environment.scheduler(), () -> isWatcher(self));
+    SharedServices shared = new SharedServices();
+    PayloadRouter payloads = new PayloadRouter();
+    PrometheusRegistry metrics = new PrometheusRegistry();
+    context =
+        new NodeContext(
+            self,
+            environment.eventLoops(),
+            environment.scheduler(),
+            environment.nanoClock(),
+            environment.epochClock(),
+            network,
+            payloads,
+            configuration,
+            membership,
+            lease,
+            store,
+            httpClient,
+            timeline,
+            shared,
+            metrics);
+    AdminRoutes routes = new AdminRoutes();
+    shared.offer(AdminRoutes.class, routes);
+    ObservationAgent observation =
+        new ObservationAgent(network, configuration, timeline, shared, leaving::get);
+    observation.register(payloads);
+    configuration.register(payloads);
+    NodeMetrics.register(metrics, configuration, membership, lease);
+    network.setHandler(payloads);
+    membership.start(payloads, configuration);
+    if (self.role() == VmRole.ENTRY) {
+      watch.start();
+      lease.start();
+    }
+    DocumentOperations operations =
+        new DocumentOperations(
+            store,
+            configuration,
+            environment.scheduler(),
+            environment.nanoClock(),
+            environment.epochClock(),
+            timeline);
+    admin =
+        AdminServer.start(
+            environment.eventLoops(),
+            settings.adminAddress(),
+            new AdminServer.Parts(
+                routes,
+                configuration,
+                operations,
+                network,
+                membership,
+                observation,
+                () -> started.get() && !leaving.get(),
+                metrics));
+  }
+
+  private boolean isWatcher(VmIdentity self) {
+    return !leaving.get() && membership.plan().isWatcher(self);
+  }
+
+  /**
+   * Returns what the components share.
+   *
+   * @return the context; null before {@link #start}
+   */
+  public NodeContext context() {
+    return context;
+  }
+
+  /**
+   * Returns the address for peers.
+   *
+   * @return address with the actual port
+   */
+  public HostPort peerAddress() {
+    return context.self().address();
+  }
+
+  /**
+   * Returns the address of the admin server.
+   *
+   * @return address with the actual port
+   */
+  public HostPort adminAddress() {
+    return admin.address();
+  }
+
+  /**
+   * Stops gracefully: states that it leaves, drains the components in reverse order, and closes.
+   * Further calls do nothing.
+   */
+  public void stop() {
+    if (!leaving.compareAndSet(false, true)) {
+      return;
+    }
+    context.timeline().record(EventKind.PROCESS_LEAVING);
+    membership.leave();
+    CompletableFuture<Void> released = lease.stop();
+    long deadline =
+        environment.nanoClock().nanoTime()
+            + TimeUnit.MILLISECONDS.toNanos(settings.drainTimeoutMs());
+    List<NodeComponent> reversed = new ArrayList<>(components);
+    Collections.reverse(reversed);
+    for (NodeComponent component : reversed) {
+      await(component.drain(), deadline);
+    }
+    await(released, Math.min(deadline, environment.nanoClock().nanoTime() + 1_000_000_000L));
+    context.timeline().record(EventKind.PROCESS_STOPPED);
+    close();
+  }
+
+  private void await(CompletableFuture<Void> drained, long deadlineNanos) {
+    try {
+      long left = Math.max(0, deadlineNanos - environment.nanoClock().nanoTime());
+      drained.get(left, TimeUnit.NANOSECONDS);
+    } catch (TimeoutException e) {
+      LOG.warn("drain time ran out; work in flight is broken off");
+    } catch (ExecutionException e) {
+      LOG.warn("drain failed", e.getCause());
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void close() {
+    if (watch != null) {
+      watch.stop();
+      membership.stop();
+      lease.stop();
+    }
+    List<NodeComponent> reversed = new ArrayList<>(components);
+    Collections.reverse(reversed);
+    reversed.forEach(NodeComponent::close);
+    if (admin != null) {
+      admin.close();
+    }
+    network.close();
+    httpClient.close();
+  }
+}
--- /dev/null
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/NodeEnvironment.java
@@ -0,0 +1,32 @@
+package org.clementineford.node;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.function.BiFunction;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.platform.ObjectStore;
+import org.clementineford.kernel.platform.VmList;
+import org.clementineford.transport.LinkShaping;
+import org.clementineford.transport.http.HttpClient;
+
+/**
+ * What a node takes from outside.
+ *
+ * @param eventLoops threads for sockets and timers; the caller shuts them down
+ * @param scheduler timers
+ * @param nanoClock monotonic clock
+ * @param epochClock wall clock
+ * @param shaping limits of the link
+ * @param objectStores makes the adapter of the object API from a client and the platform's address
+ * @param vmLists makes the adapter of the VM list from a client and the platform's address
+ */
+public record NodeEnvironment(
+    EventLoopGroup eventLoops,
+    Scheduler scheduler,
+    NanoClock nanoClock,
+    EpochClock epochClock,
+    LinkShaping shaping,
+    BiFunction<HttpClient, HostPort, ObjectStore> objectStores,
+    BiFunction<HttpClient, HostPort, VmList> vmLists) {}
--- a/org.clementineford.node/src/main/java/org/clementineford/node/SharedServices.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/SharedServices.java
@@ -1,6 +1,7 @@
 package org.clementineford.node;
 
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** Objects that one component of a process offers to the components that start after it. */
@@ -37,4 +38,15 @@
     }
     return type.cast(service);
   }
+
+  /**
+   * Finds an object that may be absent.
+   *
+   * @param type type under which it was offered
+   * @param <T> type of the object
+   * @return the object, or empty if no component offers it
+   */
+  public <T> Optional<T> find(Class<T> type) {
+    return Optional.ofNullable(services.get(type)).map(type::cast);
+  }
 }
--- /dev/null
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -0,0 +1,257 @@
+package org.clementineford.node.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.configuration.ConfigurationSnapshot;
+import org.clementineford.configuration.Document;
+import org.clementineford.configuration.DocumentCheck;
+import org.clementineford.configuration.DocumentSection;
+import org.clementineford.configuration.RevisionKeeper;
+import org.clementineford.configuration.errors.DocumentException;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.kernel.timeline.Timeline;
+import org.clementineford.node.ConfigurationView;
+import org.clementineford.node.PayloadRouter;
+import org.clementineford.transport.IncomingExchange;
+import org.clementineford.transport.Payloads;
+import org.clementineford.transport.PeerNetwork;
+import org.clementineford.wire.Payload;
+import org.clementineford.wire.RevisionAnnounce;
+import org.clementineford.wire.Sections;
+import org.clementineford.wire.SectionsPull;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Keeps the configuration in force, announces new revisions and pulls what it lacks. */
+public final class ConfigurationAgent implements ConfigurationView {
+  private static final Logger LOG = LoggerFactory.getLogger(ConfigurationAgent.class);
+  // A pull that has no answer after this time does not hold up a pull from another peer.
+  private static final long PULL_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final PeerNetwork network;
+  private final Timeline timeline;
+  private final NanoClock nanoClock;
+  private final EpochClock epochClock;
+  private final Supplier<List<HostPort>> receivers;
+  private final List<Consumer<ConfigurationSnapshot>> listeners = new CopyOnWriteArrayList<>();
+  private final RevisionKeeper keeper = new RevisionKeeper();
+  private ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
+  private long inForceSinceMs;
+  private long pullingRevision;
+  private long pullStartNanos;
+  private long nextRevision;
+  private HostPort nextPeer;
+
+  /**
+   * Creates an agent without a document.
+   *
+   * @param network connections to peers
+   * @param timeline events of this process
+   * @param nanoClock monotonic clock
+   * @param epochClock wall clock, only for display
+   * @param receivers peers to which a new revision is announced
+   */
+  public ConfigurationAgent(
+      PeerNetwork network,
+      Timeline timeline,
+      NanoClock nanoClock,
+      EpochClock epochClock,
+      Supplier<List<HostPort>> receivers) {
+    this.network = network;
+    this.timeline = timeline;
+    this.nanoClock = nanoClock;
+    this.epochClock = epochClock;
+    this.receivers = receivers;
+  }
+
+  /**
+   * Registers the handlers of announcements and pulls.
+   *
+   * @param payloads router of the process
+   */
+  public void register(PayloadRouter payloads) {
+    payloads.register(Payload._Fields.REVISION_ANNOUNCE, this::onAnnounce);
+    payloads.register(Payload._Fields.SECTIONS_PULL, this::onPull);
+  }
+
+  @Override
+  public synchronized ConfigurationSnapshot current() {
+    return snapshot;
+  }
+
+  @Override
+  public void onChange(Consumer<ConfigurationSnapshot> listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Returns the document in force.
+   *
+   * @return the document with the highest revision seen
+   */
+  public synchronized Document document() {
+    return keeper.current();
+  }
+
+  /**
+   * Returns since when the revision is in force here.
+   *
+   * @return wall-clock time in milliseconds since the epoch; 0 before the first document
+   */
+  public synchronized long inForceSinceMs() {
+    return inForceSinceMs;
+  }
+
+  private void onAnnounce(Payload opening, IncomingExchange exchange) {
+    exchange.finish(Payloads.acknowledgement());
+    RevisionAnnounce announce = opening.getRevisionAnnounce();
+    try {
+      hear(announce.getRevision(), Payloads.fromWire(announce.getSender()).address());
+    } catch (org.clementineford.kernel.errors.SettingException e) {
+      LOG.warn("ignoring an announcement: {}", e.getMessage());
+    }
+  }
+
+  private void onPull(Payload opening, IncomingExchange exchange) {
+    Document document = document();
+    long since = opening.getSectionsPull().getSinceRevision();
+    Sections sections =
+        new Sections(
+            document.revision(),
+            document.changedSince(since).stream().map(WireSections::toWire).toList(),
+            since == 0);
+    exchange.finish(Payload.sections(sections));
+  }
+
+  /**
+   * Takes in the revision that a peer has, and pulls it if it is higher.
+   *
+   * @param revision revision of the peer
+   * @param peer listener of the peer
+   */
+  public void hear(long revision, HostPort peer) {
+    long since;
+    synchronized (this) {
+      since = keeper.current().revision();
+      if (revision <= since) {
+        return;
+      }
+      boolean waiting =
+          pullingRevision > 0 && nanoClock.nanoTime() - pullStartNanos < PULL_PATIENCE_NANOS;
+      if (waiting) {
+        if (revision > pullingRevision && revision > nextRevision) {
+          nextRevision = revision;
+          nextPeer = peer;
+        }
+        return;
+      }
+      pullingRevision = revision;
+      pullStartNanos = nanoClock.nanoTime();
+    }
+    network
+        .call(peer, Payload.sectionsPull(new SectionsPull(since)))
+        .whenComplete((reply, failure) -> pulled(since, reply, failure));
+  }
+
+  private void pulled(long since, Payload reply, Throwable failure) {
+    if (failure == null && reply.isSetSections()) {
+      Sections sections = reply.getSections();
+      offer(
+          since,
+          sections.getRevision(),
+          sections.getSections().stream().map(WireSections::fromWire).toList());
+    }
+    HostPort peer;
+    long revision;
+    synchronized (this) {
+      pullingRevision = 0;
+      peer = nextPeer;
+      revision = nextRevision;
+      nextPeer = null;
+      nextRevision = 0;
+    }
+    if (peer != null) {
+      hear(revision, peer);
+    }
+  }
+
+  private void offer(long since, long revision, List<DocumentSection> sections) {
+    Document candidate;
+    synchronized (this) {
+      Document mine = keeper.current();
+      if (revision <= mine.revision() || since > mine.revision()) {
+        return;
+      }
+      candidate = mine.merge(revision, sections);
+    }
+    offer(candidate, "peer");
+  }
+
+  /**
+   * Takes in a whole document if its revision is higher and it matches the schema.
+   *
+   * @param document the document
+   * @param source where it came from, for the timeline
+   * @return what became of it; a refused document counts as stale
+   */
+  public RevisionKeeper.Outcome offer(Document document, String source) {
+    ConfigurationSnapshot next;
+    try {
+      next = DocumentCheck.snapshot(document);
+    } catch (DocumentException e) {
+      refuse(document.revision(), e);
+      return RevisionKeeper.Outcome.STALE;
+    }
+    List<Consumer<ConfigurationSnapshot>> informed = new ArrayList<>(listeners);
+    RevisionKeeper.Outcome outcome;
+    synchronized (this) {
+      outcome = keeper.offer(document);
+      if (outcome.changed()) {
+        snapshot = next;
+        inForceSinceMs = epochClock.time();
+        timeline.record(
+            EventKind.REVISION_IN_FORCE,
+            "revision",
+            Long.toString(next.revision()),
+            "source",
+            source);
+        // Listeners run inside the lock, so that they see revisions in increasing order.
+        informed.forEach(listener -> listener.accept(next));
+      }
+    }
+    if (outcome.changed()) {
+      announce(next.revision());
+    }
+    return outcome;
+  }
+
+  /**
+   * Records that a document was refused.
+   *
+   * @param revision its revision, or 0 if unknown
+   * @param cause why
+   */
+  public void refuse(long revision, DocumentException cause) {
+    LOG.warn("revision {} is refused: {}", revision, cause.getMessage());
+    timeline.record(
+        EventKind.REVISION_REFUSED,
+        "revision",
+        Long.toString(revision),
+        "cause",
+        cause.getMessage());
+  }
+
+  private void announce(long revision) {
+    Payload announcement = Payload.revisionAnnounce(new RevisionAnnounce(revision, network.self()));
+    for (HostPort receiver : receivers.get()) {
+      network.call(receiver, announcement);
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/DocumentOperations.java
@@ -0,0 +1,188 @@
+package org.clementineford.node.internal;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.configuration.Document;
+import org.clementineford.configuration.DocumentEdit;
+import org.clementineford.configuration.DocumentWrite;
+import org.clementineford.configuration.errors.DocumentException;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.errors.PlatformException;
+import org.clementineford.kernel.platform.ObjectStore;
+import org.clementineford.kernel.platform.StoredObject;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.kernel.timeline.Timeline;
+
+/** Makes changes of the document for operators. */
+public final class DocumentOperations {
+  private static final long DEADLINE_NANOS = TimeUnit.SECONDS.toNanos(10);
+  private static final long RETRY_MS = 200;
+
+  private final ObjectStore store;
+  private final ConfigurationAgent configuration;
+  private final Scheduler scheduler;
+  private final NanoClock nanoClock;
+  private final EpochClock epochClock;
+  private final Timeline timeline;
+
+  /**
+   * Creates the operations.
+   *
+   * @param store the platform's object API
+   * @param configuration hears of each accepted change at once
+   * @param scheduler timers
+   * @param nanoClock monotonic clock
+   * @param epochClock wall clock, only for display
+   * @param timeline events of this process
+   */
+  public DocumentOperations(
+      ObjectStore store,
+      ConfigurationAgent configuration,
+      Scheduler scheduler,
+      NanoClock nanoClock,
+      EpochClock epochClock,
+      Timeline timeline) {
+    this.store = store;
+    this.configuration = configuration;
+    this.scheduler = scheduler;
+    this.nanoClock = nanoClock;
+    this.epochClock = epochClock;
+    this.timeline = timeline;
+  }
+
+  /**
+   * Reads the document from the platform.
+   *
+   * @return the document, at least as new as the one in force here
+   */
+  public CompletableFuture<Document> read() {
+    return store
+        .get(Document.OBJECT_KEY)
+        .thenCompose(
+            object -> {
+              try {
+                Document read =
+                    object.isEmpty() ? Document.EMPTY : Document.parse(object.get().value());
+                Document known = configuration.document();
+                return CompletableFuture.completedFuture(
+                    read.revision() < known.revision() ? known : read);
+              } catch (DocumentException e) {
+                return CompletableFuture.failedFuture(e);
+              }
+            });
+  }
+
+  /**
+   * Makes a change. Repeating the same change identity has no further effect.
+   *
+   * @param edit the change
+   * @return the result; fails with {@code DocumentException}, or with {@code PlatformException},
+   *     kind {@code UNAVAILABLE} if the change certainly has no effect, or {@code OUTCOME_UNKNOWN}
+   */
+  public CompletableFuture<DocumentEdit.Result> apply(DocumentEdit edit) {
+    Attempt attempt = new Attempt(edit);
+    attempt.step();
+    return attempt.future;
+  }
+
+  private final class Attempt {
+    private final CompletableFuture<DocumentEdit.Result> future = new CompletableFuture<>();
+    private final DocumentWrite write;
+    private final long startNanos = nanoClock.nanoTime();
+
+    Attempt(DocumentEdit edit) {
+      this.write = new DocumentWrite(edit, configuration.document().revision());
+    }
+
+    void step() {
+      switch (write.step()) {
+        case READ -> store.get(Document.OBJECT_KEY).whenComplete(this::onRead);
+        case WRITE -> write().whenComplete(this::onWritten);
+        case DONE -> done();
+      }
+    }
+
+    private CompletableFuture<Long> write() {
+      long version = write.expectedVersion();
+      return version == 0
+          ? store.create(Document.OBJECT_KEY, write.value())
+          : store.update(Document.OBJECT_KEY, version, write.value());
+    }
+
+    private void onRead(Optional<StoredObject> object, Throwable failure) {
+      if (failure != null) {
+        failed(failure);
+        return;
+      }
+      try {
+        write.onRead(object, epochClock.time());
+      } catch (DocumentException e) {
+        future.completeExceptionally(e);
+        return;
+      }
+      if (write.step() == DocumentWrite.Step.READ) {
+        // The platform returned an older document than this process has seen.
+        retryLater("the platform returns an old document");
+      } else {
+        step();
+      }
+    }
+
+    private void onWritten(Long version, Throwable failure) {
+      if (failure == null) {
+        write.onWritten();
+        step();
+      } else {
+        failed(failure);
+      }
+    }
+
+    private void failed(Throwable failure) {
+      ClementinefordException typed = Failures.of(failure);
+      if (typed.kind() == ErrorKind.INTERNAL) {
+        future.completeExceptionally(typed);
+        return;
+      }
+      write.onFailed(typed.kind());
+      if (typed.kind() == ErrorKind.CONFLICT) {
+        step();
+      } else {
+        retryLater(typed.getMessage());
+      }
+    }
+
+    private void retryLater(String cause) {
+      if (nanoClock.nanoTime() - startNanos < DEADLINE_NANOS) {
+        scheduler.schedule(this::step, RETRY_MS, TimeUnit.MILLISECONDS);
+        return;
+      }
+      ErrorKind kind = write.givenUp();
+      String consequence =
+          kind == ErrorKind.OUTCOME_UNKNOWN
+              ? "the change may or may not take effect; repeat it with the same --change identity"
+              : "the change was not made; try again later";
+      future.completeExceptionally(new PlatformException(kind, cause + ": " + consequence));
+    }
+
+    private void done() {
+      DocumentEdit.Result result = write.result();
+      timeline.record(
+          EventKind.REVISION_ACCEPTED,
+          "revision",
+          Long.toString(result.change().revision()),
+          "section",
+          result.change().section(),
+          "team",
+          result.change().team(),
+          "change",
+          result.change().identity());
+      configuration.offer(result.document(), "operator");
+      future.complete(result);
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
@@ -0,0 +1,325 @@
+package org.clementineford.node.internal;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.configuration.membership.MemberPhase;
+import org.clementineford.configuration.membership.MemberStatement;
+import org.clementineford.configuration.membership.MembershipTable;
+import org.clementineford.configuration.membership.MembershipTiming;
+import org.clementineford.configuration.membership.SpreadPlan;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.VmRole;
+import org.clementineford.kernel.errors.SettingException;
+import org.clementineford.kernel.timeline.Timeline;
+import org.clementineford.node.MembershipView;
+import org.clementineford.node.PayloadRouter;
+import org.clementineford.transport.IncomingExchange;
+import org.clementineford.transport.Payloads;
+import org.clementineford.transport.PeerNetwork;
+import org.clementineford.wire.MembersExchange;
+import org.clementineford.wire.Payload;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Exchanges statements about members, probes the members that this process observes. */
+public final class MembershipAgent implements MembershipView {
+  private static final Logger LOG = LoggerFactory.getLogger(MembershipAgent.class);
+  // 12 statements of about 90 bytes keep a message near 1 KB.
+  private static final int UPDATES_PER_MESSAGE = 12;
+  private static final int PAGE_PER_MESSAGE = 12;
+  private static final long SEED_PERIOD_TICKS = 30;
+  private static final long EAGER_DELAY_MS = 50;
+
+  private final PeerNetwork network;
+  private final NanoClock clock;
+  private final Scheduler scheduler;
+  private final MembershipTiming timing;
+  private final MembershipTable table;
+  private final List<HostPort> seeds;
+  private final MemberEvents events;
+  private final List<Consumer<List<Member>>> listeners = new CopyOnWriteArrayList<>();
+  private ConfigurationAgent configuration;
+  private List<Member> members = List.of();
+  private Set<String> leavingVms = Set.of();
+  private long seenVersion = -1;
+  private long ticks;
+  private String pageAfter = "";
+  private boolean joined;
+  private boolean eagerScheduled;
+  private Scheduler.Cancellable ticking = () -> {};
+
+  /**
+   * Creates an agent that knows only this process.
+   *
+   * @param self identity with the actual address
+   * @param network connections to peers
+   * @param clock monotonic clock
+   * @param scheduler timers
+   * @param timing times of the failure detection
+   * @param seeds peers to contact at the start
+   * @param timeline events of this process
+   */
+  public MembershipAgent(
+      VmIdentity self,
+      PeerNetwork network,
+      NanoClock clock,
+      Scheduler scheduler,
+      MembershipTiming timing,
+      List<HostPort> seeds,
+      Timeline timeline) {
+    this.network = network;
+    this.clock = clock;
+    this.scheduler = scheduler;
+    this.timing = timing;
+    this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).toList();
+    this.table = new MembershipTable(self, timing);
+    this.events = new MemberEvents(self.vm(), timeline);
+    this.joined = this.seeds.isEmpty();
+  }
+
+  /**
+   * Starts to exchange.
+   *
+   * @param payloads router of the process
+   * @param agent agent of the configuration, which hears the revisions of peers
+   */
+  public void start(PayloadRouter payloads, ConfigurationAgent agent) {
+    this.configuration = agent;
+    payloads.register(Payload._Fields.MEMBERS_EXCHANGE, this::onExchange);
+    agent.onChange(snapshot -> leaving(snapshot.leavingVms()));
+    changed();
+    seeds.forEach(seed -> exchange(seed, "", true));
+    ticking = scheduler.scheduleEvery(this::tick, timing.tickNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  /** Stops to exchange. */
+  public void stop() {
+    ticking.cancel();
+  }
+
+  /** States that this process leaves and tells the peers at once. */
+  public void leave() {
+    synchronized (this) {
+      table.leave(clock.nanoTime());
+    }
+    changed();
+  }
+
+  @Override
+  public synchronized List<Member> members() {
+    return members;
+  }
+
+  @Override
+  public void onChange(Consumer<List<Member>> listener) {
+    listeners.add(listener);
+  }
+
+  /**
+   * Returns who watches, observes and announces.
+   *
+   * @return the plan for the present members
+   */
+  public synchronized SpreadPlan plan() {
+    return table.plan();
+  }
+
+  /**
+   * Returns the peers to which this process announces a new revision.
+   *
+   * @return the observed members, and for an entry VM one entry VM of each other data centre
+   */
+  public synchronized List<HostPort> receivers() {
+    VmIdentity self = table.own().identity();
+    List<HostPort> receivers = new ArrayList<>();
+    table.plan().subjects(self.vm()).forEach(subject -> receivers.add(subject.address()));
+    if (self.role() == VmRole.ENTRY) {
+      table.plan().remoteEntries(self).forEach(remote -> receivers.add(remote.address()));
+    }
+    return receivers;
+  }
+
+  private void leaving(Set<String> vms) {
+    synchronized (this) {
+      leavingVms = vms;
+      seenVersion = -1;
+    }
+    changed();
+  }
+
+  private void tick() {
+    VmIdentity subject = null;
+    VmIdentity remote = null;
+    HostPort seed = null;
+    synchronized (this) {
+      ticks++;
+      table.tick(clock.nanoTime());
+      VmIdentity self = table.own().identity();
+      List<VmIdentity> subjects = table.plan().subjects(self.vm());
+      if (!subjects.isEmpty()) {
+        subject = subjects.get((int) (ticks % subjects.size()));
+      }
+      List<VmIdentity> remotes = table.plan().remoteEntries(self);
+      if (table.plan().isWatcher(self) && !remotes.isEmpty()) {
+        remote = remotes.get((int) (ticks % remotes.size()));
+      }
+      boolean seedDue = !joined || subjects.isEmpty() || ticks % SEED_PERIOD_TICKS == 0;
+      if (seedDue && !seeds.isEmpty()) {
+        seed = seeds.get((int) (ticks % seeds.size()));
+      }
+    }
+    changed();
+    if (subject != null) {
+      exchange(subject.address(), subject.vm(), false);
+    }
+    if (remote != null) {
+      exchange(remote.address(), "", false);
+    }
+    if (seed != null) {
+      exchange(seed, "", !joined);
+    }
+  }
+
+  private void exchange(HostPort address, String probed, boolean wantAll) {
+    Probe probe = new Probe(probed);
+    if (!probed.isEmpty()) {
+      scheduler.schedule(probe::timeOut, timing.tickNanos(), TimeUnit.NANOSECONDS);
+    }
+    MembersExchange message;
+    synchronized (this) {
+      List<MemberStatement> statements = new ArrayList<>(table.toRefute(probed));
+      statements.addAll(table.takeUpdates(UPDATES_PER_MESSAGE));
+      message = message(statements, wantAll);
+    }
+    network
+        .call(address, Payload.membersExchange(message))
+        .whenComplete(
+            (reply, failure) -> {
+              if (failure != null || !reply.isSetMembersExchange()) {
+                probe.timeOut();
+                return;
+              }
+              probe.answered();
+              if (wantAll) {
+                joined = true;
+              }
+              receive(reply.getMembersExchange());
+            });
+  }
+
+  private MembersExchange message(List<MemberStatement> statements, boolean wantAll) {
+    return new MembersExchange()
+        .setSender(network.self())
+        .setMembers(WireMembers.toWire(statements))
+        .setRevision(configuration.current().revision())
+        .setTableDigest(table.digest())
+        .setWantAll(wantAll);
+  }
+
+  private void onExchange(Payload opening, IncomingExchange exchange) {
+    MembersExchange received = opening.getMembersExchange();
+    receive(received);
+    MembersExchange reply;
+    synchronized (this) {
+      List<MemberStatement> statements =
+          new ArrayList<>(table.toRefute(received.getSender().getVm()));
+      if (received.isWantAll()) {
+        statements.addAll(table.all());
+      } else {
+        statements.addAll(table.takeUpdates(UPDATES_PER_MESSAGE));
+        if (received.getTableDigest() != table.digest()) {
+          statements.addAll(nextPage());
+        }
+      }
+      reply = message(statements, false);
+    }
+    exchange.finish(Payload.membersExchange(reply));
+  }
+
+  private List<MemberStatement> nextPage() {
+    List<MemberStatement> page = table.page(pageAfter, PAGE_PER_MESSAGE);
+    pageAfter = page.size() < PAGE_PER_MESSAGE ? "" : page.get(page.size() - 1).vm();
+    return page;
+  }
+
+  private void receive(MembersExchange message) {
+    try {
+      VmIdentity sender = Payloads.fromWire(message.getSender());
+      List<MemberStatement> statements = new ArrayList<>();
+      statements.add(MemberStatement.own(sender, MemberPhase.ALIVE, 1));
+      statements.addAll(WireMembers.fromWire(message.getMembers()));
+      synchronized (this) {
+        table.receive(statements, clock.nanoTime());
+      }
+      changed();
+      configuration.hear(message.getRevision(), sender.address());
+    } catch (SettingException e) {
+      LOG.warn("ignoring statements about members: {}", e.getMessage());
+    }
+  }
+
+  private void changed() {
+    List<Member> current;
+    boolean eager;
+    synchronized (this) {
+      if (seenVersion == table.version()) {
+        return;
+      }
+      seenVersion = table.version();
+      boolean urgent = events.record(table.all());
+      members = MemberEvents.view(table.all(), leavingVms);
+      current = members;
+      eager = urgent && !eagerScheduled;
+      eagerScheduled |= eager;
+    }
+    listeners.forEach(listener -> listener.accept(current));
+    if (eager) {
+      scheduler.schedule(this::tellSubjects, EAGER_DELAY_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Passes on joining and leaving at once instead of at the next ticks. */
+  private void tellSubjects() {
+    List<HostPort> addresses;
+    synchronized (this) {
+      eagerScheduled = false;
+      addresses = receivers();
+    }
+    addresses.forEach(address -> exchange(address, "", false));
+  }
+
+  /** Result of one probe; whatever comes first counts, except that a late answer still helps. */
+  private final class Probe {
+    private final String vm;
+    private boolean done;
+
+    Probe(String vm) {
+      this.vm = vm;
+    }
+
+    void timeOut() {
+      synchronized (MembershipAgent.this) {
+        if (!done && !vm.isEmpty()) {
+          table.failed(vm);
+        }
+        done = true;
+      }
+    }
+
+    void answered() {
+      synchronized (MembershipAgent.this) {
+        done = true;
+        if (!vm.isEmpty()) {
+          table.answered(vm);
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Agents that every process runs. */
+package org.clementineford.node.internal;
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/MemberState.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/MemberState.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField PHASE_FIELD_DESC = new org.apache.thrift.protocol.TField("phase", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField STATEMENT_NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("statementNumber", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField REVISION_IN_FORCE_FIELD_DESC = new org.apache.thrift.protocol.TField("revisionInForce", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField ACCUSERS_FIELD_DESC = new org.apache.thrift.protocol.TField("accusers", org.apache.thrift.protocol.TType.LIST, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new MemberStateStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new MemberStateTupleSchemeFactory();
@@ -26,6 +27,7 @@
   public @org.apache.thrift.annotation.Nullable MemberPhase phase; // required
   public long statementNumber; // required
   public long revisionInForce; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> accusers; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -36,7 +38,8 @@
      */
     PHASE((short)2, "phase"),
     STATEMENT_NUMBER((short)3, "statementNumber"),
-    REVISION_IN_FORCE((short)4, "revisionInForce");
+    REVISION_IN_FORCE((short)4, "revisionInForce"),
+    ACCUSERS((short)5, "accusers");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -60,6 +63,8 @@
           return STATEMENT_NUMBER;
         case 4: // REVISION_IN_FORCE
           return REVISION_IN_FORCE;
+        case 5: // ACCUSERS
+          return ACCUSERS;
         default:
           return null;
       }
@@ -106,6 +111,7 @@
   private static final int __STATEMENTNUMBER_ISSET_ID = 0;
   private static final int __REVISIONINFORCE_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.ACCUSERS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -117,6 +123,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.REVISION_IN_FORCE, new org.apache.thrift.meta_data.FieldMetaData("revisionInForce", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.ACCUSERS, new org.apache.thrift.meta_data.FieldMetaData("accusers", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(MemberState.class, metaDataMap);
   }
@@ -152,6 +161,10 @@
     }
     this.statementNumber = other.statementNumber;
     this.revisionInForce = other.revisionInForce;
+    if (other.isSetAccusers()) {
+      java.util.List<java.lang.String> __this__accusers = new java.util.ArrayList<java.lang.String>(other.accusers);
+      this.accusers = __this__accusers;
+    }
   }
 
   @Override
@@ -167,6 +180,7 @@
     this.statementNumber = 0;
     setRevisionInForceIsSet(false);
     this.revisionInForce = 0;
+    this.accusers = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -273,6 +287,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISIONINFORCE_ISSET_ID, value);
   }
 
+  public int getAccusersSize() {
+    return (this.accusers == null) ? 0 : this.accusers.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<java.lang.String> getAccusersIterator() {
+    return (this.accusers == null) ? null : this.accusers.iterator();
+  }
+
+  public void addToAccusers(java.lang.String elem) {
+    if (this.accusers == null) {
+      this.accusers = new java.util.ArrayList<java.lang.String>();
+    }
+    this.accusers.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<java.lang.String> getAccusers() {
+    return this.accusers;
+  }
+
+  public MemberState setAccusers(@org.apache.thrift.annotation.Nullable java.util.List<java.lang.String> accusers) {
+    this.accusers = accusers;
+    return this;
+  }
+
+  public void unsetAccusers() {
+    this.accusers = null;
+  }
+
+  /** Returns true if field accusers is set (has been assigned a value) and false otherwise */
+  public boolean isSetAccusers() {
+    return this.accusers != null;
+  }
+
+  public void setAccusersIsSet(boolean value) {
+    if (!value) {
+      this.accusers = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -308,6 +363,14 @@
       }
       break;
 
+    case ACCUSERS:
+      if (value == null) {
+        unsetAccusers();
+      } else {
+        setAccusers((java.util.List<java.lang.String>)value);
+      }
+      break;
+
     }
   }
 
@@ -327,6 +390,9 @@
     case REVISION_IN_FORCE:
       return getRevisionInForce();
 
+    case ACCUSERS:
+      return getAccusers();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -347,6 +413,8 @@
       return isSetStatementNumber();
     case REVISION_IN_FORCE:
       return isSetRevisionInForce();
+    case ACCUSERS:
+      return isSetAccusers();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -400,6 +468,15 @@
         return false;
     }
 
+    boolean this_present_accusers = true && this.isSetAccusers();
+    boolean that_present_accusers = true && that.isSetAccusers();
+    if (this_present_accusers || that_present_accusers) {
+      if (!(this_present_accusers && that_present_accusers))
+        return false;
+      if (!this.accusers.equals(that.accusers))
+        return false;
+    }
+
     return true;
   }
 
@@ -419,6 +496,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revisionInForce);
 
+    hashCode = hashCode * 8191 + ((isSetAccusers()) ? 131071 : 524287);
+    if (isSetAccusers())
+      hashCode = hashCode * 8191 + accusers.hashCode();
+
     return hashCode;
   }
 
@@ -470,6 +551,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetAccusers(), other.isSetAccusers());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetAccusers()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.accusers, other.accusers);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -517,6 +608,16 @@
     sb.append("revisionInForce:");
     sb.append(this.revisionInForce);
     first = false;
+    if (isSetAccusers()) {
+      if (!first) sb.append(", ");
+      sb.append("accusers:");
+      if (this.accusers == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.accusers);
+      }
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -600,6 +701,24 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // ACCUSERS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
+                struct.accusers = new java.util.ArrayList<java.lang.String>(_list8.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem9;
+                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                {
+                  _elem9 = iprot.readString();
+                  struct.accusers.add(_elem9);
+                }
+                iprot.readListEnd();
+              }
+              struct.setAccusersIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -632,6 +751,20 @@
       oprot.writeFieldBegin(REVISION_IN_FORCE_FIELD_DESC);
       oprot.writeI64(struct.revisionInForce);
       oprot.writeFieldEnd();
+      if (struct.accusers != null) {
+        if (struct.isSetAccusers()) {
+          oprot.writeFieldBegin(ACCUSERS_FIELD_DESC);
+          {
+            oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.accusers.size()));
+            for (java.lang.String _iter11 : struct.accusers)
+            {
+              oprot.writeString(_iter11);
+            }
+            oprot.writeListEnd();
+          }
+          oprot.writeFieldEnd();
+        }
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -663,7 +796,10 @@
       if (struct.isSetRevisionInForce()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetAccusers()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetMember()) {
         struct.member.write(oprot);
       }
@@ -676,12 +812,21 @@
       if (struct.isSetRevisionInForce()) {
         oprot.writeI64(struct.revisionInForce);
       }
+      if (struct.isSetAccusers()) {
+        {
+          oprot.writeI32(struct.accusers.size());
+          for (java.lang.String _iter12 : struct.accusers)
+          {
+            oprot.writeString(_iter12);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, MemberState struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.member = new VmIdentity();
         struct.member.read(iprot);
@@ -699,6 +844,19 @@
         struct.revisionInForce = iprot.readI64();
         struct.setRevisionInForceIsSet(true);
       }
+      if (incoming.get(4)) {
+        {
+          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.accusers = new java.util.ArrayList<java.lang.String>(_list13.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem14;
+          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+          {
+            _elem14 = iprot.readString();
+            struct.accusers.add(_elem14);
+          }
+        }
+        struct.setAccusersIsSet(true);
+      }
     }
   }
 
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/MembersExchange.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/MembersExchange.java
@@ -13,6 +13,8 @@
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField MEMBERS_FIELD_DESC = new org.apache.thrift.protocol.TField("members", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)3);
+  private static final org.apache.thrift.protocol.TField TABLE_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("tableDigest", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField WANT_ALL_FIELD_DESC = new org.apache.thrift.protocol.TField("wantAll", org.apache.thrift.protocol.TType.BOOL, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new MembersExchangeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new MembersExchangeTupleSchemeFactory();
@@ -20,12 +22,16 @@
   public @org.apache.thrift.annotation.Nullable VmIdentity sender; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<MemberState> members; // required
   public long revision; // required
+  public long tableDigest; // required
+  public boolean wantAll; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SENDER((short)1, "sender"),
     MEMBERS((short)2, "members"),
-    REVISION((short)3, "revision");
+    REVISION((short)3, "revision"),
+    TABLE_DIGEST((short)4, "tableDigest"),
+    WANT_ALL((short)5, "wantAll");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +53,10 @@
           return MEMBERS;
         case 3: // REVISION
           return REVISION;
+        case 4: // TABLE_DIGEST
+          return TABLE_DIGEST;
+        case 5: // WANT_ALL
+          return WANT_ALL;
         default:
           return null;
       }
@@ -91,6 +101,8 @@
 
   // isset id assignments
   private static final int __REVISION_ISSET_ID = 0;
+  private static final int __TABLEDIGEST_ISSET_ID = 1;
+  private static final int __WANTALL_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -102,6 +114,10 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, MemberState.class))));
     tmpMap.put(_Fields.REVISION, new org.apache.thrift.meta_data.FieldMetaData("revision", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.TABLE_DIGEST, new org.apache.thrift.meta_data.FieldMetaData("tableDigest", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.WANT_ALL, new org.apache.thrift.meta_data.FieldMetaData("wantAll", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(MembersExchange.class, metaDataMap);
   }
@@ -112,13 +128,19 @@
   public MembersExchange(
     VmIdentity sender,
     java.util.List<MemberState> members,
-    long revision)
+    long revision,
+    long tableDigest,
+    boolean wantAll)
   {
     this();
     this.sender = sender;
     this.members = members;
     this.revision = revision;
     setRevisionIsSet(true);
+    this.tableDigest = tableDigest;
+    setTableDigestIsSet(true);
+    this.wantAll = wantAll;
+    setWantAllIsSet(true);
   }
 
   /**
@@ -137,6 +159,8 @@
       this.members = __this__members;
     }
     this.revision = other.revision;
+    this.tableDigest = other.tableDigest;
+    this.wantAll = other.wantAll;
   }
 
   @Override
@@ -150,6 +174,10 @@
     this.members = null;
     setRevisionIsSet(false);
     this.revision = 0;
+    setTableDigestIsSet(false);
+    this.tableDigest = 0;
+    setWantAllIsSet(false);
+    this.wantAll = false;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -241,6 +269,52 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __REVISION_ISSET_ID, value);
   }
 
+  public long getTableDigest() {
+    return this.tableDigest;
+  }
+
+  public MembersExchange setTableDigest(long tableDigest) {
+    this.tableDigest = tableDigest;
+    setTableDigestIsSet(true);
+    return this;
+  }
+
+  public void unsetTableDigest() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __TABLEDIGEST_ISSET_ID);
+  }
+
+  /** Returns true if field tableDigest is set (has been assigned a value) and false otherwise */
+  public boolean isSetTableDigest() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __TABLEDIGEST_ISSET_ID);
+  }
+
+  public void setTableDigestIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __TABLEDIGEST_ISSET_ID, value);
+  }
+
+  public boolean isWantAll() {
+    return this.wantAll;
+  }
+
+  public MembersExchange setWantAll(boolean wantAll) {
+    this.wantAll = wantAll;
+    setWantAllIsSet(true);
+    return this;
+  }
+
+  public void unsetWantAll() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WANTALL_ISSET_ID);
+  }
+
+  /** Returns true if field wantAll is set (has been assigned a value) and false otherwise */
+  public boolean isSetWantAll() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WANTALL_ISSET_ID);
+  }
+
+  public void setWantAllIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WANTALL_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -268,6 +342,22 @@
       }
       break;
 
+    case TABLE_DIGEST:
+      if (value == null) {
+        unsetTableDigest();
+      } else {
+        setTableDigest((java.lang.Long)value);
+      }
+      break;
+
+    case WANT_ALL:
+      if (value == null) {
+        unsetWantAll();
+      } else {
+        setWantAll((java.lang.Boolean)value);
+      }
+      break;
+
     }
   }
 
@@ -284,6 +374,12 @@
     case REVISION:
       return getRevision();
 
+    case TABLE_DIGEST:
+      return getTableDigest();
+
+    case WANT_ALL:
+      return isWantAll();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -302,6 +398,10 @@
       return isSetMembers();
     case REVISION:
       return isSetRevision();
+    case TABLE_DIGEST:
+      return isSetTableDigest();
+    case WANT_ALL:
+      return isSetWantAll();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -346,6 +446,24 @@
         return false;
     }
 
+    boolean this_present_tableDigest = true;
+    boolean that_present_tableDigest = true;
+    if (this_present_tableDigest || that_present_tableDigest) {
+      if (!(this_present_tableDigest && that_present_tableDigest))
+        return false;
+      if (this.tableDigest != that.tableDigest)
+        return false;
+    }
+
+    boolean this_present_wantAll = true;
+    boolean that_present_wantAll = true;
+    if (this_present_wantAll || that_present_wantAll) {
+      if (!(this_present_wantAll && that_present_wantAll))
+        return false;
+      if (this.wantAll != that.wantAll)
+        return false;
+    }
+
     return true;
   }
 
@@ -363,6 +481,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(revision);
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(tableDigest);
+
+    hashCode = hashCode * 8191 + ((wantAll) ? 131071 : 524287);
+
     return hashCode;
   }
 
@@ -404,6 +526,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetTableDigest(), other.isSetTableDigest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetTableDigest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.tableDigest, other.tableDigest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetWantAll(), other.isSetWantAll());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWantAll()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.wantAll, other.wantAll);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -447,6 +589,14 @@
     sb.append("revision:");
     sb.append(this.revision);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("tableDigest:");
+    sb.append(this.tableDigest);
+    first = false;
+    if (!first) sb.append(", ");
+    sb.append("wantAll:");
+    sb.append(this.wantAll);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -509,14 +659,14 @@
           case 2: // MEMBERS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.members = new java.util.ArrayList<MemberState>(_list8.size);
-                @org.apache.thrift.annotation.Nullable MemberState _elem9;
-                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.members = new java.util.ArrayList<MemberState>(_list16.size);
+                @org.apache.thrift.annotation.Nullable MemberState _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
                 {
-                  _elem9 = new MemberState();
-                  _elem9.read(iprot);
-                  struct.members.add(_elem9);
+                  _elem17 = new MemberState();
+                  _elem17.read(iprot);
+                  struct.members.add(_elem17);
                 }
                 iprot.readListEnd();
               }
@@ -533,6 +683,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // TABLE_DIGEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.tableDigest = iprot.readI64();
+              struct.setTableDigestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // WANT_ALL
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.wantAll = iprot.readBool();
+              struct.setWantAllIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -558,9 +724,9 @@
         oprot.writeFieldBegin(MEMBERS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.members.size()));
-          for (MemberState _iter11 : struct.members)
+          for (MemberState _iter19 : struct.members)
           {
-            _iter11.write(oprot);
+            _iter19.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -569,6 +735,12 @@
       oprot.writeFieldBegin(REVISION_FIELD_DESC);
       oprot.writeI64(struct.revision);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(TABLE_DIGEST_FIELD_DESC);
+      oprot.writeI64(struct.tableDigest);
+      oprot.writeFieldEnd();
+      oprot.writeFieldBegin(WANT_ALL_FIELD_DESC);
+      oprot.writeBool(struct.wantAll);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -597,28 +769,40 @@
       if (struct.isSetRevision()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetTableDigest()) {
+        optionals.set(3);
+      }
+      if (struct.isSetWantAll()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
       if (struct.isSetMembers()) {
         {
           oprot.writeI32(struct.members.size());
-          for (MemberState _iter12 : struct.members)
+          for (MemberState _iter20 : struct.members)
           {
-            _iter12.write(oprot);
+            _iter20.write(oprot);
           }
         }
       }
       if (struct.isSetRevision()) {
         oprot.writeI64(struct.revision);
       }
+      if (struct.isSetTableDigest()) {
+        oprot.writeI64(struct.tableDigest);
+      }
+      if (struct.isSetWantAll()) {
+        oprot.writeBool(struct.wantAll);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, MembersExchange struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.sender = new VmIdentity();
         struct.sender.read(iprot);
@@ -626,14 +810,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.members = new java.util.ArrayList<MemberState>(_list13.size);
-          @org.apache.thrift.annotation.Nullable MemberState _elem14;
-          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.members = new java.util.ArrayList<MemberState>(_list21.size);
+          @org.apache.thrift.annotation.Nullable MemberState _elem22;
+          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
           {
-            _elem14 = new MemberState();
-            _elem14.read(iprot);
-            struct.members.add(_elem14);
+            _elem22 = new MemberState();
+            _elem22.read(iprot);
+            struct.members.add(_elem22);
           }
         }
         struct.setMembersIsSet(true);
@@ -642,6 +826,14 @@
         struct.revision = iprot.readI64();
         struct.setRevisionIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.tableDigest = iprot.readI64();
+        struct.setTableDigestIsSet(true);
+      }
+      if (incoming.get(4)) {
+        struct.wantAll = iprot.readBool();
+        struct.setWantAllIsSet(true);
+      }
     }
   }
 
--- a/org.clementineford.wire/src/main/thrift/clementineford.thrift
+++ b/org.clementineford.wire/src/main/thrift/clementineford.thrift
@@ -42,11 +42,14 @@
   2: MemberPhase phase,
   3: i64 statementNumber,
   4: i64 revisionInForce,
+  5: optional list<string> accusers, // VMs that could not reach a suspect
 }
 struct MembersExchange {
   1: VmIdentity sender,
   2: list<MemberState> members,
   3: i64 revision,
+  4: i64 tableDigest, // equal digests mean equal tables
+  5: bool wantAll, // asks for the whole table; set by a process that joins
 }
 
 // Requests
