--- a/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
@@ -28,7 +28,8 @@
 
 /** Reads the settings of a role and runs a node. */
 final class Daemon {
-  private static final int EVENT_LOOPS = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
+  private static final int EVENT_LOOPS =
+      Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
   private static final long SHUTDOWN_MS = 500;
 
   private Daemon() {}
--- a/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -41,6 +41,8 @@
 public final class Node {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
   private static final int TIMELINE_CAPACITY = 10_000;
+  // An answer of the platform or a peer takes milliseconds; nothing depends on it.
+  private static final long FAREWELL_NANOS = TimeUnit.SECONDS.toNanos(1);
 
   private final NodeSettings settings;
   private final NodeEnvironment environment;
@@ -241,8 +243,7 @@
       return;
     }
     context.timeline().record(EventKind.PROCESS_LEAVING);
-    membership.leave();
-    CompletableFuture<Void> released = lease.stop();
+    final CompletableFuture<Void> told = CompletableFuture.allOf(membership.leave(), lease.stop());
     long deadline =
         environment.nanoClock().nanoTime()
             + TimeUnit.MILLISECONDS.toNanos(settings.drainTimeoutMs());
@@ -251,7 +252,7 @@
     for (NodeComponent component : reversed) {
       await(component.drain(), deadline);
     }
-    await(released, Math.min(deadline, environment.nanoClock().nanoTime() + 1_000_000_000L));
+    await(told, Math.min(deadline, environment.nanoClock().nanoTime() + FAREWELL_NANOS));
     context.timeline().record(EventKind.PROCESS_STOPPED);
     close();
   }
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/DocumentOperations.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/DocumentOperations.java
@@ -103,7 +103,7 @@
       switch (write.step()) {
         case READ -> store.get(Document.OBJECT_KEY).whenComplete(this::onRead);
         case WRITE -> write().whenComplete(this::onWritten);
-        case DONE -> done();
+        default -> done();
       }
     }
 
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -104,12 +105,17 @@
     ticking.cancel();
   }
 
-  /** States that this process leaves and tells the peers at once. */
-  public void leave() {
+  /**
+   * States that this process leaves and tells the peers at once.
+   *
+   * @return completes when the peers have answered or failed
+   */
+  public CompletableFuture<Void> leave() {
     synchronized (this) {
       table.leave(clock.nanoTime());
     }
     changed();
+    return tellSubjects();
   }
 
   @Override
@@ -187,7 +193,7 @@
     }
   }
 
-  private void exchange(HostPort address, String probed, boolean wantAll) {
+  private CompletableFuture<Void> exchange(HostPort address, String probed, boolean wantAll) {
     Probe probe = new Probe(probed);
     if (!probed.isEmpty()) {
       scheduler.schedule(probe::timeOut, timing.tickNanos(), TimeUnit.NANOSECONDS);
@@ -198,19 +204,20 @@
       statements.addAll(table.takeUpdates(UPDATES_PER_MESSAGE));
       message = message(statements, wantAll);
     }
-    network
+    return network
         .call(address, Payload.membersExchange(message))
-        .whenComplete(
+        .handle(
             (reply, failure) -> {
               if (failure != null || !reply.isSetMembersExchange()) {
                 probe.timeOut();
-                return;
+                return null;
               }
               probe.answered();
               if (wantAll) {
                 joined = true;
               }
               receive(reply.getMembersExchange());
+              return null;
             });
   }
 
@@ -286,13 +293,16 @@
   }
 
   /** Passes on joining and leaving at once instead of at the next ticks. */
-  private void tellSubjects() {
+  private CompletableFuture<Void> tellSubjects() {
     List<HostPort> addresses;
     synchronized (this) {
       eagerScheduled = false;
       addresses = receivers();
     }
-    addresses.forEach(address -> exchange(address, "", false));
+    return CompletableFuture.allOf(
+        addresses.stream()
+            .map(address -> exchange(address, "", false))
+            .toArray(CompletableFuture[]::new));
   }
 
   /** Result of one probe; whatever comes first counts, except that a late answer still helps. */
