--- /dev/null
+++ b/org.clementineford.standins/src/main/java/org/clementineford/standins/Faults.java
@@ -0,0 +1,100 @@
+package org.clementineford.standins;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** The faults that are active in one stand-in. */
+public final class Faults {
+  private final Map<FaultKind, Fault> active = new EnumMap<>(FaultKind.class);
+  private final SplittableRandom random;
+
+  /**
+   * Creates a set without faults.
+   *
+   * @param seed seed of the choice of affected calls
+   */
+  public Faults(long seed) {
+    this.random = new SplittableRandom(seed);
+  }
+
+  /**
+   * Activates a fault, replacing an earlier one of the same kind.
+   *
+   * @param fault the fault
+   */
+  public synchronized void set(Fault fault) {
+    active.put(fault.kind(), fault);
+  }
+
+  /**
+   * Activates a fault for all calls.
+   *
+   * @param kind kind of the fault
+   */
+  public void set(FaultKind kind) {
+    set(new Fault(kind, 1, Fault.UNLIMITED, 0));
+  }
+
+  /**
+   * Activates a fault for the next calls.
+   *
+   * @param kind kind of the fault
+   * @param count number of calls
+   */
+  public void setNext(FaultKind kind, long count) {
+    set(new Fault(kind, 1, count, 0));
+  }
+
+  /**
+   * Ends a fault.
+   *
+   * @param kind kind of the fault
+   */
+  public synchronized void clear(FaultKind kind) {
+    active.remove(kind);
+  }
+
+  /**
+   * Tells whether a fault is active, without counting a call.
+   *
+   * @param kind kind of the fault
+   * @return true until it is cleared or used up
+   */
+  public synchronized boolean isActive(FaultKind kind) {
+    return active.containsKey(kind);
+  }
+
+  /**
+   * Decides whether a fault affects this call.
+   *
+   * @param kind kind of the fault
+   * @return the fault if it does
+   */
+  public synchronized Optional<Fault> strike(FaultKind kind) {
+    Fault fault = active.get(kind);
+    if (fault == null || (fault.share() < 1 && random.nextDouble() >= fault.share())) {
+      return Optional.empty();
+    }
+    if (fault.count() == 1) {
+      active.remove(kind);
+    } else if (fault.count() > 1) {
+      active.put(kind, new Fault(kind, fault.share(), fault.count() - 1, fault.millis()));
+    }
+    return Optional.of(fault);
+  }
+
+  /**
+   * A fault.
+   *
+   * @param kind kind of the fault
+   * @param share part of the calls that are affected, 0 to 1
+   * @param count calls to affect before the fault ends; {@link #UNLIMITED} for no end
+   * @param millis time of the fault in milliseconds, where the kind has one
+   */
+  public record Fault(FaultKind kind, double share, long count, long millis) {
+    /** Count of a fault that stays until it is cleared. */
+    public static final long UNLIMITED = -1;
+  }
+}
--- /dev/null
+++ b/org.clementineford.standins/src/main/java/org/clementineford/standins/HttpStandIn.java
@@ -0,0 +1,181 @@
+package org.clementineford.standins;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.transport.LinkShaping;
+import org.clementineford.transport.http.HttpExchange;
+import org.clementineford.transport.http.HttpServer;
+
+/**
+ * Common part of the stand-ins: {@code POST /faults} sets a fault from JSON with the fields of
+ * {@link Faults.Fault}, or ends it with {@code "clear": true}; {@code GET /counters} reports the
+ * counters. Neither is subject to faults.
+ */
+public abstract class HttpStandIn implements AutoCloseable {
+  /** Reads and writes JSON. */
+  protected static final ObjectMapper JSON = new ObjectMapper();
+
+  private static final int MAX_BODY_BYTES = 2 << 20;
+  private static final Map<String, String> JSON_TYPE = Map.of("Content-Type", "application/json");
+
+  private final StandInContext context;
+  private final Faults faults;
+  private final Counters counters = new Counters();
+  private HttpServer server;
+
+  /**
+   * Creates a stand-in that does not listen yet.
+   *
+   * @param context what it needs
+   */
+  protected HttpStandIn(StandInContext context) {
+    this.context = context;
+    this.faults = new Faults(context.seed());
+  }
+
+  /**
+   * Starts to listen.
+   *
+   * @throws ClementinefordException if the address cannot be used
+   */
+  public void start() throws ClementinefordException {
+    server =
+        HttpServer.start(
+            context.eventLoops(),
+            context.address(),
+            MAX_BODY_BYTES,
+            LinkShaping.NONE,
+            this::receive);
+  }
+
+  /**
+   * Returns the address in use.
+   *
+   * @return address with the actual port
+   */
+  public HostPort address() {
+    return server.address();
+  }
+
+  /**
+   * Returns the faults of this stand-in.
+   *
+   * @return faults that can be set and cleared at any time
+   */
+  public Faults faults() {
+    return faults;
+  }
+
+  /**
+   * Returns the counters of this stand-in.
+   *
+   * @return the counters
+   */
+  public Counters counters() {
+    return counters;
+  }
+
+  /**
+   * Returns what the stand-in was created with.
+   *
+   * @return the context
+   */
+  protected StandInContext context() {
+    return context;
+  }
+
+  /**
+   * Handles a call that no common fault affects.
+   *
+   * @param exchange the call
+   */
+  protected abstract void handle(HttpExchange exchange);
+
+  /** Called after a fault was set or cleared by {@code POST /faults}. */
+  protected void onFaultsChanged() {}
+
+  private void receive(HttpExchange exchange) {
+    String path = exchange.request().path();
+    if (path.equals("/faults")) {
+      changeFaults(exchange);
+    } else if (path.equals("/counters")) {
+      respondJson(exchange, 200, counters.all());
+    } else if (faults.strike(FaultKind.OUTAGE).isPresent()) {
+      counters.add("outage", 1);
+      respondError(exchange, 503, "injected outage");
+    } else if (faults.strike(FaultKind.HANG).isPresent()) {
+      counters.add("hang", 1);
+    } else {
+      Optional<Faults.Fault> slowness = faults.strike(FaultKind.SLOWNESS);
+      if (slowness.isPresent()) {
+        context
+            .scheduler()
+            .schedule(() -> handle(exchange), slowness.get().millis(), TimeUnit.MILLISECONDS);
+      } else {
+        handle(exchange);
+      }
+    }
+  }
+
+  private void changeFaults(HttpExchange exchange) {
+    try {
+      JsonNode change = JSON.readTree(exchange.request().body());
+      FaultKind kind = FaultKind.valueOf(change.path("kind").asText());
+      if (change.path("clear").asBoolean(false)) {
+        faults.clear(kind);
+      } else {
+        faults.set(
+            new Faults.Fault(
+                kind,
+                change.path("share").asDouble(1),
+                change.path("count").asLong(Faults.Fault.UNLIMITED),
+                change.path("millis").asLong(0)));
+      }
+      onFaultsChanged();
+      respondJson(exchange, 200, Map.of());
+    } catch (IOException | IllegalArgumentException e) {
+      respondError(exchange, 400, "not a fault: " + e.getMessage());
+    }
+  }
+
+  /**
+   * Answers with a value as JSON.
+   *
+   * @param exchange the call
+   * @param status HTTP status
+   * @param value the value
+   */
+  protected static void respondJson(HttpExchange exchange, int status, Object value) {
+    try {
+      exchange.respond(status, JSON_TYPE, JSON.writeValueAsBytes(value));
+    } catch (JsonProcessingException e) {
+      exchange.respond(500, Map.of(), e.getMessage().getBytes(StandardCharsets.UTF_8));
+    }
+  }
+
+  /**
+   * Answers with an error.
+   *
+   * @param exchange the call
+   * @param status HTTP status
+   * @param message what is wrong
+   */
+  protected static void respondError(HttpExchange exchange, int status, String message) {
+    respondJson(exchange, status, Map.of("error", message));
+  }
+
+  @Override
+  public void close() {
+    if (server != null) {
+      server.close();
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.standins/src/main/java/org/clementineford/standins/ObjectApiStandIn.java
@@ -0,0 +1,236 @@
+package org.clementineford.standins;
+
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.Scheduler.Cancellable;
+import org.clementineford.kernel.platform.ObjectStore;
+import org.clementineford.standins.internal.RateLimiter;
+import org.clementineford.transport.http.HttpExchange;
+import org.clementineford.transport.http.HttpRequest;
+
+/**
+ * The object API of section 5 of the design page. Versions grow over all keys, so a key that was
+ * removed and created again never repeats a version. Faults: OUTAGE, HANG, SLOWNESS, LOST_REPLY,
+ * STALE_READ. Counts calls as {@code get}, {@code put}, {@code delete}, {@code watch} and {@code
+ * list}; calls over the rate limit are answered with status 429 and counted as {@code limited}.
+ */
+public final class ObjectApiStandIn extends HttpStandIn {
+  private static final String PREFIX = "/objects/";
+
+  private final NavigableMap<String, Value> values = new TreeMap<>();
+  private final Map<String, List<Watch>> watches = new HashMap<>();
+  private final RateLimiter rate;
+  private long lastVersion;
+
+  /**
+   * Creates a store without objects.
+   *
+   * @param context what it needs
+   * @param callsPerSecond largest rate of calls; 0 for no limit
+   */
+  public ObjectApiStandIn(StandInContext context, long callsPerSecond) {
+    super(context);
+    this.rate = new RateLimiter(context.clock(), callsPerSecond);
+  }
+
+  @Override
+  protected void handle(HttpExchange exchange) {
+    HttpRequest request = exchange.request();
+    if (!rate.tryTake()) {
+      counters().add("limited", 1);
+      respondError(exchange, 429, "too many calls");
+      return;
+    }
+    if (request.method().equals("GET") && request.path().equals("/objects")) {
+      counters().add("list", 1);
+      respondJson(exchange, 200, Map.of("keys", keys(request.query("prefix", ""))));
+      return;
+    }
+    String path = new QueryStringDecoder(request.target()).path();
+    if (!path.startsWith(PREFIX)) {
+      respondError(exchange, 404, "no such path");
+      return;
+    }
+    String key = path.substring(PREFIX.length());
+    switch (request.method()) {
+      case "GET" -> read(exchange, key);
+      case "PUT" -> write(exchange, key, request.body());
+      case "DELETE" -> write(exchange, key, null);
+      default -> respondError(exchange, 405, "use GET, PUT or DELETE");
+    }
+  }
+
+  private void read(HttpExchange exchange, String key) {
+    String known = exchange.request().query("watch", null);
+    if (known == null) {
+      counters().add("get", 1);
+      respond(exchange, value(key));
+      return;
+    }
+    counters().add("watch", 1);
+    long timeoutMs = Long.parseLong(exchange.request().query("timeout", "30000"));
+    Value current;
+    synchronized (this) {
+      current = values.get(key);
+      long version = current == null ? 0 : current.version();
+      if (version == Long.parseLong(known)) {
+        Watch watch = new Watch(exchange, key);
+        watches.computeIfAbsent(key, any -> new ArrayList<>()).add(watch);
+        watch.timeout =
+            context().scheduler().schedule(() -> expire(watch), timeoutMs, TimeUnit.MILLISECONDS);
+        exchange.onClosed(() -> remove(watch));
+        return;
+      }
+    }
+    respond(exchange, current);
+  }
+
+  private synchronized Value value(String key) {
+    Value value = values.get(key);
+    boolean stale = value != null && faults().strike(FaultKind.STALE_READ).isPresent();
+    return stale ? value.previous() : value;
+  }
+
+  private static void respond(HttpExchange exchange, Value value) {
+    if (value == null) {
+      respondError(exchange, 404, "no such object");
+    } else {
+      exchange.respond(200, Map.of("ETag", "\"" + value.version() + "\""), value.bytes());
+    }
+  }
+
+  private void write(HttpExchange exchange, String key, byte[] bytes) {
+    counters().add(bytes == null ? "delete" : "put", 1);
+    if (bytes != null && bytes.length > ObjectStore.MAX_VALUE_BYTES) {
+      respondError(exchange, 413, "value has " + bytes.length + " bytes");
+      return;
+    }
+    Value written;
+    List<Watch> woken;
+    synchronized (this) {
+      Value current = values.get(key);
+      int refusal = refusal(exchange.request(), current);
+      if (refusal != 0) {
+        counters().add("conflict", 1);
+        respondError(exchange, refusal, "the condition does not hold");
+        return;
+      }
+      written = replace(key, current, bytes);
+      woken = watches.getOrDefault(key, List.of());
+      watches.remove(key);
+    }
+    for (Watch watch : woken) {
+      watch.timeout.cancel();
+      respond(watch.exchange, written);
+    }
+    if (faults().strike(FaultKind.LOST_REPLY).isPresent()) {
+      exchange.abort();
+    } else if (written == null) {
+      exchange.respond(204, Map.of(), new byte[0]);
+    } else {
+      exchange.respond(200, Map.of("ETag", "\"" + written.version() + "\""), new byte[0]);
+    }
+  }
+
+  private Value replace(String key, Value current, byte[] bytes) {
+    lastVersion++;
+    if (bytes == null) {
+      values.remove(key);
+      return null;
+    }
+    Value previous = current == null ? null : new Value(current.version(), current.bytes(), null);
+    Value written = new Value(lastVersion, bytes, previous);
+    values.put(key, written);
+    return written;
+  }
+
+  private static int refusal(HttpRequest request, Value current) {
+    String match = request.header("If-Match");
+    if (match != null) {
+      boolean holds = current != null && match.equals("\"" + current.version() + "\"");
+      return holds ? 0 : 412;
+    }
+    if ("*".equals(request.header("If-None-Match"))) {
+      return current == null ? 0 : 412;
+    }
+    return 428;
+  }
+
+  private synchronized List<String> keys(String prefix) {
+    List<String> keys = new ArrayList<>();
+    for (String key : values.tailMap(prefix, true).keySet()) {
+      if (!key.startsWith(prefix)) {
+        break;
+      }
+      keys.add(key);
+    }
+    return keys;
+  }
+
+  private void expire(Watch watch) {
+    if (remove(watch)) {
+      watch.exchange.respond(304, Map.of(), new byte[0]);
+    }
+  }
+
+  private synchronized boolean remove(Watch watch) {
+    watch.timeout.cancel();
+    List<Watch> pending = watches.get(watch.key);
+    return pending != null && pending.remove(watch);
+  }
+
+  /**
+   * Returns the number of watches that wait.
+   *
+   * @return pending watches over all keys
+   */
+  public synchronized int pendingWatches() {
+    return watches.values().stream().mapToInt(List::size).sum();
+  }
+
+  /** Starts an outage: calls are answered with status 503 and pending watches are cut. */
+  public void startOutage() {
+    faults().set(FaultKind.OUTAGE);
+    onFaultsChanged();
+  }
+
+  /** Ends an outage. */
+  public void endOutage() {
+    faults().clear(FaultKind.OUTAGE);
+  }
+
+  @Override
+  protected void onFaultsChanged() {
+    if (!faults().isActive(FaultKind.OUTAGE)) {
+      return;
+    }
+    List<Watch> cut = new ArrayList<>();
+    synchronized (this) {
+      watches.values().forEach(cut::addAll);
+      watches.clear();
+    }
+    for (Watch watch : cut) {
+      watch.timeout.cancel();
+      watch.exchange.abort();
+    }
+  }
+
+  private record Value(long version, byte[] bytes, Value previous) {}
+
+  private static final class Watch {
+    private final HttpExchange exchange;
+    private final String key;
+    private Cancellable timeout;
+
+    Watch(HttpExchange exchange, String key) {
+      this.exchange = exchange;
+      this.key = key;
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.standins/src/main/java/org/clementineford/standins/internal/EngineBatch.java
@@ -0,0 +1,99 @@
+package org.clementineford.standins.internal;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+
+/** Requests in the batch and requests that wait for a slot, urgent ones first. */
+public final class EngineBatch {
+  private final int slots;
+  private final Consumer<EngineRequest> starter;
+  private final Set<EngineRequest> running = new HashSet<>();
+  private final ArrayDeque<EngineRequest> urgent = new ArrayDeque<>();
+  private final ArrayDeque<EngineRequest> normal = new ArrayDeque<>();
+
+  /**
+   * Creates an empty batch.
+   *
+   * @param slots requests that run at a time
+   * @param starter starts a request that got a slot
+   */
+  public EngineBatch(int slots, Consumer<EngineRequest> starter) {
+    this.slots = slots;
+    this.starter = starter;
+  }
+
+  /**
+   * Starts a request, or queues it if all slots are taken.
+   *
+   * @param request the request
+   */
+  public void submit(EngineRequest request) {
+    synchronized (this) {
+      if (running.size() >= slots) {
+        (request.urgent() ? urgent : normal).add(request);
+        return;
+      }
+      running.add(request);
+    }
+    starter.accept(request);
+  }
+
+  /**
+   * Removes a request that ended or was given up, and starts the next one in its slot.
+   *
+   * @param request the request
+   * @return false if it had been removed before
+   */
+  public boolean remove(EngineRequest request) {
+    EngineRequest next = null;
+    synchronized (this) {
+      if (!running.remove(request)) {
+        return urgent.remove(request) || normal.remove(request);
+      }
+      next = urgent.isEmpty() ? normal.poll() : urgent.poll();
+      if (next != null) {
+        running.add(next);
+      }
+    }
+    if (next != null) {
+      starter.accept(next);
+    }
+    return true;
+  }
+
+  /**
+   * Finds a request that runs or waits.
+   *
+   * @param requestId identity that the caller gave
+   * @return the request, or null if there is none
+   */
+  public synchronized EngineRequest find(String requestId) {
+    return Stream.of(running, urgent, normal)
+        .flatMap(Collection::stream)
+        .filter(request -> request.requestId().equals(requestId))
+        .findFirst()
+        .orElse(null);
+  }
+
+  /**
+   * Returns the number of requests in the batch.
+   *
+   * @return at most the number of slots
+   */
+  public synchronized int running() {
+    return running.size();
+  }
+
+  /**
+   * Returns the number of requests that wait for a slot.
+   *
+   * @return urgent and normal ones
+   */
+  public synchronized int queued() {
+    return urgent.size() + normal.size();
+  }
+}
--- /dev/null
+++ b/org.clementineford.standins/src/main/java/org/clementineford/standins/internal/EngineRequest.java
@@ -0,0 +1,41 @@
+package org.clementineford.standins.internal;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+import org.clementineford.transport.http.HttpExchange;
+
+/**
+ * A chat request that the engine accepted.
+ *
+ * @param exchange the call
+ * @param requestId identity that the caller gave
+ * @param echoedId identity that the answer carries
+ * @param model name of the model
+ * @param prompt texts of the messages
+ * @param tokens length of the answer
+ * @param stream true to answer with server-sent events
+ * @param urgent true to go before normal requests
+ * @param broken true to break in the middle
+ */
+public record EngineRequest(
+    HttpExchange exchange,
+    String requestId,
+    String echoedId,
+    String model,
+    String prompt,
+    int tokens,
+    boolean stream,
+    boolean urgent,
+    boolean broken) {
+
+  String jsonId() {
+    return new String(JsonStringEncoder.getInstance().quoteAsString(echoedId));
+  }
+
+  String jsonModel() {
+    return new String(JsonStringEncoder.getInstance().quoteAsString(model));
+  }
+
+  int promptTokens() {
+    return prompt.length() / 4 + 1;
+  }
+}
