Add the caller of the quickstart

bin/quickstart needs a caller that checks every answer against the expected text and the digest of its version, and every reservation against the service's own count of runs.

--- /dev/null
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Outcomes.java
@@ -0,0 +1,114 @@
+package org.clementineford.bench.quickstart;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts how requests of one kind ended. */
+public final class Outcomes {
+  private final LongAdder sent = new LongAdder();
+  private final LongAdder answered = new LongAdder();
+  private final LongAdder refused = new LongAdder();
+  private final Map<String, Integer> failures = new ConcurrentSkipListMap<>();
+  private final Map<String, Integer> versions = new ConcurrentSkipListMap<>();
+  private final Set<String> answeredKeys = ConcurrentHashMap.newKeySet();
+  private final Set<String> refusedKeys = ConcurrentHashMap.newKeySet();
+
+  void sent() {
+    sent.increment();
+  }
+
+  void answered(String key, String version) {
+    answeredKeys.add(key);
+    versions.merge(version, 1, Integer::sum);
+    answered.increment();
+  }
+
+  void refused(String key) {
+    refusedKeys.add(key);
+    refused.increment();
+  }
+
+  void failed(String reason) {
+    failures.merge(reason, 1, Integer::sum);
+  }
+
+  /**
+   * Returns the number of requests sent.
+   *
+   * @return requests sent so far
+   */
+  public long sentCount() {
+    return sent.sum();
+  }
+
+  /**
+   * Returns the number of requests with a whole and correct answer.
+   *
+   * @return requests answered so far
+   */
+  public long answeredCount() {
+    return answered.sum();
+  }
+
+  /**
+   * Returns the number of requests that were refused and reported as not run.
+   *
+   * @return requests refused so far
+   */
+  public long refusedCount() {
+    return refused.sum();
+  }
+
+  /**
+   * Returns the number of requests that ended in any other way.
+   *
+   * @return requests failed so far
+   */
+  public long failedCount() {
+    return failures.values().stream().mapToLong(Integer::longValue).sum();
+  }
+
+  /**
+   * Returns the reasons of failures.
+   *
+   * @return number of requests by reason
+   */
+  public Map<String, Integer> failures() {
+    return new TreeMap<>(failures);
+  }
+
+  /**
+   * Returns the versions that answered.
+   *
+   * @return number of answers by model version
+   */
+  public Map<String, Integer> versions() {
+    return new TreeMap<>(versions);
+  }
+
+  /**
+   * Returns the keys of answered requests.
+   *
+   * @return idempotency keys or request numbers
+   */
+  public Set<String> answeredKeys() {
+    return Set.copyOf(answeredKeys);
+  }
+
+  /**
+   * Returns the keys of refused requests.
+   *
+   * @return idempotency keys or request numbers
+   */
+  public Set<String> refusedKeys() {
+    return Set.copyOf(refusedKeys);
+  }
+
+  boolean allEnded() {
+    return sentCount() == answeredCount() + refusedCount() + failedCount();
+  }
+}
--- /dev/null
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/package-info.java
@@ -0,0 +1,2 @@
+/** The caller of {@code bin/quickstart}. */
+package org.clementineford.bench.quickstart;
