Serve the list of VMs at the address of the object API

The daemons have one address of the platform for both, so the stand-in of the object API answers GET /vms as well.

--- a/org.clementineford.standins/src/main/java/org/clementineford/standins/ObjectApiStandIn.java
+++ b/org.clementineford.standins/src/main/java/org/clementineford/standins/ObjectApiStandIn.java
@@ -18,7 +18,8 @@
  * The object API of section 5 of the design page. Versions grow over all keys, so a key that was
  * removed and created again never repeats a version. Faults: OUTAGE, HANG, SLOWNESS, LOST_REPLY,
  * STALE_READ. Counts calls as {@code get}, {@code put}, {@code delete}, {@code watch} and {@code
- * list}; calls over the rate limit are answered with status 429 and counted as {@code limited}.
+ * list}; calls over the rate limit are answered with status 429 and counted as {@code limited}. Can
+ * serve a list of VMs at the same address, as the platform does.
  */
 public final class ObjectApiStandIn extends HttpStandIn {
   private static final String PREFIX = "/objects/";
@@ -26,17 +27,39 @@
   private final NavigableMap<String, Value> values = new TreeMap<>();
   private final Map<String, List<Watch>> watches = new HashMap<>();
   private final RateLimiter rate;
+  private final VmListStandIn vmList;
   private long lastVersion;
 
   /**
-   * Creates a store without objects.
+   * Creates a store without objects, and an empty list of VMs without lag.
    *
    * @param context what it needs
    * @param callsPerSecond largest rate of calls; 0 for no limit
    */
   public ObjectApiStandIn(StandInContext context, long callsPerSecond) {
+    this(context, callsPerSecond, new VmListStandIn(context, 0));
+  }
+
+  /**
+   * Creates a store without objects.
+   *
+   * @param context what it needs
+   * @param callsPerSecond largest rate of calls; 0 for no limit
+   * @param vmList list of VMs to serve; it need not be started
+   */
+  public ObjectApiStandIn(StandInContext context, long callsPerSecond, VmListStandIn vmList) {
     super(context);
     this.rate = new RateLimiter(context.clock(), callsPerSecond);
+    this.vmList = vmList;
+  }
+
+  /**
+   * Returns the list of VMs that is served at the same address.
+   *
+   * @return the list
+   */
+  public VmListStandIn vmList() {
+    return vmList;
   }
 
   @Override
@@ -47,6 +70,10 @@
       respondError(exchange, 429, "too many calls");
       return;
     }
+    if (request.path().equals("/vms")) {
+      vmList.handle(exchange);
+      return;
+    }
     if (request.method().equals("GET") && request.path().equals("/objects")) {
       counters().add("list", 1);
       respondJson(exchange, 200, Map.of("keys", keys(request.query("prefix", ""))));
