--- /dev/null
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Chats.java
@@ -0,0 +1,46 @@
+package org.clementineford.bench.requests;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.clementineford.standins.EngineAnswers;
+import org.clementineford.transport.http.HttpRequest;
+
+/** Chat requests and the check of their streamed answers. */
+final class Chats {
+  static final String PATH = "/v1/chat/completions";
+
+  private Chats() {}
+
+  /** Makes a request; the content decides the answer of the engine stand-in. */
+  static HttpRequest request(String account, String content, int tokens, boolean stream) {
+    String body =
+        "{\"model\":\""
+            + Site.MODEL
+            + "\",\"stream\":"
+            + stream
+            + ",\"max_tokens\":"
+            + tokens
+            + ",\"messages\":[{\"role\":\"user\",\"content\":\""
+            + content
+            + "\"}]}";
+    return new HttpRequest(
+        "POST",
+        PATH,
+        Map.of("Authorization", "Bearer " + account, "Content-Type", "application/json"),
+        body.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Tells whether a streamed answer is whole and the one to this content. */
+  static boolean isOwnAnswer(String events, String content, int tokens) {
+    StringBuilder answer = new StringBuilder();
+    String mark = "\"delta\":{\"content\":\"";
+    int at = events.indexOf(mark);
+    while (at >= 0) {
+      int from = at + mark.length();
+      answer.append(events, from, events.indexOf('"', from));
+      at = events.indexOf(mark, from);
+    }
+    return events.endsWith("data: [DONE]\n\n")
+        && answer.toString().equals(EngineAnswers.expected(content, tokens));
+  }
+}
--- /dev/null
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/RequestViews.java
@@ -0,0 +1,68 @@
+package org.clementineford.bench.requests;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.clementineford.configuration.ConfigurationSnapshot;
+import org.clementineford.endpoint.ServedVersions;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.node.ConfigurationView;
+import org.clementineford.node.MembershipView;
+
+/** Configuration and membership that the measurement sets, the same for all processes. */
+final class RequestViews implements MembershipView {
+  private final ConfigurationSnapshot snapshot;
+  private final List<Consumer<List<Member>>> listeners = new CopyOnWriteArrayList<>();
+  private final List<Member> members = new CopyOnWriteArrayList<>();
+
+  RequestViews(ConfigurationSnapshot snapshot) {
+    this.snapshot = snapshot;
+  }
+
+  ConfigurationView configuration() {
+    return new ConfigurationView() {
+      @Override
+      public ConfigurationSnapshot current() {
+        return snapshot;
+      }
+
+      @Override
+      public void onChange(Consumer<ConfigurationSnapshot> listener) {
+        // The configuration stays as it is during a measurement.
+      }
+    };
+  }
+
+  /** Every model is served in the version in force. */
+  ServedVersions served(String digest) {
+    return new ServedVersions() {
+      @Override
+      public Optional<ServedVersion> current(String model) {
+        return Optional.ofNullable(snapshot.models().get(model))
+            .map(wanted -> new ServedVersion(model, wanted.version(), digest));
+      }
+
+      @Override
+      public void onChange(Consumer<ServedVersion> listener) {
+        // The served version stays as it is during a measurement.
+      }
+    };
+  }
+
+  void join(VmIdentity vm) {
+    members.removeIf(member -> member.identity().vm().equals(vm.vm()));
+    members.add(new Member(vm, Phase.ALIVE));
+    listeners.forEach(listener -> listener.accept(members()));
+  }
+
+  @Override
+  public List<Member> members() {
+    return List.copyOf(members);
+  }
+
+  @Override
+  public void onChange(Consumer<List<Member>> listener) {
+    listeners.add(listener);
+  }
+}
--- /dev/null
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Site.java
@@ -0,0 +1,205 @@
+package org.clementineford.bench.requests;
+
+import io.netty.channel.EventLoopGroup;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.clementineford.configuration.ClientAccount;
+import org.clementineford.configuration.ConfigurationSnapshot;
+import org.clementineford.configuration.ModelSpecification;
+import org.clementineford.configuration.Policies;
+import org.clementineford.configuration.ServiceSpecification;
+import org.clementineford.kernel.DistributionPolicy;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmRole;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.platform.ModelEngine.Loaded;
+import org.clementineford.platform.HttpObjectStore;
+import org.clementineford.standins.EngineOptions;
+import org.clementineford.standins.EngineStandIn;
+import org.clementineford.standins.ObjectApiStandIn;
+import org.clementineford.standins.ServiceStandIn;
+import org.clementineford.standins.StandInContext;
+import org.clementineford.transport.LinkShaping;
+import org.clementineford.transport.http.HttpClient;
+
+/** Stand-ins, endpoint daemons and entry daemons of one data centre, each with its own threads. */
+final class Site implements AutoCloseable {
+  static final String MODEL = "assistant";
+  static final String VERSION = "v1";
+  static final String DIGEST = "0".repeat(64);
+  private static final HostPort ANY = new HostPort("127.0.0.1", 0);
+
+  private final RequestViews views;
+  private final EventLoopGroup standInLoops;
+  private final HttpClient platformClient;
+  private final int threads;
+  private final List<EngineStandIn> engines = new ArrayList<>();
+  private final ServiceStandIn service;
+  private final ObjectApiStandIn objectApi;
+  private final List<RequestVm> endpoints = new ArrayList<>();
+  private final List<RequestVm> entries = new ArrayList<>();
+  private final List<HostPort> entryAddresses = new ArrayList<>();
+
+  /** Starts stand-ins; {@code weights} has the weight of each client account. */
+  Site(Map<String, Integer> weights, int engineCount, EngineOptions options, int threads, long seed)
+      throws ClementinefordException {
+    this.threads = threads;
+    this.views = new RequestViews(snapshot(weights));
+    this.standInLoops = Loops.create("stand-ins", 2 * threads);
+    this.platformClient = new HttpClient(standInLoops, LinkShaping.NONE);
+    for (int i = 0; i < engineCount; i++) {
+      EngineStandIn engine =
+          new EngineStandIn(StandInContext.onLoopback(standInLoops, seed + i), options);
+      engine.start();
+      engine.setLoaded(new Loaded(MODEL, VERSION, DIGEST));
+      engines.add(engine);
+    }
+    service = new ServiceStandIn(StandInContext.onLoopback(standInLoops, seed));
+    service.start();
+    objectApi = new ObjectApiStandIn(StandInContext.onLoopback(standInLoops, seed), 0);
+    objectApi.start();
+  }
+
+  private static ConfigurationSnapshot snapshot(Map<String, Integer> weights) {
+    Map<String, ClientAccount> accounts = new HashMap<>();
+    weights.forEach(
+        (name, weight) -> accounts.put(name, new ClientAccount(name, weight, tokenSha256(name))));
+    return new ConfigurationSnapshot(
+        1,
+        Map.of(
+            MODEL, new ModelSpecification(MODEL, VERSION, DistributionPolicy.SHORTEST_TIME, false)),
+        accounts,
+        Map.of("reservations", new ServiceSpecification("reservations", 50)),
+        Set.of(),
+        Set.of(),
+        Policies.DEFAULT);
+  }
+
+  /** The bearer token of an account is its name. */
+  private static String tokenSha256(String token) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(digest.digest(token.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java platform has SHA-256", e);
+    }
+  }
+
+  void startEndpoints() throws ClementinefordException {
+    for (int i = 0; i < engines.size(); i++) {
+      endpoints.add(endpoint(i, 1, ANY));
+    }
+  }
+
+  private RequestVm endpoint(int index, long incarnation, HostPort address)
+      throws ClementinefordException {
+    return new RequestVm(
+        "endpoint-" + (index + 1),
+        VmRole.ENDPOINT,
+        incarnation,
+        address,
+        views,
+        null,
+        threads,
+        "request-endpoint",
+        "--engines",
+        MODEL + "=http://" + engines.get(index).address(),
+        "--services",
+        "reservations=http://" + service.address());
+  }
+
+  void startEntries(int count) throws ClementinefordException {
+    for (int i = 0; i < count; i++) {
+      entryAddresses.add(freePort());
+      entries.add(entry(i, 1, ANY));
+    }
+  }
+
+  private RequestVm entry(int index, long incarnation, HostPort address)
+      throws ClementinefordException {
+    return new RequestVm(
+        "entry-" + (index + 1),
+        VmRole.ENTRY,
+        incarnation,
+        address,
+        views,
+        new HttpObjectStore(platformClient, objectApi.address()),
+        threads,
+        "request-entry",
+        "--http-address",
+        entryAddresses.get(index).toString(),
+        "--readiness-ms",
+        "0");
+  }
+
+  private static HostPort freePort() throws ClementinefordException {
+    try (java.net.ServerSocket socket = new java.net.ServerSocket(0)) {
+      return new HostPort("127.0.0.1", socket.getLocalPort());
+    } catch (java.io.IOException e) {
+      throw new ClementinefordException(
+          org.clementineford.kernel.errors.ErrorKind.LOCAL_RESOURCE, "no free port", e);
+    }
+  }
+
+  /** Replaces an endpoint by its next incarnation at the same address. */
+  void restartEndpoint(int index) throws ClementinefordException {
+    RequestVm old = endpoints.get(index);
+    endpoints.set(index, endpoint(index, old.self().incarnation() + 1, old.self().address()));
+  }
+
+  /** Replaces an entry VM by its next incarnation at the same addresses. */
+  void restartEntry(int index) throws ClementinefordException {
+    RequestVm old = entries.get(index);
+    entries.set(index, entry(index, old.self().incarnation() + 1, old.self().address()));
+  }
+
+  RequestVm endpoint(int index) {
+    return endpoints.get(index);
+  }
+
+  RequestVm entry(int index) {
+    return entries.get(index);
+  }
+
+  int endpointCount() {
+    return endpoints.size();
+  }
+
+  HostPort entryAddress(int index) {
+    return entryAddresses.get(index);
+  }
+
+  int entryCount() {
+    return entries.size();
+  }
+
+  EngineStandIn engine(int index) {
+    return engines.get(index);
+  }
+
+  ServiceStandIn service() {
+    return service;
+  }
+
+  ObjectApiStandIn objectApi() {
+    return objectApi;
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(RequestVm::close);
+    endpoints.forEach(RequestVm::close);
+    engines.forEach(EngineStandIn::close);
+    service.close();
+    objectApi.close();
+    platformClient.close();
+    Loops.stop(standInLoops);
+  }
+}
