--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpExchange.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpExchange.java
@@ -60,11 +60,9 @@
   boolean isWritable();
 
   /**
-   * Sets what runs each time the connection becomes writable again.
+   * Sets what runs each time the connection becomes writable again while this request is answered.
    *
    * @param action the action, on the connection's thread
    */
-  default void onWritable(Runnable action) {
-    throw new UnsupportedOperationException("this exchange does not report writability");
-  }
+  void onWritable(Runnable action);
 }
