--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Chats.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Chats.java
@@ -30,17 +30,20 @@
         body.getBytes(StandardCharsets.UTF_8));
   }
 
-  /** Tells whether a streamed answer is whole and the one to this content. */
-  static boolean isOwnAnswer(String events, String content, int tokens) {
-    StringBuilder answer = new StringBuilder();
+  /** Tells whether an answer is whole and the one to this content. */
+  static boolean isOwnAnswer(String answer, String content, int tokens, boolean stream) {
+    String expected = EngineAnswers.expected(content, tokens);
+    if (!stream) {
+      return answer.contains("\"content\":\"" + expected + "\"") && answer.endsWith("}");
+    }
+    StringBuilder text = new StringBuilder();
     String mark = "\"delta\":{\"content\":\"";
-    int at = events.indexOf(mark);
+    int at = answer.indexOf(mark);
     while (at >= 0) {
       int from = at + mark.length();
-      answer.append(events, from, events.indexOf('"', from));
-      at = events.indexOf(mark, from);
+      text.append(answer, from, answer.indexOf('"', from));
+      at = answer.indexOf(mark, from);
     }
-    return events.endsWith("data: [DONE]\n\n")
-        && answer.toString().equals(EngineAnswers.expected(content, tokens));
+    return answer.endsWith("data: [DONE]\n\n") && text.toString().equals(expected);
   }
 }
--- /dev/null
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultSchedule.java
@@ -0,0 +1,157 @@
+package org.clementineford.bench.requests;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.standins.FaultKind;
+import org.clementineford.standins.Faults.Fault;
+
+/** Strikes a site with a fault every few hundred milliseconds, chosen by a seed. */
+final class FaultSchedule {
+  private static final long BETWEEN_FAULTS_MS = 400;
+  private static final long DOWN_MS = 200;
+
+  private final Site site;
+  private final RandomGenerator random;
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final Map<String, Integer> struck = new TreeMap<>();
+  private final Thread thread = new Thread(this::run, "faults");
+  private volatile Exception failure;
+
+  FaultSchedule(Site site, RandomGenerator random) {
+    this.site = site;
+    this.random = random;
+    thread.setDaemon(true);
+  }
+
+  void start() {
+    thread.start();
+  }
+
+  /** Stops, and returns how often each fault struck. */
+  Map<String, Integer> stop() throws Exception {
+    stopped.countDown();
+    thread.join();
+    if (failure != null) {
+      throw failure;
+    }
+    return struck;
+  }
+
+  private boolean pause(long milliseconds) throws InterruptedException {
+    return !stopped.await(milliseconds, TimeUnit.MILLISECONDS);
+  }
+
+  private void run() {
+    try {
+      while (pause(BETWEEN_FAULTS_MS)) {
+        Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+        struck.merge(kind.name(), 1, Integer::sum);
+        kind.strike(this);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ClementinefordException e) {
+      failure = e;
+    }
+  }
+
+  private int anyEndpoint() {
+    return random.nextInt(site.endpointCount());
+  }
+
+  private int anyEntry() {
+    return random.nextInt(site.entryCount());
+  }
+
+  private enum Kind {
+    KILL_ENDPOINT {
+      @Override
+      void strike(FaultSchedule schedule) throws ClementinefordException, InterruptedException {
+        int index = schedule.anyEndpoint();
+        schedule.site.endpoint(index).close();
+        schedule.pause(DOWN_MS);
+        schedule.site.restartEndpoint(index);
+      }
+    },
+    KILL_ENTRY {
+      @Override
+      void strike(FaultSchedule schedule) throws ClementinefordException, InterruptedException {
+        int index = schedule.anyEntry();
+        schedule.site.entry(index).close();
+        schedule.pause(DOWN_MS);
+        schedule.site.restartEntry(index);
+      }
+    },
+    FREEZE_ENDPOINT {
+      @Override
+      void strike(FaultSchedule schedule) {
+        int index = schedule.anyEndpoint();
+        schedule.site.endpoint(index).freeze(schedule.random.nextLong(500, 5000));
+      }
+    },
+    FREEZE_ENTRY {
+      @Override
+      void strike(FaultSchedule schedule) {
+        int index = schedule.anyEntry();
+        schedule.site.entry(index).freeze(schedule.random.nextLong(500, 5000));
+      }
+    },
+    CUT_ENDPOINT {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.site.endpoint(schedule.anyEndpoint()).cutConnections();
+      }
+    },
+    CUT_ENTRY {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.site.entry(schedule.anyEntry()).cutConnections();
+      }
+    },
+    LOSE_SERVICE_REPLIES {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.site.service().faults().setNext(FaultKind.LOST_REPLY, 3);
+      }
+    },
+    HANG_SERVICE {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.site.service().faults().setNext(FaultKind.HANG, 2);
+      }
+    },
+    SLOW_SERVICE {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.site.service().faults().set(new Fault(FaultKind.SLOWNESS, 1, 20, 800));
+      }
+    },
+    LOSE_CLAIM_REPLIES {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.site.objectApi().faults().setNext(FaultKind.LOST_REPLY, 5);
+      }
+    },
+    STALE_READS {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.site.objectApi().faults().setNext(FaultKind.STALE_READ, 5);
+      }
+    },
+    PLATFORM_OUTAGE {
+      @Override
+      void strike(FaultSchedule schedule) throws InterruptedException {
+        schedule.site.objectApi().startOutage();
+        schedule.pause(schedule.random.nextLong(100, 1000));
+        schedule.site.objectApi().endOutage();
+      }
+    };
+
+    abstract void strike(FaultSchedule schedule)
+        throws ClementinefordException, InterruptedException;
+  }
+}
--- /dev/null
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultsScenario.java
@@ -0,0 +1,232 @@
+package org.clementineford.bench.requests;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGeneratorFactory;
+import org.clementineford.standins.EngineOptions;
+import org.clementineford.standins.ServiceStandIn.Runs;
+import org.clementineford.transport.http.HttpRequest;
+
+/**
+ * Reservations through a seeded schedule of faults, then through planned stops. Three in four have
+ * a key and are sent again through the next entry VM until they are answered; the others are sent
+ * once. The runs that the service counted are the ground truth.
+ */
+final class FaultsScenario {
+  private static final int ENDPOINTS = 3;
+  private static final int ENTRIES = 3;
+  private static final double RATE = 60;
+  private static final long TIMEOUT_MS = 15_000;
+  private static final long RESEND_DELAY_MS = 300;
+  private static final int MAX_SUBMISSIONS = 40;
+
+  private final int requests;
+  private final int threads;
+  private final long seed;
+  private final ScheduledExecutorService resends = Executors.newSingleThreadScheduledExecutor();
+
+  FaultsScenario(int requests, int threads, long seed) {
+    this.requests = requests;
+    this.threads = threads;
+    this.seed = seed;
+  }
+
+  Map<String, Object> run() throws Exception {
+    var loops = Loops.create("callers", threads);
+    Map<String, Object> figures = new LinkedHashMap<>();
+    figures.put("scenario", "faults");
+    figures.put("layout", "one process, separate event loops for each part");
+    figures.put("seed", seed);
+    try (Site site =
+            new Site(Map.of("buyers", 1), ENDPOINTS, EngineOptions.IMMEDIATE, threads, seed);
+        Caller caller = new Caller(loops)) {
+      site.startEntries(ENTRIES);
+      site.startEndpoints();
+      FaultSchedule faults =
+          new FaultSchedule(site, RandomGeneratorFactory.of("L64X128MixRandom").create(seed));
+      faults.start();
+      List<Reservation> struck = submit(site, caller, "f", requests);
+      Map<String, Integer> counts = faults.stop();
+      figures.put("faults", counts);
+      boolean safe = report(figures, "duringFaults", struck, site.service().runs());
+      PlannedStops stops = new PlannedStops(site);
+      stops.start();
+      List<Reservation> planned = submit(site, caller, "p", requests / 2);
+      figures.put("plannedStops", stops.stop());
+      safe &= report(figures, "duringPlannedStops", planned, site.service().runs());
+      long interrupted = planned.stream().filter(Reservation::wasInterrupted).count();
+      figures.put("interruptedByPlannedStops", interrupted);
+      figures.put("withinTarget", safe && interrupted == 0);
+    } finally {
+      resends.shutdownNow();
+      Loops.stop(loops);
+    }
+    return figures;
+  }
+
+  private List<Reservation> submit(Site site, Caller caller, String prefix, int count)
+      throws InterruptedException {
+    List<Reservation> reservations = new ArrayList<>();
+    CountDownLatch open = new CountDownLatch(count);
+    new OpenLoop(RATE)
+        .run(
+            count / RATE,
+            due -> {
+              int number = reservations.size();
+              String name = prefix + "-" + seed + "-" + number;
+              Reservation reservation = new Reservation(name, number % 4 != 3, open);
+              reservations.add(reservation);
+              send(site, caller, reservation, number);
+            });
+    open.await(2 * MAX_SUBMISSIONS * RESEND_DELAY_MS + TIMEOUT_MS * 4, TimeUnit.MILLISECONDS);
+    return reservations;
+  }
+
+  private void send(Site site, Caller caller, Reservation reservation, int entry) {
+    caller.send(
+        site.entryAddress(entry % ENTRIES),
+        reservation.request(),
+        TIMEOUT_MS + 5000,
+        outcome -> {
+          if (reservation.ended(outcome, MAX_SUBMISSIONS)) {
+            resends.schedule(
+                () -> send(site, caller, reservation, entry + 1),
+                RESEND_DELAY_MS,
+                TimeUnit.MILLISECONDS);
+          }
+        });
+  }
+
+  private static boolean report(
+      Map<String, Object> figures, String name, List<Reservation> reservations, Runs runs) {
+    Map<String, Object> values = new LinkedHashMap<>();
+    long twice = reservations.stream().filter(r -> r.runs(runs) > 1).count();
+    long wrongNotRun = reservations.stream().filter(r -> r.isWrongNotRun(runs)).count();
+    long wrongAnswers = reservations.stream().filter(Reservation::hasWrongAnswer).count();
+    long answeredNotRun =
+        reservations.stream().filter(r -> r.isAnswered() && r.runs(runs) == 0).count();
+    values.put("reservations", reservations.size());
+    values.put("answered", reservations.stream().filter(Reservation::isAnswered).count());
+    values.put(
+        "keyedAnswered", reservations.stream().filter(r -> r.isKeyed() && r.isAnswered()).count());
+    values.put("keyed", reservations.stream().filter(Reservation::isKeyed).count());
+    values.put("submissions", reservations.stream().mapToInt(Reservation::submissions).sum());
+    values.put("endedUnknown", reservations.stream().filter(Reservation::isUnknown).count());
+    values.put("unfinished", reservations.stream().filter(r -> !r.isEnded()).count());
+    values.put("runTwice", twice);
+    values.put("wrongNotRun", wrongNotRun);
+    values.put("wrongAnswers", wrongAnswers);
+    values.put("answeredWithoutRun", answeredNotRun);
+    figures.put(name, values);
+    return twice + wrongNotRun + wrongAnswers + answeredNotRun == 0;
+  }
+
+  /** A reservation and what its caller saw. */
+  private static final class Reservation {
+    private final String name;
+    private final boolean keyed;
+    private final CountDownLatch open;
+    private final List<Caller.Outcome> outcomes = new ArrayList<>();
+    private boolean ended;
+
+    Reservation(String name, boolean keyed, CountDownLatch open) {
+      this.name = name;
+      this.keyed = keyed;
+      this.open = open;
+    }
+
+    HttpRequest request() {
+      Map<String, String> headers = new LinkedHashMap<>();
+      headers.put("Authorization", "Bearer buyers");
+      headers.put("Content-Type", "application/json");
+      headers.put("Clementineford-Timeout-Ms", Long.toString(TIMEOUT_MS));
+      if (keyed) {
+        headers.put("Idempotency-Key", name);
+      }
+      String body = "{\"buyer\":\"" + name + "\",\"quantity\":1}";
+      return new HttpRequest(
+          "POST",
+          "/services/reservations/reservations",
+          headers,
+          body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Takes the end of a submission; returns true if the caller submits again. */
+    synchronized boolean ended(Caller.Outcome outcome, int maxSubmissions) {
+      outcomes.add(outcome);
+      boolean again =
+          keyed
+              && outcome.end() != Caller.End.ANSWERED
+              && !outcome.text().contains("outcome-unknown")
+              && outcomes.size() < maxSubmissions;
+      if (!again) {
+        ended = true;
+        open.countDown();
+      }
+      return again;
+    }
+
+    private Caller.Outcome last() {
+      return outcomes.get(outcomes.size() - 1);
+    }
+
+    synchronized boolean isEnded() {
+      return ended;
+    }
+
+    boolean isKeyed() {
+      return keyed;
+    }
+
+    synchronized int submissions() {
+      return outcomes.size();
+    }
+
+    synchronized boolean isAnswered() {
+      return ended && last().end() == Caller.End.ANSWERED;
+    }
+
+    synchronized boolean isUnknown() {
+      return ended && !isAnswered() && !saysNotRun(last());
+    }
+
+    private static boolean saysNotRun(Caller.Outcome outcome) {
+      return outcome.end() == Caller.End.NOT_SENT
+          || (outcome.end() == Caller.End.REFUSED && outcome.run().equals("not-run"));
+    }
+
+    /** Runs by key, or by the identity of the only request if the caller knows it. */
+    synchronized int runs(Runs runs) {
+      if (keyed) {
+        return runs.byKey().getOrDefault(name, 0);
+      }
+      return outcomes.stream()
+          .map(outcome -> outcome.headers().get("Clementineford-Request"))
+          .mapToInt(id -> id == null ? 0 : runs.byRequest().getOrDefault(id, 0))
+          .sum();
+    }
+
+    /** Every submission was refused as not run, and yet there was a run. */
+    synchronized boolean isWrongNotRun(Runs runs) {
+      return ended && runs(runs) > 0 && outcomes.stream().allMatch(Reservation::saysNotRun);
+    }
+
+    synchronized boolean hasWrongAnswer() {
+      return isAnswered()
+          && !(last().text().contains("\"buyer\":\"" + name + "\"") && last().text().endsWith("}"));
+    }
+
+    /** A submission ended without an answer and without a refusal as not run. */
+    synchronized boolean wasInterrupted() {
+      return !ended
+          || outcomes.stream().anyMatch(o -> o.end() != Caller.End.ANSWERED && !saysNotRun(o));
+    }
+  }
+}
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/RequestsMeasurement.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/RequestsMeasurement.java
@@ -10,6 +10,7 @@
 
 /** Measures requests: {@code bin/measure requests --scenario NAME}. */
 public final class RequestsMeasurement implements Measurement {
+  private static final double LOSS_RATE = 400;
   private static final Setting<String> SCENARIO =
       new Setting<>(
           "scenario",
@@ -55,6 +56,9 @@
     return switch (settings.get(SCENARIO)) {
       case "throughput" ->
           new ThroughputScenario(settings.get(RATE), seconds, 2, threads, seed).run();
+      case "fairness" -> new FairnessScenario(seconds, threads, seed).run();
+      case "faults" -> new FaultsScenario(settings.get(REQUESTS).intValue(), threads, seed).run();
+      case "endpoint-loss" -> new EndpointLossScenario(LOSS_RATE, seconds, threads, seed).run();
       default ->
           throw new SettingException(
               "setting --scenario has the value \""
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
@@ -121,7 +121,7 @@
       }
       answered.increment();
       firstToken.recordValue(Math.max(0, outcome.firstByteNanos() - due));
-      if (!Chats.isOwnAnswer(outcome.text(), content, TOKENS)) {
+      if (!Chats.isOwnAnswer(outcome.text(), content, TOKENS, true)) {
         wrong.increment();
       }
     }
