--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultsScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultsScenario.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGeneratorFactory;
+import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.standins.EngineOptions;
 import org.clementineford.standins.ServiceStandIn.Runs;
 import org.clementineford.transport.http.HttpRequest;
@@ -44,31 +45,50 @@
     figures.put("scenario", "faults");
     figures.put("layout", "one process, separate event loops for each part");
     figures.put("seed", seed);
-    try (Site site =
-            new Site(Map.of("buyers", 1), ENDPOINTS, EngineOptions.IMMEDIATE, threads, seed);
-        Caller caller = new Caller(loops)) {
-      site.startEntries(ENTRIES);
-      site.startEndpoints();
+    try (Caller caller = new Caller(loops)) {
+      boolean safe = strike(caller, figures) & stop(caller, figures);
+      figures.put("withinTarget", safe);
+    } finally {
+      resends.shutdownNow();
+      Loops.stop(loops);
+    }
+    return figures;
+  }
+
+  private boolean strike(Caller caller, Map<String, Object> figures) throws Exception {
+    try (Site site = newSite()) {
       FaultSchedule faults =
           new FaultSchedule(site, RandomGeneratorFactory.of("L64X128MixRandom").create(seed));
       faults.start();
-      List<Reservation> struck = submit(site, caller, "f", requests);
-      Map<String, Integer> counts = faults.stop();
-      figures.put("faults", counts);
-      boolean safe = report(figures, "duringFaults", struck, site.service().runs());
+      List<Reservation> reservations = submit(site, caller, "f", requests);
+      figures.put("faults", faults.stop());
+      return report(figures, "duringFaults", reservations, site.service().runs());
+    }
+  }
+
+  /** Uses a new site, so that no effect of an earlier fault counts as one of a planned stop. */
+  private boolean stop(Caller caller, Map<String, Object> figures) throws Exception {
+    try (Site site = newSite()) {
       PlannedStops stops = new PlannedStops(site);
       stops.start();
-      List<Reservation> planned = submit(site, caller, "p", requests / 2);
+      List<Reservation> reservations = submit(site, caller, "p", requests);
       figures.put("plannedStops", stops.stop());
-      safe &= report(figures, "duringPlannedStops", planned, site.service().runs());
-      long interrupted = planned.stream().filter(Reservation::wasInterrupted).count();
+      long interrupted = reservations.stream().filter(Reservation::wasInterrupted).count();
       figures.put("interruptedByPlannedStops", interrupted);
-      figures.put("withinTarget", safe && interrupted == 0);
-    } finally {
-      resends.shutdownNow();
-      Loops.stop(loops);
+      reservations.stream()
+          .filter(Reservation::wasInterrupted)
+          .findFirst()
+          .ifPresent(first -> figures.put("firstInterruption", first.history()));
+      boolean safe = report(figures, "duringPlannedStops", reservations, site.service().runs());
+      return safe && interrupted == 0;
     }
-    return figures;
+  }
+
+  private Site newSite() throws ClementinefordException {
+    Site site = new Site(Map.of("buyers", 1), ENDPOINTS, EngineOptions.IMMEDIATE, threads, seed);
+    site.startEntries(ENTRIES);
+    site.startEndpoints();
+    return site;
   }
 
   private List<Reservation> submit(Site site, Caller caller, String prefix, int count)
@@ -223,6 +243,20 @@
           && !(last().text().contains("\"buyer\":\"" + name + "\"") && last().text().endsWith("}"));
     }
 
+    /** Returns how each submission ended. */
+    synchronized String history() {
+      StringBuilder text = new StringBuilder(name);
+      for (Caller.Outcome outcome : outcomes) {
+        text.append("; ")
+            .append(outcome.end())
+            .append(' ')
+            .append(outcome.status())
+            .append(' ')
+            .append(outcome.text());
+      }
+      return text.toString();
+    }
+
     /** A submission ended without an answer and without a refusal as not run. */
     synchronized boolean wasInterrupted() {
       return !ended
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/PlannedStops.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/PlannedStops.java
@@ -36,8 +36,7 @@
 
   private void run() {
     try {
-      // Frozen daemons of the earlier faults must be awake, or their drain does not end.
-      boolean goesOn = !stopped.await(2 * BETWEEN_STOPS_MS, TimeUnit.MILLISECONDS);
+      boolean goesOn = !stopped.await(BETWEEN_STOPS_MS, TimeUnit.MILLISECONDS);
       for (int i = 0; goesOn; i++) {
         stopNext(i);
         stops++;
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/LoadReports.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/LoadReports.java
@@ -30,14 +30,22 @@
 
   @Override
   public void onOpen(Payload opening, IncomingExchange exchange) {
+    exchange.finish(
+        accept(opening.getLoadReport())
+            ? Payloads.acknowledgement()
+            : Payloads.failure("malformed-report", "the address of the sender is not HOST:PORT"));
+  }
+
+  /** Takes a report; returns false if it is malformed. */
+  boolean accept(LoadReport received) {
     try {
-      EndpointReport report = fromWire(opening.getLoadReport());
+      EndpointReport report = fromWire(received);
       table.report(report, clock.nanoTime());
       // The connection must stand before the first request, which needs the endpoint's tick.
       link.peer(report.endpoint().address());
-      exchange.finish(Payloads.acknowledgement());
+      return true;
     } catch (SettingException e) {
-      exchange.finish(Payloads.failure("malformed-report", e.getMessage()));
+      return false;
     }
   }
 
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.Scheduler;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.node.MembershipView;
 import org.clementineford.node.NodeComponent;
@@ -19,6 +20,8 @@
 
 /** The entry VM's front for callers. */
 public final class RequestEntry implements NodeComponent {
+  private static final long REMOTE_INTERVAL_MS = 1000;
+
   private final NodeContext context;
   private final EntrySettings settings;
   private final EndpointTable endpoints = new EndpointTable();
@@ -26,6 +29,7 @@
   private final CompletableFuture<Void> idle = new CompletableFuture<>();
   private RequestFront front;
   private HttpServer server;
+  private Scheduler.Cancellable remoteReports = () -> {};
 
   RequestEntry(NodeContext context, EntrySettings settings, PeerLink link) {
     this.context = context;
@@ -53,6 +57,13 @@
     context.membership().onChange(this::members);
     LoadReports reports = new LoadReports(endpoints, services.link(), context.nanoClock());
     context.payloads().register(Payload._Fields.LOAD_REPORT, reports);
+    RemoteReports remote =
+        new RemoteReports(
+            context.self(), context.configuration(), context.membership(), services, reports);
+    remoteReports =
+        context
+            .scheduler()
+            .scheduleEvery(remote::askIfNeeded, REMOTE_INTERVAL_MS, TimeUnit.MILLISECONDS);
     server =
         HttpServer.start(
             context.eventLoops(),
@@ -103,6 +114,7 @@
 
   @Override
   public void close() {
+    remoteReports.cancel();
     server.close();
   }
 }
