--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/Fleet.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/Fleet.java
@@ -168,6 +168,7 @@
   final class Entry implements PeerLink {
     final EndpointTable table = new EndpointTable();
     final EntryMetrics metrics = new EntryMetrics(new PrometheusRegistry());
+    final Timeline timeline;
     final RequestFront front;
     boolean dead;
 
@@ -175,6 +176,7 @@
       VmIdentity self =
           new VmIdentity(
               vm, VmRole.ENTRY, "lorient", "brittany", 1, new HostPort("10.0.1.1", 7000));
+      timeline = new Timeline(new HybridLogicalClock(time.epochClock()), vm, 1, 100);
       Router router = new Router(table, "lorient", new java.util.SplittableRandom(7));
       EntryServices services =
           new EntryServices(
@@ -186,7 +188,7 @@
               time,
               time,
               metrics,
-              new Timeline(new HybridLogicalClock(time.epochClock()), vm, 1, 100));
+              timeline);
       front = new RequestFront(self, Fleet.this, services, 1 << 20);
     }
 
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/Refusals.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/Refusals.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.requests.RunState;
@@ -40,7 +41,10 @@
       long seconds = (retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND;
       headers.put("Retry-After", Long.toString(seconds));
     }
-    Map<String, String> error = Map.of("kind", kind, "message", message, "run", run.headerValue());
+    Map<String, String> error = new LinkedHashMap<>();
+    error.put("kind", kind);
+    error.put("run", run.headerValue());
+    error.put("message", message);
     try {
       return new Response(status, headers, JSON.writeValueAsBytes(Map.of("error", error)), kind);
     } catch (JsonProcessingException e) {
