Continue broken streams of idempotent requests elsewhere

A stream that broke goes on with the answer of another attempt if that answer starts with exactly the bytes that the caller has (length and CRC32C); otherwise the connection is closed as before. Replaying the prefix from memory was ruled out: it needs the whole answer per stream, the checksum does not.

--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/EndpointLossScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/EndpointLossScenario.java
@@ -18,6 +18,8 @@
   private static final int ENTRIES = 2;
   private static final int TOKENS = 8;
   private static final long DEADLINE_MS = 10_000;
+  // Longer than any request of the second half waits.
+  private static final long FREEZE_MS = 25_000;
   private static final double TARGET_SHARE = 0.999;
   private static final EngineOptions OPTIONS = new EngineOptions(50, 10, TOKENS, 256, true, 0);
 
@@ -43,7 +45,7 @@
     FREEZE {
       @Override
       void strike(Site site) {
-        site.endpoint(0).freeze(TimeUnit.MINUTES.toMillis(2));
+        site.endpoint(0).freeze(FREEZE_MS);
       }
     };
 
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/AttemptFailuresTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/AttemptFailuresTest.java
@@ -146,6 +146,35 @@
           .isEqualTo(1);
     }
 
+    // Guards against giving up streams that another endpoint can answer with the same bytes.
+    @Test
+    void thatBreakGoOnWithTheSameAnswerFromElsewhere() {
+      fleet.endpoint(1).behavior = Behavior.BREAK_STREAM;
+      for (int i = 0; i < 10; i++) {
+        FakeCall call = fleet.chat(fleet.entry(1), true);
+        shortWhile();
+        assertThat(call.complete).isTrue();
+        assertThat(call.body()).startsWith("answer to {").endsWith("}");
+      }
+      assertThat(fleet.endpoint(1).runs).isNotEmpty();
+    }
+
+    // Guards against an answer whose start and end come from different attempts.
+    @Test
+    void thatBreakDoNotGoOnWithAnotherAnswer() {
+      fleet.endpoint(1).behavior = Behavior.BREAK_STREAM;
+      fleet.endpoint(2).prefix = "other ";
+      int broken = 0;
+      for (int i = 0; i < 10; i++) {
+        FakeCall call = fleet.chat(fleet.entry(1), true);
+        shortWhile();
+        assertThat(call.complete).isNotEqualTo(call.aborted);
+        assertThat(call.body()).matches("ans|other answer to \\{.*\\}");
+        broken += call.aborted ? 1 : 0;
+      }
+      assertThat(broken).isPositive();
+    }
+
     // Guards against an answer with a hole that ends as if it were whole.
     @Test
     void thatLackPartCloseTheCallersConnection() {
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
@@ -51,6 +51,7 @@
   long incarnation = 1;
   Behavior behavior = Behavior.ANSWER;
   boolean reachable = true;
+  String prefix = "";
   int cancelled;
   private final PausedTime time;
   private final Map<String, Attempt> attempts = new HashMap<>();
@@ -155,7 +156,7 @@
     }
 
     private byte[] body() {
-      return ("answer to " + new String(dispatch.getBody(), StandardCharsets.UTF_8))
+      return (prefix + "answer to " + new String(dispatch.getBody(), StandardCharsets.UTF_8))
           .getBytes(StandardCharsets.UTF_8);
     }
 
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/Fleet.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/Fleet.java
@@ -181,7 +181,7 @@
       EntryServices services =
           new EntryServices(
               this,
-              new TargetChooser(router, this),
+              new TargetChooser(router, table, this),
               table,
               new RetryBudget(0),
               new ClaimStore(store),
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RemoteReports.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/ReportQuestions.java
@@ -19,10 +19,11 @@
 import org.clementineford.wire.Payload;
 
 /**
- * Asks endpoints outside the data centre for their load while the local ones cannot serve.
- * Endpoints send reports to their own data centre only.
+ * Asks endpoints for their load. Local ones are asked once, because an entry VM that has just
+ * started must not wait for their next report. Those outside the data centre, which send no reports
+ * to it, are asked while the local ones cannot serve.
  */
-final class RemoteReports {
+final class ReportQuestions {
   // Enough to spread the load of one data centre, and a few KB a second on links between regions.
   private static final int MAX_ASKED = 8;
 
@@ -34,7 +35,7 @@
   private final PeerLink link;
   private final NanoClock clock;
 
-  RemoteReports(
+  ReportQuestions(
       VmIdentity self,
       ConfigurationView configuration,
       MembershipView membership,
@@ -49,22 +50,25 @@
     this.clock = services.clock();
   }
 
-  /** Asks if a model or service of the document has no local endpoint. Called each second. */
+  /** Asks local endpoints that are not known yet, and remote ones if a back end has none. */
   void askIfNeeded() {
-    if (!hasGap(configuration.current())) {
-      return;
-    }
+    boolean gap = hasGap(configuration.current());
     List<VmIdentity> remote = new ArrayList<>();
     for (MembershipView.Member member : membership.members()) {
       VmIdentity identity = member.identity();
-      if (identity.role() == VmRole.ENDPOINT
-          && member.phase().takesNewWork()
-          && !identity.dataCentre().equals(self.dataCentre())) {
+      if (identity.role() != VmRole.ENDPOINT || !member.phase().takesNewWork()) {
+        continue;
+      }
+      if (!identity.dataCentre().equals(self.dataCentre())) {
         remote.add(identity);
+      } else if (!table.knows(identity.vm(), identity.incarnation())) {
+        ask(identity);
       }
     }
-    Collections.shuffle(remote, ThreadLocalRandom.current());
-    remote.stream().limit(MAX_ASKED).forEach(this::ask);
+    if (gap) {
+      Collections.shuffle(remote, ThreadLocalRandom.current());
+      remote.stream().limit(MAX_ASKED).forEach(this::ask);
+    }
   }
 
   private boolean hasGap(ConfigurationSnapshot snapshot) {
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
@@ -20,7 +20,7 @@
 
 /** The entry VM's front for callers. */
 public final class RequestEntry implements NodeComponent {
-  private static final long REMOTE_INTERVAL_MS = 1000;
+  private static final long QUESTION_INTERVAL_MS = 1000;
 
   private final NodeContext context;
   private final EntrySettings settings;
@@ -29,7 +29,7 @@
   private final CompletableFuture<Void> idle = new CompletableFuture<>();
   private RequestFront front;
   private HttpServer server;
-  private Scheduler.Cancellable remoteReports = () -> {};
+  private Scheduler.Cancellable reportQuestions = () -> {};
 
   RequestEntry(NodeContext context, EntrySettings settings, PeerLink link) {
     this.context = context;
@@ -39,7 +39,7 @@
     this.services =
         new EntryServices(
             link,
-            new TargetChooser(router, link),
+            new TargetChooser(router, endpoints, link),
             endpoints,
             new RetryBudget(context.nanoClock().nanoTime()),
             new ClaimStore(context.objectStore()),
@@ -57,13 +57,15 @@
     context.membership().onChange(this::members);
     LoadReports reports = new LoadReports(endpoints, services.link(), context.nanoClock());
     context.payloads().register(Payload._Fields.LOAD_REPORT, reports);
-    RemoteReports remote =
-        new RemoteReports(
+    ReportQuestions questions =
+        new ReportQuestions(
             context.self(), context.configuration(), context.membership(), services, reports);
-    remoteReports =
+    reportQuestions =
         context
             .scheduler()
-            .scheduleEvery(remote::askIfNeeded, REMOTE_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            .scheduleEvery(questions::askIfNeeded, QUESTION_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    context.membership().onChange(members -> questions.askIfNeeded());
+    questions.askIfNeeded();
     server =
         HttpServer.start(
             context.eventLoops(),
@@ -114,7 +116,7 @@
 
   @Override
   public void close() {
-    remoteReports.cancel();
+    reportQuestions.cancel();
     server.close();
   }
 }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestRun.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestRun.java
@@ -270,6 +270,10 @@
     if (ended) {
       return;
     }
+    if (response.isStarted()) {
+      breakOff(refusal.kind());
+      return;
+    }
     String run = refusal.headers().get("Clementineford-Run");
     services.metrics().refusals.labelValues(refusal.kind(), run).inc();
     services
@@ -363,19 +367,33 @@
   private final class Handler implements AttemptExchange.Events {
     @Override
     public void head(AnswerHead head) {
-      response.head(head.getStatus(), callerHeaders(head));
+      if (!response.head(head.getStatus(), callerHeaders(head))) {
+        stopAttempt("answers-differ");
+      }
     }
 
     @Override
     public void part(byte[] bytes) {
-      if (!response.part(bytes)) {
-        attempt.abandon(claim == null);
-        breakOff("slow-caller");
+      switch (response.part(bytes)) {
+        case CALLER_TOO_SLOW -> stopAttempt("slow-caller");
+        case DIFFERS_FROM_SENT -> stopAttempt("answers-differ");
+        default -> {
+          // The caller gets the part.
+        }
       }
     }
 
+    private void stopAttempt(String reason) {
+      attempt.abandon(claim == null);
+      breakOff(reason);
+    }
+
     @Override
     public void end(AnswerEnd answerEnd) {
+      if (response.lacksSentBytes()) {
+        breakOff("answers-differ");
+        return;
+      }
       countAnswer(response.status());
       if (claim != null) {
         claim.finished(response.kept());
@@ -391,10 +409,6 @@
         Target target = attempt.target();
         services.endpoints().markLeaving(target.vm(), target.incarnation(), now);
       }
-      if (response.isStarted()) {
-        breakOff("endpoint-" + refusal.getKind());
-        return;
-      }
       boolean retryable = known.mayGoElsewhere(request);
       Next next =
           known.run() == RunState.NOT_RUN
@@ -421,7 +435,7 @@
     }
 
     private void interrupted(String reason, EntryRefusal otherwise) {
-      if (response.isStarted()) {
+      if (response.isStarted() && !request.idempotent()) {
         breakOff(reason);
         return;
       }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/TargetChooser.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/TargetChooser.java
@@ -4,16 +4,19 @@
 import java.util.function.Predicate;
 import org.clementineford.requests.routing.BackEnd;
 import org.clementineford.requests.routing.Candidate;
+import org.clementineford.requests.routing.EndpointTable;
 import org.clementineford.requests.routing.Router;
 import org.clementineford.transport.PeerInfo;
 
 /** Chooses an endpoint to which a connection stands. */
 final class TargetChooser {
   private final Router router;
+  private final EndpointTable endpoints;
   private final PeerLink link;
 
-  TargetChooser(Router router, PeerLink link) {
+  TargetChooser(Router router, EndpointTable endpoints, PeerLink link) {
     this.router = router;
+    this.endpoints = endpoints;
     this.link = link;
   }
 
@@ -30,10 +33,13 @@
         .map(candidate -> target(candidate, attemptId));
   }
 
-  /** Tells whether an endpoint could serve the request once a connection to it stands. */
+  /**
+   * Tells whether an endpoint could serve the request once a connection to it stands. That may also
+   * be so before the first load report of any endpoint.
+   */
   boolean mayBecomeUsable(BackEnd backEnd, Predicate<String> excluded, long nowNanos) {
     Predicate<Candidate> usable = candidate -> !excluded.test(candidate.endpoint().vm());
-    return router.choose(backEnd, null, usable, nowNanos).isPresent();
+    return endpoints.isEmpty() || router.choose(backEnd, null, usable, nowNanos).isPresent();
   }
 
   private Target target(Candidate candidate, String attemptId) {
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/routing/EndpointTable.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/routing/EndpointTable.java
@@ -84,6 +84,27 @@
     rebuild(nowNanos);
   }
 
+  /**
+   * Tells whether an endpoint has reported.
+   *
+   * @param vm name of the VM
+   * @param incarnation incarnation that must have reported
+   * @return true if a report of it was received
+   */
+  public boolean knows(String vm, long incarnation) {
+    Entry entry = endpoints.get(vm);
+    return entry != null && entry.incarnation() >= incarnation;
+  }
+
+  /**
+   * Tells whether no endpoint has reported yet.
+   *
+   * @return true before the first report
+   */
+  public boolean isEmpty() {
+    return endpoints.isEmpty();
+  }
+
   /**
    * Returns what can be given requests for a model, in any version, or for a plain service.
    *
