--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Caller.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Caller.java
@@ -3,6 +3,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -21,13 +25,14 @@
 import org.clementineford.transport.http.HttpClient;
 
 /**
- * Sends requests while {@code bin/quickstart} changes the model version from v1 to v2. Prints
- * {@code sending} once v1 is served and requests flow, ends after all engines answer from v2, and
- * fails if any request failed or any reservation ran more than once.
+ * Brings model version v1 into force, sends requests, brings v2 into force meanwhile, and ends
+ * after all engines answer from v2. Fails if any request failed or any reservation ran twice.
  */
 public final class Caller {
   private static final Setting<List<HostPort>> ENTRIES =
       new Setting<>("entries", "HTTP addresses of entry VMs.", null, SettingParser.hostPorts());
+  private static final Setting<HostPort> ADMIN =
+      new Setting<>("admin", "Admin address of an entry VM.", null, SettingParser.hostPort());
   private static final Setting<List<HostPort>> ENGINES =
       new Setting<>("engines", "Addresses of engines.", null, SettingParser.hostPorts());
   private static final Setting<HostPort> ORIGIN =
@@ -43,20 +48,22 @@
           "30",
           SettingParser.wholeNumber(1, 600));
   private static final List<Setting<?>> SETTINGS =
-      List.of(ENTRIES, ENGINES, ORIGIN, SERVICE, TOKEN, LIMIT_SECONDS);
+      List.of(ENTRIES, ADMIN, ENGINES, ORIGIN, SERVICE, TOKEN, LIMIT_SECONDS);
   private static final long INTERVAL_MS = 10;
   private static final long POLL_MS = 100;
+  private static final long BEFORE_CHANGE_MS = 1000;
   private static final long AFTER_CHANGE_MS = 1500;
 
   private final Settings settings;
   private final Scheduler scheduler;
+  private final HttpClient client;
   private final GroundTruth truth;
   private final Traffic traffic;
 
   private Caller(Settings settings, EventLoopGroup eventLoops) throws ClementinefordException {
     this.settings = settings;
     this.scheduler = new EventLoopScheduler(eventLoops);
-    HttpClient client = new HttpClient(eventLoops, LinkShaping.NONE);
+    this.client = new HttpClient(eventLoops, LinkShaping.NONE);
     this.truth =
         new GroundTruth(client, settings.get(ENGINES), settings.get(ORIGIN), settings.get(SERVICE));
     this.traffic =
@@ -88,11 +95,23 @@
   }
 
   private void run() throws ClementinefordException {
+    long accounts =
+        change(
+            "accounts",
+            0,
+            "clientAccounts:\n  lorient-warehouse: {weight: 3, tokenSha256: "
+                + sha256(settings.get(TOKEN))
+                + "}\nservices:\n  reservations: {costTokens: 50}\n");
+    final long models = change("models", 0, models("v1"));
+    System.out.println("document revision " + models + " accepted; accounts since " + accounts);
     awaitVersion("v1");
     System.out.println("model version before: v1 on " + truth.engineCount() + " endpoint VMs");
     awaitRoutes();
     traffic.start(INTERVAL_MS);
-    System.out.println("sending");
+    pause(BEFORE_CHANGE_MS);
+    final long peerBytesBefore = truth.peerBytes(settings.get(ADMIN));
+    long revision = change("models", models, models("v2"));
+    System.out.println("document revision " + revision + " accepted while requests go on");
     awaitVersion("v2");
     pause(AFTER_CHANGE_MS);
     traffic.stop();
@@ -101,10 +120,36 @@
     print("lookups", traffic.lookups());
     print("reservations", traffic.reservations());
     System.out.println("answers by version: " + traffic.lookups().versions());
-    System.out.println("bytes from the origin: " + truth.originBytes());
+    System.out.println(
+        "bytes from the origin: "
+            + truth.originBytes()
+            + ", from peers: "
+            + (peerBytesBefore + truth.peerBytes(settings.get(ADMIN))));
     check();
   }
 
+  private static String models(String version) {
+    return "models:\n  assistant: {version: " + version + ", policy: FEWEST_ORIGIN_BYTES}\n";
+  }
+
+  private static String sha256(String text) throws ClementinefordException {
+    try {
+      byte[] digest =
+          MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+      return HexFormat.of().formatHex(digest);
+    } catch (NoSuchAlgorithmException e) {
+      throw new ClementinefordException(ErrorKind.INTERNAL, "this Java has no SHA-256", e);
+    }
+  }
+
+  private long change(String section, long baseRevision, String text)
+      throws ClementinefordException {
+    return truth.apply(
+        settings.get(ADMIN),
+        new DocumentChange(
+            "quickstart-" + section + "-" + baseRevision, section, section, baseRevision, text));
+  }
+
   private void awaitVersion(String version) throws ClementinefordException {
     await(
         () -> "version " + version + " is not loaded on all engines",
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestParser.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestParser.java
@@ -25,7 +25,7 @@
   private static final int PREFIX_CHARACTERS = 256;
   private static final int MAX_KEY_LENGTH = 256;
   private static final long MAX_TIMEOUT_MS = 3_600_000;
-  private static final Set<String> FORWARDED = Set.of("content-type", "accept");
+  private static final Set<String> FORWARDED = Set.of("content-type", "accept", "idempotency-key");
 
   private final ObjectMapper json = new ObjectMapper();
 
