Wait for scheduled transfers in the link test

Cause: the test of the origin's link limit advanced paused time after two requests were counted, but the second transfer may not have scheduled its next step by then; it then waited for ever (seen once under load).

PausedTime now tells how many tasks wait, and the test waits for both. The bounds are unchanged. Ruled out: a lost writability event; both transfers are below the write watermark.

--- a/org.clementineford.standins.test/src/test/java/org/clementineford/standins/OriginStandInTest.java
+++ b/org.clementineford.standins.test/src/test/java/org/clementineford/standins/OriginStandInTest.java
@@ -38,7 +38,7 @@
         client.call(origin.address(), request("GET", DATA, Map.of(), ""), 60_000);
     final CompletableFuture<HttpResponse> second =
         client.call(origin.address(), request("GET", DATA, Map.of(), ""), 60_000);
-    while (origin.counters().get("data") < 2) {
+    while (time.scheduledTasks() < 2) {
       Thread.onSpinWait();
     }
     time.advance(2800, TimeUnit.MILLISECONDS);
--- a/org.clementineford.testing/src/main/java/org/clementineford/testing/PausedTime.java
+++ b/org.clementineford.testing/src/main/java/org/clementineford/testing/PausedTime.java
@@ -57,6 +57,15 @@
     return repeating;
   }
 
+  /**
+   * Returns the number of tasks that wait for their time.
+   *
+   * @return 0 or more
+   */
+  public synchronized int scheduledTasks() {
+    return tasks.size();
+  }
+
   /**
    * Moves time forward and runs each task at its time.
    *
