Let accounts save a part of their share

With plain start-time fair queueing, an account within its share was slow as soon as another account kept all slots busy: its bursts were paced at its share.

Reserving slots was not tried.

--- /dev/null
+++ b/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairQueueTest.java
@@ -0,0 +1,89 @@
+package org.clementineford.requests.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class FairQueueTest {
+  private static final FairQueueLimits LIMITS = new FairQueueLimits(4, 1000, 0);
+
+  private final FairQueue<String> queue = new FairQueue<>(LIMITS, 1, account -> 1);
+
+  private static QueuedRequest<String> request(String account, boolean urgent, String work) {
+    return new QueuedRequest<>(account, urgent, 100, 1000, work);
+  }
+
+  private List<String> drain(int requests) {
+    List<String> order = new ArrayList<>();
+    for (int i = 0; i < requests; i++) {
+      QueuedRequest<String> next = queue.poll();
+      order.add(next.work());
+      queue.finish(next, 100);
+    }
+    return order;
+  }
+
+  // Guards against a queue that grows without bound, or that one account fills for the others.
+  @Test
+  void queueOfAnAccountIsBounded() {
+    for (int i = 0; i < 4; i++) {
+      assertThat(queue.offer(request("a", false, "a" + i))).isTrue();
+    }
+    assertThat(queue.offer(request("a", false, "a4"))).isFalse();
+    assertThat(queue.offer(request("b", false, "b0"))).isTrue();
+  }
+
+  // Guards against more work at a time than the back end has slots.
+  @Test
+  void slotsAreNotExceeded() {
+    queue.offer(request("a", false, "a0"));
+    queue.offer(request("a", false, "a1"));
+    QueuedRequest<String> first = queue.poll();
+    assertThat(queue.poll()).isNull();
+    queue.finish(first, 100);
+    assertThat(queue.poll().work()).isEqualTo("a1");
+  }
+
+  // Guards against urgent requests behind normal ones, and against normal ones that starve.
+  @Test
+  void urgentRequestsGoFirstWithAtMostHalfTheCapacityBorrowed() {
+    for (int i = 0; i < 4; i++) {
+      queue.offer(request("normal", false, "n" + i));
+      queue.offer(request("urgent", true, "u" + i));
+    }
+    queue.offer(request("urgent", false, "ignored: the queue is full"));
+    List<String> order = drain(8);
+    assertThat(order.subList(0, 3)).containsSequence("u0").contains("u1");
+    assertThat(order.subList(0, 4).stream().filter(work -> work.startsWith("n")).count())
+        .isGreaterThanOrEqualTo(1);
+    assertThat(order).containsSubsequence("n0", "n1", "n2", "n3");
+  }
+
+  // Guards against a request that starts after its deadline.
+  @Test
+  void expiredRequestsLeaveTheQueueInTheOrderOfTheirDeadlines() {
+    queue.offer(new QueuedRequest<>("a", false, 100, 20, "late"));
+    queue.offer(new QueuedRequest<>("b", false, 100, 10, "early"));
+    queue.offer(new QueuedRequest<>("a", false, 100, 30, "kept"));
+    assertThat(queue.earliestDeadline()).hasValue(10);
+    assertThat(queue.expire(20)).extracting(QueuedRequest::work).containsExactly("early", "late");
+    assertThat(queue.depth().queuedCost()).isEqualTo(100);
+    assertThat(queue.poll().work()).isEqualTo("kept");
+  }
+
+  // Guards against an account that gains from costs that it states too low.
+  @Test
+  void actualCostIsCharged() {
+    queue.offer(request("liar", false, "l0"));
+    QueuedRequest<String> first = queue.poll();
+    queue.offer(request("liar", false, "l1"));
+    queue.offer(request("honest", false, "h0"));
+    queue.offer(request("honest", false, "h1"));
+    queue.offer(request("honest", false, "h2"));
+    queue.finish(first, 300);
+    assertThat(drain(4)).containsExactly("h0", "h1", "h2", "l1");
+    assertThat(queue.servedCost("liar")).isEqualTo(400);
+  }
+}
--- /dev/null
+++ b/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairShareTest.java
@@ -0,0 +1,84 @@
+package org.clementineford.requests.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.assertj.core.data.Percentage;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Shares and latencies over simulated minutes with a seeded load. */
+class FairShareTest {
+  private static final int SLOTS = 64;
+  private static final long SEED = 1;
+  private static final double SHARE = 0.1;
+  private static final Percentage TEN_PERCENT = Percentage.withPercentage(10);
+
+  private static void run(SimulatedEngine engine) {
+    engine.time.advance(10, TimeUnit.MINUTES);
+  }
+
+  private static SimulatedEngine flooded(int slots, double part, boolean urgentFlood) {
+    SimulatedEngine engine = new SimulatedEngine(slots, SEED);
+    for (int i = 1; i <= 9; i++) {
+      engine.offer("account-" + i, part * SHARE, false);
+    }
+    engine.offer("flood", 10 * SHARE, urgentFlood);
+    run(engine);
+    return engine;
+  }
+
+  private static SimulatedEngine alone(int slots, double part, String account) {
+    SimulatedEngine engine = new SimulatedEngine(slots, SEED);
+    engine.offer(account, part * SHARE, false);
+    run(engine);
+    return engine;
+  }
+
+  // Guards against an account that slows down others by offering ten times its share.
+  @ParameterizedTest
+  @CsvSource({"16,0.7", "32,0.9", "64,0.9"})
+  void floodLeavesOthersTheirLatencyAndCost(int slots, double part) {
+    SimulatedEngine flooded = flooded(slots, part, false);
+    for (int i = 1; i <= 9; i++) {
+      String account = "account-" + i;
+      SimulatedEngine alone = alone(slots, part, account);
+      assertThat(flooded.percentile99(account))
+          .isLessThanOrEqualTo(1.25 * alone.percentile99(account));
+      assertThat(flooded.served(account)).isCloseTo(alone.served(account), TEN_PERCENT);
+    }
+  }
+
+  // Guards against borrowing that gives an account more than its share for good.
+  @Test
+  void urgentFloodLeavesOthersTheirCost() {
+    SimulatedEngine flooded = flooded(SLOTS, 0.9, true);
+    for (int i = 1; i <= 9; i++) {
+      String account = "account-" + i;
+      assertThat(flooded.served(account))
+          .isCloseTo(alone(SLOTS, 0.9, account).served(account), TEN_PERCENT);
+    }
+  }
+
+  // Guards against shares that do not follow the weights, before and after they change.
+  @Test
+  void servedCostFollowsWeightsAlsoAfterTheyChange() {
+    SimulatedEngine engine = new SimulatedEngine(SLOTS, SEED);
+    engine.weights.put("small", 1);
+    engine.weights.put("large", 3);
+    engine.offer("small", 1, false);
+    engine.offer("large", 1, false);
+    run(engine);
+    long small = engine.served("small");
+    final long large = engine.served("large");
+    assertThat(large / (double) small).isCloseTo(3, TEN_PERCENT);
+
+    engine.weights.put("small", 3);
+    engine.weights.put("large", 1);
+    engine.queue.refreshWeights();
+    run(engine);
+    assertThat((engine.served("small") - small) / (double) (engine.served("large") - large))
+        .isCloseTo(3, TEN_PERCENT);
+  }
+}
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/AccountQueue.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/AccountQueue.java
@@ -43,9 +43,9 @@
     return !urgent.isEmpty();
   }
 
-  void add(QueuedRequest<T> request, double virtualTime) {
+  void add(QueuedRequest<T> request, double virtualTime, long savedTokens) {
     if (!isWaiting()) {
-      startTag = Math.max(startTag, virtualTime);
+      startTag = Math.max(startTag, virtualTime - (double) savedTokens / weight);
     }
     queue(request).addLast(request);
   }
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
@@ -18,6 +18,11 @@
  * Service Utility", SIGMETRICS 2004. The account with the lowest start tag runs next; the virtual
  * time is its start tag. The cost is estimated at the start and corrected at the end.
  *
+ * <p>An account that offers less than its share saves some of it for a later burst: its start tag
+ * may stay behind the virtual time by a bounded amount. Without this a full engine delays bursts of
+ * accounts that are well below their share. A similar warp of virtual time is described in K. Duda,
+ * D. Cheriton, "Borrowed-Virtual-Time Scheduling", SOSP 1999.
+ *
  * <p>Urgent requests go before the others of their account. An urgent request may also go before
  * other accounts. Such borrowed turns get at most half of the cost that starts, and an account may
  * run ahead of its share by a bounded debt only, so its share over a longer time stays the same.
@@ -63,7 +68,7 @@
     if (account.size() >= limits.queuedPerAccount()) {
       return false;
     }
-    account.add(request, virtualTime);
+    account.add(request, virtualTime, limits.savedTokens());
     request.setSequence(++lastSequence);
     waiting.add(request);
     queuedCost += request.estimatedCost();
