Leave without cutting off requests

A leaving endpoint tells all known entry VMs at once, refuses new attempts as not run and lets running and queued ones end. Stopping right after the last run was ruled out: a dispatch that crossed the notice would have an unknown outcome.

--- /dev/null
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/BackEndTest.java
@@ -0,0 +1,55 @@
+package org.clementineford.endpoint.internal.requests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.kernel.timeline.TimelineEvent;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class BackEndTest {
+  private EndpointFixture fixture;
+
+  @BeforeEach
+  void start() throws Exception {
+    fixture = new EndpointFixture(1);
+  }
+
+  @AfterEach
+  void stop() {
+    fixture.close();
+  }
+
+  // Guards against requests that wait for a back end that is down, and against one that stays
+  // marked down after it came back.
+  @Test
+  void thatRefusesConnectionsIsMarkedDownUntilProbeSucceeds() throws Exception {
+    final RecordingExchange running = fixture.dispatch("1", dispatch -> {});
+    fixture.nextCall();
+    final RecordingExchange queued = fixture.dispatch("2", dispatch -> {});
+    fixture.stopBackEnd();
+    assertThat(running.awaitLast().getRefusal().getRun().name()).isEqualTo("UNKNOWN");
+    assertThat(queued.awaitLast().getRefusal().getKind()).isEqualTo("back-end-down");
+    RecordingExchange refused = fixture.dispatch("3", EndpointFixture::reservation);
+    assertThat(refused.awaitLast().getRefusal().getRun().name()).isEqualTo("NOT_RUN");
+
+    fixture.restartBackEnd();
+    fixture.time.advance(1, TimeUnit.SECONDS);
+    while (!up()) {
+      Thread.onSpinWait();
+    }
+    RecordingExchange accepted = fixture.dispatch("4", dispatch -> {});
+    EndpointFixture.answer(fixture.nextCall(), "done");
+    assertThat(accepted.awaitLast().isSetAnswerEnd()).isTrue();
+  }
+
+  private boolean up() {
+    return fixture.timeline.after(0, 100).stream()
+        .map(TimelineEvent::kind)
+        .anyMatch(EventKind.BACK_END_UP::equals);
+  }
+}
--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
@@ -36,6 +36,7 @@
 import org.clementineford.transport.http.HttpExchange;
 import org.clementineford.transport.http.HttpServer;
 import org.clementineford.wire.Dispatch;
+import org.clementineford.wire.LoadReport;
 import org.clementineford.wire.Payload;
 import org.clementineford.wire.ReportOrRevoke;
 
@@ -49,18 +50,21 @@
   final LinkedBlockingQueue<HttpExchange> received = new LinkedBlockingQueue<>();
   final List<MembershipView.Member> members = new ArrayList<>();
   final RequestEndpoint endpoint;
-  final HttpServer backEnd;
   final Timeline timeline = new Timeline(new HybridLogicalClock(time.epochClock()), "vm", 7, 1000);
   private final EventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final PayloadRouter router = new PayloadRouter();
   private final PeerNetwork network;
+  private final HostPort backEndAddress;
+  private HttpServer backEnd;
   private final HttpClient client = new HttpClient(eventLoops, LinkShaping.NONE);
   private final List<Consumer<ConfigurationSnapshot>> configurationListeners = new ArrayList<>();
+  private final List<PeerNetwork> entryVms = new ArrayList<>();
   private ConfigurationSnapshot configuration = ConfigurationSnapshot.EMPTY;
 
   EndpointFixture(int slots) throws Exception {
-    backEnd = HttpServer.start(eventLoops, ANY, 1 << 20, LinkShaping.NONE, this::receive);
+    startBackEnd(ANY);
+    backEndAddress = backEnd.address();
     VmIdentity self =
         new VmIdentity("endpoint-1", VmRole.ENDPOINT, "lorient", "brittany", INCARNATION, ANY);
     network =
@@ -88,10 +92,23 @@
     endpoint =
         new RequestEndpoint(
             context,
-            Map.of("assistant", backEnd.address()),
-            Map.of("reservations", backEnd.address()),
+            Map.of("assistant", backEndAddress),
+            Map.of("reservations", backEndAddress),
             slots);
     endpoint.start();
+    awaitLoadReports();
+  }
+
+  private void startBackEnd(HostPort address) throws Exception {
+    backEnd = HttpServer.start(eventLoops, address, 1 << 20, LinkShaping.NONE, this::receive);
+  }
+
+  void stopBackEnd() {
+    backEnd.close();
+  }
+
+  void restartBackEnd() throws Exception {
+    startBackEnd(backEndAddress);
   }
 
   private void receive(HttpExchange exchange) {
@@ -102,6 +119,27 @@
     }
   }
 
+  /** Adds an entry VM that confirms load reports; returns those that it received. */
+  LinkedBlockingQueue<LoadReport> addEntryVm(String vm, String dataCentre) throws Exception {
+    VmIdentity identity = new VmIdentity(vm, VmRole.ENTRY, dataCentre, "brittany", 1, ANY);
+    PeerNetwork entry =
+        new PeerNetwork(
+            eventLoops, Payloads.toWire(identity), PeerTiming.DEFAULT, time, LinkShaping.NONE);
+    LinkedBlockingQueue<LoadReport> reports = new LinkedBlockingQueue<>();
+    entry.setHandler(
+        (opening, exchange) -> {
+          reports.add(opening.getLoadReport());
+          exchange.finish(Payloads.acknowledgement());
+        });
+    HostPort address = entry.listen(ANY);
+    entryVms.add(entry);
+    members.add(
+        new MembershipView.Member(
+            new VmIdentity(vm, VmRole.ENTRY, dataCentre, "brittany", 1, address),
+            MembershipView.Phase.ALIVE));
+    return reports;
+  }
+
   HttpExchange nextCall() throws Exception {
     HttpExchange call = received.poll(5, TimeUnit.SECONDS);
     if (call == null) {
@@ -165,6 +203,25 @@
     call.finish();
   }
 
+  /** Moves time on and waits for the load reports of the engine. */
+  void advance(long milliseconds) {
+    time.advance(milliseconds, TimeUnit.MILLISECONDS);
+    awaitLoadReports();
+  }
+
+  private void awaitLoadReports() {
+    while (endpoint.isReadingLoad()) {
+      Thread.onSpinWait();
+    }
+  }
+
+  /** Waits until each run has given back its slot; its exchange ends a little earlier. */
+  void awaitIdle() {
+    while (endpoint.activeRuns() > 0) {
+      Thread.onSpinWait();
+    }
+  }
+
   void configure(ConfigurationSnapshot next) {
     configuration = next;
     configurationListeners.forEach(listener -> listener.accept(next));
@@ -174,6 +231,7 @@
   public void close() {
     endpoint.close();
     network.close();
+    entryVms.forEach(PeerNetwork::close);
     client.close();
     backEnd.close();
     eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/AnswerBuffer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/AnswerBuffer.java
@@ -94,6 +94,15 @@
     return payloads;
   }
 
+  /** Joins the parts, because many small arrays need several times the memory of their bytes. */
+  void compact() {
+    if (parts.size() > 1) {
+      byte[] body = body();
+      parts.clear();
+      parts.add(body);
+    }
+  }
+
   byte[] body() {
     ByteBuffer body = ByteBuffer.allocate((int) length);
     parts.forEach(body::put);
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoll.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoll.java
@@ -38,6 +38,10 @@
         : TimeUnit.NANOSECONDS.toMillis(services.clock().nanoTime() - reportedNanos);
   }
 
+  synchronized boolean isPending() {
+    return pending;
+  }
+
   /** Sends a probe if one is due. */
   void probe() {
     if (backEnd.takeProbe()) {
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadReporter.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadReporter.java
@@ -5,7 +5,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.clementineford.kernel.HostPort;
-import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.node.MembershipView.Member;
 import org.clementineford.node.NodeContext;
@@ -72,22 +71,23 @@
   /** Sends a report to the entry VMs of this data centre that answer. */
   void sendToOwnDataCentre() {
     String dataCentre = context.self().dataCentre();
-    send(entryVms(identity -> identity.dataCentre().equals(dataCentre)), () -> {});
+    send(
+        entryVms(
+            entry ->
+                entry.phase().takesNewWork() && entry.identity().dataCentre().equals(dataCentre)),
+        () -> {});
   }
 
-  /** Returns the addresses of all entry VMs that answer. */
+  /** Returns the addresses of all entry VMs that are not dead. */
   List<HostPort> entryVms() {
-    return entryVms(identity -> true);
+    return entryVms(entry -> true);
   }
 
-  private List<HostPort> entryVms(Predicate<VmIdentity> wanted) {
+  private List<HostPort> entryVms(Predicate<Member> wanted) {
     List<HostPort> addresses = new ArrayList<>();
     for (Member member : context.membership().members()) {
-      VmIdentity identity = member.identity();
-      if (identity.role() == VmRole.ENTRY
-          && member.phase().takesNewWork()
-          && wanted.test(identity)) {
-        addresses.add(identity.address());
+      if (member.identity().role() == VmRole.ENTRY && wanted.test(member)) {
+        addresses.add(member.identity().address());
       }
     }
     return addresses;
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
@@ -31,7 +31,7 @@
   private final List<Scheduler.Cancellable> timers = new ArrayList<>();
   private final LoadReporter reporter;
   private volatile boolean draining;
-  private volatile boolean told;
+  private boolean leavingSent;
 
   /**
    * Creates the component.
@@ -85,6 +85,7 @@
     context.payloads().register(Payload._Fields.REPORT_OR_REVOKE, handler);
     context.payloads().register(Payload._Fields.LOAD_REPORT, reporter);
     context.configuration().onChange(this::configurationChanged);
+    context.membership().onChange(members -> applyLeaving());
     every(this::report, REPORT_INTERVAL_MS);
     every(() -> polls.forEach(LoadPoll::probe), PROBE_INTERVAL_MS);
     polls.forEach(LoadPoll::refresh);
@@ -105,20 +106,22 @@
     applyLeaving();
   }
 
-  private void applyLeaving() {
+  private synchronized void applyLeaving() {
     boolean leaving = isLeaving();
     services.registry().setLeaving(leaving);
-    if (leaving && !told) {
+    if (leaving && !leavingSent) {
       reporter.send(reporter.entryVms(), () -> {});
     }
-    told = leaving;
+    leavingSent = leaving;
   }
 
   @Override
   public CompletableFuture<Void> drain() {
     draining = true;
-    services.registry().setLeaving(true);
-    told = true;
+    synchronized (this) {
+      services.registry().setLeaving(true);
+      leavingSent = true;
+    }
     DrainGate gate = services.drain();
     long now = context.nanoClock().nanoTime();
     List<HostPort> entryVms = reporter.entryVms();
@@ -129,6 +132,14 @@
     return gate.drained();
   }
 
+  boolean isReadingLoad() {
+    return polls.stream().anyMatch(LoadPoll::isPending);
+  }
+
+  int activeRuns() {
+    return services.drain().active();
+  }
+
   @Override
   public void close() {
     timers.forEach(Scheduler.Cancellable::cancel);
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
@@ -31,8 +31,10 @@
 final class Run implements HttpResponseListener {
   static final String REQUEST_ID_HEADER = "X-Request-Id";
 
-  /** An engine sends tokens every 30 ms; a back end that is silent for this long hangs. */
-  private static final long SILENCE_MS = 10_000;
+  /** Engines send a token every 30 ms, so a stream that is silent for this long hangs. */
+  private static final long LONGEST_SILENCE_MS = 10_000;
+
+  private static final long LONGEST_TIMEOUT_MS = TimeUnit.HOURS.toMillis(1);
 
   private static final Set<String> CONNECTION_HEADERS =
       Set.of("connection", "keep-alive", "transfer-encoding", "content-length", "host", "te");
@@ -43,6 +45,7 @@
   private final RequestServices services;
   private final QueuedRequest<Run> request;
   private final AnswerBuffer answer;
+  private final long timeoutMs;
   private final List<IncomingExchange> exchanges = new ArrayList<>(1);
   private final List<Runnable> endActions = new ArrayList<>(0);
   private State state = State.QUEUED;
@@ -56,13 +59,13 @@
     this.backEnd = backEnd;
     this.services = services;
     this.answer = new AnswerBuffer(dispatch.getRequestId());
-    long timeout = TimeUnit.MILLISECONDS.toNanos(dispatch.getTimeoutMs());
+    this.timeoutMs = Math.min(dispatch.getTimeoutMs(), LONGEST_TIMEOUT_MS);
     this.request =
         new QueuedRequest<>(
             dispatch.getClientAccount(),
             dispatch.isUrgent(),
             dispatch.getEstimatedCostTokens(),
-            services.clock().nanoTime() + timeout,
+            services.clock().nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs),
             this);
   }
 
@@ -177,7 +180,7 @@
     headers.put(REQUEST_ID_HEADER, dispatch.getRequestId());
     HttpRequest sent =
         new HttpRequest(dispatch.getMethod(), dispatch.getPath(), headers, dispatch.getBody());
-    HttpCall started = services.httpClient().send(backEnd.address(), sent, SILENCE_MS, this);
+    HttpCall started = services.httpClient().send(backEnd.address(), sent, silenceMs(), this);
     synchronized (this) {
       call = started;
       if (state == State.ENDED) {
@@ -186,6 +189,11 @@
     }
   }
 
+  /** An answer that is not streamed arrives only at its end, so it may take its whole timeout. */
+  private long silenceMs() {
+    return dispatch.isStream() ? LONGEST_SILENCE_MS : Math.max(LONGEST_SILENCE_MS, timeoutMs);
+  }
+
   private static boolean concernsConnection(String header) {
     return CONNECTION_HEADERS.contains(header.toLowerCase(java.util.Locale.ROOT));
   }
@@ -253,6 +261,9 @@
       }
       state = State.ENDED;
       Payload last = answer.complete(request.estimatedCost());
+      if (!attempt.idempotent()) {
+        answer.compact();
+      }
       long now = services.clock().nanoTime();
       if (answer.isKept()) {
         services.registry().endAnswered(attempt, answer, answer.length(), now);
