--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/EndpointRefusal.java
@@ -0,0 +1,58 @@
+package org.clementineford.entry.internal.requests;
+
+import java.util.Optional;
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.requests.RunState;
+import org.clementineford.wire.Refusal;
+
+/** A refusal of an endpoint with the status that the caller gets for it. */
+final class EndpointRefusal {
+  private static final int SERVICE_UNAVAILABLE = 503;
+  private static final long DEFAULT_RETRY_AFTER_MS = 1000;
+
+  private final Refusal refusal;
+  private final Optional<RefusalKind> kind;
+  private final RunState run;
+
+  EndpointRefusal(Refusal refusal) {
+    this.refusal = refusal;
+    this.kind = RefusalKind.fromWireName(refusal.getKind());
+    this.run = refusal.getRun() == null ? RunState.UNKNOWN : toRunState(refusal);
+  }
+
+  private static RunState toRunState(Refusal refusal) {
+    return switch (refusal.getRun()) {
+      case NOT_RUN -> RunState.NOT_RUN;
+      case RAN -> RunState.RAN;
+      case UNKNOWN -> RunState.UNKNOWN;
+    };
+  }
+
+  /** Returns the kind, or null if a newer endpoint sent one that is not known here. */
+  RefusalKind kind() {
+    return kind.orElse(null);
+  }
+
+  RunState run() {
+    return run;
+  }
+
+  boolean mayGoElsewhere(CallerRequest request) {
+    if (kind() == RefusalKind.REVOKED) {
+      // Another submission revoked the attempt to run its own; the claim says which one that is.
+      return request.isClaimed();
+    }
+    return kind.map(known -> known.mayRetryElsewhere(run, request.idempotent()))
+        .orElse(run.allowsAnotherRun(request.idempotent()));
+  }
+
+  Refusals.Response response(RunState known, String requestId) {
+    // A key that was seen under another attempt may have run there.
+    RunState stated = kind() == RefusalKind.KEY_SEEN ? RunState.UNKNOWN : known;
+    long retryAfterMs =
+        refusal.getRetryAfterMs() > 0 ? refusal.getRetryAfterMs() : DEFAULT_RETRY_AFTER_MS;
+    int status = kind.map(RefusalKind::httpStatus).orElse(SERVICE_UNAVAILABLE);
+    return Refusals.response(
+        refusal.getKind(), status, retryAfterMs, stated, requestId, refusal.getMessage());
+  }
+}
