--- /dev/null
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the operators' client. */
+package org.clementineford.client.internal;
--- a/org.clementineford.configuration/src/main/java/org/clementineford/configuration/Document.java
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/Document.java
@@ -137,7 +137,8 @@
         .filter(section -> section.changeIdentity().equals(identity))
         .map(
             section ->
-                new AppliedChange(identity, section.name(), section.owner(), section.revision(), 0))
+                new AppliedChange(
+                    identity, section.name(), section.owner(), section.revision(), 0, Map.of()))
         .findFirst();
   }
 
--- a/org.clementineford.configuration/src/main/java/org/clementineford/configuration/DocumentEdit.java
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/DocumentEdit.java
@@ -60,10 +60,13 @@
     }
     check(current.sections().get(section));
     long revision = current.revision() + 1;
-    AppliedChange change = new AppliedChange(identity, section, team, revision, epochMs);
     Map<String, DocumentSection> sections = new TreeMap<>(current.sections());
     sections.put(section, new DocumentSection(section, team, revision, identity, text));
     forgetOldRemovals(sections);
+    ConfigurationSnapshot after = DocumentCheck.snapshot(new Document(revision, sections, null));
+    AppliedChange change =
+        new AppliedChange(
+            identity, section, team, revision, epochMs, replacedVersions(current, after));
     List<AppliedChange> changes = new ArrayList<>(current.changes());
     changes.add(change);
     Document next =
@@ -71,7 +74,6 @@
             revision,
             sections,
             changes.subList(Math.max(0, changes.size() - KEPT_CHANGES), changes.size()));
-    DocumentCheck.snapshot(next);
     return new Result(next, change, false, checkSize(next));
   }
 
@@ -113,6 +115,18 @@
     }
   }
 
+  private static Map<String, String> replacedVersions(Document current, ConfigurationSnapshot after)
+      throws DocumentException {
+    Map<String, String> replaced = new TreeMap<>();
+    for (ModelSpecification before : DocumentCheck.snapshot(current).models().values()) {
+      ModelSpecification now = after.models().get(before.name());
+      if (now == null || !now.version().equals(before.version())) {
+        replaced.put(before.name(), before.version());
+      }
+    }
+    return replaced;
+  }
+
   private static void forgetOldRemovals(Map<String, DocumentSection> sections) {
     List<DocumentSection> removed =
         sections.values().stream()
--- a/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/MembershipTable.java
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/MembershipTable.java
@@ -179,7 +179,9 @@
     health.tick(nowNanos);
     Set<String> subjects = new java.util.TreeSet<>();
     plan().subjects(own.vm()).forEach(subject -> subjects.add(subject.vm()));
-    if (!health.isTrusted(nowNanos, subjects)) {
+    boolean trusted = health.isTrusted(nowNanos, subjects);
+    endLeaving(nowNanos);
+    if (!trusted) {
       return;
     }
     for (String vm : health.silent()) {
@@ -190,8 +192,20 @@
     }
   }
 
+  /** A silent member that said that it leaves has stopped; no second observer is needed. */
+  private void endLeaving(long nowNanos) {
+    for (String vm : health.silent()) {
+      MemberStatement known = statements.get(vm);
+      boolean longAgo = nowNanos - changedAtNanos.get(vm) >= timing.suspicionNanos();
+      if (known.phase() == MemberPhase.LEAVING && longAgo) {
+        put(known.withPhase(MemberPhase.DEAD), nowNanos);
+      }
+    }
+  }
+
   private void accuse(MemberStatement known, long nowNanos) {
-    if (known.phase() == MemberPhase.DEAD || known.accusers().contains(own.vm())) {
+    boolean settled = known.phase() == MemberPhase.DEAD || known.phase() == MemberPhase.LEAVING;
+    if (settled || known.accusers().contains(own.vm())) {
       return;
     }
     boolean continued = known.phase() == MemberPhase.SUSPECT;
--- a/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -114,12 +114,9 @@
             wanted.region(),
             wanted.incarnation(),
             address);
-    Timeline timeline =
-        new Timeline(
-            new HybridLogicalClock(environment.epochClock()),
-            self.vm(),
-            self.incarnation(),
-            TIMELINE_CAPACITY);
+    final HybridLogicalClock hybridClock = new HybridLogicalClock(environment.epochClock());
+    final Timeline timeline =
+        new Timeline(hybridClock, self.vm(), self.incarnation(), TIMELINE_CAPACITY);
     final ObjectStore store = environment.objectStores().apply(httpClient, settings.platform());
     membership =
         new MembershipAgent(
@@ -129,11 +126,13 @@
             environment.scheduler(),
             MembershipTiming.DEFAULT,
             settings.seeds(),
-            timeline);
+            timeline,
+            hybridClock);
     ConfigurationAgent configuration =
         new ConfigurationAgent(
             network,
             timeline,
+            hybridClock,
             environment.nanoClock(),
             environment.epochClock(),
             membership::receivers);
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
@@ -18,6 +18,8 @@
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.kernel.errors.SettingException;
+import org.clementineford.kernel.timeline.HybridLogicalClock;
+import org.clementineford.kernel.timeline.HybridTime;
 import org.clementineford.kernel.timeline.Timeline;
 import org.clementineford.node.MembershipView;
 import org.clementineford.node.PayloadRouter;
@@ -45,6 +47,7 @@
   private final MembershipTable table;
   private final List<HostPort> seeds;
   private final MemberEvents events;
+  private final HybridLogicalClock hybridClock;
   private final List<Consumer<List<Member>>> listeners = new CopyOnWriteArrayList<>();
   private ConfigurationAgent configuration;
   private List<Member> members = List.of();
@@ -66,6 +69,7 @@
    * @param timing times of the failure detection
    * @param seeds peers to contact at the start
    * @param timeline events of this process
+   * @param hybridClock clock of the timeline
    */
   public MembershipAgent(
       VmIdentity self,
@@ -74,8 +78,10 @@
       Scheduler scheduler,
       MembershipTiming timing,
       List<HostPort> seeds,
-      Timeline timeline) {
+      Timeline timeline,
+      HybridLogicalClock hybridClock) {
     this.network = network;
+    this.hybridClock = hybridClock;
     this.clock = clock;
     this.scheduler = scheduler;
     this.timing = timing;
@@ -222,7 +228,10 @@
   }
 
   private MembersExchange message(List<MemberStatement> statements, boolean wantAll) {
+    HybridTime now = hybridClock.now();
     return new MembersExchange()
+        .setClockPhysicalMs(now.physicalMs())
+        .setClockLogical(now.logical())
         .setSender(network.self())
         .setMembers(WireMembers.toWire(statements))
         .setRevision(configuration.current().revision())
@@ -257,6 +266,7 @@
   }
 
   private void receive(MembersExchange message) {
+    hybridClock.receive(new HybridTime(message.getClockPhysicalMs(), message.getClockLogical()));
     try {
       VmIdentity sender = Payloads.fromWire(message.getSender());
       List<MemberStatement> statements = new ArrayList<>();
--- a/org.clementineford.wire/src/main/thrift/clementineford.thrift
+++ b/org.clementineford.wire/src/main/thrift/clementineford.thrift
@@ -25,7 +25,12 @@
 struct Acknowledgement { }
 
 // Configuration
-struct RevisionAnnounce { 1: i64 revision, 2: VmIdentity sender }
+struct RevisionAnnounce {
+  1: i64 revision,
+  2: VmIdentity sender,
+  3: i64 clockPhysicalMs, // reading of the sender's hybrid logical clock
+  4: i32 clockLogical,
+}
 struct SectionsPull { 1: i64 sinceRevision }
 struct SectionText {
   1: string name,
@@ -50,6 +55,8 @@
   3: i64 revision,
   4: i64 tableDigest, // equal digests mean equal tables
   5: bool wantAll, // asks for the whole table; set by a process that joins
+  6: i64 clockPhysicalMs, // reading of the sender's hybrid logical clock
+  7: i32 clockLogical,
 }
 
 // Requests
