--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoll.java
@@ -0,0 +1,89 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.platform.ModelEngine;
+import org.clementineford.platform.HttpModelEngine;
+import org.clementineford.transport.http.HttpRequest;
+
+/** Reads the load of one back end and probes it while it is down. */
+final class LoadPoll {
+  private static final long PROBE_TIMEOUT_MS = 1000;
+
+  /** Any response shows that a plain service is up. */
+  private static final HttpRequest PROBE = new HttpRequest("GET", "/", Map.of(), new byte[0]);
+
+  private final BackEnd backEnd;
+  private final RequestServices services;
+  private final ModelEngine engine;
+  private boolean pending;
+  private long reportedNanos;
+
+  LoadPoll(BackEnd backEnd, RequestServices services) {
+    this.backEnd = backEnd;
+    this.services = services;
+    this.engine = new HttpModelEngine(services.httpClient(), backEnd.address());
+    this.reportedNanos = services.clock().nanoTime();
+  }
+
+  BackEnd backEnd() {
+    return backEnd;
+  }
+
+  /** Age of the engine's report in milliseconds; 0 for plain services, which have none. */
+  synchronized long ageMs() {
+    return backEnd.kind() == BackEndKind.SERVICE
+        ? 0
+        : TimeUnit.NANOSECONDS.toMillis(services.clock().nanoTime() - reportedNanos);
+  }
+
+  /** Sends a probe if one is due. */
+  void probe() {
+    if (backEnd.takeProbe()) {
+      read();
+    }
+  }
+
+  /** Reads the load report of an engine that is up. */
+  void refresh() {
+    if (backEnd.kind() == BackEndKind.ENGINE && !backEnd.isDown()) {
+      read();
+    }
+  }
+
+  private void read() {
+    synchronized (this) {
+      if (pending) {
+        return;
+      }
+      pending = true;
+    }
+    CompletableFuture<?> answer =
+        backEnd.kind() == BackEndKind.ENGINE
+            ? engine.readLoad().thenAccept(this::received)
+            : services.httpClient().call(backEnd.address(), PROBE, PROBE_TIMEOUT_MS);
+    answer.whenComplete((report, failure) -> answered(failure));
+  }
+
+  private void received(ModelEngine.Load load) {
+    synchronized (this) {
+      reportedNanos = services.clock().nanoTime() - TimeUnit.MILLISECONDS.toNanos(load.ageMs());
+    }
+    if (load.slots() > 0) {
+      backEnd.queue().setSlots(load.slots());
+    }
+  }
+
+  private void answered(Throwable failure) {
+    synchronized (this) {
+      pending = false;
+    }
+    if (failure != null) {
+      backEnd.failed(false, String.valueOf(failure.getMessage()));
+      return;
+    }
+    backEnd.succeeded();
+    backEnd.startNext();
+  }
+}
