Use one name for the status method

The weights component and its measurement called the method modelStatus(); the interface declares modelStatuses().

--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionRun.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionRun.java
@@ -99,7 +99,8 @@
     figures.put("bytes_between_regions", fleet.links().bytesBetweenRegions());
     long refetched = 0;
     for (BenchVm vm : surviving) {
-      for (ModelStatus status : vm.context().shared().get(StatusContributor.class).modelStatus()) {
+      for (ModelStatus status :
+          vm.context().shared().get(StatusContributor.class).modelStatuses()) {
         refetched += status.getBytesRefetched();
       }
     }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponent.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponent.java
@@ -134,7 +134,7 @@
   }
 
   @Override
-  public List<ModelStatus> modelStatus() {
+  public List<ModelStatus> modelStatuses() {
     List<ModelStatus> statuses = new ArrayList<>();
     rollouts.values().forEach(rollout -> statuses.add(rollout.status()));
     return statuses;
