--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Site.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Site.java
@@ -94,11 +94,11 @@
 
   void startEndpoints() throws ClementinefordException {
     for (int i = 0; i < engines.size(); i++) {
-      endpoints.add(endpoint(i, 1, ANY));
+      endpoints.add(newEndpoint(i, 1, ANY));
     }
   }
 
-  private RequestVm endpoint(int index, long incarnation, HostPort address)
+  private RequestVm newEndpoint(int index, long incarnation, HostPort address)
       throws ClementinefordException {
     return new RequestVm(
         "endpoint-" + (index + 1),
@@ -118,11 +118,11 @@
   void startEntries(int count) throws ClementinefordException {
     for (int i = 0; i < count; i++) {
       entryAddresses.add(freePort());
-      entries.add(entry(i, 1, ANY));
+      entries.add(newEntry(i, 1, ANY));
     }
   }
 
-  private RequestVm entry(int index, long incarnation, HostPort address)
+  private RequestVm newEntry(int index, long incarnation, HostPort address)
       throws ClementinefordException {
     return new RequestVm(
         "entry-" + (index + 1),
@@ -151,13 +151,13 @@
   /** Replaces an endpoint by its next incarnation at the same address. */
   void restartEndpoint(int index) throws ClementinefordException {
     RequestVm old = endpoints.get(index);
-    endpoints.set(index, endpoint(index, old.self().incarnation() + 1, old.self().address()));
+    endpoints.set(index, newEndpoint(index, old.self().incarnation() + 1, old.self().address()));
   }
 
   /** Replaces an entry VM by its next incarnation at the same addresses. */
   void restartEntry(int index) throws ClementinefordException {
     RequestVm old = entries.get(index);
-    entries.set(index, entry(index, old.self().incarnation() + 1, old.self().address()));
+    entries.set(index, newEntry(index, old.self().incarnation() + 1, old.self().address()));
   }
 
   RequestVm endpoint(int index) {
