Spread a model over the engines of a VM

Both components of the endpoint VM declared a setting named engines, with different types, so the value of one would have been cast to the other. A back end has one queue and one or more servers; each server has its own health, slots and load poll, and a request runs on the server with the most free slots.

--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
@@ -92,7 +92,7 @@
     endpoint =
         new RequestEndpoint(
             context,
-            Map.of("assistant", backEndAddress),
+            Map.of("assistant", List.of(backEndAddress)),
             Map.of("reservations", backEndAddress),
             slots);
     endpoint.start();
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEnd.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEnd.java
@@ -1,21 +1,20 @@
 package org.clementineford.endpoint.internal.requests;
 
+import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
-import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.requests.RefusalKind;
 import org.clementineford.requests.admission.FairQueue;
 import org.clementineford.requests.admission.QueuedRequest;
 
-/** An engine or plain service with its queue and health. */
+/** A model or plain service: the queue of its requests and the servers that run them. */
 final class BackEnd {
   private final String name;
   private final BackEndKind kind;
-  private final HostPort address;
+  private final List<BackEndServer> servers;
   private final FairQueue<Run> queue;
-  private final BackEndHealth health = new BackEndHealth();
   private final RequestServices services;
   private Scheduler.Cancellable deadlineTimer;
   private long deadlineTimerNanos;
@@ -23,12 +22,12 @@
   BackEnd(
       String name,
       BackEndKind kind,
-      HostPort address,
+      List<BackEndServer> servers,
       FairQueue<Run> queue,
       RequestServices services) {
     this.name = name;
     this.kind = kind;
-    this.address = address;
+    this.servers = List.copyOf(servers);
     this.queue = queue;
     this.services = services;
   }
@@ -41,27 +40,46 @@
     return kind;
   }
 
-  HostPort address() {
-    return address;
+  List<BackEndServer> servers() {
+    return servers;
   }
 
   FairQueue<Run> queue() {
     return queue;
   }
 
+  /** Tells whether no server is up. */
   boolean isDown() {
-    return health.isDown();
+    return servers.stream().allMatch(server -> server.health().isDown());
+  }
+
+  /** Takes the server with the most free slots. */
+  BackEndServer takeServer() {
+    synchronized (servers) {
+      BackEndServer best = servers.get(0);
+      for (BackEndServer server : servers) {
+        if (server.freeSlots() > best.freeSlots()) {
+          best = server;
+        }
+      }
+      best.begin();
+      return best;
+    }
   }
 
   /** Queues a run, or says why not. */
   RefusalKind accept(QueuedRequest<Run> request) {
-    if (health.isDown()) {
+    if (isDown()) {
       return RefusalKind.BACK_END_DOWN;
     }
     if (!kind.isServed(services.versions(), name)) {
       return RefusalKind.MODEL_NOT_SERVED;
     }
-    return queue.offer(request) ? null : RefusalKind.QUEUE_FULL;
+    if (!queue.offer(request)) {
+      return RefusalKind.QUEUE_FULL;
+    }
+    // The back end may have gone down, and its queue been emptied, since the check above.
+    return isDown() && queue.remove(request) ? RefusalKind.BACK_END_DOWN : null;
   }
 
   /** Starts runs while slots are free. Must not be called with the lock of a run held. */
@@ -104,28 +122,34 @@
   }
 
   /** Frees the slot of a run. Must not be called with the lock of a run held. */
-  void finished(QueuedRequest<Run> request, long actualCost) {
+  void finished(QueuedRequest<Run> request, BackEndServer server, long actualCost) {
+    server.end();
     queue.finish(request, actualCost);
     startNext();
   }
 
-  void succeeded() {
-    if (health.succeeded()) {
+  void succeeded(BackEndServer server) {
+    if (server.health().succeeded()) {
       services.timeline().record(EventKind.BACK_END_UP, "backEnd", name);
+      updateSlots();
     }
   }
 
   /** Records a failure. Must not be called with the lock of a run held. */
-  void failed(boolean connectionRefused, String cause) {
-    if (health.failed(connectionRefused, services.clock().nanoTime())) {
+  void failed(BackEndServer server, boolean connectionRefused, String cause) {
+    if (server.health().failed(connectionRefused, services.clock().nanoTime())) {
       services.timeline().record(EventKind.BACK_END_DOWN, "backEnd", name, "cause", cause);
+      updateSlots();
+    }
+    if (isDown()) {
       queue
           .expire(Long.MAX_VALUE)
           .forEach(request -> request.work().refuseQueued(RefusalKind.BACK_END_DOWN));
     }
   }
 
-  boolean takeProbe() {
-    return health.takeProbe(services.clock().nanoTime());
+  /** Lets as many requests run as the servers that are up have slots. */
+  void updateSlots() {
+    queue.setSlots(servers.stream().mapToInt(BackEndServer::usableSlots).sum());
   }
 }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoll.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoll.java
@@ -7,7 +7,7 @@
 import org.clementineford.platform.HttpModelEngine;
 import org.clementineford.transport.http.HttpRequest;
 
-/** Reads the load of one back end and probes it while it is down. */
+/** Reads the load of one server of a back end and probes it while it is down. */
 final class LoadPoll {
   private static final long PROBE_TIMEOUT_MS = 1000;
 
@@ -15,15 +15,17 @@
   private static final HttpRequest PROBE = new HttpRequest("GET", "/", Map.of(), new byte[0]);
 
   private final BackEnd backEnd;
+  private final BackEndServer server;
   private final RequestServices services;
   private final ModelEngine engine;
   private boolean pending;
   private long reportedNanos;
 
-  LoadPoll(BackEnd backEnd, RequestServices services) {
+  LoadPoll(BackEnd backEnd, BackEndServer server, RequestServices services) {
     this.backEnd = backEnd;
+    this.server = server;
     this.services = services;
-    this.engine = new HttpModelEngine(services.httpClient(), backEnd.address());
+    this.engine = new HttpModelEngine(services.httpClient(), server.address());
     this.reportedNanos = services.clock().nanoTime();
   }
 
@@ -44,14 +46,14 @@
 
   /** Sends a probe if one is due. */
   void probe() {
-    if (backEnd.takeProbe()) {
+    if (server.health().takeProbe(services.clock().nanoTime())) {
       read();
     }
   }
 
   /** Reads the load report of an engine that is up. */
   void refresh() {
-    if (backEnd.kind() == BackEndKind.ENGINE && !backEnd.isDown()) {
+    if (backEnd.kind() == BackEndKind.ENGINE && !server.health().isDown()) {
       read();
     }
   }
@@ -66,7 +68,7 @@
     CompletableFuture<?> answer =
         backEnd.kind() == BackEndKind.ENGINE
             ? engine.readLoad().thenAccept(this::received)
-            : services.httpClient().call(backEnd.address(), PROBE, PROBE_TIMEOUT_MS);
+            : services.httpClient().call(server.address(), PROBE, PROBE_TIMEOUT_MS);
     answer.whenComplete((report, failure) -> answered(failure));
   }
 
@@ -75,7 +77,7 @@
       reportedNanos = services.clock().nanoTime() - TimeUnit.MILLISECONDS.toNanos(load.ageMs());
     }
     if (load.slots() > 0) {
-      backEnd.queue().setSlots(load.slots());
+      server.setSlots(load.slots());
     }
   }
 
@@ -84,10 +86,11 @@
       pending = false;
     }
     if (failure != null) {
-      backEnd.failed(false, String.valueOf(failure.getMessage()));
+      backEnd.failed(server, false, String.valueOf(failure.getMessage()));
       return;
     }
-    backEnd.succeeded();
+    backEnd.succeeded(server);
+    backEnd.updateSlots();
     backEnd.startNext();
   }
 }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadReporter.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadReporter.java
@@ -1,6 +1,7 @@
 package org.clementineford.endpoint.internal.requests;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
@@ -19,16 +20,19 @@
 /** Makes load reports, answers requests for them and sends them to entry VMs. */
 final class LoadReporter implements ExchangeHandler {
   private final NodeContext context;
+  private final Collection<BackEnd> backEnds;
   private final List<LoadPoll> polls;
   private final ActivatedVersions versions;
   private final BooleanSupplier leaving;
 
   LoadReporter(
       NodeContext context,
+      Collection<BackEnd> backEnds,
       List<LoadPoll> polls,
       ActivatedVersions versions,
       BooleanSupplier leaving) {
     this.context = context;
+    this.backEnds = backEnds;
     this.polls = polls;
     this.versions = versions;
     this.leaving = leaving;
@@ -41,13 +45,12 @@
 
   private Payload report() {
     List<BackEndLoad> loads = new ArrayList<>();
-    polls.forEach(poll -> loads.add(load(poll)));
+    backEnds.forEach(backEnd -> loads.add(load(backEnd)));
     return Payload.loadReport(
         new LoadReport(Payloads.toWire(context.self()), loads, leaving.getAsBoolean()));
   }
 
-  private BackEndLoad load(LoadPoll poll) {
-    BackEnd backEnd = poll.backEnd();
+  private BackEndLoad load(BackEnd backEnd) {
     FairQueue.Depth depth = backEnd.queue().depth();
     BackEndLoad load =
         new BackEndLoad()
@@ -56,7 +59,7 @@
             .setQueued(depth.queued())
             .setQueuedCostTokens(depth.queuedCost())
             .setSlots(depth.slots())
-            .setAgeMs(poll.ageMs())
+            .setAgeMs(ageMs(backEnd))
             .setHealthy(!backEnd.isDown());
     if (backEnd.kind() == BackEndKind.ENGINE) {
       load.setModel(backEnd.name());
@@ -68,6 +71,15 @@
     return load;
   }
 
+  /** Age of the oldest report of the back end's servers. */
+  private long ageMs(BackEnd backEnd) {
+    return polls.stream()
+        .filter(poll -> poll.backEnd() == backEnd)
+        .mapToLong(LoadPoll::ageMs)
+        .max()
+        .orElse(0);
+  }
+
   /** Sends a report to the entry VMs of this data centre that answer. */
   void sendToOwnDataCentre() {
     String dataCentre = context.self().dataCentre();
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
@@ -1,9 +1,9 @@
 package org.clementineford.endpoint.internal.requests;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.configuration.ClientAccount;
@@ -26,7 +26,7 @@
 
   private final NodeContext context;
   private final RequestServices services;
-  private final Map<String, BackEnd> backEnds = new HashMap<>();
+  private final Map<String, BackEnd> backEnds = new TreeMap<>();
   private final List<LoadPoll> polls = new ArrayList<>();
   private final List<Scheduler.Cancellable> timers = new ArrayList<>();
   private final LoadReporter reporter;
@@ -43,7 +43,7 @@
    */
   public RequestEndpoint(
       NodeContext context,
-      Map<String, HostPort> engines,
+      Map<String, List<HostPort>> engines,
       Map<String, HostPort> plainServices,
       int slots) {
     this.context = context;
@@ -57,16 +57,21 @@
             context.timeline(),
             new RequestMetrics(context.metrics()),
             new DrainGate());
-    engines.forEach((name, address) -> add(name, BackEndKind.ENGINE, address, slots));
-    plainServices.forEach((name, address) -> add(name, BackEndKind.SERVICE, address, slots));
-    this.reporter = new LoadReporter(context, polls, services.versions(), this::isLeaving);
+    engines.forEach((name, addresses) -> add(name, BackEndKind.ENGINE, addresses, slots));
+    plainServices.forEach(
+        (name, address) -> add(name, BackEndKind.SERVICE, List.of(address), slots));
+    this.reporter =
+        new LoadReporter(context, backEnds.values(), polls, services.versions(), this::isLeaving);
   }
 
-  private void add(String name, BackEndKind kind, HostPort address, int slots) {
-    FairQueue<Run> queue = new FairQueue<>(FairQueueLimits.DEFAULT, slots, this::weight);
-    BackEnd backEnd = new BackEnd(name, kind, address, queue, services);
+  private void add(String name, BackEndKind kind, List<HostPort> addresses, int slots) {
+    List<BackEndServer> servers = new ArrayList<>();
+    addresses.forEach(address -> servers.add(new BackEndServer(address, slots)));
+    FairQueue<Run> queue =
+        new FairQueue<>(FairQueueLimits.DEFAULT, slots * servers.size(), this::weight);
+    BackEnd backEnd = new BackEnd(name, kind, servers, queue, services);
     backEnds.put(name, backEnd);
-    polls.add(new LoadPoll(backEnd, services));
+    servers.forEach(server -> polls.add(new LoadPoll(backEnd, server, services)));
   }
 
   private int weight(String clientAccount) {
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
@@ -50,6 +50,7 @@
   private final List<Runnable> endActions = new ArrayList<>(0);
   private State state = State.QUEUED;
   private Payload refusal;
+  private BackEndServer server;
   private HttpCall call;
   private boolean sentAgain;
 
@@ -169,6 +170,7 @@
         return false;
       }
       state = State.RUNNING;
+      server = backEnd.takeServer();
     }
     send();
     return true;
@@ -180,7 +182,7 @@
     headers.put(REQUEST_ID_HEADER, dispatch.getRequestId());
     HttpRequest sent =
         new HttpRequest(dispatch.getMethod(), dispatch.getPath(), headers, dispatch.getBody());
-    HttpCall started = services.httpClient().send(backEnd.address(), sent, silenceMs(), this);
+    HttpCall started = services.httpClient().send(server.address(), sent, silenceMs(), this);
     synchronized (this) {
       call = started;
       if (state == State.ENDED) {
@@ -273,7 +275,7 @@
       broadcast(last);
     }
     services.metrics().answered(backEnd.name(), dispatch.getClientAccount(), answer.actualCost());
-    backEnd.succeeded();
+    backEnd.succeeded(server);
     afterEnd(true, answer.actualCost());
   }
 
@@ -311,7 +313,7 @@
             kind.wireName(),
             "detail",
             detail);
-    backEnd.failed(run == RunState.NOT_RUN, detail);
+    backEnd.failed(server, run == RunState.NOT_RUN, detail);
     afterEnd(true, run == RunState.NOT_RUN ? 0 : request.estimatedCost());
   }
 
@@ -338,7 +340,7 @@
     actions.forEach(Runnable::run);
     if (backEnd != null) {
       if (occupiedSlot) {
-        backEnd.finished(request, actualCost);
+        backEnd.finished(request, server, actualCost);
       } else {
         backEnd.queue().remove(request);
       }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/BackEndSettings.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/ServiceSetting.java
@@ -1,4 +1,4 @@
-package org.clementineford.endpoint;
+package org.clementineford.endpoint.internal.requests;
 
 import java.net.URI;
 import java.util.Collections;
@@ -9,19 +9,17 @@
 import org.clementineford.kernel.settings.Setting;
 import org.clementineford.kernel.settings.SettingParser;
 
-/** Settings that name the back ends of an endpoint VM. */
-public final class BackEndSettings {
-  /** Addresses of the model engines by name of the model. */
-  public static final Setting<Map<String, HostPort>> ENGINES =
-      new Setting<>(
-          "engines", "Model engines as MODEL=URL, separated by commas.", "", addressesByName());
-
+/** The setting that names the plain services of an endpoint VM. */
+final class ServiceSetting {
   /** Addresses of the plain services by name of the service. */
-  public static final Setting<Map<String, HostPort>> SERVICES =
+  static final Setting<Map<String, HostPort>> SERVICES =
       new Setting<>(
-          "services", "Plain services as NAME=URL, separated by commas.", "", addressesByName());
+          "services",
+          "Plain services of this VM: NAME=URL, separated by commas.",
+          "",
+          addressesByName());
 
-  private BackEndSettings() {}
+  private ServiceSetting() {}
 
   private static SettingParser<Map<String, HostPort>> addressesByName() {
     return text -> {
@@ -39,7 +37,7 @@
     int equals = part.indexOf('=');
     if (equals < 1) {
       throw new SettingException(
-          "\"" + part + "\" lacks a name; give for example assistant=http://127.0.0.1:7201");
+          "\"" + part + "\" lacks a name; give for example reservations=http://127.0.0.1:7301");
     }
     URI url = SettingParser.url().parse(part.substring(equals + 1));
     String name = part.substring(0, equals);
