--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionMeasurement.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionMeasurement.java
@@ -78,6 +78,8 @@
             settings.get(REGION_LINK),
             settings.get(FAULTS),
             settings.get(SEED));
+    // Compiles the code first; the VMs of a real fleet do not share one cold JVM.
+    new DistributionRun(plan.warmUp()).run();
     return new DistributionRun(plan).run();
   }
 }
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionRun.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionRun.java
@@ -1,5 +1,7 @@
 package org.clementineford.bench.distribution;
 
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.MetricSnapshot;
 import java.lang.management.ManagementFactory;
 import java.lang.management.MemoryPoolMXBean;
 import java.lang.management.MemoryType;
@@ -7,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -25,8 +29,10 @@
   private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   private static final int MAX_T = 12;
   private static final long SAMPLE_MS = 20;
+  private static final int PROGRESS_STEPS = 10;
 
   private final RunPlan plan;
+  private final List<Double> progressShares = new CopyOnWriteArrayList<>();
   private final AtomicLong wrongAnswers = new AtomicLong();
   private final AtomicLong answers = new AtomicLong();
 
@@ -48,17 +54,26 @@
               .eventLoops()
               .scheduleWithFixedDelay(
                   () -> sample(fleet, surviving), SAMPLE_MS, SAMPLE_MS, TimeUnit.MILLISECONDS);
+      final var progress =
+          fleet
+              .eventLoops()
+              .scheduleAtFixedRate(
+                  () -> progressShares.add(round(heldShare(surviving))),
+                  0,
+                  (long) (plan.transferSeconds() * 1e9 / PROGRESS_STEPS),
+                  TimeUnit.NANOSECONDS);
       resetPeakHeap();
       final long start = SystemNanoClock.INSTANCE.nanoTime();
       if (faults != null) {
         faults.schedule();
       }
       fleet.views().accept(wanted());
-      boolean finished =
+      final boolean finished =
           serving.await((long) (MAX_T * plan.transferSeconds() * 1000), TimeUnit.MILLISECONDS);
-      double seconds = (SystemNanoClock.INSTANCE.nanoTime() - start) / 1e9;
+      final double seconds = (SystemNanoClock.INSTANCE.nanoTime() - start) / 1e9;
       sample(fleet, surviving);
       sampler.cancel(false);
+      progress.cancel(false);
       return figures(fleet, faults, surviving, finished, seconds);
     }
   }
@@ -87,6 +102,16 @@
     }
   }
 
+  private static double heldShare(List<BenchVm> surviving) {
+    double sum = 0;
+    for (BenchVm vm : surviving) {
+      for (ModelStatus status : vm.context().shared().get(StatusContributor.class).modelStatus()) {
+        sum += status.getChunksHeld() / (double) Math.max(1, status.getChunksTotal());
+      }
+    }
+    return sum / surviving.size();
+  }
+
   private Map<String, Object> figures(
       Fleet fleet, Faults faults, List<BenchVm> surviving, boolean finished, double seconds) {
     Map<String, Object> figures = new LinkedHashMap<>();
@@ -104,6 +129,8 @@
       }
     }
     figures.put("refetched_bytes", refetched);
+    figures.put("received_bytes_by_source", receivedBytes(surviving));
+    figures.put("held_share_each_tenth_of_T", List.copyOf(progressShares));
     figures.put("peak_heap_bytes_per_vm", peakHeap() / plan.vms());
     figures.put("answers", answers.get());
     figures.put("wrong_digest_answers", wrongAnswers.get());
@@ -115,6 +142,20 @@
     return figures;
   }
 
+  private static Map<String, Long> receivedBytes(List<BenchVm> vms) {
+    Map<String, Long> bytes = new TreeMap<>();
+    for (BenchVm vm : vms) {
+      for (MetricSnapshot metric : vm.context().metrics().scrape()) {
+        if (metric.getMetadata().getName().equals("clementineford_weights_received_bytes")) {
+          for (var point : ((CounterSnapshot) metric).getDataPoints()) {
+            bytes.merge(point.getLabels().get("source"), (long) point.getValue(), Long::sum);
+          }
+        }
+      }
+    }
+    return bytes;
+  }
+
   static double round(double value) {
     return Math.round(value * 1000) / 1000.0;
   }
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/Fleet.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/Fleet.java
@@ -49,7 +49,7 @@
     this.manifest = Manifest.describe(MODEL, VERSION, weights, plan.chunkBytes());
     LinkMap.Place place = place("origin", REGIONS.get(0), 2 * plan.vmBytesPerSecond());
     this.origin = new BenchOrigin(eventLoops, manifest, weights, shaping(place));
-    links.bind(origin.address().port(), place);
+    links.listens(origin.address().port(), place);
     for (int i = 0; i < plan.vms(); i++) {
       addEndpoint(i);
     }
@@ -92,7 +92,7 @@
             1,
             new HostPort("127.0.0.1", 0));
     BenchVm vm = new BenchVm(eventLoops, planned, views, shaping(place));
-    links.bind(vm.context().self().address().port(), place);
+    links.listens(vm.context().self().address().port(), place);
     views.join(vm.context().self());
     return vm;
   }
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/LinkHandler.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/LinkHandler.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelPromise;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
@@ -42,15 +43,26 @@
   public void channelActive(ChannelHandlerContext context) {
     Channel channel = context.channel();
     if (channel.parent() == null) {
-      links.bind(((InetSocketAddress) channel.localAddress()).getPort(), self);
+      links.connected(port(channel.localAddress()), port(channel.remoteAddress()), self);
     }
     context.fireChannelActive();
   }
 
+  private LinkMap.Place other(Channel channel) {
+    if (channel.remoteAddress() == null) {
+      return null;
+    }
+    return links.other(
+        channel.parent() != null, port(channel.localAddress()), port(channel.remoteAddress()));
+  }
+
+  private static int port(SocketAddress address) {
+    return ((InetSocketAddress) address).getPort();
+  }
+
   @Override
   public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
-    InetSocketAddress remote = (InetSocketAddress) context.channel().remoteAddress();
-    LinkMap.Place peer = remote == null ? null : links.at(remote.getPort());
+    LinkMap.Place peer = other(context.channel());
     if (!(message instanceof ByteBuf bytes) || peer == null) {
       context.write(message, promise);
       return;
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/LinkMap.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/LinkMap.java
@@ -10,7 +10,8 @@
 /** All links of the measured fleet, and the places that they connect. */
 final class LinkMap {
   private final Map<String, Link> regionLinks = new TreeMap<>();
-  private final Map<Integer, Place> placesByPort = new ConcurrentHashMap<>();
+  private final Map<Integer, Place> listeners = new ConcurrentHashMap<>();
+  private final Map<Long, Place> connectors = new ConcurrentHashMap<>();
   private final Set<String> stalled = ConcurrentHashMap.newKeySet();
 
   LinkMap(List<String> regions, double regionBytesPerSecond) {
@@ -23,12 +24,22 @@
     }
   }
 
-  void bind(int port, Place place) {
-    placesByPort.put(port, place);
+  void listens(int port, Place place) {
+    listeners.put(port, place);
   }
 
-  Place at(int port) {
-    return placesByPort.get(port);
+  /** Notes who opened a connection; its own port alone is not unique to it. */
+  void connected(int port, int listenerPort, Place place) {
+    connectors.put(pair(port, listenerPort), place);
+  }
+
+  /** Returns the place at the other end of a connection, or null if it is not known yet. */
+  Place other(boolean accepted, int localPort, int remotePort) {
+    return accepted ? connectors.get(pair(remotePort, localPort)) : listeners.get(remotePort);
+  }
+
+  private static long pair(int port, int listenerPort) {
+    return (long) port << Integer.SIZE | listenerPort;
   }
 
   /** Stops everything that two places send to each other. */
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/RunPlan.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/RunPlan.java
@@ -28,6 +28,12 @@
     return copyBytes / transferSeconds;
   }
 
+  /** Returns a plan for a short run whose figures are not used. */
+  RunPlan warmUp() {
+    return new RunPlan(
+        Math.min(vms, 20), policy, copyBytes / 2, chunkBytes, 2.0, regionLinkShare, false, seed);
+  }
+
   /** Returns a plan whose copy is shorter by a factor, with the same number of chunks. */
   RunPlan shortened(int factor) {
     return new RunPlan(
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ChunkUploads.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ChunkUploads.java
@@ -21,12 +21,14 @@
   private static final long ABSENT_RETRY_MS = TimeUnit.SECONDS.toMillis(1);
 
   private final TransferTools tools;
-  private final UploadSlots slots;
+  private final UploadSlots regionSlots;
+  private final UploadSlots exportSlots;
   private final Map<String, Manifest> manifests = new ConcurrentHashMap<>();
 
   ChunkUploads(TransferTools tools) {
     this.tools = tools;
-    this.slots = new UploadSlots(tools.limits().uploadSlots());
+    this.regionSlots = new UploadSlots(tools.limits().uploadSlots());
+    this.exportSlots = new UploadSlots(tools.limits().exportSlots());
   }
 
   void offer(Manifest manifest) {
@@ -58,6 +60,8 @@
     ChunkFetch fetch = opening.getChunkFetch();
     Manifest manifest = manifests.get(fetch.getManifestDigest());
     int chunk = fetch.getChunk();
+    boolean sameRegion = fetch.getSender().getRegion().equals(tools.context().self().region());
+    UploadSlots slots = sameRegion ? regionSlots : exportSlots;
     if (manifest == null) {
       refuse(exchange, chunk, ChunkRefusalKind.OTHER_MANIFEST, ABSENT_RETRY_MS);
     } else if (chunk < 0
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ManifestSearch.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ManifestSearch.java
@@ -18,10 +18,15 @@
 /**
  * Finds the manifest of a version: from peers, and from the origin by the VM that ranks first for
  * the version. The next ranks read the origin if they still have no manifest after their delay.
+ *
+ * <p>Peers form a tree in each region, so no VM sends the manifest often, and one question is open
+ * at a time.
  */
 final class ManifestSearch {
   private static final Logger LOG = LoggerFactory.getLogger(ManifestSearch.class);
-  private static final long RETRY_MS = 50;
+  private static final long RETRY_MS = 20;
+  private static final int TREE_DEGREE = 3;
+  private static final int OTHER_PEER_EACH = 8;
 
   private final TransferTools tools;
   private final String model;
@@ -30,6 +35,7 @@
   private final long startedNanos;
   private Scheduler.Cancellable timer;
   private boolean originAsked;
+  private boolean peerAsked;
   private boolean ended;
   private int attempts;
 
@@ -63,15 +69,29 @@
       originAsked = true;
       tools.outside().manifest(model, version).whenComplete(this::originAnswered);
     }
-    ranked.remove(tools.context().self());
-    if (!ranked.isEmpty()) {
-      // The first rank is asked most often, because it reads the manifest first.
-      int index = attempts % 2 == 0 ? 0 : attempts / 2 % ranked.size();
-      attempts++;
-      askPeer(ranked.get(index).address());
+    if (!peerAsked && ranked.size() > 1) {
+      peerAsked = true;
+      askPeer(peerToAsk(ranked).address());
     }
   }
 
+  private VmIdentity peerToAsk(List<VmIdentity> ranked) {
+    VmIdentity self = tools.context().self();
+    attempts++;
+    if (attempts % OTHER_PEER_EACH == 0) {
+      // The usual peer may be dead or cut off.
+      VmIdentity other = ranked.get(attempts / OTHER_PEER_EACH % ranked.size());
+      return other.vm().equals(self.vm()) ? ranked.get(0) : other;
+    }
+    List<VmIdentity> region =
+        ranked.stream().filter(vm -> vm.region().equals(self.region())).toList();
+    int position = region.indexOf(self);
+    if (position > 0) {
+      return region.get((position - 1) / TREE_DEGREE);
+    }
+    return ranked.get(0).vm().equals(self.vm()) ? ranked.get(1) : ranked.get(0);
+  }
+
   private List<VmIdentity> ranked() {
     List<VmIdentity> vms = new ArrayList<>(Endpoints.alive(tools.context()));
     List<String> order =
@@ -86,9 +106,10 @@
         .context()
         .network()
         .call(address, request)
-        .thenAccept(
-            reply -> {
-              if (reply.isSetManifestBytes()) {
+        .whenComplete(
+            (reply, failure) -> {
+              peerAnswered();
+              if (failure == null && reply.isSetManifestBytes()) {
                 found(reply.getManifestBytes().getManifest());
               }
             });
@@ -103,6 +124,10 @@
     }
   }
 
+  private synchronized void peerAnswered() {
+    peerAsked = false;
+  }
+
   private synchronized void retryOrigin() {
     originAsked = false;
   }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
@@ -202,6 +202,10 @@
       inVain(length);
     }
     announcer.gained(fetch);
+    if (!fetch.kind().isLocal()) {
+      // New to the region: each interval that it waits here is lost to all its VMs.
+      announcer.announce(state.held(), state.assignment(), false);
+    }
     tools.metrics().held(manifest.model(), manifest.version(), state.held().count());
     proceed();
   }
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/AssignedReads.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/AssignedReads.java
@@ -8,11 +8,13 @@
 /**
  * The chunks that this VM reads from outside its region, and when it may read those of others.
  *
- * <p>A VM reads the chunks of other ranks only after its own are done. All VMs share the link
- * evenly, so a VM whose own reads are done expects the others to be done as well; a fixed deadline
- * from the start of the transfer would make every VM of a slow transfer read twice.
+ * <p>A VM takes over from lower ranks only after its own reads are done and no chunk has come into
+ * the region for a while. A deadline from the start of the transfer would make the VMs of a slow
+ * transfer read twice.
  */
 final class AssignedReads {
+  private static final int NEVER = -1;
+
   private final VmIdentity self;
   private final String manifestAddress;
   private final DistributionPolicy policy;
@@ -20,7 +22,10 @@
   private final long rankNanos;
   private final BitSet importer;
   private final BitSet originReader;
+  private final int[] importRanks;
+  private final int[] originRanks;
   private OriginAssignment assignment;
+  private int lastMissing = -1;
   private long idleSinceNanos = Long.MAX_VALUE;
 
   AssignedReads(
@@ -36,6 +41,8 @@
     this.rankNanos = rankNanos;
     this.importer = new BitSet(chunks);
     this.originReader = new BitSet(chunks);
+    this.importRanks = new int[chunks];
+    this.originRanks = new int[chunks];
     setMembers(List.of());
   }
 
@@ -44,9 +51,12 @@
     importer.clear();
     originReader.clear();
     for (int chunk = 0; chunk < chunks; chunk++) {
-      importer.set(chunk, assignment.importRank(chunk) == 0);
-      originReader.set(
-          chunk, assignment.originRank(chunk) == 0 && assignment.dataCentreOrder(chunk) == 0);
+      importRanks[chunk] = assignment.importRank(chunk);
+      int order = assignment.dataCentreOrder(chunk);
+      originRanks[chunk] =
+          order == Integer.MAX_VALUE ? NEVER : assignment.originRank(chunk) + order;
+      importer.set(chunk, importRanks[chunk] == 0);
+      originReader.set(chunk, originRanks[chunk] == 0);
     }
   }
 
@@ -54,31 +64,27 @@
     return assignment;
   }
 
-  /** Notes whether chunks assigned to this VM are still missing in its region. */
+  /** Notes which chunks are still missing in the region of this VM. */
   void update(BitSet missingInRegion, long now) {
-    if (importer.intersects(missingInRegion) || originReader.intersects(missingInRegion)) {
-      idleSinceNanos = Long.MAX_VALUE;
-    } else if (idleSinceNanos == Long.MAX_VALUE) {
-      idleSinceNanos = now;
+    int missing = missingInRegion.cardinality();
+    boolean ownReadsLeft =
+        importer.intersects(missingInRegion) || originReader.intersects(missingInRegion);
+    if (ownReadsLeft || missing != lastMissing || idleSinceNanos == Long.MAX_VALUE) {
+      idleSinceNanos = ownReadsLeft ? Long.MAX_VALUE : now;
     }
+    lastMissing = missing;
   }
 
   boolean mayImport(int chunk, long now) {
-    return importer.get(chunk) || hasWaited(now, assignment.importRank(chunk));
+    return hasWaited(now, importRanks[chunk]);
   }
 
   boolean mayReadOrigin(int chunk, long now) {
-    if (originReader.get(chunk)) {
-      return true;
-    }
-    int order = assignment.dataCentreOrder(chunk);
-    if (order == Integer.MAX_VALUE || idleSinceNanos == Long.MAX_VALUE) {
-      return false;
-    }
-    return hasWaited(now, assignment.originRank(chunk) + order);
+    return originRanks[chunk] != NEVER && hasWaited(now, originRanks[chunk]);
   }
 
   private boolean hasWaited(long now, int ranks) {
-    return idleSinceNanos != Long.MAX_VALUE && now - idleSinceNanos >= ranks * rankNanos;
+    return ranks == 0
+        || idleSinceNanos != Long.MAX_VALUE && now - idleSinceNanos >= ranks * rankNanos;
   }
 }
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferLimits.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferLimits.java
@@ -9,7 +9,9 @@
  * @param importFetches outstanding fetches from peers of other regions
  * @param originFetches outstanding reads of the origin
  * @param fetchesPerPeer outstanding fetches from one peer
- * @param uploadSlots chunks that are sent to peers at a time
+ * @param uploadSlots chunks that are sent to peers of the region at a time
+ * @param exportSlots further chunks that are sent to peers of other regions at a time; a chunk that
+ *     crosses late delays the whole region, so it does not wait for the peers nearby
  * @param neighbours peers of the region that get each chunk map
  * @param announceNanos time between chunk maps while chunks arrive
  * @param progressNanos a fetch that receives no byte for this long is given up
@@ -22,6 +24,7 @@
     int originFetches,
     int fetchesPerPeer,
     int uploadSlots,
+    int exportSlots,
     int neighbours,
     long announceNanos,
     long progressNanos,
@@ -30,11 +33,12 @@
   /** Limits of the product. */
   public static final TransferLimits DEFAULT =
       new TransferLimits(
-          6,
-          2,
+          4,
+          3,
           2,
           2,
           4,
+          4,
           24,
           TimeUnit.MILLISECONDS.toNanos(50),
           TimeUnit.SECONDS.toNanos(1),
@@ -54,6 +58,7 @@
         originFetches,
         fetchesPerPeer,
         slots,
+        exportSlots,
         neighbours,
         announceNanos,
         progressNanos,
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
@@ -22,7 +22,9 @@
   /** Largest number of fetches of one chunk near the end of a transfer. */
   private static final int END_GAME_FETCHES = 2;
 
-  /** Multiple of the slowest successful fetch after which one from outside is given up. */
+  /**
+   * Progress deadlines, or slowest successful fetches, after which one from outside is given up.
+   */
   private static final int OUTSIDE_PATIENCE = 4;
 
   private final VmIdentity self;
@@ -240,14 +242,15 @@
 
   /**
    * Returns how long a fetch may receive nothing. Links between regions and to the origin are
-   * shared by many VMs, so fetches over them are measured against the slowest one that succeeded.
+   * shared by many VMs, so a fetch over them waits for others and gets several deadlines, or more
+   * if one that succeeded took longer.
    */
   private long patience(SourceKind kind) {
     if (kind.isLocal()) {
       return limits.progressNanos();
     }
-    long slowest = slowestNanos.getOrDefault(kind, limits.progressNanos());
-    return Math.max(limits.progressNanos(), OUTSIDE_PATIENCE * slowest);
+    long slowest = slowestNanos.getOrDefault(kind, 0L);
+    return OUTSIDE_PATIENCE * Math.max(limits.progressNanos(), slowest);
   }
 
   private void readFromOutside(BitSet idle, List<Fetch> started, long now) {
