Give peers new time after a pause of this process

Cause: after a pause longer than the heartbeat deadline, the overdue check ran before the heartbeats that had arrived meanwhile were read, and the process closed every connection, so each request in flight ended as unknown.

Change: a check that runs more than two intervals late starts the deadline anew. Ruled out: reading before checking, since Netty runs due timers and reads in an order that the handler does not control.

Back-end settings of both endpoint components now stand in one class.

--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/BackEndSettings.java
@@ -0,0 +1,63 @@
+package org.clementineford.endpoint;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.errors.SettingException;
+import org.clementineford.kernel.settings.Setting;
+import org.clementineford.kernel.settings.SettingParser;
+
+/** Settings that name the back ends of an endpoint VM. */
+public final class BackEndSettings {
+  /** Engines by the model that they run; several entries may name the same model. */
+  public static final Setting<Map<String, List<HostPort>>> ENGINES =
+      new Setting<>(
+          "engines",
+          "Model engines of this VM: MODEL=URL, separated by commas.",
+          "",
+          BackEndSettings::parse);
+
+  /** Addresses of the plain services by name of the service. */
+  public static final Setting<Map<String, HostPort>> SERVICES =
+      new Setting<>(
+          "services",
+          "Plain services of this VM: NAME=URL, separated by commas.",
+          "",
+          BackEndSettings::parseSingle);
+
+  private BackEndSettings() {}
+
+  private static Map<String, HostPort> parseSingle(String text) throws SettingException {
+    Map<String, HostPort> services = new TreeMap<>();
+    for (Map.Entry<String, List<HostPort>> named : parse(text).entrySet()) {
+      if (named.getValue().size() > 1) {
+        throw new SettingException(
+            "\"" + named.getKey() + "\" is given twice; give each name once");
+      }
+      services.put(named.getKey(), named.getValue().get(0));
+    }
+    return services;
+  }
+
+  private static Map<String, List<HostPort>> parse(String text) throws SettingException {
+    Map<String, List<HostPort>> backEnds = new TreeMap<>();
+    for (String part : text.split(",")) {
+      if (part.isBlank()) {
+        continue;
+      }
+      int equals = part.indexOf('=');
+      if (equals < 1) {
+        throw new SettingException(
+            "\"" + part + "\" lacks a name; give for example assistant=http://127.0.0.1:7201");
+      }
+      URI url = SettingParser.url().parse(part.substring(equals + 1));
+      backEnds
+          .computeIfAbsent(part.substring(0, equals).trim(), name -> new ArrayList<>())
+          .add(new HostPort(url.getHost(), url.getPort()));
+    }
+    return backEnds;
+  }
+}
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpointFactory.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpointFactory.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
-import org.clementineford.endpoint.EngineSetting;
+import org.clementineford.endpoint.BackEndSettings;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.kernel.errors.SettingException;
@@ -39,13 +39,13 @@
 
   @Override
   public List<Setting<?>> settings() {
-    return List.of(EngineSetting.ENGINES, ServiceSetting.SERVICES, SLOTS);
+    return List.of(BackEndSettings.ENGINES, BackEndSettings.SERVICES, SLOTS);
   }
 
   @Override
   public NodeComponent create(NodeContext context, Settings settings) throws SettingException {
-    Map<String, List<HostPort>> engines = settings.get(EngineSetting.ENGINES);
-    Map<String, HostPort> services = settings.get(ServiceSetting.SERVICES);
+    Map<String, List<HostPort>> engines = settings.get(BackEndSettings.ENGINES);
+    Map<String, HostPort> services = settings.get(BackEndSettings.SERVICES);
     for (String name : services.keySet()) {
       if (engines.containsKey(name)) {
         throw new SettingException(
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponentFactory.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponentFactory.java
@@ -84,8 +84,7 @@
     Map<String, List<ModelEngine>> engines = new HashMap<>();
     settings
         .get(BackEndSettings.ENGINES)
-        .forEach(
-            (model, address) -> engines.put(model, List.of(new HttpModelEngine(client, address))));
+        .forEach((model, addresses) -> engines.put(model, engines(client, addresses)));
     WeightSources sources =
         new WeightSources(
             settings.get(WEIGHT_STORE).map(url -> source(client, url)),
@@ -104,6 +103,12 @@
     return new WeightsComponent(context, sources, engines, limits, area, verifier);
   }
 
+  private static List<ModelEngine> engines(HttpClient client, List<HostPort> addresses) {
+    return addresses.stream()
+        .map(address -> (ModelEngine) new HttpModelEngine(client, address))
+        .toList();
+  }
+
   private static WeightSource source(HttpClient client, URI url) {
     return new HttpWeightSource(client, new HostPort(url.getHost(), url.getPort()));
   }
--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
@@ -78,7 +78,7 @@
     }
 
     private Payload revision(long number) {
-      return Payload.revisionAnnounce(new RevisionAnnounce(number, server.self()));
+      return Payload.revisionAnnounce(new RevisionAnnounce().setRevision(number));
     }
   }
 
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/internal/ConnectionHandler.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/internal/ConnectionHandler.java
@@ -38,6 +38,7 @@
   private ChannelHandlerContext context;
   private long nextExchange;
   private long lastHeardNanos;
+  private long lastBeatNanos;
   private volatile PeerInfo peer = new PeerInfo(null, 0);
 
   /**
@@ -79,6 +80,7 @@
   public void channelActive(ChannelHandlerContext context) {
     this.context = context;
     lastHeardNanos = clock.nanoTime();
+    lastBeatNanos = lastHeardNanos;
     write(new Frame(0, FrameKind.HELLO).setPayload(Payload.hello(new Hello(self))));
     beat();
   }
@@ -88,6 +90,12 @@
       return;
     }
     long now = clock.nanoTime();
+    if (now - lastBeatNanos > TimeUnit.MILLISECONDS.toNanos(2 * timing.heartbeatIntervalMs())) {
+      // This process was paused. What the peer sent meanwhile is still unread, so silence proves
+      // nothing yet.
+      lastHeardNanos = now;
+    }
+    lastBeatNanos = now;
     if (now - lastHeardNanos > TimeUnit.MILLISECONDS.toNanos(timing.heartbeatDeadlineMs())) {
       LOG.warn(
           "closing connection to {}: nothing heard for {} ms",
