--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Outcomes.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Outcomes.java
@@ -12,6 +12,7 @@
   private final LongAdder sent = new LongAdder();
   private final LongAdder answered = new LongAdder();
   private final LongAdder refused = new LongAdder();
+  private final LongAdder wrong = new LongAdder();
   private final Map<String, Integer> failures = new ConcurrentSkipListMap<>();
   private final Map<String, Integer> versions = new ConcurrentSkipListMap<>();
   private final Set<String> answeredKeys = ConcurrentHashMap.newKeySet();
@@ -36,6 +37,12 @@
     failures.merge(reason, 1, Integer::sum);
   }
 
+  /** Counts an answer that looks whole but is not the one to its request. */
+  void wrong(String reason) {
+    wrong.increment();
+    failed(reason);
+  }
+
   /**
    * Returns the number of requests sent.
    *
@@ -72,6 +79,16 @@
     return failures.values().stream().mapToLong(Integer::longValue).sum();
   }
 
+  /**
+   * Returns the number of answers that looked whole but were not the ones to their requests. They
+   * are also counted as failed.
+   *
+   * @return wrong answers so far
+   */
+  public long wrongCount() {
+    return wrong.sum();
+  }
+
   /**
    * Returns the reasons of failures.
    *
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Traffic.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Traffic.java
@@ -220,7 +220,7 @@
     String version = answer.headers().get("Clementineford-Model-Version");
     String digest = answer.headers().get("Clementineford-Weights-Digest");
     if (version == null || digest == null || !digest.equals(digests.get(version))) {
-      lookups.failed("answer from version " + version + " with digest " + digest);
+      lookups.wrong("answer from version " + version + " with digest " + digest);
       return;
     }
     try {
@@ -228,10 +228,10 @@
       if (text.equals(EngineAnswers.expected(content, TOKENS))) {
         lookups.answered(key, version);
       } else {
-        lookups.failed("wrong or partial answer");
+        lookups.wrong("wrong or partial answer");
       }
     } catch (IOException e) {
-      lookups.failed("malformed answer: " + e.getMessage());
+      lookups.wrong("malformed answer: " + e.getMessage());
     }
   }
 
@@ -240,10 +240,10 @@
       if (JSON.readTree(answer.body()).path("lot").asText().equals(key)) {
         reservations.answered(key, "service");
       } else {
-        reservations.failed("answer to another reservation");
+        reservations.wrong("answer to another reservation");
       }
     } catch (IOException e) {
-      reservations.failed("malformed answer: " + e.getMessage());
+      reservations.wrong("malformed answer: " + e.getMessage());
     }
   }
 
