--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionRun.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionRun.java
@@ -105,7 +105,8 @@
   private static double heldShare(List<BenchVm> surviving) {
     double sum = 0;
     for (BenchVm vm : surviving) {
-      for (ModelStatus status : vm.context().shared().get(StatusContributor.class).modelStatus()) {
+      for (ModelStatus status :
+          vm.context().shared().get(StatusContributor.class).modelStatuses()) {
         sum += status.getChunksHeld() / (double) Math.max(1, status.getChunksTotal());
       }
     }
--- a/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -34,21 +35,32 @@
 
   private Daemon() {}
 
+  /** Runs a daemon until SIGTERM, or ends the process with a message if it cannot start. */
   static void run(String name, VmRole role, String[] arguments) {
+    int exitCode = start(name, role, arguments, System.err);
+    if (exitCode != 0) {
+      System.exit(exitCode);
+    }
+  }
+
+  /**
+   * Starts a daemon, or prints its help.
+   *
+   * @return 0, or the exit code of the failure that was printed
+   */
+  static int start(String name, VmRole role, String[] arguments, PrintStream errors) {
     try {
       start(name, role, arguments);
+      return 0;
     } catch (ClementinefordException e) {
-      fail(e.kind(), e.getMessage());
+      errors.println(e.getMessage().replace('\n', ' '));
+      return e.kind().exitCode();
     } catch (RuntimeException e) {
-      fail(ErrorKind.INTERNAL, "unexpected failure (" + e + "); report this defect");
+      errors.println("unexpected failure (" + e + "); report this defect");
+      return ErrorKind.INTERNAL.exitCode();
     }
   }
 
-  private static void fail(ErrorKind kind, String message) {
-    System.err.println(message.replace('\n', ' '));
-    System.exit(kind.exitCode());
-  }
-
   private static void start(String name, VmRole role, String[] arguments)
       throws ClementinefordException {
     List<NodeComponentFactory> factories = NodeComponentFactories.of(role);
@@ -57,7 +69,7 @@
     Settings settings = Settings.read(declared, arguments, System.getenv());
     if (settings.isHelpRequested()) {
       printHelp(name, declared);
-      System.exit(0);
+      return;
     }
     NodeSettings nodeSettings = NodeSettings.of(settings, role, SystemEpochClock.INSTANCE);
     EventLoopGroup eventLoops =
@@ -73,7 +85,12 @@
                 LinkShaping.NONE,
                 HttpObjectStore::new,
                 HttpVmList::new));
-    node.start(factories, settings);
+    try {
+      node.start(factories, settings);
+    } catch (ClementinefordException | RuntimeException e) {
+      eventLoops.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
+      throw e;
+    }
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, eventLoops), "drain"));
   }
 
