Name the form of back-end settings in the error

Cause: engines and services share one parser since the settings were joined, so its message cannot say MODEL.

Before: DaemonInputTest failed on the joined message. After: it passes.

--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/BackEndSettings.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/BackEndSettings.java
@@ -51,7 +51,7 @@
       int equals = part.indexOf('=');
       if (equals < 1) {
         throw new SettingException(
-            "\"" + part + "\" lacks a name; give for example assistant=http://127.0.0.1:7201");
+            "\"" + part + "\" lacks a name; give NAME=http://127.0.0.1:PORT");
       }
       URI url = SettingParser.url().parse(part.substring(equals + 1));
       backEnds
