Test races of cancel, full queues and live weights

Covers a cancel that meets the end of an answer (200 rounds on two threads), the bound of an account's queue, and weights that change while requests wait.

--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/DispatchTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/DispatchTest.java
@@ -4,13 +4,24 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.zip.CRC32C;
+import org.clementineford.configuration.ClientAccount;
+import org.clementineford.configuration.ConfigurationSnapshot;
+import org.clementineford.configuration.Policies;
 import org.clementineford.requests.RefusalKind;
 import org.clementineford.requests.RunState;
+import org.clementineford.requests.admission.FairQueueLimits;
 import org.clementineford.transport.http.HttpExchange;
 import org.clementineford.wire.AnswerEnd;
+import org.clementineford.wire.LoadReport;
+import org.clementineford.wire.Payload;
 import org.clementineford.wire.Refusal;
 import org.clementineford.wire.RunPhase;
 import org.clementineford.wire.RunReport;
@@ -18,7 +29,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
+@Timeout(30)
 class DispatchTest {
   private static final int SLOTS = 2;
 
@@ -178,8 +191,74 @@
     }
   }
 
+  @Nested
+  class Slots {
+    // Guards against a slot that is freed twice, or never, when a cancel meets the end.
+    @Test
+    void areFreedOnceWhenCancelRacesTheEnd() throws Exception {
+      ExecutorService other = Executors.newSingleThreadExecutor();
+      for (int i = 0; i < 200; i++) {
+        RecordingExchange exchange = fixture.dispatch("race-" + i, dispatch -> {});
+        HttpExchange call = fixture.nextCall();
+        CyclicBarrier barrier = new CyclicBarrier(2);
+        Future<?> cancelled =
+            other.submit(
+                () -> {
+                  barrier.await();
+                  exchange.cancel();
+                  return null;
+                });
+        barrier.await();
+        EndpointFixture.answer(call, "done");
+        cancelled.get(5, TimeUnit.SECONDS);
+        fixture.awaitIdle();
+        LoadReport report =
+            fixture.send(Payload.loadReport(new LoadReport())).awaitLast().getLoadReport();
+        assertThat(report.getBackEnds().get(0).getRunning()).isZero();
+      }
+      other.shutdown();
+    }
+  }
+
   @Nested
   class Queues {
+    // Guards against a queue without a bound, and against one that is full for all accounts.
+    @Test
+    void refuseRequestsOfAccountsWhoseQueueIsFull() throws Exception {
+      int limit = FairQueueLimits.DEFAULT.queuedPerAccount();
+      for (int i = 0; i < SLOTS + limit; i++) {
+        assertThat(fixture.dispatch("queued-" + i, dispatch -> {}).isFinished()).isFalse();
+      }
+      assertRefused(
+          fixture.dispatch("1", dispatch -> {}), RefusalKind.QUEUE_FULL, RunState.NOT_RUN);
+      RecordingExchange other =
+          fixture.dispatch("2", dispatch -> dispatch.setClientAccount("warehouse"));
+      assertThat(other.isFinished()).isFalse();
+    }
+
+    // Guards against weights that change only after a restart.
+    @Test
+    void followWeightsThatChangeWhileRequestsWait() throws Exception {
+      for (int i = 0; i < SLOTS; i++) {
+        fixture.dispatch("running-" + i, dispatch -> {});
+      }
+      for (int i = 0; i < 4; i++) {
+        fixture.dispatch("small-" + i, dispatch -> dispatch.setClientAccount("small"));
+        fixture.dispatch("large-" + i, dispatch -> dispatch.setClientAccount("large"));
+      }
+      Map<String, ClientAccount> accounts = Map.of("large", new ClientAccount("large", 9, ""));
+      fixture.configure(
+          new ConfigurationSnapshot(
+              1, Map.of(), accounts, Map.of(), Set.of(), Set.of(), Policies.DEFAULT));
+      StringBuilder order = new StringBuilder();
+      for (int i = 0; i < SLOTS + 8; i++) {
+        HttpExchange call = fixture.nextCall();
+        order.append(call.request().header(Run.REQUEST_ID_HEADER)).append(' ');
+        EndpointFixture.answer(call, "done");
+      }
+      assertThat(order.indexOf("large-3")).isLessThan(order.indexOf("small-2"));
+    }
+
     // Guards against a request that starts, or waits on, after its deadline.
     @Test
     void refuseRequestsWhoseDeadlinePassed() throws Exception {
