--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponentFactory.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponentFactory.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import org.clementineford.endpoint.BackEndSettings;
+import org.clementineford.endpoint.EngineSetting;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.kernel.errors.SettingException;
@@ -75,7 +75,7 @@
   @Override
   public List<Setting<?>> settings() {
     return List.of(
-        ORIGIN, WEIGHT_STORE, AREA_MEGABYTES, COPY_ADDRESS, UPLOAD_SLOTS, BackEndSettings.ENGINES);
+        ORIGIN, WEIGHT_STORE, AREA_MEGABYTES, COPY_ADDRESS, UPLOAD_SLOTS, EngineSetting.ENGINES);
   }
 
   @Override
@@ -83,9 +83,8 @@
     HttpClient client = context.httpClient();
     Map<String, List<ModelEngine>> engines = new HashMap<>();
     settings
-        .get(BackEndSettings.ENGINES)
-        .forEach(
-            (model, address) -> engines.put(model, List.of(new HttpModelEngine(client, address))));
+        .get(EngineSetting.ENGINES)
+        .forEach((model, addresses) -> engines.put(model, engines(client, addresses)));
     WeightSources sources =
         new WeightSources(
             settings.get(WEIGHT_STORE).map(url -> source(client, url)),
@@ -104,6 +103,12 @@
     return new WeightsComponent(context, sources, engines, limits, area, verifier);
   }
 
+  private static List<ModelEngine> engines(HttpClient client, List<HostPort> addresses) {
+    return addresses.stream()
+        .map(address -> (ModelEngine) new HttpModelEngine(client, address))
+        .toList();
+  }
+
   private static WeightSource source(HttpClient client, URI url) {
     return new HttpWeightSource(client, new HostPort(url.getHost(), url.getPort()));
   }
