Borrow at most half of the cost at any time

Turns that nobody borrowed were saved up to 20,000 tokens, so a burst of urgent requests took all the capacity for as long. Found in review; the new test saw four urgent requests in a row and failed first. Nothing is saved up any more.

A dispatch whose key was revoked here under another attempt is now refused as key-revoked. It was refused as revoked, which entry VMs rightly take as a sign that another submission owns the claim, so they did not try another endpoint.

--- a/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairQueueTest.java
+++ b/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairQueueTest.java
@@ -61,6 +61,20 @@
     assertThat(order).containsSubsequence("n0", "n1", "n2", "n3");
   }
 
+  // Guards against turns that are saved up and then borrowed all at once.
+  @Test
+  void turnsThatNobodyBorrowedAreNotSavedUp() {
+    for (int i = 0; i < 8; i++) {
+      queue.offer(request("normal", false, "before"));
+      drain(1);
+    }
+    for (int i = 0; i < 4; i++) {
+      queue.offer(request("normal", false, "n"));
+      queue.offer(request("urgent", true, "u"));
+    }
+    assertThat(String.join("", drain(4))).isIn("nunu", "unun", "unnu", "nuun");
+  }
+
   // Guards against a request that starts after its deadline.
   @Test
   void expiredRequestsLeaveTheQueueInTheOrderOfTheirDeadlines() {
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/RefusalKind.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/RefusalKind.java
@@ -15,8 +15,10 @@
   OTHER_INCARNATION(RunState.NOT_RUN, 503, true),
   /** The dispatch was delayed for longer than revocations are certain to be remembered. */
   STALE_DISPATCH(RunState.NOT_RUN, 503, true),
-  /** The attempt or its idempotency key was revoked before it ran. */
+  /** The attempt was revoked before it ran. */
   REVOKED(RunState.NOT_RUN, 409, false),
+  /** The endpoint revoked an earlier attempt with the same idempotency key a short time ago. */
+  KEY_REVOKED(RunState.NOT_RUN, 503, true),
   /** Another attempt with the same idempotency key was seen; this attempt does not run. */
   KEY_SEEN(RunState.NOT_RUN, 409, false),
   /** The queue of the client account is full. */
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
@@ -42,7 +42,7 @@
   private long lastSequence;
   private long queuedCost;
   private double virtualTime;
-  private double borrowAllowance;
+  private long borrowAllowance;
 
   /**
    * Creates an empty queue.
@@ -99,8 +99,8 @@
     if (borrower == null) {
       virtualTime = Math.max(virtualTime, account.startTag());
       request = account.takeNext();
-      borrowAllowance =
-          Math.min(limits.borrowedTokens(), borrowAllowance + request.estimatedCost());
+      // Nothing is saved up, so borrowed turns stay at half of the cost at any time.
+      borrowAllowance = Math.min(0, borrowAllowance) + request.estimatedCost();
     } else {
       request = borrower.takeNext();
       borrowAllowance -= request.estimatedCost();
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/RegistryShard.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/RegistryShard.java
@@ -54,7 +54,7 @@
     entries.put(entry.attemptId, entry);
     if (holder != null) {
       end(entry, RunState.NOT_RUN, nowNanos);
-      return Admission.refuse(holder.revoked() ? RefusalKind.REVOKED : RefusalKind.KEY_SEEN);
+      return Admission.refuse(holder.revoked() ? RefusalKind.KEY_REVOKED : RefusalKind.KEY_SEEN);
     }
     return Admission.start();
   }
