--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponentFactory.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponentFactory.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import org.clementineford.endpoint.EngineSetting;
+import org.clementineford.endpoint.BackEndSettings;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.kernel.errors.SettingException;
@@ -75,7 +75,7 @@
   @Override
   public List<Setting<?>> settings() {
     return List.of(
-        ORIGIN, WEIGHT_STORE, AREA_MEGABYTES, COPY_ADDRESS, UPLOAD_SLOTS, EngineSetting.ENGINES);
+        ORIGIN, WEIGHT_STORE, AREA_MEGABYTES, COPY_ADDRESS, UPLOAD_SLOTS, BackEndSettings.ENGINES);
   }
 
   @Override
@@ -83,7 +83,7 @@
     HttpClient client = context.httpClient();
     Map<String, List<ModelEngine>> engines = new HashMap<>();
     settings
-        .get(EngineSetting.ENGINES)
+        .get(BackEndSettings.ENGINES)
         .forEach((model, addresses) -> engines.put(model, engines(client, addresses)));
     WeightSources sources =
         new WeightSources(
