Balance reads from outside and test the transfer

Each VM now reads an even share of the chunks from outside its region; the VM with the most chunks had twice the mean before and held up its region.

--- /dev/null
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/weights/WeightsComponentTest.java
@@ -0,0 +1,179 @@
+package org.clementineford.endpoint.internal.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.SystemNanoClock;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.testing.PausedTime;
+import org.clementineford.transport.EventLoopScheduler;
+import org.clementineford.weights.Manifest;
+import org.clementineford.wire.ActivateOrder;
+import org.clementineford.wire.OrderReply;
+import org.clementineford.wire.Payload;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class WeightsComponentTest {
+  private static final int LENGTH = 1050;
+
+  private final EventLoopGroup eventLoops =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final PausedTime time = new PausedTime(0);
+  private final MemoryOrigin origin = new MemoryOrigin();
+  private final TestNode.RecordingEngine engine = new TestNode.RecordingEngine();
+
+  @BeforeEach
+  void publish() {
+    origin.publish("v1", LENGTH);
+    origin.publish("v2", LENGTH);
+  }
+
+  @AfterEach
+  void stop() {
+    eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  @Nested
+  class Alone {
+    private TestNode node;
+
+    @BeforeEach
+    void start() throws Exception {
+      node = new TestNode("vm-1", eventLoops, time, time, origin, engine, Runnable::run);
+      node.want(7, "v1", false);
+    }
+
+    @AfterEach
+    void close() {
+      node.close();
+    }
+
+    private OrderReply order(long revision, long fencingNumber, String version) throws Exception {
+      Manifest manifest = origin.manifestOf(version);
+      ActivateOrder order =
+          new ActivateOrder(
+              TestNode.MODEL, version, manifest.address(), revision, fencingNumber, "entry-1");
+      return node.context()
+          .network()
+          .call(node.context().self().address(), Payload.activateOrder(order))
+          .get(5, TimeUnit.SECONDS)
+          .getOrderReply();
+    }
+
+    // Guards against an accepted document that never takes effect while the platform is down.
+    @Test
+    void activatesAfterFifteenSecondsWithoutAnOrder() {
+      time.advance(14, TimeUnit.SECONDS);
+      assertThat(node.servedVersion()).isEmpty();
+      time.advance(2, TimeUnit.SECONDS);
+      assertThat(node.servedVersion()).hasValue("v1");
+    }
+
+    // Guards against activation while the operator has paused the rollout.
+    @Test
+    void staysAsItIsWhilePaused() {
+      node.want(8, "v1", true);
+      time.advance(60, TimeUnit.SECONDS);
+      assertThat(engine.orders()).isEmpty();
+      node.want(9, "v1", false);
+      time.advance(60, TimeUnit.SECONDS);
+      assertThat(node.servedVersion()).hasValue("v1");
+    }
+
+    // Guards against routing to an engine that answers from other weights than ordered.
+    @Test
+    void neverServesAnotherDigest() throws Exception {
+      engine.report("0".repeat(64));
+      assertThat(order(7, 1, "v1").isAccepted()).isFalse();
+      assertThat(node.servedVersion()).isEmpty();
+      assertThat(node.context().timeline().after(0, 1000))
+          .anyMatch(event -> event.kind() == EventKind.ACTIVATION_FAILED);
+    }
+
+    // Guards against a resumed lease holder whose order was overtaken.
+    @Test
+    void refusesOrdersOfAnEarlierHolder() throws Exception {
+      assertThat(order(7, 2, "v1").isAccepted()).isTrue();
+      OrderReply reply = order(7, 1, "v1");
+      assertThat(reply.isAccepted()).isFalse();
+      assertThat(reply.getHighestFencingNumber()).isEqualTo(2);
+    }
+
+    // Guards against an engine that refuses a rollback because its number did not rise.
+    @Test
+    void rollsBackWithRisingNumbers() throws Exception {
+      order(7, 1, "v1");
+      node.want(8, "v2", false);
+      order(8, 1, "v2");
+      node.want(9, "v1", false);
+      order(9, 1, "v1");
+      assertThat(node.servedVersion()).hasValue("v1");
+      assertThat(engine.orders()).extracting(o -> o.version()).containsExactly("v1", "v2", "v1");
+      assertThat(engine.orders())
+          .extracting(o -> o.fencingNumber())
+          .isSorted()
+          .doesNotHaveDuplicates();
+    }
+
+    // Guards against reading again from the origin what the area still holds.
+    @Test
+    void reusesHeldChunksOnRollback() throws Exception {
+      order(7, 1, "v1");
+      node.want(8, "v2", false);
+      node.want(9, "v1", false);
+      assertThat(origin.bytesRead()).isLessThanOrEqualTo(2 * LENGTH);
+    }
+  }
+
+  // Guards against VMs that read more than one copy from the origin, or never become whole.
+  @Test
+  void threeVmsServeTheVersionAfterReadingTheOriginOnce() throws Exception {
+    List<TestNode> nodes = new ArrayList<>();
+    try {
+      for (int i = 1; i <= 3; i++) {
+        nodes.add(
+            new TestNode(
+                "vm-" + i,
+                eventLoops,
+                new EventLoopScheduler(eventLoops),
+                SystemNanoClock.INSTANCE,
+                origin,
+                engine,
+                Runnable::run));
+      }
+      nodes.forEach(node -> node.setMembers(nodes));
+      CountDownLatch whole = new CountDownLatch(nodes.size());
+      for (TestNode node : nodes) {
+        node.served().onChange(version -> whole.countDown());
+        node.want(1, "v1", false);
+      }
+      Manifest manifest = origin.manifestOf("v1");
+      while (whole.getCount() > 0) {
+        for (TestNode node : nodes) {
+          ActivateOrder order =
+              new ActivateOrder(TestNode.MODEL, "v1", manifest.address(), 1, 1, "entry-1");
+          nodes
+              .get(0)
+              .context()
+              .network()
+              .call(node.context().self().address(), Payload.activateOrder(order))
+              .get(5, TimeUnit.SECONDS);
+        }
+        whole.await(20, TimeUnit.MILLISECONDS);
+      }
+      assertThat(nodes).allMatch(node -> node.servedVersion().equals(java.util.Optional.of("v1")));
+      assertThat(origin.bytesRead()).isEqualTo(LENGTH);
+    } finally {
+      nodes.forEach(TestNode::close);
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.weights.test/src/test/java/org/clementineford/weights/OriginAssignmentTest.java
@@ -0,0 +1,38 @@
+package org.clementineford.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.clementineford.kernel.VmIdentity;
+
+class OriginAssignmentTest {
+  private static final int CHUNKS = 120;
+
+  // Guards against chunks that nobody reads, chunks that several read, and VMs that read too many.
+  @Property(tries = 30)
+  void givesEachChunkToOneReaderAndEachVmItsShare(
+      @ForAll @IntRange(min = 1, max = 40) int vms, @ForAll long salt) {
+    List<VmIdentity> fleet = new ArrayList<>();
+    for (int i = 0; i < vms; i++) {
+      fleet.add(TestFleet.vm("vm-" + i, "region-" + i % 3));
+    }
+    int[] readers = new int[CHUNKS];
+    int[] importers = new int[CHUNKS];
+    for (VmIdentity self : fleet) {
+      OriginAssignment view = new OriginAssignment("manifest-" + salt, CHUNKS, self, fleet);
+      int reads = 0;
+      for (int chunk = 0; chunk < CHUNKS; chunk++) {
+        readers[chunk] += view.isOriginReader(chunk) ? 1 : 0;
+        importers[chunk] += view.isImporter(chunk) ? 1 : 0;
+        reads += view.isOriginReader(chunk) ? 1 : 0;
+      }
+      assertThat(reads).isLessThanOrEqualTo((CHUNKS + vms - 1) / vms);
+    }
+    assertThat(readers).containsOnly(1);
+    assertThat(importers).containsOnly(Math.min(3, vms));
+  }
+}
--- /dev/null
+++ b/org.clementineford.weights.test/src/test/java/org/clementineford/weights/SimulatedBurst.java
@@ -0,0 +1,166 @@
+package org.clementineford.weights;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.DistributionPolicy;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.testing.PausedTime;
+
+/** Six VMs in two regions whose fetches take fixed times; records what each one decides. */
+final class SimulatedBurst {
+  private static final int CHUNKS = 12;
+  private static final long STEP_MS = 10;
+  private static final long ANNOUNCE_MS = 50;
+
+  private final PausedTime time = new PausedTime(0);
+  private final StringBuilder log = new StringBuilder();
+  private final Map<String, Vm> vms = new TreeMap<>();
+  private final Set<String> dead = new HashSet<>();
+  private String version;
+  private boolean corruptNext;
+
+  SimulatedBurst() {
+    for (int i = 1; i <= 6; i++) {
+      String name = "vm-" + i;
+      vms.put(name, new Vm(TestFleet.vm(name, i % 2 == 0 ? "paris" : "brittany")));
+    }
+    time.scheduleEvery(this::step, STEP_MS, TimeUnit.MILLISECONDS);
+    time.scheduleEvery(this::announce, ANNOUNCE_MS, TimeUnit.MILLISECONDS);
+  }
+
+  void wantVersion(String next) {
+    version = next;
+    note("all", "wants " + next);
+    vms.values().forEach(Vm::begin);
+  }
+
+  void kill(String name) {
+    note(name, "dies");
+    dead.add(name);
+    vms.values().forEach(vm -> vm.lose(name));
+  }
+
+  void corruptNext() {
+    corruptNext = true;
+  }
+
+  void runMillis(long millis) {
+    time.advance(millis, TimeUnit.MILLISECONDS);
+  }
+
+  boolean allWhole() {
+    return vms.values().stream().allMatch(vm -> !vm.alive() || vm.state.held().isWhole());
+  }
+
+  String log() {
+    return log.toString();
+  }
+
+  private void step() {
+    vms.values().stream().filter(Vm::alive).forEach(Vm::step);
+  }
+
+  private void announce() {
+    for (Vm sender : vms.values()) {
+      for (Vm receiver : vms.values()) {
+        if (sender.alive() && receiver.alive() && sender != receiver) {
+          byte[] bitmap = sender.state.held().toBytes();
+          receiver.state.setMap(sender.identity, ChunkMap.fromBytes(bitmap, CHUNKS));
+        }
+      }
+    }
+  }
+
+  private void note(String vm, String text) {
+    long millis = TimeUnit.NANOSECONDS.toMillis(time.nanoTime());
+    log.append(String.format("%5d ms  %-4s  %s%n", millis, vm, text).replace("\r", ""));
+  }
+
+  private static long durationMs(SourceKind kind) {
+    return switch (kind) {
+      case ORIGIN, WEIGHT_STORE -> 60;
+      case PEER_ELSEWHERE -> 40;
+      default -> 20;
+    };
+  }
+
+  private final class Vm {
+    private final VmIdentity identity;
+    private TransferState state;
+    private boolean reported;
+
+    Vm(VmIdentity identity) {
+      this.identity = identity;
+    }
+
+    boolean alive() {
+      return !dead.contains(identity.vm());
+    }
+
+    void begin() {
+      reported = false;
+      state =
+          new TransferState(
+              identity,
+              "manifest of " + version,
+              CHUNKS,
+              DistributionPolicy.FEWEST_ORIGIN_BYTES,
+              TransferLimits.DEFAULT);
+      state.setMembers(members());
+    }
+
+    private List<VmIdentity> members() {
+      List<VmIdentity> members = new ArrayList<>();
+      vms.values().stream().filter(Vm::alive).forEach(vm -> members.add(vm.identity));
+      return members;
+    }
+
+    void lose(String name) {
+      for (Fetch fetch : state.running()) {
+        if (fetch.peer() != null && fetch.peer().vm().equals(name)) {
+          state.failed(fetch.id(), FetchOutcome.LOST, 0, time.nanoTime());
+        }
+      }
+      state.setMembers(members());
+    }
+
+    void step() {
+      TransferActions actions = state.plan(time.nanoTime());
+      actions.cancelled().forEach(fetch -> note(identity.vm(), "gives up " + text(fetch)));
+      for (Fetch fetch : actions.started()) {
+        note(identity.vm(), "fetches " + text(fetch));
+        TransferState asked = state;
+        time.schedule(() -> arrive(asked, fetch), durationMs(fetch.kind()), TimeUnit.MILLISECONDS);
+      }
+      if (state.held().isWhole() && !reported) {
+        reported = true;
+        note(identity.vm(), "holds all of " + version);
+      }
+    }
+
+    private void arrive(TransferState asked, Fetch fetch) {
+      if (!alive() || asked != state || !state.running().contains(fetch)) {
+        return;
+      }
+      if (corruptNext && fetch.kind().isPeer()) {
+        corruptNext = false;
+        note(identity.vm(), "received corrupt " + text(fetch));
+        state.failed(fetch.id(), FetchOutcome.CORRUPT, 0, time.nanoTime());
+        return;
+      }
+      for (Fetch obsolete : state.succeeded(fetch.id(), time.nanoTime())) {
+        note(identity.vm(), "cancels " + text(obsolete));
+      }
+    }
+
+    private String text(Fetch fetch) {
+      String source = fetch.peer() == null ? fetch.kind().name() : fetch.peer().vm();
+      return "chunk " + fetch.chunk() + " from " + source;
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.weights.test/src/test/java/org/clementineford/weights/TestFleet.java
@@ -0,0 +1,15 @@
+package org.clementineford.weights;
+
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.VmRole;
+
+/** Endpoint VMs for tests. */
+final class TestFleet {
+  private TestFleet() {}
+
+  static VmIdentity vm(String name, String region) {
+    return new VmIdentity(
+        name, VmRole.ENDPOINT, "dc-" + region, region, 1, new HostPort("127.0.0.1", 1));
+  }
+}
--- /dev/null
+++ b/org.clementineford.weights.test/src/test/java/org/clementineford/weights/TransferStateTest.java
@@ -0,0 +1,162 @@
+package org.clementineford.weights;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.DistributionPolicy;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.testing.PausedTime;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class TransferStateTest {
+  private static final int CHUNKS = 4;
+  private static final VmIdentity SELF = TestFleet.vm("vm-1", "lorient");
+  private static final VmIdentity NEAR = TestFleet.vm("vm-2", "lorient");
+  private static final VmIdentity OTHER_NEAR = TestFleet.vm("vm-3", "lorient");
+
+  private final PausedTime time = new PausedTime(0);
+  private TransferState state;
+
+  @BeforeEach
+  void start() {
+    state =
+        new TransferState(
+            SELF, "address", CHUNKS, DistributionPolicy.SHORTEST_TIME, TransferLimits.DEFAULT);
+    state.setMembers(List.of(SELF, NEAR, OTHER_NEAR));
+  }
+
+  private static ChunkMap map(int... chunks) {
+    ChunkMap map = new ChunkMap(CHUNKS);
+    for (int chunk : chunks) {
+      map.add(chunk);
+    }
+    return map;
+  }
+
+  private Fetch fetchFrom(VmIdentity peer) {
+    return state.running().stream()
+        .filter(fetch -> peer.equals(fetch.peer()))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private void holdAllBut(int missing) {
+    for (int chunk = 0; chunk < CHUNKS; chunk++) {
+      if (chunk != missing) {
+        state.hold(chunk);
+      }
+    }
+  }
+
+  private TransferActions plan() {
+    return state.plan(time.nanoTime());
+  }
+
+  @Nested
+  class Selection {
+    // Guards against a chunk that vanishes from the data centre with its only holder.
+    @Test
+    void beginsWithTheRarestChunk() {
+      state.setMap(NEAR, map(0, 1));
+      state.setMap(OTHER_NEAR, map(0));
+      state.hold(2);
+      state.hold(3);
+      assertThat(plan().started().get(0).chunk()).isEqualTo(1);
+    }
+
+    // Guards against origin reads of chunks that are in the region already.
+    @Test
+    void leavesTheOriginAloneIfPeersHoldEverything() {
+      state.setMap(NEAR, map(0, 1, 2, 3));
+      assertThat(plan().started()).isNotEmpty().allMatch(fetch -> fetch.kind().isPeer());
+    }
+  }
+
+  @Nested
+  class Corruption {
+    // Guards against fetching again and again from a VM with broken memory.
+    @Test
+    void avoidsTheSenderForThirtySeconds() {
+      holdAllBut(0);
+      state.setMap(NEAR, map(0));
+      state.setMap(OTHER_NEAR, map(0));
+      plan();
+      Fetch first = state.running().get(0);
+      state.failed(first.id(), FetchOutcome.CORRUPT, 0, time.nanoTime());
+      time.advance(29, TimeUnit.SECONDS);
+      plan();
+      assertThat(state.running()).hasSize(1);
+      assertThat(state.running().get(0).peer()).isNotEqualTo(first.peer());
+    }
+
+    // Guards against a transfer that never ends because the only holder was avoided.
+    @Test
+    void asksTheOnlyHolderAgainAfterOneDeadline() {
+      holdAllBut(0);
+      state.setMap(NEAR, map(0));
+      plan();
+      state.failed(fetchFrom(NEAR).id(), FetchOutcome.CORRUPT, 0, time.nanoTime());
+      assertThat(plan().started()).isEmpty();
+      time.advance(1, TimeUnit.SECONDS);
+      assertThat(plan().started()).extracting(Fetch::peer).containsExactly(NEAR);
+    }
+  }
+
+  @Nested
+  class Silence {
+    // Guards against a stalled link that holds up the whole copy.
+    @Test
+    void movesTheChunkToAnotherPeer() {
+      holdAllBut(0);
+      state.setMap(NEAR, map(0));
+      plan();
+      final Fetch stalled = fetchFrom(NEAR);
+      state.setMap(OTHER_NEAR, map(0));
+      time.advance(1, TimeUnit.SECONDS);
+      TransferActions actions = plan();
+      assertThat(actions.cancelled()).containsExactly(stalled);
+      assertThat(actions.started()).extracting(Fetch::peer).containsExactly(OTHER_NEAR);
+    }
+
+    // Guards against giving up a slow but living transfer.
+    @Test
+    void isBrokenByEachByte() {
+      holdAllBut(0);
+      state.setMap(NEAR, map(0));
+      plan();
+      time.advance(900, TimeUnit.MILLISECONDS);
+      state.progress(fetchFrom(NEAR).id(), time.nanoTime());
+      time.advance(900, TimeUnit.MILLISECONDS);
+      assertThat(plan().cancelled()).isEmpty();
+    }
+  }
+
+  @Nested
+  class Loss {
+    // Guards against waiting for a dead VM that was to read a chunk from the origin.
+    @Test
+    void passesTheReadsOfTheDeadVmOn() {
+      state.setMap(NEAR, map(0));
+      state.setMap(OTHER_NEAR, map(1));
+      state.setMembers(List.of(SELF));
+      plan();
+      assertThat(state.running()).isNotEmpty().allMatch(f -> f.kind() == SourceKind.ORIGIN);
+    }
+
+    // Guards against origin reads that stop for ever after one failure.
+    @Test
+    void ofTheOriginIsRetried() {
+      state.setMembers(List.of(SELF));
+      plan();
+      for (Fetch fetch : state.running()) {
+        state.failed(fetch.id(), FetchOutcome.LOST, 0, time.nanoTime());
+      }
+      assertThat(plan().started()).isEmpty();
+      time.advance(100, TimeUnit.MILLISECONDS);
+      assertThat(plan().started()).isNotEmpty();
+    }
+  }
+}
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/AssignedReads.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/AssignedReads.java
@@ -8,12 +8,12 @@
 /**
  * The chunks that this VM reads from outside its region, and when it may read those of others.
  *
- * <p>A VM takes over from lower ranks only after its own reads are done and no chunk has come into
- * the region for a while. A deadline from the start of the transfer would make the VMs of a slow
+ * <p>A VM takes over from others only after its own reads are done and no chunk has come into the
+ * region for a while. A deadline from the start of the transfer would make the VMs of a slow
  * transfer read twice.
  */
 final class AssignedReads {
-  private static final int NEVER = -1;
+  private static final int NEVER = Integer.MAX_VALUE;
 
   private final VmIdentity self;
   private final String manifestAddress;
@@ -25,6 +25,7 @@
   private final int[] importRanks;
   private final int[] originRanks;
   private OriginAssignment assignment;
+  private boolean originReadsLeft;
   private int lastMissing = -1;
   private long idleSinceNanos = Long.MAX_VALUE;
 
@@ -47,16 +48,14 @@
   }
 
   void setMembers(List<VmIdentity> live) {
-    assignment = new OriginAssignment(manifestAddress, policy, self, live);
-    importer.clear();
-    originReader.clear();
+    assignment = new OriginAssignment(manifestAddress, chunks, self, live);
+    boolean severalCopies = policy.originCopies(assignment.dataCentres()) > 1;
     for (int chunk = 0; chunk < chunks; chunk++) {
-      importRanks[chunk] = assignment.importRank(chunk);
-      int order = assignment.dataCentreOrder(chunk);
-      originRanks[chunk] =
-          order == Integer.MAX_VALUE ? NEVER : assignment.originRank(chunk) + order;
-      importer.set(chunk, importRanks[chunk] == 0);
-      originReader.set(chunk, originRanks[chunk] == 0);
+      importer.set(chunk, assignment.isImporter(chunk));
+      originReader.set(chunk, assignment.isOriginReader(chunk));
+      importRanks[chunk] = assignment.rank(chunk, true);
+      boolean reads = !severalCopies || importer.get(chunk) || importRanks[chunk] == 0;
+      originRanks[chunk] = reads ? assignment.rank(chunk, severalCopies) : NEVER;
     }
   }
 
@@ -67,8 +66,8 @@
   /** Notes which chunks are still missing in the region of this VM. */
   void update(BitSet missingInRegion, long now) {
     int missing = missingInRegion.cardinality();
-    boolean ownReadsLeft =
-        importer.intersects(missingInRegion) || originReader.intersects(missingInRegion);
+    originReadsLeft = originReader.intersects(missingInRegion);
+    boolean ownReadsLeft = originReadsLeft || importer.intersects(missingInRegion);
     if (ownReadsLeft || missing != lastMissing || idleSinceNanos == Long.MAX_VALUE) {
       idleSinceNanos = ownReadsLeft ? Long.MAX_VALUE : now;
     }
@@ -76,15 +75,21 @@
   }
 
   boolean mayImport(int chunk, long now) {
-    return hasWaited(now, importRanks[chunk]);
+    return importer.get(chunk) || hasWaited(now, importRanks[chunk]);
   }
 
+  /** Tells whether to read a chunk from the origin that no peer is known to hold. */
   boolean mayReadOrigin(int chunk, long now) {
+    if (originReader.get(chunk)) {
+      return true;
+    }
+    if (policy == DistributionPolicy.SHORTEST_TIME && importer.get(chunk) && !originReadsLeft) {
+      return true;
+    }
     return originRanks[chunk] != NEVER && hasWaited(now, originRanks[chunk]);
   }
 
   private boolean hasWaited(long now, int ranks) {
-    return ranks == 0
-        || idleSinceNanos != Long.MAX_VALUE && now - idleSinceNanos >= ranks * rankNanos;
+    return idleSinceNanos != Long.MAX_VALUE && now - idleSinceNanos >= (ranks + 1) * rankNanos;
   }
 }
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/OriginAssignment.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/OriginAssignment.java
@@ -1,134 +1,188 @@
 package org.clementineford.weights;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import org.clementineford.kernel.DistributionPolicy;
+import java.util.TreeSet;
 import org.clementineford.kernel.VmIdentity;
 
 /**
- * Which VM reads a chunk from the origin, and which one brings it into a region.
+ * Which VM reads a chunk from the origin, and which one brings it into each region.
  *
- * <p>Ranks come from a rendezvous hash of the chunk over the live VMs, so all VMs with the same
- * view agree without a message. A VM of rank 0 reads at once; the others wait for their rank.
+ * <p>Each chunk goes to the VM that ranks first by rendezvous hash and has not its even share yet,
+ * so all VMs with the same view agree without a message. Without the bound, the VM with the most
+ * chunks had twice the mean and held up all others.
+ *
+ * <p>Source: V. Mirrokni, M. Thorup, M. Zadimoghaddam, "Consistent Hashing with Bounded Loads",
+ * SODA 2018, applied to rendezvous hashing.
  */
 public final class OriginAssignment {
   private final long manifestSeed;
-  private final DistributionPolicy policy;
-  private final VmIdentity self;
+  private final int chunks;
   private final List<Candidate> members = new ArrayList<>();
-  private final Map<String, Long> dataCentres = new TreeMap<>();
+  private final Candidate self;
+  private final Candidate[] originReaders;
+  private final Map<String, Candidate[]> importers = new TreeMap<>();
+  private final int dataCentres;
 
   /**
    * Creates the assignment for one view of the membership.
    *
    * @param manifestAddress content address of the manifest
-   * @param policy what the distribution saves first
+   * @param chunks number of chunks
    * @param self this VM
    * @param live live endpoint VMs, with or without this one
    */
   public OriginAssignment(
-      String manifestAddress, DistributionPolicy policy, VmIdentity self, List<VmIdentity> live) {
+      String manifestAddress, int chunks, VmIdentity self, List<VmIdentity> live) {
     this.manifestSeed = RendezvousHash.seed(manifestAddress);
-    this.policy = policy;
-    this.self = self;
-    add(self);
+    this.chunks = chunks;
+    this.self = new Candidate(self, RendezvousHash.seed(self.vm()));
+    members.add(this.self);
     for (VmIdentity vm : live) {
       if (!vm.vm().equals(self.vm())) {
-        add(vm);
+        members.add(new Candidate(vm, RendezvousHash.seed(vm.vm())));
       }
     }
+    members.sort(Comparator.comparing(candidate -> candidate.vm.vm()));
+    TreeSet<String> centres = new TreeSet<>();
+    members.forEach(candidate -> centres.add(candidate.vm.dataCentre()));
+    this.dataCentres = centres.size();
+    this.originReaders = assignReaders();
+    assignImporters();
+  }
+
+  private Candidate[] assignReaders() {
+    Candidate[] readers = new Candidate[chunks];
+    int share = share(members.size());
+    for (int chunk = 0; chunk < chunks; chunk++) {
+      readers[chunk] = first(members, chunk, share);
+      readers[chunk].load++;
+    }
+    return readers;
+  }
+
+  private void assignImporters() {
+    Map<String, List<Candidate>> regions = new TreeMap<>();
+    for (Candidate candidate : members) {
+      regions.computeIfAbsent(candidate.vm.region(), name -> new ArrayList<>()).add(candidate);
+    }
+    regions.forEach(
+        (region, candidates) -> {
+          Candidate[] firsts = new Candidate[chunks];
+          int share = share(candidates.size());
+          for (int chunk = 0; chunk < chunks; chunk++) {
+            if (originReaders[chunk].vm.region().equals(region)) {
+              firsts[chunk] = originReaders[chunk];
+            } else {
+              firsts[chunk] = first(candidates, chunk, share);
+              firsts[chunk].load++;
+            }
+          }
+          importers.put(region, firsts);
+        });
+  }
+
+  private int share(int vms) {
+    return (chunks + vms - 1) / vms;
   }
 
-  private void add(VmIdentity vm) {
-    members.add(new Candidate(vm, RendezvousHash.seed(vm.vm())));
-    dataCentres.computeIfAbsent(vm.dataCentre(), RendezvousHash::seed);
+  private Candidate first(List<Candidate> candidates, int chunk, int share) {
+    Candidate first = null;
+    for (Candidate candidate : candidates) {
+      if (candidate.load < share
+          && (first == null || candidate.weight(key(chunk)) > first.weight(key(chunk)))) {
+        first = candidate;
+      }
+    }
+    // All have their share only if one region reads more from the origin than its part.
+    return first == null ? candidates.get(0) : first;
   }
 
   /**
-   * Returns this VM's rank among those of its region for bringing a chunk in.
+   * Tells whether this VM is the one that reads a chunk from the origin.
    *
    * @param chunk number of the chunk
-   * @return 0 for the VM that reads at once
+   * @return true for one VM of all
    */
-  public int importRank(int chunk) {
-    return rank(chunk, candidate -> candidate.vm.region().equals(self.region()));
+  public boolean isOriginReader(int chunk) {
+    return originReaders[chunk] == self;
   }
 
   /**
-   * Returns this VM's rank for reading a chunk from the origin.
+   * Tells whether this VM is the one that brings a chunk into its region.
    *
    * @param chunk number of the chunk
-   * @return 0 for a VM that reads at once
+   * @return true for one VM of the region
    */
-  public int originRank(int chunk) {
-    if (policy.originCopies(dataCentres.size()) == 1) {
-      return rank(chunk, candidate -> true);
-    }
-    return rank(chunk, candidate -> candidate.vm.dataCentre().equals(self.dataCentre()));
+  public boolean isImporter(int chunk) {
+    return importers.get(self.vm.region())[chunk] == self;
   }
 
   /**
-   * Returns the position of this VM's data centre among those that read a chunk from the origin.
-   * The first reads at once; the others only while no peer elsewhere holds the chunk.
+   * Returns this VM's rank for taking over a chunk.
    *
    * @param chunk number of the chunk
-   * @return 0 for the first; {@link Integer#MAX_VALUE} if the data centre never reads the chunk
+   * @param withinRegion true to rank among the VMs of the region, false among all
+   * @return 0 for the first
    */
-  public int dataCentreOrder(int chunk) {
-    int copies = policy.originCopies(dataCentres.size());
-    if (copies == 1) {
-      return 0;
-    }
-    long own = RendezvousHash.weight(dataCentres.get(self.dataCentre()), key(chunk));
-    int order = 0;
-    for (long seed : dataCentres.values()) {
-      if (RendezvousHash.weight(seed, key(chunk)) > own) {
-        order++;
+  public int rank(int chunk, boolean withinRegion) {
+    long key = key(chunk);
+    long own = self.weight(key);
+    int rank = 0;
+    for (Candidate candidate : members) {
+      boolean counts = !withinRegion || candidate.vm.region().equals(self.vm.region());
+      if (counts && candidate.weight(key) > own) {
+        rank++;
       }
     }
-    return order < copies ? order : Integer.MAX_VALUE;
+    return rank;
   }
 
   /**
    * Returns the VM of each other region that brings a chunk in.
    *
    * @param chunk number of the chunk
-   * @return the first rank of each region but this VM's
+   * @return one VM for each region but this VM's
    */
   public List<VmIdentity> importers(int chunk) {
-    Map<String, Candidate> first = new TreeMap<>();
-    for (Candidate candidate : members) {
-      if (!candidate.vm.region().equals(self.region())) {
-        first.merge(
-            candidate.vm.region(), candidate, (a, b) -> a.ranksBefore(b, key(chunk)) ? a : b);
-      }
-    }
-    return first.values().stream().map(candidate -> candidate.vm).toList();
+    List<VmIdentity> others = new ArrayList<>();
+    importers.forEach(
+        (region, firsts) -> {
+          if (!region.equals(self.vm.region())) {
+            others.add(firsts[chunk].vm);
+          }
+        });
+    return others;
   }
 
-  private int rank(int chunk, java.util.function.Predicate<Candidate> among) {
-    Candidate own = members.get(0);
-    long key = key(chunk);
-    int rank = 0;
-    for (Candidate candidate : members) {
-      if (candidate != own && among.test(candidate) && candidate.ranksBefore(own, key)) {
-        rank++;
-      }
-    }
-    return rank;
+  /**
+   * Returns the number of data centres that take part.
+   *
+   * @return at least 1
+   */
+  public int dataCentres() {
+    return dataCentres;
   }
 
   private long key(int chunk) {
     return manifestSeed + chunk;
   }
 
-  private record Candidate(VmIdentity vm, long seed) {
-    boolean ranksBefore(Candidate other, long key) {
-      long weight = RendezvousHash.weight(seed, key);
-      long otherWeight = RendezvousHash.weight(other.seed, key);
-      return weight != otherWeight ? weight > otherWeight : vm.vm().compareTo(other.vm.vm()) < 0;
+  private static final class Candidate {
+    private final VmIdentity vm;
+    private final long seed;
+    private int load;
+
+    Candidate(VmIdentity vm, long seed) {
+      this.vm = vm;
+      this.seed = seed;
+    }
+
+    long weight(long key) {
+      return RendezvousHash.weight(seed, key);
     }
   }
 }
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferLimits.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferLimits.java
@@ -33,8 +33,8 @@
   /** Limits of the product. */
   public static final TransferLimits DEFAULT =
       new TransferLimits(
+          10,
           4,
-          3,
           2,
           2,
           4,
