--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEnd.java
@@ -0,0 +1,155 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.requests.admission.FairQueue;
+import org.clementineford.requests.admission.QueuedRequest;
+
+/** A model or plain service: the queue of its requests and the servers that run them. */
+final class BackEnd {
+  private final String name;
+  private final BackEndKind kind;
+  private final List<BackEndServer> servers;
+  private final FairQueue<Run> queue;
+  private final RequestServices services;
+  private Scheduler.Cancellable deadlineTimer;
+  private long deadlineTimerNanos;
+
+  BackEnd(
+      String name,
+      BackEndKind kind,
+      List<BackEndServer> servers,
+      FairQueue<Run> queue,
+      RequestServices services) {
+    this.name = name;
+    this.kind = kind;
+    this.servers = List.copyOf(servers);
+    this.queue = queue;
+    this.services = services;
+  }
+
+  String name() {
+    return name;
+  }
+
+  BackEndKind kind() {
+    return kind;
+  }
+
+  List<BackEndServer> servers() {
+    return servers;
+  }
+
+  FairQueue<Run> queue() {
+    return queue;
+  }
+
+  /** Tells whether no server is up. */
+  boolean isDown() {
+    return servers.stream().allMatch(server -> server.health().isDown());
+  }
+
+  /** Takes the server with the most free slots. */
+  BackEndServer takeServer() {
+    synchronized (servers) {
+      BackEndServer best = servers.get(0);
+      for (BackEndServer server : servers) {
+        if (server.freeSlots() > best.freeSlots()) {
+          best = server;
+        }
+      }
+      best.begin();
+      return best;
+    }
+  }
+
+  /** Queues a run, or says why not. */
+  RefusalKind accept(QueuedRequest<Run> request) {
+    if (isDown()) {
+      return RefusalKind.BACK_END_DOWN;
+    }
+    if (!kind.isServed(services.versions(), name)) {
+      return RefusalKind.MODEL_NOT_SERVED;
+    }
+    if (!queue.offer(request)) {
+      return RefusalKind.QUEUE_FULL;
+    }
+    // The back end may have gone down, and its queue been emptied, since the check above.
+    return isDown() && queue.remove(request) ? RefusalKind.BACK_END_DOWN : null;
+  }
+
+  /** Starts runs while slots are free. Must not be called with the lock of a run held. */
+  void startNext() {
+    queue
+        .expire(services.clock().nanoTime())
+        .forEach(request -> request.work().refuseQueued(RefusalKind.DEADLINE_PASSED));
+    QueuedRequest<Run> next = queue.poll();
+    while (next != null) {
+      if (!next.work().start()) {
+        queue.finish(next, 0);
+      }
+      next = queue.poll();
+    }
+    armDeadlineTimer();
+  }
+
+  private synchronized void armDeadlineTimer() {
+    OptionalLong earliest = queue.earliestDeadline();
+    if (earliest.isEmpty()) {
+      return;
+    }
+    if (deadlineTimer != null) {
+      if (deadlineTimerNanos - earliest.getAsLong() <= 0) {
+        return;
+      }
+      deadlineTimer.cancel();
+    }
+    deadlineTimerNanos = earliest.getAsLong();
+    long delay = Math.max(0, deadlineTimerNanos - services.clock().nanoTime());
+    deadlineTimer =
+        services.scheduler().schedule(this::onDeadlineTimer, delay, TimeUnit.NANOSECONDS);
+  }
+
+  private void onDeadlineTimer() {
+    synchronized (this) {
+      deadlineTimer = null;
+    }
+    startNext();
+  }
+
+  /** Frees the slot of a run. Must not be called with the lock of a run held. */
+  void finished(QueuedRequest<Run> request, BackEndServer server, long actualCost) {
+    server.end();
+    queue.finish(request, actualCost);
+    startNext();
+  }
+
+  void succeeded(BackEndServer server) {
+    if (server.health().succeeded()) {
+      services.timeline().record(EventKind.BACK_END_UP, "backEnd", name);
+      updateSlots();
+    }
+  }
+
+  /** Records a failure. Must not be called with the lock of a run held. */
+  void failed(BackEndServer server, boolean connectionRefused, String cause) {
+    if (server.health().failed(connectionRefused, services.clock().nanoTime())) {
+      services.timeline().record(EventKind.BACK_END_DOWN, "backEnd", name, "cause", cause);
+      updateSlots();
+    }
+    if (isDown()) {
+      queue
+          .expire(Long.MAX_VALUE)
+          .forEach(request -> request.work().refuseQueued(RefusalKind.BACK_END_DOWN));
+    }
+  }
+
+  /** Lets as many requests run as the servers that are up have slots. */
+  void updateSlots() {
+    queue.setSlots(servers.stream().mapToInt(BackEndServer::usableSlots).sum());
+  }
+}
--- /dev/null
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoll.java
@@ -0,0 +1,96 @@
+package org.clementineford.endpoint.internal.requests;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.platform.ModelEngine;
+import org.clementineford.platform.HttpModelEngine;
+import org.clementineford.transport.http.HttpRequest;
+
+/** Reads the load of one server of a back end and probes it while it is down. */
+final class LoadPoll {
+  private static final long PROBE_TIMEOUT_MS = 1000;
+
+  /** Any response shows that a plain service is up. */
+  private static final HttpRequest PROBE = new HttpRequest("GET", "/", Map.of(), new byte[0]);
+
+  private final BackEnd backEnd;
+  private final BackEndServer server;
+  private final RequestServices services;
+  private final ModelEngine engine;
+  private boolean pending;
+  private long reportedNanos;
+
+  LoadPoll(BackEnd backEnd, BackEndServer server, RequestServices services) {
+    this.backEnd = backEnd;
+    this.server = server;
+    this.services = services;
+    this.engine = new HttpModelEngine(services.httpClient(), server.address());
+    this.reportedNanos = services.clock().nanoTime();
+  }
+
+  BackEnd backEnd() {
+    return backEnd;
+  }
+
+  /** Age of the engine's report in milliseconds; 0 for plain services, which have none. */
+  synchronized long ageMs() {
+    return backEnd.kind() == BackEndKind.SERVICE
+        ? 0
+        : TimeUnit.NANOSECONDS.toMillis(services.clock().nanoTime() - reportedNanos);
+  }
+
+  synchronized boolean isPending() {
+    return pending;
+  }
+
+  /** Sends a probe if one is due. */
+  void probe() {
+    if (server.health().takeProbe(services.clock().nanoTime())) {
+      read();
+    }
+  }
+
+  /** Reads the load report of an engine that is up. */
+  void refresh() {
+    if (backEnd.kind() == BackEndKind.ENGINE && !server.health().isDown()) {
+      read();
+    }
+  }
+
+  private void read() {
+    synchronized (this) {
+      if (pending) {
+        return;
+      }
+      pending = true;
+    }
+    CompletableFuture<?> answer =
+        backEnd.kind() == BackEndKind.ENGINE
+            ? engine.readLoad().thenAccept(this::received)
+            : services.httpClient().call(server.address(), PROBE, PROBE_TIMEOUT_MS);
+    answer.whenComplete((report, failure) -> answered(failure));
+  }
+
+  private void received(ModelEngine.Load load) {
+    synchronized (this) {
+      reportedNanos = services.clock().nanoTime() - TimeUnit.MILLISECONDS.toNanos(load.ageMs());
+    }
+    if (load.slots() > 0) {
+      server.setSlots(load.slots());
+    }
+  }
+
+  private void answered(Throwable failure) {
+    synchronized (this) {
+      pending = false;
+    }
+    if (failure != null) {
+      backEnd.failed(server, false, String.valueOf(failure.getMessage()));
+      return;
+    }
+    backEnd.succeeded(server);
+    backEnd.updateSlots();
+    backEnd.startNext();
+  }
+}
--- a/org.clementineford.node/src/main/java/org/clementineford/node/StatusContributor.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/StatusContributor.java
@@ -3,13 +3,13 @@
 import java.util.List;
 import org.clementineford.wire.ModelStatus;
 
-/** Reports on the models of this process; offered through {@link SharedServices}. */
+/** Tells which models this process serves; offered by a component through SharedServices. */
 @FunctionalInterface
 public interface StatusContributor {
   /**
-   * Returns what is known about each model.
+   * Returns the state of each model on this VM.
    *
-   * @return one entry for each model, in the order of their names; may be called from any thread
+   * @return one entry for each model that is served or in transfer
    */
-  List<ModelStatus> modelStatus();
+  List<ModelStatus> modelStatuses();
 }
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
@@ -26,6 +26,7 @@
   private ScheduledFuture<?> idleCheck;
   private long lastActivityNanos;
   private boolean ended;
+  private boolean paused;
 
   HttpClientCall(
       HttpRequest request,
@@ -84,10 +85,18 @@
       checkIdleAfter(remainingNanos);
       return;
     }
+    if (isPaused()) {
+      checkIdleAfter(TimeUnit.MILLISECONDS.toNanos(idleTimeoutMs));
+      return;
+    }
     fail(ExchangeFailure.UNKNOWN, "nothing received for " + idleTimeoutMs + " ms");
     channel.close();
   }
 
+  private synchronized boolean isPaused() {
+    return paused && !ended;
+  }
+
   void head(HttpResponse response) {
     noteActivity();
     Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
@@ -112,6 +121,7 @@
         return;
       }
       ended = true;
+      connection.config().setAutoRead(true);
     }
     if (keepAlive) {
       release.accept(connection);
@@ -150,4 +160,12 @@
       channel.close();
     }
   }
+
+  @Override
+  public synchronized void setReading(boolean reading) {
+    paused = !reading;
+    if (channel != null && !ended) {
+      channel.config().setAutoRead(reading);
+    }
+  }
 }
--- a/org.clementineford.wire/src/main/thrift/clementineford.thrift
+++ b/org.clementineford.wire/src/main/thrift/clementineford.thrift
@@ -25,7 +25,12 @@
 struct Acknowledgement { }
 
 // Configuration
-struct RevisionAnnounce { 1: i64 revision, 2: VmIdentity sender }
+struct RevisionAnnounce {
+  1: i64 revision,
+  2: VmIdentity sender,
+  3: i64 clockPhysicalMs, // reading of the sender's hybrid logical clock
+  4: i32 clockLogical,
+}
 struct SectionsPull { 1: i64 sinceRevision }
 struct SectionText {
   1: string name,
@@ -42,11 +47,16 @@
   2: MemberPhase phase,
   3: i64 statementNumber,
   4: i64 revisionInForce,
+  5: optional list<string> accusers, // VMs that could not reach a suspect
 }
 struct MembersExchange {
   1: VmIdentity sender,
   2: list<MemberState> members,
   3: i64 revision,
+  4: i64 tableDigest, // equal digests mean equal tables
+  5: bool wantAll, // asks for the whole table; set by a process that joins
+  6: i64 clockPhysicalMs, // reading of the sender's hybrid logical clock
+  7: i32 clockLogical,
 }
 
 // Requests
