--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionMeasurement.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/distribution/DistributionMeasurement.java
@@ -1,6 +1,7 @@
 package org.clementineford.bench.distribution;
 
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.clementineford.bench.Measurement;
 import org.clementineford.kernel.DistributionPolicy;
@@ -43,6 +44,12 @@
           "Bandwidth between two regions as a share of a VM's link.",
           "1",
           SettingParser.number(0.01, 100));
+  private static final Setting<List<Baseline>> BASELINES =
+      new Setting<>(
+          "baseline",
+          "What to compare with: origin, chain, all, or swarm for no baseline.",
+          "all",
+          DistributionMeasurement::baselines);
   private static final Setting<Long> SEED =
       new Setting<>(
           "seed", "Seed of the weights and faults.", "1", SettingParser.wholeNumber(0, 1L << 60));
@@ -56,6 +63,16 @@
     throw new SettingException("give SHORTEST_TIME or FEWEST_ORIGIN_BYTES");
   }
 
+  private static List<Baseline> baselines(String text) throws SettingException {
+    return switch (text) {
+      case "all" -> List.of(Baseline.values());
+      case "origin" -> List.of(Baseline.ORIGIN);
+      case "chain" -> List.of(Baseline.CHAIN);
+      case "swarm" -> List.of();
+      default -> throw new SettingException("give origin, chain, all or swarm");
+    };
+  }
+
   @Override
   public String name() {
     return "distribution";
@@ -63,7 +80,7 @@
 
   @Override
   public List<Setting<?>> settings() {
-    return List.of(VMS, POLICY, FAULTS, SECONDS, COPY_KIB, CHUNK_KIB, REGION_LINK, SEED);
+    return List.of(VMS, POLICY, FAULTS, SECONDS, COPY_KIB, CHUNK_KIB, REGION_LINK, BASELINES, SEED);
   }
 
   @Override
@@ -80,6 +97,16 @@
             settings.get(SEED));
     // Compiles the code first; the VMs of a real fleet do not share one cold JVM.
     new DistributionRun(plan.warmUp()).run();
-    return new DistributionRun(plan).run();
+    Map<String, Object> figures = new DistributionRun(plan).run();
+    double timeOverT = (double) figures.get("time_over_T");
+    for (Baseline baseline : settings.get(BASELINES)) {
+      try (BaselineRun run = new BaselineRun(baseline, plan)) {
+        double baselineTime = run.timeOverT();
+        String name = "baseline_" + baseline.name().toLowerCase(Locale.ROOT);
+        figures.put(name + "_time_over_T", DistributionRun.round(baselineTime));
+        figures.put(name + "_ratio", DistributionRun.round(baselineTime / timeOverT));
+      }
+    }
+    return figures;
   }
 }
