--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/DaemonInputTest.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/DaemonInputTest.java
@@ -68,7 +68,7 @@
         ErrorKind.INVALID_SETTING,
         "--engines",
         "\"assistant\"",
-        "MODEL=http://");
+        "assistant=http://127.0.0.1:7201");
   }
 
   @Test
