Refuse callers until an entry VM has a configuration

An entry VM without a document answered /ready with 200 and every caller with 401, as if the token were wrong. A VM that starts during an outage would have turned callers away that way until it heard from a peer. It now fails /ready and refuses as not run with 503 and Retry-After.

Ruled out: an empty account list as sign of a missing configuration, since a document without accounts is valid.

--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestFront.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestFront.java
@@ -66,11 +66,16 @@
   @Override
   public void handle(HttpExchange http) {
     if (http.request().path().equals(READY_PATH)) {
-      int status = leaving ? 503 : 200;
+      int status = leaving || !isConfigured() ? 503 : 200;
       http.respond(status, Map.of("Content-Type", "text/plain"), new byte[0]);
       return;
     }
     String requestId = newRequestId();
+    if (!isConfigured()) {
+      // Without accounts every token is unknown; callers must not take theirs for invalid.
+      refuse(http, EntryRefusal.NO_CONFIGURATION, requestId, "");
+      return;
+    }
     ClientAccount account = accounts.find(http.request().header("Authorization"));
     if (account == null) {
       refuse(http, EntryRefusal.UNAUTHENTICATED, requestId, "");
@@ -84,6 +89,10 @@
     }
   }
 
+  private boolean isConfigured() {
+    return configuration.current().revision() > 0;
+  }
+
   private void accept(HttpExchange http, CallerRequest request, ClientAccount account) {
     // Counted before the check, so that a drain cannot miss a request that passed it.
     inFlight.incrementAndGet();
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/attempts/EntryRefusal.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/attempts/EntryRefusal.java
@@ -22,6 +22,8 @@
   CORRUPT_ANSWER(502, 1000),
   /** No endpoint serves the version in force. */
   NO_ENDPOINT(503, 1000),
+  /** This entry VM started lately and knows no accounts yet. */
+  NO_CONFIGURATION(503, 1000),
   /** This entry VM is stopping. */
   ENTRY_LEAVING(503, 1000),
   /** The platform cannot record the claim. */
