--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadReporter.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadReporter.java
@@ -1,11 +1,11 @@
 package org.clementineford.endpoint.internal.requests;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.clementineford.kernel.HostPort;
-import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.node.MembershipView.Member;
 import org.clementineford.node.NodeContext;
@@ -20,16 +20,19 @@
 /** Makes load reports, answers requests for them and sends them to entry VMs. */
 final class LoadReporter implements ExchangeHandler {
   private final NodeContext context;
+  private final Collection<BackEnd> backEnds;
   private final List<LoadPoll> polls;
   private final ActivatedVersions versions;
   private final BooleanSupplier leaving;
 
   LoadReporter(
       NodeContext context,
+      Collection<BackEnd> backEnds,
       List<LoadPoll> polls,
       ActivatedVersions versions,
       BooleanSupplier leaving) {
     this.context = context;
+    this.backEnds = backEnds;
     this.polls = polls;
     this.versions = versions;
     this.leaving = leaving;
@@ -42,13 +45,12 @@
 
   private Payload report() {
     List<BackEndLoad> loads = new ArrayList<>();
-    polls.forEach(poll -> loads.add(load(poll)));
+    backEnds.forEach(backEnd -> loads.add(load(backEnd)));
     return Payload.loadReport(
         new LoadReport(Payloads.toWire(context.self()), loads, leaving.getAsBoolean()));
   }
 
-  private BackEndLoad load(LoadPoll poll) {
-    BackEnd backEnd = poll.backEnd();
+  private BackEndLoad load(BackEnd backEnd) {
     FairQueue.Depth depth = backEnd.queue().depth();
     BackEndLoad load =
         new BackEndLoad()
@@ -57,7 +59,7 @@
             .setQueued(depth.queued())
             .setQueuedCostTokens(depth.queuedCost())
             .setSlots(depth.slots())
-            .setAgeMs(poll.ageMs())
+            .setAgeMs(ageMs(backEnd))
             .setHealthy(!backEnd.isDown());
     if (backEnd.kind() == BackEndKind.ENGINE) {
       load.setModel(backEnd.name());
@@ -69,25 +71,35 @@
     return load;
   }
 
+  /** Age of the oldest report of the back end's servers. */
+  private long ageMs(BackEnd backEnd) {
+    return polls.stream()
+        .filter(poll -> poll.backEnd() == backEnd)
+        .mapToLong(LoadPoll::ageMs)
+        .max()
+        .orElse(0);
+  }
+
   /** Sends a report to the entry VMs of this data centre that answer. */
   void sendToOwnDataCentre() {
     String dataCentre = context.self().dataCentre();
-    send(entryVms(identity -> identity.dataCentre().equals(dataCentre)), () -> {});
+    send(
+        entryVms(
+            entry ->
+                entry.phase().takesNewWork() && entry.identity().dataCentre().equals(dataCentre)),
+        () -> {});
   }
 
-  /** Returns the addresses of all entry VMs that answer. */
+  /** Returns the addresses of all entry VMs that are not dead. */
   List<HostPort> entryVms() {
-    return entryVms(identity -> true);
+    return entryVms(entry -> true);
   }
 
-  private List<HostPort> entryVms(Predicate<VmIdentity> wanted) {
+  private List<HostPort> entryVms(Predicate<Member> wanted) {
     List<HostPort> addresses = new ArrayList<>();
     for (Member member : context.membership().members()) {
-      VmIdentity identity = member.identity();
-      if (identity.role() == VmRole.ENTRY
-          && member.phase().takesNewWork()
-          && wanted.test(identity)) {
-        addresses.add(identity.address());
+      if (member.identity().role() == VmRole.ENTRY && wanted.test(member)) {
+        addresses.add(member.identity().address());
       }
     }
     return addresses;
