--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FairnessScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FairnessScenario.java
@@ -28,6 +28,7 @@
   private static final long RUN_MS = FIRST_TOKEN_MS + BETWEEN_TOKENS_MS * (TOKENS - 1);
   private static final double CAPACITY = ENDPOINTS * SLOTS * 1000.0 / RUN_MS;
   private static final int TOTAL_WEIGHT = WEIGHTS.values().stream().mapToInt(w -> w).sum();
+  private static final long TIMEOUT_MS = 20_000;
   private static final double GREED = 10;
   private static final double LATENCY_BOUND = 1.25;
   private static final double SHARE_BOUND = 0.1;
@@ -115,23 +116,32 @@
 
   private static void offer(
       Site site, Caller caller, String account, double rate, double seconds, Result result) {
+    CountDownLatch open = new CountDownLatch((int) (rate * seconds));
     int[] next = new int[1];
     long[] start = new long[1];
+    // Queues fill in the first half of the load; only the second half counts.
+    long half = (long) (seconds / 2 * TimeUnit.SECONDS.toNanos(1));
     new OpenLoop(rate)
         .run(
             seconds,
             due -> {
               int number = next[0]++;
               start[0] = start[0] == 0 ? due : start[0];
-              // Queues fill in the first half of the load; only the second half counts.
-              boolean counts = due - start[0] > seconds / 2 * TimeUnit.SECONDS.toNanos(1);
               String content = account + " " + number;
               caller.send(
                   site.entryAddress(number % ENTRIES),
                   Chats.request(account, content, TOKENS, false),
-                  20_000,
-                  outcome -> result.add(account, content, outcome, due, counts));
+                  TIMEOUT_MS,
+                  outcome -> {
+                    result.add(account, content, outcome, due, start[0] + half, half);
+                    open.countDown();
+                  });
             });
+    try {
+      open.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private static final class Result {
@@ -139,15 +149,18 @@
     private final Map<String, LongAdder> served = new ConcurrentHashMap<>();
     private final LongAdder wrong = new LongAdder();
 
-    void add(String account, String content, Caller.Outcome outcome, long due, boolean counts) {
+    void add(
+        String account, String content, Caller.Outcome outcome, long due, long from, long length) {
       if (outcome.end() != Caller.End.ANSWERED) {
         return;
       }
       if (!Chats.isOwnAnswer(outcome.text(), content, TOKENS, false)) {
         wrong.increment();
       }
-      if (counts) {
+      if (outcome.endNanos() >= from && outcome.endNanos() < from + length) {
         served.computeIfAbsent(account, key -> new LongAdder()).increment();
+      }
+      if (due >= from) {
         latencies
             .computeIfAbsent(
                 account, key -> new ConcurrentHistogram(TimeUnit.MINUTES.toNanos(2), 3))
@@ -164,7 +177,8 @@
     }
 
     double share(String account) {
-      return served.get(account).sum() / (double) total();
+      LongAdder own = served.get(account);
+      return own == null ? 0 : own.sum() / (double) total();
     }
   }
 }
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/RequestsMeasurement.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/RequestsMeasurement.java
@@ -54,8 +54,7 @@
     long seed = settings.get(SEED);
     double seconds = settings.get(SECONDS);
     return switch (settings.get(SCENARIO)) {
-      case "throughput" ->
-          new ThroughputScenario(settings.get(RATE), seconds, 2, threads, seed).run();
+      case "throughput" -> new ThroughputScenario(settings.get(RATE), seconds, threads, seed).run();
       case "fairness" -> new FairnessScenario(seconds, threads, seed).run();
       case "faults" -> new FaultsScenario(settings.get(REQUESTS).intValue(), threads, seed).run();
       case "endpoint-loss" -> new EndpointLossScenario(LOSS_RATE, seconds, threads, seed).run();
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
@@ -16,6 +16,8 @@
 final class ThroughputScenario {
   private static final int TOKENS = 8;
   private static final int ENGINES = 3;
+  // Short rounds, so that other work on the machine meets both ways alike.
+  private static final double ROUND_SECONDS = 2;
   private static final long TIMEOUT_MS = 10_000;
   private static final EngineOptions OPTIONS = new EngineOptions(20, 10, TOKENS, 4096, true, 0);
   private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
@@ -26,10 +28,10 @@
   private final int threads;
   private final long seed;
 
-  ThroughputScenario(double rate, double seconds, int rounds, int threads, long seed) {
+  ThroughputScenario(double rate, double seconds, int threads, long seed) {
     this.rate = rate;
     this.seconds = seconds;
-    this.rounds = rounds;
+    this.rounds = (int) Math.max(2, seconds / ROUND_SECONDS);
     this.threads = threads;
     this.seed = seed;
   }
