Write the last bytes before an entry VM stops

HttpServer.close cut answers off whose last bytes waited for a slow reader: a test that answers with 8 MiB and closes failed with it and passes with closeAfterWrites, which the entry VM now uses after its drain.

The question to report or revoke an attempt names no key any more. The claim decides which attempt of a key runs; a revocation that held the key at the endpoint refused the next attempt there for a minute. Keys of idempotent requests stay out of the dispatch for the same reason.

--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.zip.CRC32C;
 import org.clementineford.testing.PausedTime;
 import org.clementineford.transport.ExchangeFailure;
@@ -53,6 +54,8 @@
   boolean reachable = true;
   String prefix = "";
   int cancelled;
+  int loadQuestions;
+  Supplier<Payload> loadReport = () -> null;
   private final PausedTime time;
   private final Map<String, Attempt> attempts = new HashMap<>();
   private final Map<String, Long> revoked = new HashMap<>();
@@ -75,7 +78,10 @@
   }
 
   void receive(Payload payload, ExchangeListener listener) {
-    if (payload.isSetReportOrRevoke()) {
+    if (payload.isSetLoadReport()) {
+      loadQuestions++;
+      listener.onPayload(loadReport.get(), true);
+    } else if (payload.isSetReportOrRevoke()) {
       report(payload.getReportOrRevoke(), listener);
     } else if (behavior == Behavior.HOLD_CONNECTION) {
       held.add(() -> dispatch(payload.getDispatch(), listener));
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/Fleet.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/Fleet.java
@@ -169,6 +169,7 @@
     final EndpointTable table = new EndpointTable();
     final EntryMetrics metrics = new EntryMetrics(new PrometheusRegistry());
     final Timeline timeline;
+    final EntryServices services;
     final RequestFront front;
     boolean dead;
 
@@ -178,7 +179,7 @@
               vm, VmRole.ENTRY, "lorient", "brittany", 1, new HostPort("10.0.1.1", 7000));
       timeline = new Timeline(new HybridLogicalClock(time.epochClock()), vm, 1, 100);
       Router router = new Router(table, "lorient", new java.util.SplittableRandom(7));
-      EntryServices services =
+      services =
           new EntryServices(
               this,
               new TargetChooser(router, table, this),
--- /dev/null
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/ReportQuestionsTest.java
@@ -0,0 +1,83 @@
+package org.clementineford.entry.internal.requests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.VmRole;
+import org.clementineford.node.MembershipView;
+import org.clementineford.requests.routing.BackEnd;
+import org.clementineford.transport.Payloads;
+import org.clementineford.wire.BackEndLoad;
+import org.clementineford.wire.LoadReport;
+import org.clementineford.wire.Payload;
+import org.junit.jupiter.api.Test;
+
+class ReportQuestionsTest {
+  private static final BackEnd MODEL = new BackEnd("assistant", "v1");
+
+  private final Fleet fleet = new Fleet();
+  private final Fleet.Entry entry = fleet.entry(1);
+  private final FakeEndpoint asked = fleet.endpoint(2);
+
+  private void ask(String dataCentre) {
+    VmIdentity known = fleet.identity(asked);
+    VmIdentity endpoint =
+        new VmIdentity(
+            asked.vm, VmRole.ENDPOINT, dataCentre, "any", asked.incarnation, known.address());
+    BackEndLoad load = new BackEndLoad("assistant", 0, 0, 0, 4, 0, true);
+    load.setModel("assistant").setModelVersion("v1");
+    asked.loadReport =
+        () -> Payload.loadReport(new LoadReport(Payloads.toWire(endpoint), List.of(load), false));
+    VmIdentity self =
+        new VmIdentity(
+            "entry-1", VmRole.ENTRY, "lorient", "any", 1, new HostPort("10.0.1.1", 7000));
+    LoadReports reports = new LoadReports(entry.table, entry, fleet.time);
+    new ReportQuestions(self, fleet, new OneMember(endpoint), entry.services, reports)
+        .askIfNeeded();
+    fleet.time.advance(10, TimeUnit.MILLISECONDS);
+  }
+
+  private List<String> candidates() {
+    return entry.table.candidates(MODEL, fleet.time.nanoTime()).stream()
+        .map(candidate -> candidate.endpoint().vm())
+        .toList();
+  }
+
+  // Guards against an entry VM that refuses requests until the next report of its endpoints.
+  @Test
+  void restartedLocalEndpointIsAskedAtOnce() {
+    fleet.time.advance(4, TimeUnit.SECONDS);
+    asked.incarnation = 2;
+    ask("lorient");
+    assertThat(candidates()).containsExactly("endpoint-2");
+  }
+
+  // Guards against refusals while another data centre can serve.
+  @Test
+  void remoteEndpointIsAskedWhileNoLocalOneServes() {
+    fleet.time.advance(4, TimeUnit.SECONDS);
+    ask("paris");
+    assertThat(candidates()).containsExactly("endpoint-2");
+  }
+
+  // Guards against traffic between regions while local endpoints serve.
+  @Test
+  void remoteEndpointIsLeftAloneWhileLocalOnesServe() {
+    ask("paris");
+    assertThat(asked.loadQuestions).isZero();
+  }
+
+  private record OneMember(VmIdentity identity) implements MembershipView {
+    @Override
+    public List<Member> members() {
+      return List.of(new Member(identity, Phase.ALIVE));
+    }
+
+    @Override
+    public void onChange(Consumer<List<Member>> listener) {}
+  }
+}
--- /dev/null
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/RequestFrontTest.java
@@ -0,0 +1,108 @@
+package org.clementineford.entry.internal.requests;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RequestFrontTest {
+  private static final String CHAT = "/v1/chat/completions";
+  private static final String TOKEN = "Bearer " + Fleet.TOKEN;
+
+  private final Fleet fleet = new Fleet();
+  private final Fleet.Entry entry = fleet.entry(1);
+
+  private void shortWhile() {
+    fleet.time.advance(50, TimeUnit.MILLISECONDS);
+  }
+
+  @Nested
+  class Checks {
+    private void assertRefused(FakeCall call, int status) {
+      assertThat(call.status).isEqualTo(status);
+      assertThat(call.run()).isEqualTo("not-run");
+      assertThat(call.headers).containsKey("Clementineford-Request");
+    }
+
+    // Guards against work for callers that no account vouches for.
+    @Test
+    void refuseUnknownTokens() {
+      assertRefused(entry.call("POST", CHAT, Map.of(), "{}"), 401);
+      assertRefused(entry.call("POST", CHAT, Map.of("Authorization", "Bearer x"), "{}"), 401);
+    }
+
+    // Guards against requests that reach an endpoint and fail there.
+    @Test
+    void refuseWhatTheDocumentDoesNotName() {
+      Map<String, String> headers = Map.of("Authorization", TOKEN);
+      assertRefused(entry.call("POST", CHAT, headers, "{\"model\":\"other\"}"), 404);
+      assertRefused(entry.call("GET", "/services/other/stock", headers, ""), 404);
+      assertRefused(entry.call("GET", "/elsewhere", headers, ""), 404);
+    }
+
+    // Guards against malformed headers that silently change the meaning of a request.
+    @Test
+    void refuseMalformedHeaders() {
+      for (Map.Entry<String, String> header :
+          Map.of(
+                  "Clementineford-Idempotent", "maybe",
+                  "Clementineford-Priority", "high",
+                  "Clementineford-Timeout-Ms", "-1",
+                  "Idempotency-Key", "k".repeat(257))
+              .entrySet()) {
+        Map<String, String> headers =
+            Map.of("Authorization", TOKEN, header.getKey(), header.getValue());
+        assertRefused(entry.call("POST", "/services/reservations/reservations", headers, ""), 400);
+      }
+      assertRefused(entry.call("POST", CHAT, Map.of("Authorization", TOKEN), "no JSON"), 400);
+    }
+  }
+
+  @Nested
+  class Memory {
+    // Guards against an account that fills the memory of the entry VM.
+    @Test
+    void beyondTheLimitIsRefusedAtOnceAndComesBack() {
+      fleet.endpoints.values().forEach(e -> e.behavior = FakeEndpoint.Behavior.KEEP_RUNNING);
+      FakeCall last = fleet.chat(entry, false);
+      int accepted = 0;
+      while (last.status == 0) {
+        accepted++;
+        last = fleet.chat(entry, false);
+      }
+      assertThat(last.status).isEqualTo(429);
+      assertThat(last.headers).containsKey("Retry-After");
+      // 1 MiB by 16 KiB for each request, and its body.
+      assertThat(accepted).isBetween(60, 64);
+      shortWhile();
+      fleet.endpoints.values().forEach(FakeEndpoint::finishRuns);
+      assertThat(fleet.chat(entry, false).status).isZero();
+    }
+  }
+
+  @Nested
+  class Stop {
+    // Guards against a planned stop that interrupts requests or takes new ones.
+    @Test
+    void refusesNewRequestsAndWaitsForThoseInFlight() {
+      fleet.endpoints.values().forEach(e -> e.behavior = FakeEndpoint.Behavior.KEEP_RUNNING);
+      final FakeCall inFlight = fleet.chat(entry, true);
+      shortWhile();
+      entry.front.failReadiness();
+      assertThat(entry.call("GET", "/ready", Map.of(), "").status).isEqualTo(503);
+      assertThat(fleet.chat(entry, false).status).isZero();
+      CompletableFuture<Void> idle = entry.front.refuseNewRequests();
+      FakeCall refused = fleet.chat(entry, false);
+      assertThat(refused.status).isEqualTo(503);
+      assertThat(refused.run()).isEqualTo("not-run");
+      assertThat(idle).isNotDone();
+      shortWhile();
+      fleet.endpoints.values().forEach(FakeEndpoint::finishRuns);
+      assertThat(inFlight.complete).isTrue();
+      assertThat(idle).isDone();
+    }
+  }
+}
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/AttemptInquiry.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/AttemptInquiry.java
@@ -1,6 +1,7 @@
 package org.clementineford.entry.internal.requests;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.requests.claims.AttemptReport;
 import org.clementineford.requests.claims.Claim;
@@ -11,7 +12,11 @@
 import org.clementineford.wire.ReportOrRevoke;
 import org.clementineford.wire.RunReport;
 
-/** Asks an endpoint to report or revoke an attempt, again after a lost connection. */
+/**
+ * Asks an endpoint to report or revoke an attempt, again after a lost connection. The question
+ * names no key: the claim decides which attempt of a key runs, and a revocation that held the key
+ * would keep the next attempt away from this endpoint.
+ */
 final class AttemptInquiry {
   // A restarted or replaced endpoint refuses connections at once; a connection that became
   // unresponsive takes its 3 s deadline, after which a new one works.
@@ -38,27 +43,16 @@
   }
 
   /** Asks; {@code wanted} is checked before each further try. */
-  void ask(
-      Claim claim,
-      String account,
-      String key,
-      java.util.function.BooleanSupplier wanted,
-      Result result) {
-    ask(claim, account, key, wanted, result, 1);
+  void ask(Claim claim, String account, BooleanSupplier wanted, Result result) {
+    ask(claim, account, wanted, result, 1);
   }
 
   private void ask(
-      Claim claim,
-      String account,
-      String key,
-      java.util.function.BooleanSupplier wanted,
-      Result result,
-      int attempt) {
+      Claim claim, String account, BooleanSupplier wanted, Result result, int attempt) {
     ReportOrRevoke question =
         new ReportOrRevoke()
             .setAttemptId(claim.attemptId())
             .setClientAccount(account)
-            .setIdempotencyKey(key)
             .setTargetIncarnation(claim.incarnation())
             .setWaitForEnd(true);
     ExchangeListener listener =
@@ -79,7 +73,7 @@
               return;
             }
             scheduler.schedule(
-                () -> ask(claim, account, key, wanted, result, attempt + 1),
+                () -> ask(claim, account, wanted, result, attempt + 1),
                 RETRY_DELAY_MS,
                 TimeUnit.MILLISECONDS);
           }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/CallerRequest.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/CallerRequest.java
@@ -51,7 +51,7 @@
             .setRequestId(requestId)
             .setAttemptId(target.attemptId())
             .setClientAccount(account)
-            .setIdempotencyKey(key)
+            .setIdempotencyKey(isClaimed() ? key : null)
             .setRequestDigest(digest)
             .setIdempotent(idempotent)
             .setUrgent(urgent)
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/ClaimRun.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/ClaimRun.java
@@ -1,5 +1,6 @@
 package org.clementineford.entry.internal.requests;
 
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.requests.RunState;
@@ -81,7 +82,7 @@
     } else if (action instanceof ClaimAction.Read) {
       read();
     } else if (action instanceof ClaimAction.Ask ask) {
-      inquiry.ask(ask.claim(), request.account(), request.key(), run::isWanted, this::reported);
+      inquiry.ask(ask.claim(), request.account(), run::isWanted, this::reported);
     } else if (action instanceof ClaimAction.Dispatch) {
       run.dispatch(target);
     } else if (action instanceof ClaimAction.Replay replay) {
@@ -111,7 +112,7 @@
               services
                   .metrics()
                   .claimWrites
-                  .labelValues(ClaimStore.kindOf(failure).name().toLowerCase(java.util.Locale.ROOT))
+                  .labelValues(ClaimStore.kindOf(failure).name().toLowerCase(Locale.ROOT))
                   .inc();
             }
             if (!run.isEnded()) {
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
@@ -22,6 +22,9 @@
 public final class RequestEntry implements NodeComponent {
   private static final long QUESTION_INTERVAL_MS = 1000;
 
+  // After the drain only bytes to callers that read slowly are left.
+  private static final long LAST_BYTES_MS = 2000;
+
   private final NodeContext context;
   private final EntrySettings settings;
   private final EndpointTable endpoints = new EndpointTable();
@@ -117,6 +120,6 @@
   @Override
   public void close() {
     reportQuestions.cancel();
-    server.close();
+    server.closeAfterWrites(LAST_BYTES_MS);
   }
 }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestRun.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestRun.java
@@ -77,7 +77,7 @@
     return !ended && callerPresent && services.clock().nanoTime() < deadlineNanos;
   }
 
-  /** Prefers other endpoints to one that revoked an attempt of the same key. */
+  /** Prefers other endpoints to one that never saw an attempt, maybe for its connection. */
   synchronized void avoid(String vm) {
     plan.avoid(vm);
   }
@@ -172,7 +172,7 @@
       }
       case ASK -> {
         Claim asked = attempt.target().toClaim(request.digest());
-        inquiry.ask(asked, request.account(), request.key(), this::isWanted, this::reported);
+        inquiry.ask(asked, request.account(), this::isWanted, this::reported);
       }
       default -> refuse(otherwise);
     }
--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
@@ -79,6 +79,23 @@
     assertThat(response).failsWithin(5, TimeUnit.SECONDS);
   }
 
+  // Guards against a planned stop that cuts the end of an answer off.
+  @Test
+  void closeAfterWritesDeliversTheWholeAnswer() throws Exception {
+    byte[] large = new byte[8 << 20];
+    CompletableFuture<Void> answered = new CompletableFuture<>();
+    CompletableFuture<HttpResponse> response =
+        call(
+            exchange -> {
+              exchange.respond(200, Map.of(), large);
+              answered.complete(null);
+            },
+            "");
+    answered.get(5, TimeUnit.SECONDS);
+    server.closeAfterWrites(5000);
+    assertThat(response.get(5, TimeUnit.SECONDS).body()).hasSize(large.length);
+  }
+
   // Guards against work that goes on after its caller went away.
   @Test
   void cancelledCallClosesTheExchange() throws Exception {
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
@@ -1,8 +1,10 @@
 package org.clementineford.transport.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -99,6 +101,20 @@
     listener.close().awaitUninterruptibly();
   }
 
+  /**
+   * Stops accepting connections and closes each open one after its pending bytes were written.
+   *
+   * @param timeoutMs longest time to wait for callers that read slowly, in milliseconds
+   */
+  public void closeAfterWrites(long timeoutMs) {
+    stopAccepting();
+    for (Channel channel : accepted) {
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+    accepted.newCloseFuture().awaitUninterruptibly(timeoutMs);
+    accepted.close().awaitUninterruptibly();
+  }
+
   @Override
   public void close() {
     stopAccepting();
