--- a/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -46,6 +46,7 @@
 
   private final NodeSettings settings;
   private final NodeEnvironment environment;
+  private final HybridLogicalClock hybridClock;
   private final PeerNetwork network;
   private final HttpClient httpClient;
   private final List<NodeComponent> components = new ArrayList<>();
@@ -66,12 +67,14 @@
   public Node(NodeSettings settings, NodeEnvironment environment) {
     this.settings = settings;
     this.environment = environment;
+    this.hybridClock = new HybridLogicalClock(environment.epochClock());
     this.network =
         new PeerNetwork(
             environment.eventLoops(),
             org.clementineford.transport.Payloads.toWire(settings.identity()),
             PeerTiming.DEFAULT,
             environment.nanoClock(),
+            hybridClock,
             environment.shaping());
     this.httpClient = new HttpClient(environment.eventLoops(), environment.shaping());
   }
@@ -114,7 +117,6 @@
             wanted.region(),
             wanted.incarnation(),
             address);
-    final HybridLogicalClock hybridClock = new HybridLogicalClock(environment.epochClock());
     final Timeline timeline =
         new Timeline(hybridClock, self.vm(), self.incarnation(), TIMELINE_CAPACITY);
     final ObjectStore store = environment.objectStores().apply(httpClient, settings.platform());
@@ -126,13 +128,11 @@
             environment.scheduler(),
             MembershipTiming.DEFAULT,
             settings.seeds(),
-            timeline,
-            hybridClock);
+            timeline);
     ConfigurationAgent configuration =
         new ConfigurationAgent(
             network,
             timeline,
-            hybridClock,
             environment.nanoClock(),
             environment.epochClock(),
             membership::receivers);
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -16,8 +16,6 @@
 import org.clementineford.configuration.errors.DocumentException;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.timeline.EventKind;
-import org.clementineford.kernel.timeline.HybridLogicalClock;
-import org.clementineford.kernel.timeline.HybridTime;
 import org.clementineford.kernel.timeline.Timeline;
 import org.clementineford.node.ConfigurationView;
 import org.clementineford.node.PayloadRouter;
@@ -39,7 +37,6 @@
 
   private final PeerNetwork network;
   private final Timeline timeline;
-  private final HybridLogicalClock hybridClock;
   private final NanoClock nanoClock;
   private final EpochClock epochClock;
   private final Supplier<List<HostPort>> receivers;
@@ -57,7 +54,6 @@
    *
    * @param network connections to peers
    * @param timeline events of this process
-   * @param hybridClock clock of the timeline
    * @param nanoClock monotonic clock
    * @param epochClock wall clock, only for display
    * @param receivers peers to which a new revision is announced
@@ -65,13 +61,11 @@
   public ConfigurationAgent(
       PeerNetwork network,
       Timeline timeline,
-      HybridLogicalClock hybridClock,
       NanoClock nanoClock,
       EpochClock epochClock,
       Supplier<List<HostPort>> receivers) {
     this.network = network;
     this.timeline = timeline;
-    this.hybridClock = hybridClock;
     this.nanoClock = nanoClock;
     this.epochClock = epochClock;
     this.receivers = receivers;
@@ -118,7 +112,6 @@
   private void onAnnounce(Payload opening, IncomingExchange exchange) {
     exchange.finish(Payloads.acknowledgement());
     RevisionAnnounce announce = opening.getRevisionAnnounce();
-    hybridClock.receive(new HybridTime(announce.getClockPhysicalMs(), announce.getClockLogical()));
     try {
       hear(announce.getRevision(), Payloads.fromWire(announce.getSender()).address());
     } catch (org.clementineford.kernel.errors.SettingException e) {
@@ -256,10 +249,7 @@
   }
 
   private void announce(long revision) {
-    HybridTime now = hybridClock.now();
-    Payload announcement =
-        Payload.revisionAnnounce(
-            new RevisionAnnounce(revision, network.self(), now.physicalMs(), now.logical()));
+    Payload announcement = Payload.revisionAnnounce(new RevisionAnnounce(revision, network.self()));
     for (HostPort receiver : receivers.get()) {
       network.call(receiver, announcement);
     }
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
@@ -18,8 +18,6 @@
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.kernel.errors.SettingException;
-import org.clementineford.kernel.timeline.HybridLogicalClock;
-import org.clementineford.kernel.timeline.HybridTime;
 import org.clementineford.kernel.timeline.Timeline;
 import org.clementineford.node.MembershipView;
 import org.clementineford.node.PayloadRouter;
@@ -47,7 +45,6 @@
   private final MembershipTable table;
   private final List<HostPort> seeds;
   private final MemberEvents events;
-  private final HybridLogicalClock hybridClock;
   private final List<Consumer<List<Member>>> listeners = new CopyOnWriteArrayList<>();
   private ConfigurationAgent configuration;
   private List<Member> members = List.of();
@@ -69,7 +66,6 @@
    * @param timing times of the failure detection
    * @param seeds peers to contact at the start
    * @param timeline events of this process
-   * @param hybridClock clock of the timeline
    */
   public MembershipAgent(
       VmIdentity self,
@@ -78,10 +74,8 @@
       Scheduler scheduler,
       MembershipTiming timing,
       List<HostPort> seeds,
-      Timeline timeline,
-      HybridLogicalClock hybridClock) {
+      Timeline timeline) {
     this.network = network;
-    this.hybridClock = hybridClock;
     this.clock = clock;
     this.scheduler = scheduler;
     this.timing = timing;
@@ -228,10 +222,7 @@
   }
 
   private MembersExchange message(List<MemberStatement> statements, boolean wantAll) {
-    HybridTime now = hybridClock.now();
     return new MembersExchange()
-        .setClockPhysicalMs(now.physicalMs())
-        .setClockLogical(now.logical())
         .setSender(network.self())
         .setMembers(WireMembers.toWire(statements))
         .setRevision(configuration.current().revision())
@@ -266,7 +257,6 @@
   }
 
   private void receive(MembersExchange message) {
-    hybridClock.receive(new HybridTime(message.getClockPhysicalMs(), message.getClockLogical()));
     try {
       VmIdentity sender = Payloads.fromWire(message.getSender());
       List<MemberStatement> statements = new ArrayList<>();
--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
@@ -14,6 +14,8 @@
 import org.agrona.concurrent.SystemNanoClock;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.timeline.HybridLogicalClock;
+import org.clementineford.kernel.timeline.HybridTime;
 import org.clementineford.wire.Payload;
 import org.clementineford.wire.RevisionAnnounce;
 import org.clementineford.wire.StatusFetch;
@@ -146,6 +148,35 @@
     }
   }
 
+  @Nested
+  class TimelineClock {
+    // Guards against a timeline on which an accepted order stands before its sending.
+    @Test
+    void receiverReadsLaterThanTheSenderOfTheExchange() throws Exception {
+      HybridLogicalClock ahead = new HybridLogicalClock(() -> 600_000);
+      HybridLogicalClock behind = new HybridLogicalClock(() -> 1_000);
+      VmIdentity self = server.self();
+      PeerNetwork receiver =
+          new PeerNetwork(
+              eventLoops, self, FAST, SystemNanoClock.INSTANCE, behind, LinkShaping.NONE);
+      PeerNetwork sender =
+          new PeerNetwork(
+              eventLoops, self, FAST, SystemNanoClock.INSTANCE, ahead, LinkShaping.NONE);
+      CompletableFuture<HybridTime> received = new CompletableFuture<>();
+      receiver.setHandler(
+          (opening, exchange) -> {
+            received.complete(behind.now());
+            exchange.finish(Payloads.acknowledgement());
+          });
+      HostPort receiverAddress = receiver.listen(ANY);
+      HybridTime sent = ahead.now();
+      sender.call(receiverAddress, status()).get(5, TimeUnit.SECONDS);
+      assertThat(received.get(5, TimeUnit.SECONDS)).isGreaterThan(sent);
+      sender.close();
+      receiver.close();
+    }
+  }
+
   @Nested
   class Listening {
     // Guards against a stack trace instead of a remedy when the port is in use.
--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/internal/ConnectionHandlerTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/internal/ConnectionHandlerTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.timeline.HybridLogicalClock;
 import org.clementineford.testing.PausedTime;
 import org.clementineford.transport.PeerTiming;
 import org.clementineford.wire.VmIdentity;
@@ -21,7 +22,13 @@
         .pipeline()
         .addLast(
             new ConnectionHandler(
-                self, true, (opening, exchange) -> {}, PeerTiming.DEFAULT, time, () -> {}));
+                self,
+                true,
+                (opening, exchange) -> {},
+                PeerTiming.DEFAULT,
+                time,
+                new HybridLogicalClock(time.epochClock()),
+                () -> {}));
     channel.pipeline().fireChannelActive();
   }
 
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
@@ -17,9 +17,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import org.agrona.concurrent.NanoClock;
+import org.agrona.concurrent.SystemEpochClock;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.timeline.HybridLogicalClock;
 import org.clementineford.transport.internal.ConnectionHandler;
 import org.clementineford.transport.internal.PeerChannelInitializer;
 import org.clementineford.transport.internal.PeerConnection;
@@ -36,6 +38,7 @@
   private final EventLoopGroup eventLoops;
   private final PeerTiming timing;
   private final NanoClock clock;
+  private final HybridLogicalClock hybridClock;
   private final LinkShaping shaping;
   private final Map<HostPort, PeerConnection> connections = new ConcurrentHashMap<>();
   private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -44,6 +47,30 @@
       (opening, exchange) -> exchange.finish(Payloads.failure("no-handler", "not started"));
   private Channel listener;
 
+  /**
+   * Creates a network without a listener whose timeline clock follows the system's wall clock.
+   *
+   * @param eventLoops threads of the connections; the caller shuts them down
+   * @param self identity to state to peers
+   * @param timing heartbeat times
+   * @param clock monotonic clock
+   * @param shaping limits of the link
+   */
+  public PeerNetwork(
+      EventLoopGroup eventLoops,
+      VmIdentity self,
+      PeerTiming timing,
+      NanoClock clock,
+      LinkShaping shaping) {
+    this(
+        eventLoops,
+        self,
+        timing,
+        clock,
+        new HybridLogicalClock(SystemEpochClock.INSTANCE),
+        shaping);
+  }
+
   /**
    * Creates a network without a listener.
    *
@@ -51,6 +78,7 @@
    * @param self identity to state to peers
    * @param timing heartbeat times
    * @param clock monotonic clock
+   * @param hybridClock clock of the timeline; frames carry its readings
    * @param shaping limits of the link
    */
   public PeerNetwork(
@@ -58,11 +86,13 @@
       VmIdentity self,
       PeerTiming timing,
       NanoClock clock,
+      HybridLogicalClock hybridClock,
       LinkShaping shaping) {
     this.eventLoops = eventLoops;
     this.self = self;
     this.timing = timing;
     this.clock = clock;
+    this.hybridClock = hybridClock;
     this.shaping = shaping;
   }
 
@@ -208,6 +238,7 @@
         (opening, exchange) -> handler.onOpen(opening, exchange),
         timing,
         clock,
+        hybridClock,
         closed);
   }
 
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/internal/ConnectionHandler.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/internal/ConnectionHandler.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.timeline.HybridLogicalClock;
+import org.clementineford.kernel.timeline.HybridTime;
 import org.clementineford.transport.ExchangeFailure;
 import org.clementineford.transport.ExchangeHandler;
 import org.clementineford.transport.PeerInfo;
@@ -32,6 +34,7 @@
   private final ExchangeHandler handler;
   private final PeerTiming timing;
   private final NanoClock clock;
+  private final HybridLogicalClock hybridClock;
   private final Runnable onClosed;
   private final Map<Long, OutgoingExchange> outgoing = new HashMap<>();
   private final Map<Long, IncomingExchangeImpl> incoming = new HashMap<>();
@@ -49,6 +52,7 @@
    * @param handler receives exchanges that the peer opens
    * @param timing heartbeat times
    * @param clock monotonic clock
+   * @param hybridClock clock of the timeline, carried by frames
    * @param onClosed runs once when the connection is closed
    */
   public ConnectionHandler(
@@ -57,12 +61,14 @@
       ExchangeHandler handler,
       PeerTiming timing,
       NanoClock clock,
+      HybridLogicalClock hybridClock,
       Runnable onClosed) {
     this.self = self;
     this.connecting = connecting;
     this.handler = handler;
     this.timing = timing;
     this.clock = clock;
+    this.hybridClock = hybridClock;
     this.onClosed = onClosed;
     this.nextExchange = connecting ? 1 : 2;
   }
@@ -118,6 +124,10 @@
   }
 
   void write(Frame frame) {
+    if (frame.getKind() != FrameKind.DATA) {
+      HybridTime now = hybridClock.now();
+      frame.setClockPhysicalMs(now.physicalMs()).setClockLogical(now.logical());
+    }
     context.writeAndFlush(frame);
   }
 
@@ -136,6 +146,9 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, Frame frame) {
     lastHeardNanos = clock.nanoTime();
+    if (frame.isSetClockPhysicalMs()) {
+      hybridClock.receive(new HybridTime(frame.getClockPhysicalMs(), frame.getClockLogical()));
+    }
     switch (frame.getKind()) {
       case HELLO -> peer = new PeerInfo(frame.getPayload().getHello().getSender(), peer.lastTick());
       case HEARTBEAT ->
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/AnswerHead.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/AnswerHead.java
@@ -761,15 +761,15 @@
           case 4: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map26 = iprot.readMapBegin();
-                struct.headers = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map26.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key27;
-                @org.apache.thrift.annotation.Nullable java.lang.String _val28;
-                for (int _i29 = 0; _i29 < _map26.size; ++_i29)
+                org.apache.thrift.protocol.TMap _map34 = iprot.readMapBegin();
+                struct.headers = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map34.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key35;
+                @org.apache.thrift.annotation.Nullable java.lang.String _val36;
+                for (int _i37 = 0; _i37 < _map34.size; ++_i37)
                 {
-                  _key27 = iprot.readString();
-                  _val28 = iprot.readString();
-                  struct.headers.put(_key27, _val28);
+                  _key35 = iprot.readString();
+                  _val36 = iprot.readString();
+                  struct.headers.put(_key35, _val36);
                 }
                 iprot.readMapEnd();
               }
@@ -827,10 +827,10 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.headers.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter30 : struct.headers.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter38 : struct.headers.entrySet())
           {
-            oprot.writeString(_iter30.getKey());
-            oprot.writeString(_iter30.getValue());
+            oprot.writeString(_iter38.getKey());
+            oprot.writeString(_iter38.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -900,10 +900,10 @@
       if (struct.isSetHeaders()) {
         {
           oprot.writeI32(struct.headers.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter31 : struct.headers.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter39 : struct.headers.entrySet())
           {
-            oprot.writeString(_iter31.getKey());
-            oprot.writeString(_iter31.getValue());
+            oprot.writeString(_iter39.getKey());
+            oprot.writeString(_iter39.getValue());
           }
         }
       }
@@ -933,15 +933,15 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TMap _map32 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
-          struct.headers = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map32.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key33;
-          @org.apache.thrift.annotation.Nullable java.lang.String _val34;
-          for (int _i35 = 0; _i35 < _map32.size; ++_i35)
+          org.apache.thrift.protocol.TMap _map40 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
+          struct.headers = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map40.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key41;
+          @org.apache.thrift.annotation.Nullable java.lang.String _val42;
+          for (int _i43 = 0; _i43 < _map40.size; ++_i43)
           {
-            _key33 = iprot.readString();
-            _val34 = iprot.readString();
-            struct.headers.put(_key33, _val34);
+            _key41 = iprot.readString();
+            _val42 = iprot.readString();
+            struct.headers.put(_key41, _val42);
           }
         }
         struct.setHeadersIsSet(true);
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/Dispatch.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/Dispatch.java
@@ -1894,15 +1894,15 @@
           case 16: // HEADERS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map16 = iprot.readMapBegin();
-                struct.headers = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map16.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key17;
-                @org.apache.thrift.annotation.Nullable java.lang.String _val18;
-                for (int _i19 = 0; _i19 < _map16.size; ++_i19)
+                org.apache.thrift.protocol.TMap _map24 = iprot.readMapBegin();
+                struct.headers = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map24.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key25;
+                @org.apache.thrift.annotation.Nullable java.lang.String _val26;
+                for (int _i27 = 0; _i27 < _map24.size; ++_i27)
                 {
-                  _key17 = iprot.readString();
-                  _val18 = iprot.readString();
-                  struct.headers.put(_key17, _val18);
+                  _key25 = iprot.readString();
+                  _val26 = iprot.readString();
+                  struct.headers.put(_key25, _val26);
                 }
                 iprot.readMapEnd();
               }
@@ -2022,10 +2022,10 @@
         oprot.writeFieldBegin(HEADERS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.headers.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter20 : struct.headers.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter28 : struct.headers.entrySet())
           {
-            oprot.writeString(_iter20.getKey());
-            oprot.writeString(_iter20.getValue());
+            oprot.writeString(_iter28.getKey());
+            oprot.writeString(_iter28.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -2171,10 +2171,10 @@
       if (struct.isSetHeaders()) {
         {
           oprot.writeI32(struct.headers.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter21 : struct.headers.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter29 : struct.headers.entrySet())
           {
-            oprot.writeString(_iter21.getKey());
-            oprot.writeString(_iter21.getValue());
+            oprot.writeString(_iter29.getKey());
+            oprot.writeString(_iter29.getValue());
           }
         }
       }
@@ -2255,15 +2255,15 @@
       }
       if (incoming.get(15)) {
         {
-          org.apache.thrift.protocol.TMap _map22 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
-          struct.headers = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map22.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key23;
-          @org.apache.thrift.annotation.Nullable java.lang.String _val24;
-          for (int _i25 = 0; _i25 < _map22.size; ++_i25)
+          org.apache.thrift.protocol.TMap _map30 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
+          struct.headers = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map30.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key31;
+          @org.apache.thrift.annotation.Nullable java.lang.String _val32;
+          for (int _i33 = 0; _i33 < _map30.size; ++_i33)
           {
-            _key23 = iprot.readString();
-            _val24 = iprot.readString();
-            struct.headers.put(_key23, _val24);
+            _key31 = iprot.readString();
+            _val32 = iprot.readString();
+            struct.headers.put(_key31, _val32);
           }
         }
         struct.setHeadersIsSet(true);
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/Frame.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/Frame.java
@@ -13,6 +13,8 @@
   private static final org.apache.thrift.protocol.TField EXCHANGE_FIELD_DESC = new org.apache.thrift.protocol.TField("exchange", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField KIND_FIELD_DESC = new org.apache.thrift.protocol.TField("kind", org.apache.thrift.protocol.TType.I32, (short)2);
   private static final org.apache.thrift.protocol.TField PAYLOAD_FIELD_DESC = new org.apache.thrift.protocol.TField("payload", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField CLOCK_PHYSICAL_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("clockPhysicalMs", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField CLOCK_LOGICAL_FIELD_DESC = new org.apache.thrift.protocol.TField("clockLogical", org.apache.thrift.protocol.TType.I32, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new FrameStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new FrameTupleSchemeFactory();
@@ -24,6 +26,8 @@
    */
   public @org.apache.thrift.annotation.Nullable FrameKind kind; // required
   public @org.apache.thrift.annotation.Nullable Payload payload; // optional
+  public long clockPhysicalMs; // optional
+  public int clockLogical; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -33,7 +37,9 @@
      * @see FrameKind
      */
     KIND((short)2, "kind"),
-    PAYLOAD((short)3, "payload");
+    PAYLOAD((short)3, "payload"),
+    CLOCK_PHYSICAL_MS((short)4, "clockPhysicalMs"),
+    CLOCK_LOGICAL((short)5, "clockLogical");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -55,6 +61,10 @@
           return KIND;
         case 3: // PAYLOAD
           return PAYLOAD;
+        case 4: // CLOCK_PHYSICAL_MS
+          return CLOCK_PHYSICAL_MS;
+        case 5: // CLOCK_LOGICAL
+          return CLOCK_LOGICAL;
         default:
           return null;
       }
@@ -99,8 +109,10 @@
 
   // isset id assignments
   private static final int __EXCHANGE_ISSET_ID = 0;
+  private static final int __CLOCKPHYSICALMS_ISSET_ID = 1;
+  private static final int __CLOCKLOGICAL_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
-  private static final _Fields optionals[] = {_Fields.PAYLOAD};
+  private static final _Fields optionals[] = {_Fields.PAYLOAD,_Fields.CLOCK_PHYSICAL_MS,_Fields.CLOCK_LOGICAL};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -110,6 +122,10 @@
         new org.apache.thrift.meta_data.EnumMetaData(org.apache.thrift.protocol.TType.ENUM, FrameKind.class)));
     tmpMap.put(_Fields.PAYLOAD, new org.apache.thrift.meta_data.FieldMetaData("payload", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, Payload.class)));
+    tmpMap.put(_Fields.CLOCK_PHYSICAL_MS, new org.apache.thrift.meta_data.FieldMetaData("clockPhysicalMs", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.CLOCK_LOGICAL, new org.apache.thrift.meta_data.FieldMetaData("clockLogical", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(Frame.class, metaDataMap);
   }
@@ -139,6 +155,8 @@
     if (other.isSetPayload()) {
       this.payload = new Payload(other.payload);
     }
+    this.clockPhysicalMs = other.clockPhysicalMs;
+    this.clockLogical = other.clockLogical;
   }
 
   @Override
@@ -152,6 +170,10 @@
     this.exchange = 0;
     this.kind = null;
     this.payload = null;
+    setClockPhysicalMsIsSet(false);
+    this.clockPhysicalMs = 0;
+    setClockLogicalIsSet(false);
+    this.clockLogical = 0;
   }
 
   public long getExchange() {
@@ -235,6 +257,52 @@
     }
   }
 
+  public long getClockPhysicalMs() {
+    return this.clockPhysicalMs;
+  }
+
+  public Frame setClockPhysicalMs(long clockPhysicalMs) {
+    this.clockPhysicalMs = clockPhysicalMs;
+    setClockPhysicalMsIsSet(true);
+    return this;
+  }
+
+  public void unsetClockPhysicalMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CLOCKPHYSICALMS_ISSET_ID);
+  }
+
+  /** Returns true if field clockPhysicalMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetClockPhysicalMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CLOCKPHYSICALMS_ISSET_ID);
+  }
+
+  public void setClockPhysicalMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOCKPHYSICALMS_ISSET_ID, value);
+  }
+
+  public int getClockLogical() {
+    return this.clockLogical;
+  }
+
+  public Frame setClockLogical(int clockLogical) {
+    this.clockLogical = clockLogical;
+    setClockLogicalIsSet(true);
+    return this;
+  }
+
+  public void unsetClockLogical() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CLOCKLOGICAL_ISSET_ID);
+  }
+
+  /** Returns true if field clockLogical is set (has been assigned a value) and false otherwise */
+  public boolean isSetClockLogical() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CLOCKLOGICAL_ISSET_ID);
+  }
+
+  public void setClockLogicalIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOCKLOGICAL_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -262,6 +330,22 @@
       }
       break;
 
+    case CLOCK_PHYSICAL_MS:
+      if (value == null) {
+        unsetClockPhysicalMs();
+      } else {
+        setClockPhysicalMs((java.lang.Long)value);
+      }
+      break;
+
+    case CLOCK_LOGICAL:
+      if (value == null) {
+        unsetClockLogical();
+      } else {
+        setClockLogical((java.lang.Integer)value);
+      }
+      break;
+
     }
   }
 
@@ -278,6 +362,12 @@
     case PAYLOAD:
       return getPayload();
 
+    case CLOCK_PHYSICAL_MS:
+      return getClockPhysicalMs();
+
+    case CLOCK_LOGICAL:
+      return getClockLogical();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -296,6 +386,10 @@
       return isSetKind();
     case PAYLOAD:
       return isSetPayload();
+    case CLOCK_PHYSICAL_MS:
+      return isSetClockPhysicalMs();
+    case CLOCK_LOGICAL:
+      return isSetClockLogical();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -340,6 +434,24 @@
         return false;
     }
 
+    boolean this_present_clockPhysicalMs = true && this.isSetClockPhysicalMs();
+    boolean that_present_clockPhysicalMs = true && that.isSetClockPhysicalMs();
+    if (this_present_clockPhysicalMs || that_present_clockPhysicalMs) {
+      if (!(this_present_clockPhysicalMs && that_present_clockPhysicalMs))
+        return false;
+      if (this.clockPhysicalMs != that.clockPhysicalMs)
+        return false;
+    }
+
+    boolean this_present_clockLogical = true && this.isSetClockLogical();
+    boolean that_present_clockLogical = true && that.isSetClockLogical();
+    if (this_present_clockLogical || that_present_clockLogical) {
+      if (!(this_present_clockLogical && that_present_clockLogical))
+        return false;
+      if (this.clockLogical != that.clockLogical)
+        return false;
+    }
+
     return true;
   }
 
@@ -357,6 +469,14 @@
     if (isSetPayload())
       hashCode = hashCode * 8191 + payload.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetClockPhysicalMs()) ? 131071 : 524287);
+    if (isSetClockPhysicalMs())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(clockPhysicalMs);
+
+    hashCode = hashCode * 8191 + ((isSetClockLogical()) ? 131071 : 524287);
+    if (isSetClockLogical())
+      hashCode = hashCode * 8191 + clockLogical;
+
     return hashCode;
   }
 
@@ -398,6 +518,26 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetClockPhysicalMs(), other.isSetClockPhysicalMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetClockPhysicalMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.clockPhysicalMs, other.clockPhysicalMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
+    lastComparison = java.lang.Boolean.compare(isSetClockLogical(), other.isSetClockLogical());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetClockLogical()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.clockLogical, other.clockLogical);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -443,6 +583,18 @@
       }
       first = false;
     }
+    if (isSetClockPhysicalMs()) {
+      if (!first) sb.append(", ");
+      sb.append("clockPhysicalMs:");
+      sb.append(this.clockPhysicalMs);
+      first = false;
+    }
+    if (isSetClockLogical()) {
+      if (!first) sb.append(", ");
+      sb.append("clockLogical:");
+      sb.append(this.clockLogical);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -519,6 +671,22 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // CLOCK_PHYSICAL_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.clockPhysicalMs = iprot.readI64();
+              struct.setClockPhysicalMsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
+          case 5: // CLOCK_LOGICAL
+            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
+              struct.clockLogical = iprot.readI32();
+              struct.setClockLogicalIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -553,6 +721,16 @@
           oprot.writeFieldEnd();
         }
       }
+      if (struct.isSetClockPhysicalMs()) {
+        oprot.writeFieldBegin(CLOCK_PHYSICAL_MS_FIELD_DESC);
+        oprot.writeI64(struct.clockPhysicalMs);
+        oprot.writeFieldEnd();
+      }
+      if (struct.isSetClockLogical()) {
+        oprot.writeFieldBegin(CLOCK_LOGICAL_FIELD_DESC);
+        oprot.writeI32(struct.clockLogical);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -577,10 +755,22 @@
       if (struct.isSetPayload()) {
         optionals.set(0);
       }
-      oprot.writeBitSet(optionals, 1);
+      if (struct.isSetClockPhysicalMs()) {
+        optionals.set(1);
+      }
+      if (struct.isSetClockLogical()) {
+        optionals.set(2);
+      }
+      oprot.writeBitSet(optionals, 3);
       if (struct.isSetPayload()) {
         struct.payload.write(oprot);
       }
+      if (struct.isSetClockPhysicalMs()) {
+        oprot.writeI64(struct.clockPhysicalMs);
+      }
+      if (struct.isSetClockLogical()) {
+        oprot.writeI32(struct.clockLogical);
+      }
     }
 
     @Override
@@ -590,12 +780,20 @@
       struct.setExchangeIsSet(true);
       struct.kind = org.clementineford.wire.FrameKind.findByValue(iprot.readI32());
       struct.setKindIsSet(true);
-      java.util.BitSet incoming = iprot.readBitSet(1);
+      java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
         struct.payload = new Payload();
         struct.payload.read(iprot);
         struct.setPayloadIsSet(true);
       }
+      if (incoming.get(1)) {
+        struct.clockPhysicalMs = iprot.readI64();
+        struct.setClockPhysicalMsIsSet(true);
+      }
+      if (incoming.get(2)) {
+        struct.clockLogical = iprot.readI32();
+        struct.setClockLogicalIsSet(true);
+      }
     }
   }
 
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/LoadReport.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/LoadReport.java
@@ -509,14 +509,14 @@
           case 2: // BACK_ENDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list36 = iprot.readListBegin();
-                struct.backEnds = new java.util.ArrayList<BackEndLoad>(_list36.size);
-                @org.apache.thrift.annotation.Nullable BackEndLoad _elem37;
-                for (int _i38 = 0; _i38 < _list36.size; ++_i38)
+                org.apache.thrift.protocol.TList _list44 = iprot.readListBegin();
+                struct.backEnds = new java.util.ArrayList<BackEndLoad>(_list44.size);
+                @org.apache.thrift.annotation.Nullable BackEndLoad _elem45;
+                for (int _i46 = 0; _i46 < _list44.size; ++_i46)
                 {
-                  _elem37 = new BackEndLoad();
-                  _elem37.read(iprot);
-                  struct.backEnds.add(_elem37);
+                  _elem45 = new BackEndLoad();
+                  _elem45.read(iprot);
+                  struct.backEnds.add(_elem45);
                 }
                 iprot.readListEnd();
               }
@@ -558,9 +558,9 @@
         oprot.writeFieldBegin(BACK_ENDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.backEnds.size()));
-          for (BackEndLoad _iter39 : struct.backEnds)
+          for (BackEndLoad _iter47 : struct.backEnds)
           {
-            _iter39.write(oprot);
+            _iter47.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -604,9 +604,9 @@
       if (struct.isSetBackEnds()) {
         {
           oprot.writeI32(struct.backEnds.size());
-          for (BackEndLoad _iter40 : struct.backEnds)
+          for (BackEndLoad _iter48 : struct.backEnds)
           {
-            _iter40.write(oprot);
+            _iter48.write(oprot);
           }
         }
       }
@@ -626,14 +626,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list41 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.backEnds = new java.util.ArrayList<BackEndLoad>(_list41.size);
-          @org.apache.thrift.annotation.Nullable BackEndLoad _elem42;
-          for (int _i43 = 0; _i43 < _list41.size; ++_i43)
+          org.apache.thrift.protocol.TList _list49 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.backEnds = new java.util.ArrayList<BackEndLoad>(_list49.size);
+          @org.apache.thrift.annotation.Nullable BackEndLoad _elem50;
+          for (int _i51 = 0; _i51 < _list49.size; ++_i51)
           {
-            _elem42 = new BackEndLoad();
-            _elem42.read(iprot);
-            struct.backEnds.add(_elem42);
+            _elem50 = new BackEndLoad();
+            _elem50.read(iprot);
+            struct.backEnds.add(_elem50);
           }
         }
         struct.setBackEndsIsSet(true);
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/MembersExchange.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/MembersExchange.java
@@ -15,8 +15,6 @@
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField TABLE_DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("tableDigest", org.apache.thrift.protocol.TType.I64, (short)4);
   private static final org.apache.thrift.protocol.TField WANT_ALL_FIELD_DESC = new org.apache.thrift.protocol.TField("wantAll", org.apache.thrift.protocol.TType.BOOL, (short)5);
-  private static final org.apache.thrift.protocol.TField CLOCK_PHYSICAL_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("clockPhysicalMs", org.apache.thrift.protocol.TType.I64, (short)6);
-  private static final org.apache.thrift.protocol.TField CLOCK_LOGICAL_FIELD_DESC = new org.apache.thrift.protocol.TField("clockLogical", org.apache.thrift.protocol.TType.I32, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new MembersExchangeStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new MembersExchangeTupleSchemeFactory();
@@ -26,8 +24,6 @@
   public long revision; // required
   public long tableDigest; // required
   public boolean wantAll; // required
-  public long clockPhysicalMs; // required
-  public int clockLogical; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -35,9 +31,7 @@
     MEMBERS((short)2, "members"),
     REVISION((short)3, "revision"),
     TABLE_DIGEST((short)4, "tableDigest"),
-    WANT_ALL((short)5, "wantAll"),
-    CLOCK_PHYSICAL_MS((short)6, "clockPhysicalMs"),
-    CLOCK_LOGICAL((short)7, "clockLogical");
+    WANT_ALL((short)5, "wantAll");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -63,10 +57,6 @@
           return TABLE_DIGEST;
         case 5: // WANT_ALL
           return WANT_ALL;
-        case 6: // CLOCK_PHYSICAL_MS
-          return CLOCK_PHYSICAL_MS;
-        case 7: // CLOCK_LOGICAL
-          return CLOCK_LOGICAL;
         default:
           return null;
       }
@@ -113,8 +103,6 @@
   private static final int __REVISION_ISSET_ID = 0;
   private static final int __TABLEDIGEST_ISSET_ID = 1;
   private static final int __WANTALL_ISSET_ID = 2;
-  private static final int __CLOCKPHYSICALMS_ISSET_ID = 3;
-  private static final int __CLOCKLOGICAL_ISSET_ID = 4;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -130,10 +118,6 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.WANT_ALL, new org.apache.thrift.meta_data.FieldMetaData("wantAll", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
-    tmpMap.put(_Fields.CLOCK_PHYSICAL_MS, new org.apache.thrift.meta_data.FieldMetaData("clockPhysicalMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.CLOCK_LOGICAL, new org.apache.thrift.meta_data.FieldMetaData("clockLogical", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(MembersExchange.class, metaDataMap);
   }
@@ -146,9 +130,7 @@
     java.util.List<MemberState> members,
     long revision,
     long tableDigest,
-    boolean wantAll,
-    long clockPhysicalMs,
-    int clockLogical)
+    boolean wantAll)
   {
     this();
     this.sender = sender;
@@ -159,10 +141,6 @@
     setTableDigestIsSet(true);
     this.wantAll = wantAll;
     setWantAllIsSet(true);
-    this.clockPhysicalMs = clockPhysicalMs;
-    setClockPhysicalMsIsSet(true);
-    this.clockLogical = clockLogical;
-    setClockLogicalIsSet(true);
   }
 
   /**
@@ -183,8 +161,6 @@
     this.revision = other.revision;
     this.tableDigest = other.tableDigest;
     this.wantAll = other.wantAll;
-    this.clockPhysicalMs = other.clockPhysicalMs;
-    this.clockLogical = other.clockLogical;
   }
 
   @Override
@@ -202,10 +178,6 @@
     this.tableDigest = 0;
     setWantAllIsSet(false);
     this.wantAll = false;
-    setClockPhysicalMsIsSet(false);
-    this.clockPhysicalMs = 0;
-    setClockLogicalIsSet(false);
-    this.clockLogical = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -343,52 +315,6 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WANTALL_ISSET_ID, value);
   }
 
-  public long getClockPhysicalMs() {
-    return this.clockPhysicalMs;
-  }
-
-  public MembersExchange setClockPhysicalMs(long clockPhysicalMs) {
-    this.clockPhysicalMs = clockPhysicalMs;
-    setClockPhysicalMsIsSet(true);
-    return this;
-  }
-
-  public void unsetClockPhysicalMs() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CLOCKPHYSICALMS_ISSET_ID);
-  }
-
-  /** Returns true if field clockPhysicalMs is set (has been assigned a value) and false otherwise */
-  public boolean isSetClockPhysicalMs() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CLOCKPHYSICALMS_ISSET_ID);
-  }
-
-  public void setClockPhysicalMsIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOCKPHYSICALMS_ISSET_ID, value);
-  }
-
-  public int getClockLogical() {
-    return this.clockLogical;
-  }
-
-  public MembersExchange setClockLogical(int clockLogical) {
-    this.clockLogical = clockLogical;
-    setClockLogicalIsSet(true);
-    return this;
-  }
-
-  public void unsetClockLogical() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CLOCKLOGICAL_ISSET_ID);
-  }
-
-  /** Returns true if field clockLogical is set (has been assigned a value) and false otherwise */
-  public boolean isSetClockLogical() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CLOCKLOGICAL_ISSET_ID);
-  }
-
-  public void setClockLogicalIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOCKLOGICAL_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -432,22 +358,6 @@
       }
       break;
 
-    case CLOCK_PHYSICAL_MS:
-      if (value == null) {
-        unsetClockPhysicalMs();
-      } else {
-        setClockPhysicalMs((java.lang.Long)value);
-      }
-      break;
-
-    case CLOCK_LOGICAL:
-      if (value == null) {
-        unsetClockLogical();
-      } else {
-        setClockLogical((java.lang.Integer)value);
-      }
-      break;
-
     }
   }
 
@@ -470,12 +380,6 @@
     case WANT_ALL:
       return isWantAll();
 
-    case CLOCK_PHYSICAL_MS:
-      return getClockPhysicalMs();
-
-    case CLOCK_LOGICAL:
-      return getClockLogical();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -498,10 +402,6 @@
       return isSetTableDigest();
     case WANT_ALL:
       return isSetWantAll();
-    case CLOCK_PHYSICAL_MS:
-      return isSetClockPhysicalMs();
-    case CLOCK_LOGICAL:
-      return isSetClockLogical();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -564,24 +464,6 @@
         return false;
     }
 
-    boolean this_present_clockPhysicalMs = true;
-    boolean that_present_clockPhysicalMs = true;
-    if (this_present_clockPhysicalMs || that_present_clockPhysicalMs) {
-      if (!(this_present_clockPhysicalMs && that_present_clockPhysicalMs))
-        return false;
-      if (this.clockPhysicalMs != that.clockPhysicalMs)
-        return false;
-    }
-
-    boolean this_present_clockLogical = true;
-    boolean that_present_clockLogical = true;
-    if (this_present_clockLogical || that_present_clockLogical) {
-      if (!(this_present_clockLogical && that_present_clockLogical))
-        return false;
-      if (this.clockLogical != that.clockLogical)
-        return false;
-    }
-
     return true;
   }
 
@@ -603,10 +485,6 @@
 
     hashCode = hashCode * 8191 + ((wantAll) ? 131071 : 524287);
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(clockPhysicalMs);
-
-    hashCode = hashCode * 8191 + clockLogical;
-
     return hashCode;
   }
 
@@ -668,26 +546,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetClockPhysicalMs(), other.isSetClockPhysicalMs());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetClockPhysicalMs()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.clockPhysicalMs, other.clockPhysicalMs);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetClockLogical(), other.isSetClockLogical());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetClockLogical()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.clockLogical, other.clockLogical);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -739,14 +597,6 @@
     sb.append("wantAll:");
     sb.append(this.wantAll);
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("clockPhysicalMs:");
-    sb.append(this.clockPhysicalMs);
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("clockLogical:");
-    sb.append(this.clockLogical);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -849,22 +699,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // CLOCK_PHYSICAL_MS
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.clockPhysicalMs = iprot.readI64();
-              struct.setClockPhysicalMsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 7: // CLOCK_LOGICAL
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.clockLogical = iprot.readI32();
-              struct.setClockLogicalIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -907,12 +741,6 @@
       oprot.writeFieldBegin(WANT_ALL_FIELD_DESC);
       oprot.writeBool(struct.wantAll);
       oprot.writeFieldEnd();
-      oprot.writeFieldBegin(CLOCK_PHYSICAL_MS_FIELD_DESC);
-      oprot.writeI64(struct.clockPhysicalMs);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(CLOCK_LOGICAL_FIELD_DESC);
-      oprot.writeI32(struct.clockLogical);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -947,13 +775,7 @@
       if (struct.isSetWantAll()) {
         optionals.set(4);
       }
-      if (struct.isSetClockPhysicalMs()) {
-        optionals.set(5);
-      }
-      if (struct.isSetClockLogical()) {
-        optionals.set(6);
-      }
-      oprot.writeBitSet(optionals, 7);
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
@@ -975,18 +797,12 @@
       if (struct.isSetWantAll()) {
         oprot.writeBool(struct.wantAll);
       }
-      if (struct.isSetClockPhysicalMs()) {
-        oprot.writeI64(struct.clockPhysicalMs);
-      }
-      if (struct.isSetClockLogical()) {
-        oprot.writeI32(struct.clockLogical);
-      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, MembersExchange struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(7);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.sender = new VmIdentity();
         struct.sender.read(iprot);
@@ -1018,14 +834,6 @@
         struct.wantAll = iprot.readBool();
         struct.setWantAllIsSet(true);
       }
-      if (incoming.get(5)) {
-        struct.clockPhysicalMs = iprot.readI64();
-        struct.setClockPhysicalMsIsSet(true);
-      }
-      if (incoming.get(6)) {
-        struct.clockLogical = iprot.readI32();
-        struct.setClockLogicalIsSet(true);
-      }
     }
   }
 
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/OriginPermit.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/OriginPermit.java
@@ -675,13 +675,13 @@
           case 4: // CHUNKS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list44 = iprot.readListBegin();
-                struct.chunks = new java.util.ArrayList<java.lang.Integer>(_list44.size);
-                int _elem45;
-                for (int _i46 = 0; _i46 < _list44.size; ++_i46)
+                org.apache.thrift.protocol.TList _list52 = iprot.readListBegin();
+                struct.chunks = new java.util.ArrayList<java.lang.Integer>(_list52.size);
+                int _elem53;
+                for (int _i54 = 0; _i54 < _list52.size; ++_i54)
                 {
-                  _elem45 = iprot.readI32();
-                  struct.chunks.add(_elem45);
+                  _elem53 = iprot.readI32();
+                  struct.chunks.add(_elem53);
                 }
                 iprot.readListEnd();
               }
@@ -729,9 +729,9 @@
         oprot.writeFieldBegin(CHUNKS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.I32, struct.chunks.size()));
-          for (int _iter47 : struct.chunks)
+          for (int _iter55 : struct.chunks)
           {
-            oprot.writeI32(_iter47);
+            oprot.writeI32(_iter55);
           }
           oprot.writeListEnd();
         }
@@ -789,9 +789,9 @@
       if (struct.isSetChunks()) {
         {
           oprot.writeI32(struct.chunks.size());
-          for (int _iter48 : struct.chunks)
+          for (int _iter56 : struct.chunks)
           {
-            oprot.writeI32(_iter48);
+            oprot.writeI32(_iter56);
           }
         }
       }
@@ -818,13 +818,13 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list49 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
-          struct.chunks = new java.util.ArrayList<java.lang.Integer>(_list49.size);
-          int _elem50;
-          for (int _i51 = 0; _i51 < _list49.size; ++_i51)
+          org.apache.thrift.protocol.TList _list57 = iprot.readListBegin(org.apache.thrift.protocol.TType.I32);
+          struct.chunks = new java.util.ArrayList<java.lang.Integer>(_list57.size);
+          int _elem58;
+          for (int _i59 = 0; _i59 < _list57.size; ++_i59)
           {
-            _elem50 = iprot.readI32();
-            struct.chunks.add(_elem50);
+            _elem58 = iprot.readI32();
+            struct.chunks.add(_elem58);
           }
         }
         struct.setChunksIsSet(true);
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/RevisionAnnounce.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/RevisionAnnounce.java
@@ -12,23 +12,17 @@
 
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField SENDER_FIELD_DESC = new org.apache.thrift.protocol.TField("sender", org.apache.thrift.protocol.TType.STRUCT, (short)2);
-  private static final org.apache.thrift.protocol.TField CLOCK_PHYSICAL_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("clockPhysicalMs", org.apache.thrift.protocol.TType.I64, (short)3);
-  private static final org.apache.thrift.protocol.TField CLOCK_LOGICAL_FIELD_DESC = new org.apache.thrift.protocol.TField("clockLogical", org.apache.thrift.protocol.TType.I32, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new RevisionAnnounceStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new RevisionAnnounceTupleSchemeFactory();
 
   public long revision; // required
   public @org.apache.thrift.annotation.Nullable VmIdentity sender; // required
-  public long clockPhysicalMs; // required
-  public int clockLogical; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     REVISION((short)1, "revision"),
-    SENDER((short)2, "sender"),
-    CLOCK_PHYSICAL_MS((short)3, "clockPhysicalMs"),
-    CLOCK_LOGICAL((short)4, "clockLogical");
+    SENDER((short)2, "sender");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -48,10 +42,6 @@
           return REVISION;
         case 2: // SENDER
           return SENDER;
-        case 3: // CLOCK_PHYSICAL_MS
-          return CLOCK_PHYSICAL_MS;
-        case 4: // CLOCK_LOGICAL
-          return CLOCK_LOGICAL;
         default:
           return null;
       }
@@ -96,8 +86,6 @@
 
   // isset id assignments
   private static final int __REVISION_ISSET_ID = 0;
-  private static final int __CLOCKPHYSICALMS_ISSET_ID = 1;
-  private static final int __CLOCKLOGICAL_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -106,10 +94,6 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.SENDER, new org.apache.thrift.meta_data.FieldMetaData("sender", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, VmIdentity.class)));
-    tmpMap.put(_Fields.CLOCK_PHYSICAL_MS, new org.apache.thrift.meta_data.FieldMetaData("clockPhysicalMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.CLOCK_LOGICAL, new org.apache.thrift.meta_data.FieldMetaData("clockLogical", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(RevisionAnnounce.class, metaDataMap);
   }
@@ -119,18 +103,12 @@
 
   public RevisionAnnounce(
     long revision,
-    VmIdentity sender,
-    long clockPhysicalMs,
-    int clockLogical)
+    VmIdentity sender)
   {
     this();
     this.revision = revision;
     setRevisionIsSet(true);
     this.sender = sender;
-    this.clockPhysicalMs = clockPhysicalMs;
-    setClockPhysicalMsIsSet(true);
-    this.clockLogical = clockLogical;
-    setClockLogicalIsSet(true);
   }
 
   /**
@@ -142,8 +120,6 @@
     if (other.isSetSender()) {
       this.sender = new VmIdentity(other.sender);
     }
-    this.clockPhysicalMs = other.clockPhysicalMs;
-    this.clockLogical = other.clockLogical;
   }
 
   @Override
@@ -156,10 +132,6 @@
     setRevisionIsSet(false);
     this.revision = 0;
     this.sender = null;
-    setClockPhysicalMsIsSet(false);
-    this.clockPhysicalMs = 0;
-    setClockLogicalIsSet(false);
-    this.clockLogical = 0;
   }
 
   public long getRevision() {
@@ -210,52 +182,6 @@
     }
   }
 
-  public long getClockPhysicalMs() {
-    return this.clockPhysicalMs;
-  }
-
-  public RevisionAnnounce setClockPhysicalMs(long clockPhysicalMs) {
-    this.clockPhysicalMs = clockPhysicalMs;
-    setClockPhysicalMsIsSet(true);
-    return this;
-  }
-
-  public void unsetClockPhysicalMs() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CLOCKPHYSICALMS_ISSET_ID);
-  }
-
-  /** Returns true if field clockPhysicalMs is set (has been assigned a value) and false otherwise */
-  public boolean isSetClockPhysicalMs() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CLOCKPHYSICALMS_ISSET_ID);
-  }
-
-  public void setClockPhysicalMsIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOCKPHYSICALMS_ISSET_ID, value);
-  }
-
-  public int getClockLogical() {
-    return this.clockLogical;
-  }
-
-  public RevisionAnnounce setClockLogical(int clockLogical) {
-    this.clockLogical = clockLogical;
-    setClockLogicalIsSet(true);
-    return this;
-  }
-
-  public void unsetClockLogical() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __CLOCKLOGICAL_ISSET_ID);
-  }
-
-  /** Returns true if field clockLogical is set (has been assigned a value) and false otherwise */
-  public boolean isSetClockLogical() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __CLOCKLOGICAL_ISSET_ID);
-  }
-
-  public void setClockLogicalIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __CLOCKLOGICAL_ISSET_ID, value);
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -275,22 +201,6 @@
       }
       break;
 
-    case CLOCK_PHYSICAL_MS:
-      if (value == null) {
-        unsetClockPhysicalMs();
-      } else {
-        setClockPhysicalMs((java.lang.Long)value);
-      }
-      break;
-
-    case CLOCK_LOGICAL:
-      if (value == null) {
-        unsetClockLogical();
-      } else {
-        setClockLogical((java.lang.Integer)value);
-      }
-      break;
-
     }
   }
 
@@ -304,12 +214,6 @@
     case SENDER:
       return getSender();
 
-    case CLOCK_PHYSICAL_MS:
-      return getClockPhysicalMs();
-
-    case CLOCK_LOGICAL:
-      return getClockLogical();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -326,10 +230,6 @@
       return isSetRevision();
     case SENDER:
       return isSetSender();
-    case CLOCK_PHYSICAL_MS:
-      return isSetClockPhysicalMs();
-    case CLOCK_LOGICAL:
-      return isSetClockLogical();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -365,24 +265,6 @@
         return false;
     }
 
-    boolean this_present_clockPhysicalMs = true;
-    boolean that_present_clockPhysicalMs = true;
-    if (this_present_clockPhysicalMs || that_present_clockPhysicalMs) {
-      if (!(this_present_clockPhysicalMs && that_present_clockPhysicalMs))
-        return false;
-      if (this.clockPhysicalMs != that.clockPhysicalMs)
-        return false;
-    }
-
-    boolean this_present_clockLogical = true;
-    boolean that_present_clockLogical = true;
-    if (this_present_clockLogical || that_present_clockLogical) {
-      if (!(this_present_clockLogical && that_present_clockLogical))
-        return false;
-      if (this.clockLogical != that.clockLogical)
-        return false;
-    }
-
     return true;
   }
 
@@ -396,10 +278,6 @@
     if (isSetSender())
       hashCode = hashCode * 8191 + sender.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(clockPhysicalMs);
-
-    hashCode = hashCode * 8191 + clockLogical;
-
     return hashCode;
   }
 
@@ -431,26 +309,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetClockPhysicalMs(), other.isSetClockPhysicalMs());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetClockPhysicalMs()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.clockPhysicalMs, other.clockPhysicalMs);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetClockLogical(), other.isSetClockLogical());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetClockLogical()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.clockLogical, other.clockLogical);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -486,14 +344,6 @@
       sb.append(this.sender);
     }
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("clockPhysicalMs:");
-    sb.append(this.clockPhysicalMs);
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("clockLogical:");
-    sb.append(this.clockLogical);
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -561,22 +411,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // CLOCK_PHYSICAL_MS
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.clockPhysicalMs = iprot.readI64();
-              struct.setClockPhysicalMsIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 4: // CLOCK_LOGICAL
-            if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
-              struct.clockLogical = iprot.readI32();
-              struct.setClockLogicalIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -601,12 +435,6 @@
         struct.sender.write(oprot);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(CLOCK_PHYSICAL_MS_FIELD_DESC);
-      oprot.writeI64(struct.clockPhysicalMs);
-      oprot.writeFieldEnd();
-      oprot.writeFieldBegin(CLOCK_LOGICAL_FIELD_DESC);
-      oprot.writeI32(struct.clockLogical);
-      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -632,31 +460,19 @@
       if (struct.isSetSender()) {
         optionals.set(1);
       }
-      if (struct.isSetClockPhysicalMs()) {
-        optionals.set(2);
-      }
-      if (struct.isSetClockLogical()) {
-        optionals.set(3);
-      }
-      oprot.writeBitSet(optionals, 4);
+      oprot.writeBitSet(optionals, 2);
       if (struct.isSetRevision()) {
         oprot.writeI64(struct.revision);
       }
       if (struct.isSetSender()) {
         struct.sender.write(oprot);
       }
-      if (struct.isSetClockPhysicalMs()) {
-        oprot.writeI64(struct.clockPhysicalMs);
-      }
-      if (struct.isSetClockLogical()) {
-        oprot.writeI32(struct.clockLogical);
-      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, RevisionAnnounce struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         struct.revision = iprot.readI64();
         struct.setRevisionIsSet(true);
@@ -666,14 +482,6 @@
         struct.sender.read(iprot);
         struct.setSenderIsSet(true);
       }
-      if (incoming.get(2)) {
-        struct.clockPhysicalMs = iprot.readI64();
-        struct.setClockPhysicalMsIsSet(true);
-      }
-      if (incoming.get(3)) {
-        struct.clockLogical = iprot.readI32();
-        struct.setClockLogicalIsSet(true);
-      }
     }
   }
 
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/Status.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/Status.java
@@ -667,14 +667,14 @@
           case 3: // MODELS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list70 = iprot.readListBegin();
-                struct.models = new java.util.ArrayList<ModelStatus>(_list70.size);
-                @org.apache.thrift.annotation.Nullable ModelStatus _elem71;
-                for (int _i72 = 0; _i72 < _list70.size; ++_i72)
+                org.apache.thrift.protocol.TList _list78 = iprot.readListBegin();
+                struct.models = new java.util.ArrayList<ModelStatus>(_list78.size);
+                @org.apache.thrift.annotation.Nullable ModelStatus _elem79;
+                for (int _i80 = 0; _i80 < _list78.size; ++_i80)
                 {
-                  _elem71 = new ModelStatus();
-                  _elem71.read(iprot);
-                  struct.models.add(_elem71);
+                  _elem79 = new ModelStatus();
+                  _elem79.read(iprot);
+                  struct.models.add(_elem79);
                 }
                 iprot.readListEnd();
               }
@@ -727,9 +727,9 @@
         oprot.writeFieldBegin(MODELS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.models.size()));
-          for (ModelStatus _iter73 : struct.models)
+          for (ModelStatus _iter81 : struct.models)
           {
-            _iter73.write(oprot);
+            _iter81.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -785,9 +785,9 @@
       if (struct.isSetModels()) {
         {
           oprot.writeI32(struct.models.size());
-          for (ModelStatus _iter74 : struct.models)
+          for (ModelStatus _iter82 : struct.models)
           {
-            _iter74.write(oprot);
+            _iter82.write(oprot);
           }
         }
       }
@@ -814,14 +814,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list75 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.models = new java.util.ArrayList<ModelStatus>(_list75.size);
-          @org.apache.thrift.annotation.Nullable ModelStatus _elem76;
-          for (int _i77 = 0; _i77 < _list75.size; ++_i77)
+          org.apache.thrift.protocol.TList _list83 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.models = new java.util.ArrayList<ModelStatus>(_list83.size);
+          @org.apache.thrift.annotation.Nullable ModelStatus _elem84;
+          for (int _i85 = 0; _i85 < _list83.size; ++_i85)
           {
-            _elem76 = new ModelStatus();
-            _elem76.read(iprot);
-            struct.models.add(_elem76);
+            _elem84 = new ModelStatus();
+            _elem84.read(iprot);
+            struct.models.add(_elem84);
           }
         }
         struct.setModelsIsSet(true);
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/TimelineEvent.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/TimelineEvent.java
@@ -845,15 +845,15 @@
           case 7: // ATTRIBUTES
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map52 = iprot.readMapBegin();
-                struct.attributes = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map52.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key53;
-                @org.apache.thrift.annotation.Nullable java.lang.String _val54;
-                for (int _i55 = 0; _i55 < _map52.size; ++_i55)
+                org.apache.thrift.protocol.TMap _map60 = iprot.readMapBegin();
+                struct.attributes = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map60.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key61;
+                @org.apache.thrift.annotation.Nullable java.lang.String _val62;
+                for (int _i63 = 0; _i63 < _map60.size; ++_i63)
                 {
-                  _key53 = iprot.readString();
-                  _val54 = iprot.readString();
-                  struct.attributes.put(_key53, _val54);
+                  _key61 = iprot.readString();
+                  _val62 = iprot.readString();
+                  struct.attributes.put(_key61, _val62);
                 }
                 iprot.readMapEnd();
               }
@@ -904,10 +904,10 @@
         oprot.writeFieldBegin(ATTRIBUTES_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.attributes.size()));
-          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter56 : struct.attributes.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter64 : struct.attributes.entrySet())
           {
-            oprot.writeString(_iter56.getKey());
-            oprot.writeString(_iter56.getValue());
+            oprot.writeString(_iter64.getKey());
+            oprot.writeString(_iter64.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -975,10 +975,10 @@
       if (struct.isSetAttributes()) {
         {
           oprot.writeI32(struct.attributes.size());
-          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter57 : struct.attributes.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.lang.String> _iter65 : struct.attributes.entrySet())
           {
-            oprot.writeString(_iter57.getKey());
-            oprot.writeString(_iter57.getValue());
+            oprot.writeString(_iter65.getKey());
+            oprot.writeString(_iter65.getValue());
           }
         }
       }
@@ -1014,15 +1014,15 @@
       }
       if (incoming.get(6)) {
         {
-          org.apache.thrift.protocol.TMap _map58 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
-          struct.attributes = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map58.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key59;
-          @org.apache.thrift.annotation.Nullable java.lang.String _val60;
-          for (int _i61 = 0; _i61 < _map58.size; ++_i61)
+          org.apache.thrift.protocol.TMap _map66 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
+          struct.attributes = new java.util.HashMap<java.lang.String,java.lang.String>(2*_map66.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key67;
+          @org.apache.thrift.annotation.Nullable java.lang.String _val68;
+          for (int _i69 = 0; _i69 < _map66.size; ++_i69)
           {
-            _key59 = iprot.readString();
-            _val60 = iprot.readString();
-            struct.attributes.put(_key59, _val60);
+            _key67 = iprot.readString();
+            _val68 = iprot.readString();
+            struct.attributes.put(_key67, _val68);
           }
         }
         struct.setAttributesIsSet(true);
--- a/org.clementineford.wire/src/main/java/org/clementineford/wire/TimelineEvents.java
+++ b/org.clementineford.wire/src/main/java/org/clementineford/wire/TimelineEvents.java
@@ -415,14 +415,14 @@
           case 1: // EVENTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list62 = iprot.readListBegin();
-                struct.events = new java.util.ArrayList<TimelineEvent>(_list62.size);
-                @org.apache.thrift.annotation.Nullable TimelineEvent _elem63;
-                for (int _i64 = 0; _i64 < _list62.size; ++_i64)
+                org.apache.thrift.protocol.TList _list70 = iprot.readListBegin();
+                struct.events = new java.util.ArrayList<TimelineEvent>(_list70.size);
+                @org.apache.thrift.annotation.Nullable TimelineEvent _elem71;
+                for (int _i72 = 0; _i72 < _list70.size; ++_i72)
                 {
-                  _elem63 = new TimelineEvent();
-                  _elem63.read(iprot);
-                  struct.events.add(_elem63);
+                  _elem71 = new TimelineEvent();
+                  _elem71.read(iprot);
+                  struct.events.add(_elem71);
                 }
                 iprot.readListEnd();
               }
@@ -459,9 +459,9 @@
         oprot.writeFieldBegin(EVENTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.events.size()));
-          for (TimelineEvent _iter65 : struct.events)
+          for (TimelineEvent _iter73 : struct.events)
           {
-            _iter65.write(oprot);
+            _iter73.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -499,9 +499,9 @@
       if (struct.isSetEvents()) {
         {
           oprot.writeI32(struct.events.size());
-          for (TimelineEvent _iter66 : struct.events)
+          for (TimelineEvent _iter74 : struct.events)
           {
-            _iter66.write(oprot);
+            _iter74.write(oprot);
           }
         }
       }
@@ -516,14 +516,14 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list67 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.events = new java.util.ArrayList<TimelineEvent>(_list67.size);
-          @org.apache.thrift.annotation.Nullable TimelineEvent _elem68;
-          for (int _i69 = 0; _i69 < _list67.size; ++_i69)
+          org.apache.thrift.protocol.TList _list75 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.events = new java.util.ArrayList<TimelineEvent>(_list75.size);
+          @org.apache.thrift.annotation.Nullable TimelineEvent _elem76;
+          for (int _i77 = 0; _i77 < _list75.size; ++_i77)
           {
-            _elem68 = new TimelineEvent();
-            _elem68.read(iprot);
-            struct.events.add(_elem68);
+            _elem76 = new TimelineEvent();
+            _elem76.read(iprot);
+            struct.events.add(_elem76);
           }
         }
         struct.setEventsIsSet(true);
--- a/org.clementineford.wire/src/main/thrift/clementineford.thrift
+++ b/org.clementineford.wire/src/main/thrift/clementineford.thrift
@@ -28,8 +28,6 @@
 struct RevisionAnnounce {
   1: i64 revision,
   2: VmIdentity sender,
-  3: i64 clockPhysicalMs, // reading of the sender's hybrid logical clock
-  4: i32 clockLogical,
 }
 struct SectionsPull { 1: i64 sinceRevision }
 struct SectionText {
@@ -55,8 +53,6 @@
   3: i64 revision,
   4: i64 tableDigest, // equal digests mean equal tables
   5: bool wantAll, // asks for the whole table; set by a process that joins
-  6: i64 clockPhysicalMs, // reading of the sender's hybrid logical clock
-  7: i32 clockLogical,
 }
 
 // Requests
@@ -229,4 +225,7 @@
   1: required i64 exchange,
   2: required FrameKind kind,
   3: optional Payload payload,
+  // Reading of the sender's hybrid logical clock. Parts in the middle of a stream carry none.
+  4: optional i64 clockPhysicalMs,
+  5: optional i32 clockLogical,
 }
