--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/BackEndTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/BackEndTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.ServerSocket;
 import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.kernel.timeline.TimelineEvent;
 import org.junit.jupiter.api.AfterEach;
@@ -47,6 +49,23 @@
     assertThat(accepted.awaitLast().isSetAnswerEnd()).isTrue();
   }
 
+  // Guards against refusing requests because one of several engines is down.
+  @Test
+  void withAnotherEngineRunsRequestsThere() throws Exception {
+    HostPort closed;
+    try (ServerSocket socket = new ServerSocket(0)) {
+      closed = new HostPort("127.0.0.1", socket.getLocalPort());
+    }
+    try (EndpointFixture two = new EndpointFixture(1, closed)) {
+      for (int i = 0; i < 3; i++) {
+        RecordingExchange exchange = two.dispatch("two-" + i, dispatch -> {});
+        EndpointFixture.answer(two.nextCall(), "done");
+        assertThat(exchange.awaitLast().isSetAnswerEnd()).isTrue();
+        two.awaitIdle();
+      }
+    }
+  }
+
   private boolean up() {
     return fixture.timeline.after(0, 100).stream()
         .map(TimelineEvent::kind)
--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/DispatchTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/DispatchTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -104,13 +105,17 @@
     // Guards against answers from partial or mixed weights.
     @Test
     void fromWeightsThatWereNotActivatedAreRefused() throws Exception {
-      RecordingExchange exchange = fixture.dispatch("1", dispatch -> {});
-      HttpExchange call = fixture.nextCall();
-      Map<String, String> headers = new java.util.HashMap<>(EndpointFixture.engineHeaders(call));
-      headers.put(EngineHeaders.WEIGHTS_DIGEST, "d2");
-      call.respond(200, headers, new byte[9]);
-      assertRefused(exchange, RefusalKind.MIXED_WEIGHTS, RunState.RAN);
-      assertThat(exchange.payloads()).hasSize(1);
+      for (int i = 0; i < 3; i++) {
+        RecordingExchange exchange = fixture.dispatch("mixed-" + i, dispatch -> {});
+        HttpExchange call = fixture.nextCall();
+        Map<String, String> headers = new HashMap<>(EndpointFixture.engineHeaders(call));
+        headers.put(EngineHeaders.WEIGHTS_DIGEST, "d2");
+        call.respond(200, headers, new byte[9]);
+        assertRefused(exchange, RefusalKind.MIXED_WEIGHTS, RunState.RAN);
+        assertThat(exchange.payloads()).hasSize(1);
+      }
+      fixture.dispatch("1", dispatch -> {});
+      EndpointFixture.answer(fixture.nextCall(), "the engine was not marked down");
     }
 
     // Guards against an answer that fills the memory because its receiver is slow.
--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
@@ -62,9 +62,11 @@
   private final List<PeerNetwork> entryVms = new ArrayList<>();
   private ConfigurationSnapshot configuration = ConfigurationSnapshot.EMPTY;
 
-  EndpointFixture(int slots) throws Exception {
+  EndpointFixture(int slots, HostPort... furtherEngines) throws Exception {
     startBackEnd(ANY);
     backEndAddress = backEnd.address();
+    final List<HostPort> engines = new ArrayList<>(List.of(furtherEngines));
+    engines.add(backEndAddress);
     VmIdentity self =
         new VmIdentity("endpoint-1", VmRole.ENDPOINT, "lorient", "brittany", INCARNATION, ANY);
     network =
@@ -91,10 +93,7 @@
             new PrometheusRegistry());
     endpoint =
         new RequestEndpoint(
-            context,
-            Map.of("assistant", List.of(backEndAddress)),
-            Map.of("reservations", backEndAddress),
-            slots);
+            context, Map.of("assistant", engines), Map.of("reservations", backEndAddress), slots);
     endpoint.start();
     awaitLoadReports();
   }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
@@ -282,19 +282,39 @@
   @Override
   public void onFailure(ExchangeFailure failure, String cause) {
     if (failure.provesNotReceived()) {
-      if (!sentAgain) {
-        // An idle connection that the back end has just closed is no sign of a failure.
-        sentAgain = true;
-        send();
-        return;
+      if (!sendAgain()) {
+        fail(RefusalKind.BACK_END_DOWN, RunState.NOT_RUN, backEnd.name());
       }
-      fail(RefusalKind.BACK_END_DOWN, RunState.NOT_RUN, backEnd.name());
       return;
     }
     RunState run = answer.isBegun() ? RunState.RAN : RunState.UNKNOWN;
     fail(RefusalKind.BACK_END_BROKEN, run, cause);
   }
 
+  /** Sends a request that no server received again; returns false if no server is left. */
+  private boolean sendAgain() {
+    if (!sentAgain) {
+      // An idle connection that the server has just closed is no sign of a failure.
+      sentAgain = true;
+      send();
+      return true;
+    }
+    backEnd.failed(server, true, "refuses connections");
+    if (backEnd.isDown()) {
+      return false;
+    }
+    synchronized (this) {
+      if (state == State.ENDED) {
+        return true;
+      }
+      server.end();
+      server = backEnd.takeServer();
+      sentAgain = false;
+    }
+    send();
+    return true;
+  }
+
   private void fail(RefusalKind kind, RunState run, String detail) {
     synchronized (this) {
       if (state != State.RUNNING) {
@@ -313,7 +333,10 @@
             kind.wireName(),
             "detail",
             detail);
-    backEnd.failed(server, run == RunState.NOT_RUN, detail);
+    if (run != RunState.NOT_RUN && kind != RefusalKind.MIXED_WEIGHTS) {
+      // Wrong weights are seen for a moment at each activation; the server itself is up.
+      backEnd.failed(server, false, detail);
+    }
     afterEnd(true, run == RunState.NOT_RUN ? 0 : request.estimatedCost());
   }
 
