Bound saved and borrowed share in rounds

20,000 tokens are 0.3 s of an engine with 64 slots and 1000 tokens/s each, but 20 s of a back end whose requests cost a few tokens; an account that came back after a quiet time could go first for as long.

--- a/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairQueueTest.java
+++ b/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairQueueTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 class FairQueueTest {
-  private static final FairQueueLimits LIMITS = new FairQueueLimits(4, 1000, 0);
+  private static final FairQueueLimits LIMITS = new FairQueueLimits(4, 10, 0);
 
   private final FairQueue<String> queue = new FairQueue<>(LIMITS, 1, account -> 1);
 
@@ -75,6 +75,27 @@
     assertThat(String.join("", drain(4))).isIn("nunu", "unun", "unnu", "nuun");
   }
 
+  // Guards against an account that saves up enough share to starve the others.
+  @Test
+  void savedShareIsBounded() {
+    FairQueue<String> saving = new FairQueue<>(new FairQueueLimits(100, 10, 2), 1, account -> 1);
+    for (int i = 0; i < 50; i++) {
+      saving.offer(request("busy", false, "b"));
+      saving.finish(saving.poll(), 100);
+      saving.offer(request("busy", false, "b"));
+    }
+    for (int i = 0; i < 10; i++) {
+      saving.offer(request("quiet", false, "q"));
+    }
+    StringBuilder order = new StringBuilder();
+    for (int i = 0; i < 8; i++) {
+      QueuedRequest<String> next = saving.poll();
+      order.append(next.work());
+      saving.finish(next, 100);
+    }
+    assertThat(order.toString()).startsWith("qq").matches("q+(b+q+)+b*");
+  }
+
   // Guards against a request that starts after its deadline.
   @Test
   void expiredRequestsLeaveTheQueueInTheOrderOfTheirDeadlines() {
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/AccountQueue.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/AccountQueue.java
@@ -43,9 +43,9 @@
     return !urgent.isEmpty();
   }
 
-  void add(QueuedRequest<T> request, double virtualTime, long savedTokens) {
+  void add(QueuedRequest<T> request, double virtualTime, double savedTokens) {
     if (!isWaiting()) {
-      startTag = Math.max(startTag, virtualTime - (double) savedTokens / weight);
+      startTag = Math.max(startTag, virtualTime - savedTokens / weight);
     }
     queue(request).addLast(request);
   }
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
@@ -30,6 +30,9 @@
  * @param <T> type of the work attached to requests
  */
 public final class FairQueue<T> {
+  /** Requests over which the mean cost is smoothed. */
+  private static final int COSTS_IN_MEAN = 256;
+
   private final FairQueueLimits limits;
   private final ToIntFunction<String> weights;
   private final Map<String, AccountQueue<T>> accounts = new HashMap<>();
@@ -43,6 +46,7 @@
   private long queuedCost;
   private double virtualTime;
   private long borrowAllowance;
+  private double meanCost;
 
   /**
    * Creates an empty queue.
@@ -68,13 +72,19 @@
     if (account.size() >= limits.queuedPerAccount()) {
       return false;
     }
-    account.add(request, virtualTime, limits.savedTokens());
+    account.add(request, virtualTime, limits.savedRounds() * round());
     request.setSequence(++lastSequence);
+    meanCost += (request.estimatedCost() - meanCost) / Math.min(lastSequence, COSTS_IN_MEAN);
     waiting.add(request);
     queuedCost += request.estimatedCost();
     return true;
   }
 
+  /** Cost that all slots run at a time, in tokens. */
+  private double round() {
+    return slots * meanCost;
+  }
+
   private AccountQueue<T> newAccount(String name) {
     return new AccountQueue<>(weightOf(name));
   }
@@ -119,7 +129,7 @@
       return null;
     }
     double debt = (borrower.startTag() - virtualTime) * borrower.weight();
-    return debt <= limits.borrowedTokens() ? borrower : null;
+    return debt <= limits.borrowedRounds() * round() ? borrower : null;
   }
 
   private AccountQueue<T> lowestStartTag(boolean urgentOnly) {
