--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/configuration/ControlCostMeasurement.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/configuration/ControlCostMeasurement.java
@@ -44,6 +44,8 @@
   // 2,600 changes a day at ten times their mean rate.
   private static final double CHANGES_PER_SECOND = 2600.0 * 10 / 86_400;
   private static final double DESIGN_PROCESSES = 1100;
+  // A quiet hour has no joining processes; their statements spread for some seconds.
+  private static final long SETTLE_MS = 15_000;
 
   @Override
   public String name() {
@@ -105,7 +107,7 @@
       fleet.awaitMembership(60_000);
       Load load = new Load(fleet, settings);
       load.fill();
-      ConfigurationFleet.pause(5000);
+      ConfigurationFleet.pause(SETTLE_MS);
       long seconds = settings.get(SECONDS);
       Meter quiet = new Meter(fleet);
       ConfigurationFleet.pause(seconds * 1000);
--- a/org.clementineford.client/src/main/java/org/clementineford/client/ApplyResult.java
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/ApplyResult.java
@@ -16,7 +16,7 @@
   public enum Outcome {
     /** This call made the change. */
     APPLIED("accepted"),
-    /** An earlier call with the same identity made the change. */
+    /** An earlier attempt with the same identity made the change. */
     ALREADY_APPLIED("accepted earlier");
 
     private final String text;
--- a/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/MembershipTable.java
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/MembershipTable.java
@@ -39,7 +39,9 @@
    */
   public MembershipTable(VmIdentity self, MembershipTiming timing) {
     this.timing = timing;
-    this.health = new ObserverHealth(timing.longestTickNanos(), timing.suspicionNanos());
+    this.health =
+        new ObserverHealth(
+            timing.longestTickNanos(), timing.suspicionNanos(), timing.confirmationNanos());
     this.own = MemberStatement.own(self, MemberPhase.ALIVE, 1);
     put(own, 0);
   }
@@ -136,7 +138,10 @@
         statement.identity().incarnation() == own.identity().incarnation()
             && statement.number() >= own.number();
     if (sameLife && statement.phase() != own.phase()) {
-      own = MemberStatement.own(own.identity(), own.phase(), statement.number() + 1);
+      // The platform's VM list may say that this VM leaves; that is not a suspicion to refute.
+      MemberPhase phase =
+          statement.phase() == MemberPhase.LEAVING ? MemberPhase.LEAVING : own.phase();
+      own = MemberStatement.own(own.identity(), phase, statement.number() + 1);
       put(own, nowNanos);
     }
   }
@@ -151,6 +156,21 @@
     put(own, nowNanos);
   }
 
+  /**
+   * States that members leave, as the platform's VM list says.
+   *
+   * @param vms names of the VMs; unknown ones are ignored
+   * @param nowNanos monotonic time
+   */
+  public void markLeaving(Collection<String> vms, long nowNanos) {
+    for (String vm : vms) {
+      MemberStatement known = statements.get(vm);
+      if (known != null && known.phase() == MemberPhase.ALIVE) {
+        receive(List.of(known.withPhase(MemberPhase.LEAVING)), nowNanos);
+      }
+    }
+  }
+
   /**
    * Records that a member answered a probe.
    *
@@ -164,9 +184,25 @@
    * Records that a member did not answer a probe.
    *
    * @param vm name of the member
+   * @param nowNanos monotonic time
+   */
+  public void failed(String vm, long nowNanos) {
+    health.failed(vm, nowNanos);
+  }
+
+  /**
+   * Returns the members to probe in a tick: one in turn, or all that this process observes while
+   * one of them is silent, to find out whether the fault is on this side.
+   *
+   * @param tick number of the tick
+   * @return members of this data centre
    */
-  public void failed(String vm) {
-    health.failed(vm);
+  public List<VmIdentity> probes(long tick) {
+    List<VmIdentity> subjects = plan().subjects(own.vm());
+    if (subjects.isEmpty() || health.isAnySilent()) {
+      return subjects;
+    }
+    return List.of(subjects.get((int) (tick % subjects.size())));
   }
 
   /**
@@ -184,7 +220,7 @@
     if (!trusted) {
       return;
     }
-    for (String vm : health.silent()) {
+    for (String vm : health.silent(nowNanos)) {
       accuse(statements.get(vm), nowNanos);
     }
     for (MemberStatement statement : List.copyOf(statements.values())) {
@@ -194,7 +230,7 @@
 
   /** A silent member that said that it leaves has stopped; no second observer is needed. */
   private void endLeaving(long nowNanos) {
-    for (String vm : health.silent()) {
+    for (String vm : health.silent(nowNanos)) {
       MemberStatement known = statements.get(vm);
       boolean longAgo = nowNanos - changedAtNanos.get(vm) >= timing.suspicionNanos();
       if (known.phase() == MemberPhase.LEAVING && longAgo) {
--- a/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/MembershipTiming.java
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/MembershipTiming.java
@@ -16,6 +16,10 @@
       new MembershipTiming(
           TimeUnit.SECONDS.toNanos(1), TimeUnit.SECONDS.toNanos(5), TimeUnit.MINUTES.toNanos(10));
 
+  long confirmationNanos() {
+    return 2 * tickNanos;
+  }
+
   long longestTickNanos() {
     return 3 * tickNanos;
   }
--- a/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/ObserverHealth.java
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/ObserverHealth.java
@@ -1,8 +1,10 @@
 package org.clementineford.configuration.membership;
 
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Tells whether this process may trust its own failed probes. A paused process, or one whose own
@@ -14,7 +16,8 @@
 final class ObserverHealth {
   private final long longestTickNanos;
   private final long recoveryNanos;
-  private final Set<String> silent = new HashSet<>();
+  private final long confirmationNanos;
+  private final Map<String, Long> silentSince = new HashMap<>();
   private long lastTickNanos;
   private long distrustedUntilNanos;
   private boolean started;
@@ -24,8 +27,11 @@
    *
    * @param longestTickNanos a longer time between ticks means that this process was paused
    * @param recoveryNanos time after a pause during which failed probes are not trusted
+   * @param confirmationNanos time for which a member must be silent, so that all others were probed
+   *     in the meantime
    */
-  ObserverHealth(long longestTickNanos, long recoveryNanos) {
+  ObserverHealth(long longestTickNanos, long recoveryNanos, long confirmationNanos) {
+    this.confirmationNanos = confirmationNanos;
     this.longestTickNanos = longestTickNanos;
     this.recoveryNanos = recoveryNanos;
   }
@@ -33,18 +39,18 @@
   void tick(long nowNanos) {
     if (started && nowNanos - lastTickNanos > longestTickNanos) {
       distrustedUntilNanos = nowNanos + recoveryNanos;
-      silent.clear();
+      silentSince.clear();
     }
     started = true;
     lastTickNanos = nowNanos;
   }
 
-  void failed(String vm) {
-    silent.add(vm);
+  void failed(String vm, long nowNanos) {
+    silentSince.putIfAbsent(vm, nowNanos);
   }
 
   void answered(String vm) {
-    silent.remove(vm);
+    silentSince.remove(vm);
   }
 
   /**
@@ -55,12 +61,23 @@
    * @return false after a pause, or while more than half of the subjects are silent
    */
   boolean isTrusted(long nowNanos, Collection<String> subjects) {
-    silent.retainAll(subjects);
+    silentSince.keySet().retainAll(subjects);
     boolean recovering = distrustedUntilNanos != 0 && nowNanos - distrustedUntilNanos < 0;
-    return !recovering && silent.size() * 2 <= subjects.size();
+    return !recovering && silentSince.size() * 2 <= subjects.size();
   }
 
-  Set<String> silent() {
-    return Set.copyOf(silent);
+  boolean isAnySilent() {
+    return !silentSince.isEmpty();
+  }
+
+  Set<String> silent(long nowNanos) {
+    Set<String> silent = new TreeSet<>();
+    silentSince.forEach(
+        (vm, since) -> {
+          if (nowNanos - since >= confirmationNanos) {
+            silent.add(vm);
+          }
+        });
+    return silent;
   }
 }
--- a/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -24,11 +24,14 @@
 import org.clementineford.node.internal.AdminServer;
 import org.clementineford.node.internal.ConfigurationAgent;
 import org.clementineford.node.internal.DocumentOperations;
+import org.clementineford.node.internal.IncarnationProbe;
 import org.clementineford.node.internal.LeaseAgent;
 import org.clementineford.node.internal.MembershipAgent;
 import org.clementineford.node.internal.NodeMetrics;
 import org.clementineford.node.internal.ObservationAgent;
 import org.clementineford.node.internal.PlatformWatch;
+import org.clementineford.node.internal.VmListAgent;
+import org.clementineford.transport.Payloads;
 import org.clementineford.transport.PeerNetwork;
 import org.clementineford.transport.PeerTiming;
 import org.clementineford.transport.http.HttpClient;
@@ -46,7 +49,7 @@
 
   private final NodeSettings settings;
   private final NodeEnvironment environment;
-  private final PeerNetwork network;
+  private PeerNetwork network;
   private final HttpClient httpClient;
   private final List<NodeComponent> components = new ArrayList<>();
   private final AtomicBoolean leaving = new AtomicBoolean();
@@ -55,6 +58,7 @@
   private MembershipAgent membership;
   private LeaseAgent lease;
   private PlatformWatch watch;
+  private VmListAgent vmList;
   private AdminServer admin;
 
   /**
@@ -66,13 +70,6 @@
   public Node(NodeSettings settings, NodeEnvironment environment) {
     this.settings = settings;
     this.environment = environment;
-    this.network =
-        new PeerNetwork(
-            environment.eventLoops(),
-            org.clementineford.transport.Payloads.toWire(settings.identity()),
-            PeerTiming.DEFAULT,
-            environment.nanoClock(),
-            environment.shaping());
     this.httpClient = new HttpClient(environment.eventLoops(), environment.shaping());
   }
 
@@ -105,15 +102,14 @@
 
   private void startAgents() throws ClementinefordException {
     VmIdentity wanted = settings.identity();
-    HostPort address = network.listen(wanted.address());
-    final VmIdentity self =
-        new VmIdentity(
-            wanted.vm(),
-            wanted.role(),
-            wanted.dataCentre(),
-            wanted.region(),
-            wanted.incarnation(),
-            address);
+    if (!settings.seeds().isEmpty()) {
+      try (PeerNetwork asking = newNetwork(wanted)) {
+        wanted = IncarnationProbe.choose(asking, settings.seeds(), wanted);
+      }
+    }
+    network = newNetwork(wanted);
+    network.listen(wanted.address());
+    final VmIdentity self = Payloads.fromWire(network.self());
     final HybridLogicalClock hybridClock = new HybridLogicalClock(environment.epochClock());
     final Timeline timeline =
         new Timeline(hybridClock, self.vm(), self.incarnation(), TIMELINE_CAPACITY);
@@ -146,6 +142,12 @@
             () -> isWatcher(self),
             timeline);
     watch = new PlatformWatch(store, configuration, environment.scheduler(), () -> isWatcher(self));
+    vmList =
+        new VmListAgent(
+            environment.vmLists().apply(httpClient, settings.platform()),
+            membership,
+            environment.scheduler(),
+            () -> isWatcher(self));
     SharedServices shared = new SharedServices();
     PayloadRouter payloads = new PayloadRouter();
     PrometheusRegistry metrics = new PrometheusRegistry();
@@ -178,6 +180,7 @@
     if (self.role() == VmRole.ENTRY) {
       watch.start();
       lease.start();
+      vmList.start();
     }
     DocumentOperations operations =
         new DocumentOperations(
@@ -185,7 +188,7 @@
             configuration,
             environment.scheduler(),
             environment.nanoClock(),
-            environment.epochClock(),
+            () -> hybridClock.now().physicalMs(),
             timeline);
     admin =
         AdminServer.start(
@@ -202,6 +205,15 @@
                 metrics));
   }
 
+  private PeerNetwork newNetwork(VmIdentity identity) {
+    return new PeerNetwork(
+        environment.eventLoops(),
+        Payloads.toWire(identity),
+        PeerTiming.DEFAULT,
+        environment.nanoClock(),
+        environment.shaping());
+  }
+
   private boolean isWatcher(VmIdentity self) {
     return !leaving.get() && membership.plan().isWatcher(self);
   }
@@ -270,8 +282,9 @@
   }
 
   private void close() {
-    if (watch != null) {
+    if (vmList != null) {
       watch.stop();
+      vmList.stop();
       membership.stop();
       lease.stop();
     }
@@ -281,7 +294,9 @@
     if (admin != null) {
       admin.close();
     }
-    network.close();
+    if (network != null) {
+      network.close();
+    }
     httpClient.close();
   }
 }
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
+import org.clementineford.configuration.AppliedChange;
 import org.clementineford.configuration.ConfigurationSnapshot;
 import org.clementineford.configuration.Document;
 import org.clementineford.configuration.DocumentCheck;
@@ -47,6 +48,7 @@
   private final RevisionKeeper keeper = new RevisionKeeper();
   private ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
   private long inForceSinceMs;
+  private String lastRefusal;
   private long pullingRevision;
   private long pullStartNanos;
   private long nextRevision;
@@ -216,6 +218,9 @@
       refuse(document.revision(), e);
       return RevisionKeeper.Outcome.STALE;
     }
+    for (AppliedChange change : document.changes()) {
+      hybridClock.receive(new HybridTime(change.epochMs(), 0));
+    }
     List<Consumer<ConfigurationSnapshot>> informed = new ArrayList<>(listeners);
     RevisionKeeper.Outcome outcome;
     synchronized (this) {
@@ -246,6 +251,13 @@
    * @param cause why
    */
   public void refuse(long revision, DocumentException cause) {
+    synchronized (this) {
+      // The same document is offered again every second until it is repaired.
+      if (cause.getMessage().equals(lastRefusal)) {
+        return;
+      }
+      lastRefusal = cause.getMessage();
+    }
     LOG.warn("revision {} is refused: {}", revision, cause.getMessage());
     timeline.record(
         EventKind.REVISION_REFUSED,
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/DocumentOperations.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/DocumentOperations.java
@@ -24,6 +24,7 @@
   private static final long RETRY_MS = 200;
 
   private final ObjectStore store;
+  private final RevisionMark mark;
   private final ConfigurationAgent configuration;
   private final Scheduler scheduler;
   private final NanoClock nanoClock;
@@ -37,7 +38,8 @@
    * @param configuration hears of each accepted change at once
    * @param scheduler timers
    * @param nanoClock monotonic clock
-   * @param epochClock wall clock, only for display
+   * @param epochClock hybrid clock in milliseconds, so that readers of the document order their
+   *     events after the change
    * @param timeline events of this process
    */
   public DocumentOperations(
@@ -48,6 +50,7 @@
       EpochClock epochClock,
       Timeline timeline) {
     this.store = store;
+    this.mark = new RevisionMark(store);
     this.configuration = configuration;
     this.scheduler = scheduler;
     this.nanoClock = nanoClock;
@@ -182,7 +185,7 @@
           "change",
           result.change().identity());
       configuration.offer(result.document(), "operator");
-      future.complete(result);
+      mark.raise(result.document().revision()).thenRun(() -> future.complete(result));
     }
   }
 }
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
@@ -1,7 +1,10 @@
 package org.clementineford.node.internal;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -18,6 +21,7 @@
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.kernel.errors.SettingException;
+import org.clementineford.kernel.platform.VmList;
 import org.clementineford.kernel.timeline.HybridLogicalClock;
 import org.clementineford.kernel.timeline.HybridTime;
 import org.clementineford.kernel.timeline.Timeline;
@@ -37,8 +41,11 @@
   // 12 statements of about 90 bytes keep a message near 1 KB.
   private static final int UPDATES_PER_MESSAGE = 12;
   private static final int PAGE_PER_MESSAGE = 12;
+  private static final int KEPT_PEER_DIGESTS = 64;
   private static final long SEED_PERIOD_TICKS = 30;
   private static final long EAGER_DELAY_MS = 50;
+  // Bounds the connections that one reading of a long list opens.
+  private static final int CONTACTS_PER_LIST = 8;
 
   private final PeerNetwork network;
   private final NanoClock clock;
@@ -50,6 +57,7 @@
   private final HybridLogicalClock hybridClock;
   private final List<Consumer<List<Member>>> listeners = new CopyOnWriteArrayList<>();
   private ConfigurationAgent configuration;
+  private final Map<HostPort, Long> peerDigests = new HashMap<>();
   private List<Member> members = List.of();
   private Set<String> leavingVms = Set.of();
   private long seenVersion = -1;
@@ -166,31 +174,54 @@
     changed();
   }
 
+  /**
+   * Takes in the platform's list of VMs: contacts unknown ones, and states that others leave.
+   *
+   * @param entries the list, which lags
+   */
+  public void listed(List<VmList.Entry> entries) {
+    Set<String> known = new HashSet<>();
+    Set<String> leaving = new HashSet<>();
+    synchronized (this) {
+      table.all().forEach(statement -> known.add(statement.vm()));
+      entries.stream().filter(VmList.Entry::leaving).forEach(entry -> leaving.add(entry.vm()));
+      table.markLeaving(leaving, clock.nanoTime());
+    }
+    changed();
+    entries.stream()
+        .filter(entry -> !known.contains(entry.vm()))
+        .limit(CONTACTS_PER_LIST)
+        .forEach(this::contact);
+  }
+
+  private void contact(VmList.Entry entry) {
+    try {
+      exchange(HostPort.parse(entry.address()), "", false);
+    } catch (SettingException e) {
+      LOG.warn("ignoring VM {} of the platform's list: {}", entry.vm(), e.getMessage());
+    }
+  }
+
   private void tick() {
-    VmIdentity subject = null;
+    List<VmIdentity> probed;
     VmIdentity remote = null;
     HostPort seed = null;
     synchronized (this) {
       ticks++;
       table.tick(clock.nanoTime());
       VmIdentity self = table.own().identity();
-      List<VmIdentity> subjects = table.plan().subjects(self.vm());
-      if (!subjects.isEmpty()) {
-        subject = subjects.get((int) (ticks % subjects.size()));
-      }
+      probed = table.probes(ticks);
       List<VmIdentity> remotes = table.plan().remoteEntries(self);
       if (table.plan().isWatcher(self) && !remotes.isEmpty()) {
         remote = remotes.get((int) (ticks % remotes.size()));
       }
-      boolean seedDue = !joined || subjects.isEmpty() || ticks % SEED_PERIOD_TICKS == 0;
+      boolean seedDue = !joined || probed.isEmpty() || ticks % SEED_PERIOD_TICKS == 0;
       if (seedDue && !seeds.isEmpty()) {
         seed = seeds.get((int) (ticks % seeds.size()));
       }
     }
     changed();
-    if (subject != null) {
-      exchange(subject.address(), subject.vm(), false);
-    }
+    probed.forEach(subject -> exchange(subject.address(), subject.vm(), false));
     if (remote != null) {
       exchange(remote.address(), "", false);
     }
@@ -207,7 +238,9 @@
     MembersExchange message;
     synchronized (this) {
       List<MemberStatement> statements = new ArrayList<>(table.toRefute(probed));
-      statements.addAll(table.takeUpdates(UPDATES_PER_MESSAGE));
+      if (!Long.valueOf(table.digest()).equals(peerDigests.get(address))) {
+        statements.addAll(table.takeUpdates(UPDATES_PER_MESSAGE));
+      }
       message = message(statements, wantAll);
     }
     return network
@@ -248,11 +281,9 @@
           new ArrayList<>(table.toRefute(received.getSender().getVm()));
       if (received.isWantAll()) {
         statements.addAll(table.all());
-      } else {
+      } else if (received.getTableDigest() != table.digest()) {
         statements.addAll(table.takeUpdates(UPDATES_PER_MESSAGE));
-        if (received.getTableDigest() != table.digest()) {
-          statements.addAll(nextPage());
-        }
+        statements.addAll(nextPage());
       }
       reply = message(statements, false);
     }
@@ -270,10 +301,13 @@
     try {
       VmIdentity sender = Payloads.fromWire(message.getSender());
       List<MemberStatement> statements = new ArrayList<>();
-      statements.add(MemberStatement.own(sender, MemberPhase.ALIVE, 1));
+      if (sender.role() != VmRole.CLIENT) {
+        statements.add(MemberStatement.own(sender, MemberPhase.ALIVE, 1));
+      }
       statements.addAll(WireMembers.fromWire(message.getMembers()));
       synchronized (this) {
         table.receive(statements, clock.nanoTime());
+        remember(sender.address(), message.getTableDigest());
       }
       changed();
       configuration.hear(message.getRevision(), sender.address());
@@ -282,6 +316,14 @@
     }
   }
 
+  /** Statements are left out of messages to a peer whose table was equal to this one. */
+  private void remember(HostPort peer, long digest) {
+    if (peerDigests.size() >= KEPT_PEER_DIGESTS) {
+      peerDigests.clear();
+    }
+    peerDigests.put(peer, digest);
+  }
+
   private void changed() {
     List<Member> current;
     boolean eager;
@@ -327,7 +369,7 @@
     void timeOut() {
       synchronized (MembershipAgent.this) {
         if (!done && !vm.isEmpty()) {
-          table.failed(vm);
+          table.failed(vm, clock.nanoTime());
         }
         done = true;
       }
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/PlatformWatch.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/PlatformWatch.java
@@ -10,19 +10,26 @@
 import org.clementineford.kernel.platform.ObjectStore;
 import org.clementineford.kernel.platform.StoredObject;
 
-/** Watches the document on the platform while this process is one of the watchers. */
+/**
+ * Watches the revision on the platform while this process is one of the watchers, and reads the
+ * document if peers do not deliver it.
+ */
 public final class PlatformWatch {
   private static final long WATCH_TIMEOUT_MS = 30_000;
   private static final long IDLE_DELAY_MS = 1000;
   private static final long FIRST_RETRY_MS = 200;
   private static final long LAST_RETRY_MS = 2000;
+  // Peers deliver a delta within tens of milliseconds; the whole document costs up to 1 MB.
+  private static final long PEER_PATIENCE_MS = 500;
 
   private final ObjectStore store;
+  private final RevisionMark mark;
   private final ConfigurationAgent configuration;
   private final Scheduler scheduler;
   private final BooleanSupplier watcher;
   private long knownVersion;
   private long retryMs = FIRST_RETRY_MS;
+  private volatile boolean documentRead;
   private boolean stopped;
 
   /**
@@ -39,6 +46,7 @@
       Scheduler scheduler,
       BooleanSupplier watcher) {
     this.store = store;
+    this.mark = new RevisionMark(store);
     this.configuration = configuration;
     this.scheduler = scheduler;
     this.watcher = watcher;
@@ -54,56 +62,102 @@
     stopped = true;
   }
 
+  private synchronized boolean isStopped() {
+    return stopped;
+  }
+
   private void step() {
-    long version;
-    synchronized (this) {
-      if (stopped) {
-        return;
-      }
-      version = knownVersion;
+    if (isStopped()) {
+      return;
     }
     if (!watcher.getAsBoolean()) {
       scheduler.schedule(this::step, IDLE_DELAY_MS, TimeUnit.MILLISECONDS);
-      return;
+    } else if (!documentRead) {
+      readDocument();
+    } else {
+      watch();
+    }
+  }
+
+  private void watch() {
+    long version;
+    synchronized (this) {
+      version = knownVersion;
     }
     store
-        .watch(Document.OBJECT_KEY, version, WATCH_TIMEOUT_MS)
+        .watch(RevisionMark.OBJECT_KEY, version, WATCH_TIMEOUT_MS)
         .whenComplete(
             (object, failure) -> {
               if (failure == null) {
-                taken(object);
+                changed(object);
               } else {
                 retry();
               }
             });
   }
 
-  private void taken(Optional<StoredObject> object) {
+  private void changed(Optional<StoredObject> object) {
+    long marked = object.map(RevisionMark::revision).orElse(0L);
+    long own = configuration.current().revision();
+    boolean stale;
     synchronized (this) {
-      if (stopped) {
-        return;
-      }
       retryMs = FIRST_RETRY_MS;
+      stale = object.isPresent() && object.get().version() <= knownVersion;
+      knownVersion = Math.max(knownVersion, object.map(StoredObject::version).orElse(0L));
     }
-    boolean stale = false;
-    if (object.isPresent()) {
-      synchronized (this) {
-        stale = object.get().version() < knownVersion;
-        knownVersion = Math.max(knownVersion, object.get().version());
-      }
-      offer(object.get());
+    if (marked > own) {
+      scheduler.schedule(() -> readIfLacking(marked), PEER_PATIENCE_MS, TimeUnit.MILLISECONDS);
+    } else if (object.isPresent() && marked < own && !stale) {
+      // The writer stopped, or lost the platform, between the document and the mark.
+      mark.raise(own);
     }
     if (stale) {
-      // Asking again at once would get the same stale copy.
+      // Asking again at once would get the same old copy.
       retry();
     } else {
       step();
     }
   }
 
-  private void offer(StoredObject object) {
+  private void readIfLacking(long revision) {
+    if (!isStopped() && configuration.current().revision() < revision) {
+      store
+          .get(Document.OBJECT_KEY)
+          .whenComplete(
+              (object, failure) -> {
+                if (failure == null) {
+                  offer(object);
+                }
+                if (configuration.current().revision() < revision) {
+                  scheduler.schedule(
+                      () -> readIfLacking(revision), LAST_RETRY_MS, TimeUnit.MILLISECONDS);
+                }
+              });
+    }
+  }
+
+  private void readDocument() {
+    store
+        .get(Document.OBJECT_KEY)
+        .whenComplete(
+            (object, failure) -> {
+              if (failure != null) {
+                retry();
+                return;
+              }
+              documentRead = true;
+              offer(object);
+              mark.raise(configuration.current().revision());
+              step();
+            });
+  }
+
+  private void offer(Optional<StoredObject> object) {
+    if (object.isEmpty() || isStopped()) {
+      return;
+    }
     try {
-      configuration.offer(Document.parse(object.value()), "platform");
+      configuration.offer(Document.parse(object.get().value()), "platform");
     } catch (DocumentException e) {
       configuration.refuse(0, e);
     }
