--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/BackEndSettings.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/BackEndSettings.java
@@ -1,9 +1,10 @@
 package org.clementineford.endpoint;
 
 import java.net.URI;
-import java.util.Collections;
-import java.util.LinkedHashMap;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.SettingException;
 import org.clementineford.kernel.settings.Setting;
@@ -11,40 +12,52 @@
 
 /** Settings that name the back ends of an endpoint VM. */
 public final class BackEndSettings {
-  /** Addresses of the model engines by name of the model. */
-  public static final Setting<Map<String, HostPort>> ENGINES =
+  /** Engines by the model that they run; several entries may name the same model. */
+  public static final Setting<Map<String, List<HostPort>>> ENGINES =
       new Setting<>(
-          "engines", "Model engines as MODEL=URL, separated by commas.", "", addressesByName());
+          "engines",
+          "Model engines of this VM: MODEL=URL, separated by commas.",
+          "",
+          BackEndSettings::parse);
 
   /** Addresses of the plain services by name of the service. */
   public static final Setting<Map<String, HostPort>> SERVICES =
       new Setting<>(
-          "services", "Plain services as NAME=URL, separated by commas.", "", addressesByName());
+          "services",
+          "Plain services of this VM: NAME=URL, separated by commas.",
+          "",
+          BackEndSettings::parseSingle);
 
   private BackEndSettings() {}
 
-  private static SettingParser<Map<String, HostPort>> addressesByName() {
-    return text -> {
-      Map<String, HostPort> addresses = new LinkedHashMap<>();
-      for (String part : text.split(",")) {
-        if (!part.isBlank()) {
-          add(addresses, part.trim());
-        }
+  private static Map<String, HostPort> parseSingle(String text) throws SettingException {
+    Map<String, HostPort> services = new TreeMap<>();
+    for (Map.Entry<String, List<HostPort>> named : parse(text).entrySet()) {
+      if (named.getValue().size() > 1) {
+        throw new SettingException(
+            "\"" + named.getKey() + "\" is given twice; give each name once");
       }
-      return Collections.unmodifiableMap(addresses);
-    };
+      services.put(named.getKey(), named.getValue().get(0));
+    }
+    return services;
   }
 
-  private static void add(Map<String, HostPort> addresses, String part) throws SettingException {
-    int equals = part.indexOf('=');
-    if (equals < 1) {
-      throw new SettingException(
-          "\"" + part + "\" lacks a name; give for example assistant=http://127.0.0.1:7201");
-    }
-    URI url = SettingParser.url().parse(part.substring(equals + 1));
-    String name = part.substring(0, equals);
-    if (addresses.put(name, new HostPort(url.getHost(), url.getPort())) != null) {
-      throw new SettingException("\"" + name + "\" is given twice; give each name once");
+  private static Map<String, List<HostPort>> parse(String text) throws SettingException {
+    Map<String, List<HostPort>> backEnds = new TreeMap<>();
+    for (String part : text.split(",")) {
+      if (part.isBlank()) {
+        continue;
+      }
+      int equals = part.indexOf('=');
+      if (equals < 1) {
+        throw new SettingException(
+            "\"" + part + "\" lacks a name; give NAME=http://127.0.0.1:PORT");
+      }
+      URI url = SettingParser.url().parse(part.substring(equals + 1));
+      backEnds
+          .computeIfAbsent(part.substring(0, equals).trim(), name -> new ArrayList<>())
+          .add(new HostPort(url.getHost(), url.getPort()));
     }
+    return backEnds;
   }
 }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
@@ -1,9 +1,9 @@
 package org.clementineford.endpoint.internal.requests;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.configuration.ClientAccount;
@@ -26,12 +26,12 @@
 
   private final NodeContext context;
   private final RequestServices services;
-  private final Map<String, BackEnd> backEnds = new HashMap<>();
+  private final Map<String, BackEnd> backEnds = new TreeMap<>();
   private final List<LoadPoll> polls = new ArrayList<>();
   private final List<Scheduler.Cancellable> timers = new ArrayList<>();
   private final LoadReporter reporter;
   private volatile boolean draining;
-  private volatile boolean told;
+  private boolean leavingSent;
 
   /**
    * Creates the component.
@@ -43,7 +43,7 @@
    */
   public RequestEndpoint(
       NodeContext context,
-      Map<String, HostPort> engines,
+      Map<String, List<HostPort>> engines,
       Map<String, HostPort> plainServices,
       int slots) {
     this.context = context;
@@ -57,16 +57,21 @@
             context.timeline(),
             new RequestMetrics(context.metrics()),
             new DrainGate());
-    engines.forEach((name, address) -> add(name, BackEndKind.ENGINE, address, slots));
-    plainServices.forEach((name, address) -> add(name, BackEndKind.SERVICE, address, slots));
-    this.reporter = new LoadReporter(context, polls, services.versions(), this::isLeaving);
+    engines.forEach((name, addresses) -> add(name, BackEndKind.ENGINE, addresses, slots));
+    plainServices.forEach(
+        (name, address) -> add(name, BackEndKind.SERVICE, List.of(address), slots));
+    this.reporter =
+        new LoadReporter(context, backEnds.values(), polls, services.versions(), this::isLeaving);
   }
 
-  private void add(String name, BackEndKind kind, HostPort address, int slots) {
-    FairQueue<Run> queue = new FairQueue<>(FairQueueLimits.DEFAULT, slots, this::weight);
-    BackEnd backEnd = new BackEnd(name, kind, address, queue, services);
+  private void add(String name, BackEndKind kind, List<HostPort> addresses, int slots) {
+    List<BackEndServer> servers = new ArrayList<>();
+    addresses.forEach(address -> servers.add(new BackEndServer(address, slots)));
+    FairQueue<Run> queue =
+        new FairQueue<>(FairQueueLimits.DEFAULT, slots * servers.size(), this::weight);
+    BackEnd backEnd = new BackEnd(name, kind, servers, queue, services);
     backEnds.put(name, backEnd);
-    polls.add(new LoadPoll(backEnd, services));
+    servers.forEach(server -> polls.add(new LoadPoll(backEnd, server, services)));
   }
 
   private int weight(String clientAccount) {
@@ -85,6 +90,7 @@
     context.payloads().register(Payload._Fields.REPORT_OR_REVOKE, handler);
     context.payloads().register(Payload._Fields.LOAD_REPORT, reporter);
     context.configuration().onChange(this::configurationChanged);
+    context.membership().onChange(members -> applyLeaving());
     every(this::report, REPORT_INTERVAL_MS);
     every(() -> polls.forEach(LoadPoll::probe), PROBE_INTERVAL_MS);
     polls.forEach(LoadPoll::refresh);
@@ -105,20 +111,22 @@
     applyLeaving();
   }
 
-  private void applyLeaving() {
+  private synchronized void applyLeaving() {
     boolean leaving = isLeaving();
     services.registry().setLeaving(leaving);
-    if (leaving && !told) {
+    if (leaving && !leavingSent) {
       reporter.send(reporter.entryVms(), () -> {});
     }
-    told = leaving;
+    leavingSent = leaving;
   }
 
   @Override
   public CompletableFuture<Void> drain() {
     draining = true;
-    services.registry().setLeaving(true);
-    told = true;
+    synchronized (this) {
+      services.registry().setLeaving(true);
+      leavingSent = true;
+    }
     DrainGate gate = services.drain();
     long now = context.nanoClock().nanoTime();
     List<HostPort> entryVms = reporter.entryVms();
@@ -129,6 +137,14 @@
     return gate.drained();
   }
 
+  boolean isReadingLoad() {
+    return polls.stream().anyMatch(LoadPoll::isPending);
+  }
+
+  int activeRuns() {
+    return services.drain().active();
+  }
+
   @Override
   public void close() {
     timers.forEach(Scheduler.Cancellable::cancel);
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpointFactory.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpointFactory.java
@@ -44,7 +44,7 @@
 
   @Override
   public NodeComponent create(NodeContext context, Settings settings) throws SettingException {
-    Map<String, HostPort> engines = settings.get(BackEndSettings.ENGINES);
+    Map<String, List<HostPort>> engines = settings.get(BackEndSettings.ENGINES);
     Map<String, HostPort> services = settings.get(BackEndSettings.SERVICES);
     for (String name : services.keySet()) {
       if (engines.containsKey(name)) {
