--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
+import org.clementineford.configuration.AppliedChange;
 import org.clementineford.configuration.ConfigurationSnapshot;
 import org.clementineford.configuration.Document;
 import org.clementineford.configuration.DocumentCheck;
@@ -16,6 +17,8 @@
 import org.clementineford.configuration.errors.DocumentException;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.kernel.timeline.HybridLogicalClock;
+import org.clementineford.kernel.timeline.HybridTime;
 import org.clementineford.kernel.timeline.Timeline;
 import org.clementineford.node.ConfigurationView;
 import org.clementineford.node.PayloadRouter;
@@ -37,6 +40,7 @@
 
   private final PeerNetwork network;
   private final Timeline timeline;
+  private final HybridLogicalClock hybridClock;
   private final NanoClock nanoClock;
   private final EpochClock epochClock;
   private final Supplier<List<HostPort>> receivers;
@@ -44,6 +48,7 @@
   private final RevisionKeeper keeper = new RevisionKeeper();
   private ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
   private long inForceSinceMs;
+  private String lastRefusal;
   private long pullingRevision;
   private long pullStartNanos;
   private long nextRevision;
@@ -54,6 +59,7 @@
    *
    * @param network connections to peers
    * @param timeline events of this process
+   * @param hybridClock clock of the timeline; also learns the times of accepted changes
    * @param nanoClock monotonic clock
    * @param epochClock wall clock, only for display
    * @param receivers peers to which a new revision is announced
@@ -61,11 +67,13 @@
   public ConfigurationAgent(
       PeerNetwork network,
       Timeline timeline,
+      HybridLogicalClock hybridClock,
       NanoClock nanoClock,
       EpochClock epochClock,
       Supplier<List<HostPort>> receivers) {
     this.network = network;
     this.timeline = timeline;
+    this.hybridClock = hybridClock;
     this.nanoClock = nanoClock;
     this.epochClock = epochClock;
     this.receivers = receivers;
@@ -209,6 +217,9 @@
       refuse(document.revision(), e);
       return RevisionKeeper.Outcome.STALE;
     }
+    for (AppliedChange change : document.changes()) {
+      hybridClock.receive(new HybridTime(change.epochMs(), 0));
+    }
     List<Consumer<ConfigurationSnapshot>> informed = new ArrayList<>(listeners);
     RevisionKeeper.Outcome outcome;
     synchronized (this) {
@@ -239,6 +250,13 @@
    * @param cause why
    */
   public void refuse(long revision, DocumentException cause) {
+    synchronized (this) {
+      // The same document is offered again every second until it is repaired.
+      if (cause.getMessage().equals(lastRefusal)) {
+        return;
+      }
+      lastRefusal = cause.getMessage();
+    }
     LOG.warn("revision {} is refused: {}", revision, cause.getMessage());
     timeline.record(
         EventKind.REVISION_REFUSED,
