--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -8,6 +8,7 @@
 import java.util.function.Supplier;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
+import org.clementineford.configuration.AppliedChange;
 import org.clementineford.configuration.ConfigurationSnapshot;
 import org.clementineford.configuration.Document;
 import org.clementineford.configuration.DocumentCheck;
@@ -47,6 +48,7 @@
   private final RevisionKeeper keeper = new RevisionKeeper();
   private ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
   private long inForceSinceMs;
+  private String lastRefusal;
   private long pullingRevision;
   private long pullStartNanos;
   private long nextRevision;
@@ -57,7 +59,7 @@
    *
    * @param network connections to peers
    * @param timeline events of this process
-   * @param hybridClock clock of the timeline
+   * @param hybridClock clock of the timeline; also learns the times of accepted changes
    * @param nanoClock monotonic clock
    * @param epochClock wall clock, only for display
    * @param receivers peers to which a new revision is announced
@@ -118,7 +120,6 @@
   private void onAnnounce(Payload opening, IncomingExchange exchange) {
     exchange.finish(Payloads.acknowledgement());
     RevisionAnnounce announce = opening.getRevisionAnnounce();
-    hybridClock.receive(new HybridTime(announce.getClockPhysicalMs(), announce.getClockLogical()));
     try {
       hear(announce.getRevision(), Payloads.fromWire(announce.getSender()).address());
     } catch (org.clementineford.kernel.errors.SettingException e) {
@@ -216,6 +217,9 @@
       refuse(document.revision(), e);
       return RevisionKeeper.Outcome.STALE;
     }
+    for (AppliedChange change : document.changes()) {
+      hybridClock.receive(new HybridTime(change.epochMs(), 0));
+    }
     List<Consumer<ConfigurationSnapshot>> informed = new ArrayList<>(listeners);
     RevisionKeeper.Outcome outcome;
     synchronized (this) {
@@ -246,6 +250,13 @@
    * @param cause why
    */
   public void refuse(long revision, DocumentException cause) {
+    synchronized (this) {
+      // The same document is offered again every second until it is repaired.
+      if (cause.getMessage().equals(lastRefusal)) {
+        return;
+      }
+      lastRefusal = cause.getMessage();
+    }
     LOG.warn("revision {} is refused: {}", revision, cause.getMessage());
     timeline.record(
         EventKind.REVISION_REFUSED,
@@ -256,10 +267,7 @@
   }
 
   private void announce(long revision) {
-    HybridTime now = hybridClock.now();
-    Payload announcement =
-        Payload.revisionAnnounce(
-            new RevisionAnnounce(revision, network.self(), now.physicalMs(), now.logical()));
+    Payload announcement = Payload.revisionAnnounce(new RevisionAnnounce(revision, network.self()));
     for (HostPort receiver : receivers.get()) {
       network.call(receiver, announcement);
     }
