Split the run of a request into smaller classes

Headers of answers, the listener that takes the run's lock, and the record of events are classes of their own now; behaviour is unchanged.

The faults measurement sends chat requests beside the reservations and strikes the engines as well (broken streams, crossed answers, hangs, outages).

--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultSchedule.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultSchedule.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.standins.EngineStandIn;
 import org.clementineford.standins.FaultKind;
 import org.clementineford.standins.Faults.Fault;
 
@@ -67,6 +68,10 @@
     return random.nextInt(site.entryCount());
   }
 
+  private EngineStandIn anyEngine() {
+    return site.engine(anyEndpoint());
+  }
+
   private enum Kind {
     KILL_ENDPOINT {
       @Override
@@ -130,6 +135,33 @@
         schedule.site.service().faults().set(new Fault(FaultKind.SLOWNESS, 1, 20, 800));
       }
     },
+    BREAK_ENGINE_STREAMS {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.anyEngine().faults().setNext(FaultKind.BROKEN_STREAM, 3);
+      }
+    },
+    CROSS_ENGINE_ANSWERS {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.anyEngine().faults().setNext(FaultKind.WRONG_REQUEST_ID, 3);
+      }
+    },
+    HANG_ENGINE {
+      @Override
+      void strike(FaultSchedule schedule) {
+        schedule.anyEngine().faults().setNext(FaultKind.HANG, 2);
+      }
+    },
+    ENGINE_OUTAGE {
+      @Override
+      void strike(FaultSchedule schedule) throws InterruptedException {
+        EngineStandIn engine = schedule.anyEngine();
+        engine.faults().set(FaultKind.OUTAGE);
+        schedule.pause(schedule.random.nextLong(100, 1000));
+        engine.faults().clear(FaultKind.OUTAGE);
+      }
+    },
     LOSE_CLAIM_REPLIES {
       @Override
       void strike(FaultSchedule schedule) {
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultsScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultsScenario.java
@@ -26,6 +26,7 @@
   private static final double RATE = 60;
   private static final long TIMEOUT_MS = 15_000;
   private static final long RESEND_DELAY_MS = 300;
+  private static final EngineOptions ENGINE = new EngineOptions(20, 10, 8, 256, true, 0);
   private static final int MAX_SUBMISSIONS = 40;
 
   private final int requests;
@@ -60,9 +61,13 @@
       FaultSchedule faults =
           new FaultSchedule(site, RandomGeneratorFactory.of("L64X128MixRandom").create(seed));
       faults.start();
+      ChatLoad chats = new ChatLoad(site, caller);
+      chats.start(requests / RATE);
       List<Reservation> reservations = submit(site, caller, "f", requests);
+      figures.put("chatsDuringFaults", chats.figures());
       figures.put("faults", faults.stop());
-      return report(figures, "duringFaults", reservations, site.service().runs());
+      boolean safe = report(figures, "duringFaults", reservations, site.service().runs());
+      return safe && chats.wrongAnswers() == 0;
     }
   }
 
@@ -85,7 +90,7 @@
   }
 
   private Site newSite() throws ClementinefordException {
-    Site site = new Site(Map.of("buyers", 1), ENDPOINTS, EngineOptions.IMMEDIATE, threads, seed);
+    Site site = new Site(Map.of("buyers", 1), ENDPOINTS, ENGINE, threads, seed);
     site.startEntries(ENTRIES);
     site.startEndpoints();
     return site;
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/ClaimRun.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/ClaimRun.java
@@ -18,6 +18,7 @@
   private final AttemptInquiry inquiry;
   private final RequestRun run;
   private final ClaimDecision decision;
+  private final RunEvents events;
   private final String objectKey;
   private Target target;
 
@@ -26,6 +27,7 @@
     this.request = request;
     this.inquiry = inquiry;
     this.run = run;
+    this.events = new RunEvents(services, request);
     this.decision = new ClaimDecision(request.digest());
     this.objectKey = ClaimStore.objectKey(request.account(), request.key());
   }
@@ -98,16 +100,7 @@
           synchronized (run) {
             if (failure == null) {
               services.metrics().claimWrites.labelValues("written").inc();
-              services
-                  .timeline()
-                  .record(
-                      kind,
-                      "request",
-                      request.requestId(),
-                      "attempt",
-                      target.attemptId(),
-                      "endpoint",
-                      target.vm());
+              events.claimWritten(kind, target);
             } else {
               services
                   .metrics()
@@ -153,18 +146,11 @@
         return;
       }
       if (report == AttemptReport.FINISHED) {
-        run.replay(run.answerOf(details), "endpoint");
+        run.replay(CallerHeaders.answerOf(details, request.requestId()), "endpoint");
         return;
       }
       if (report == AttemptReport.REVOKED) {
-        services
-            .timeline()
-            .record(
-                EventKind.ATTEMPT_REVOKED,
-                "request",
-                request.requestId(),
-                "attempt",
-                decision.current().attemptId());
+        events.revoked(decision.current().attemptId());
         run.avoid(decision.current().vm());
       }
       act(decision.reported(report, null));
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestRun.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestRun.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.clementineford.kernel.Scheduler;
-import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.requests.RefusalKind;
 import org.clementineford.requests.RunState;
 import org.clementineford.requests.attempts.AttemptPlan;
@@ -35,6 +34,7 @@
   private final AttemptPlan plan;
   private final ClaimRun claim;
   private final AttemptInquiry inquiry;
+  private final RunEvents events;
   private final Runnable onEnd;
   private final long startNanos;
   private final long deadlineNanos;
@@ -49,6 +49,7 @@
     this.services = services;
     this.request = request;
     this.response = new CallerResponse(http, request.stream());
+    this.events = new RunEvents(services, request);
     this.onEnd = onEnd;
     this.startNanos = services.clock().nanoTime();
     this.deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(request.timeoutMs());
@@ -137,11 +138,7 @@
       deadlinePassed();
       return;
     }
-    if (plan.attempts() == 0) {
-      services.timeline().record(EventKind.REQUEST_DISPATCHED, details(target));
-    } else {
-      services.timeline().record(EventKind.REQUEST_RETRIED, details(target));
-    }
+    events.dispatched(target, plan.attempts() == 0);
     plan.started(target.vm());
     target.candidate().countSent();
     AttemptExchange opened =
@@ -149,13 +146,8 @@
             target, request.requestId(), new Handler(), services.metrics().droppedPayloads);
     attempt = opened;
     Payload payload = Payload.dispatch(request.toDispatch(target, remainingMs));
-    opened.opened(services.link().open(target.address(), payload, new Guarded(opened)));
-  }
-
-  private String[] details(Target target) {
-    return new String[] {
-      "request", request.requestId(), "attempt", target.attemptId(), "endpoint", target.vm()
-    };
+    opened.opened(
+        services.link().open(target.address(), payload, new LockedListener(this, opened)));
   }
 
   private void follow(Next next, String reason, Refusals.Response otherwise) {
@@ -183,9 +175,9 @@
       return;
     }
     switch (report) {
-      case FINISHED -> replay(answerOf(details), "endpoint");
+      case FINISHED -> replay(CallerHeaders.answerOf(details, request.requestId()), "endpoint");
       case REVOKED -> {
-        services.timeline().record(EventKind.ATTEMPT_REVOKED, details(attempt.target()));
+        events.revoked(attempt.target().attemptId());
         follow(
             plan.notRun(true, services.clock().nanoTime()),
             "revoked",
@@ -199,24 +191,12 @@
     }
   }
 
-  /** Returns the answer in an endpoint's report, or null if the endpoint did not keep it. */
-  StoredAnswer answerOf(RunReport report) {
-    if (!report.isSetHead() || !report.isSetBody()) {
-      return null;
-    }
-    AnswerHead head = report.getHead();
-    return new StoredAnswer(head.getStatus(), callerHeaders(head), report.getBody());
-  }
-
   /** Answers with the answer of an attempt that ended earlier. */
   synchronized void replay(StoredAnswer answer, String source) {
     if (ended) {
       return;
     }
-    services
-        .timeline()
-        .record(EventKind.REQUEST_REPLAYED, "request", request.requestId(), "source", source);
-    services.metrics().replays.labelValues(source).inc();
+    events.replayed(source);
     if (claim != null) {
       claim.finished(answer);
     }
@@ -226,24 +206,11 @@
     }
     Map<String, String> headers = new HashMap<>(answer.headers());
     headers.put("Clementineford-Request", request.requestId());
-    countAnswer(answer.status());
+    events.answered(answer.status());
     response.respond(answer.status(), headers, answer.body());
     end();
   }
 
-  private Map<String, String> callerHeaders(AnswerHead head) {
-    Map<String, String> headers = new HashMap<>(head.getHeaders());
-    headers.keySet().removeIf(HopHeaders::isHopByHop);
-    headers.put("Clementineford-Request", request.requestId());
-    if (head.isSetModelVersion()) {
-      headers.put("Clementineford-Model-Version", head.getModelVersion());
-    }
-    if (head.isSetWeightsDigest()) {
-      headers.put("Clementineford-Weights-Digest", head.getWeightsDigest());
-    }
-    return headers;
-  }
-
   private Refusals.Response refusal(EntryRefusal refusal) {
     return refusal(refusal, knowledge());
   }
@@ -274,29 +241,15 @@
       breakOff(refusal.kind());
       return;
     }
-    String run = refusal.headers().get("Clementineford-Run");
-    services.metrics().refusals.labelValues(refusal.kind(), run).inc();
-    services
-        .timeline()
-        .record(
-            EventKind.REQUEST_REFUSED,
-            "request",
-            request.requestId(),
-            "reason",
-            refusal.kind(),
-            "run",
-            run);
-    countAnswer(refusal.status());
+    events.refused(refusal);
+    events.answered(refusal.status());
     response.respond(refusal.status(), refusal.headers(), refusal.body());
     end();
   }
 
   /** Cuts an answer off whose start the caller has; the missing end tells the caller. */
   private void breakOff(String reason) {
-    services.metrics().brokenAnswers.labelValues(reason).inc();
-    services
-        .timeline()
-        .record(EventKind.REQUEST_BROKEN, "request", request.requestId(), "reason", reason);
+    events.broken(reason);
     response.abort();
     end();
   }
@@ -328,10 +281,6 @@
     end();
   }
 
-  private void countAnswer(int status) {
-    services.metrics().requests.labelValues(request.account(), Integer.toString(status)).inc();
-  }
-
   private void end() {
     if (!ended) {
       ended = true;
@@ -340,34 +289,11 @@
     }
   }
 
-  /** Takes the run's lock before an event of the current attempt. */
-  private final class Guarded implements org.clementineford.transport.ExchangeListener {
-    private final AttemptExchange opened;
-
-    Guarded(AttemptExchange opened) {
-      this.opened = opened;
-    }
-
-    @Override
-    public void onPayload(Payload payload, boolean last) {
-      synchronized (RequestRun.this) {
-        opened.onPayload(payload, last);
-      }
-    }
-
-    @Override
-    public void onFailure(ExchangeFailure failure) {
-      synchronized (RequestRun.this) {
-        opened.onFailure(failure);
-      }
-    }
-  }
-
   /** Events of the current attempt, called under the run's lock. */
   private final class Handler implements AttemptExchange.Events {
     @Override
     public void head(AnswerHead head) {
-      if (!response.head(head.getStatus(), callerHeaders(head))) {
+      if (!response.head(head.getStatus(), CallerHeaders.of(head, request.requestId()))) {
         stopAttempt("answers-differ");
       }
     }
@@ -394,7 +320,7 @@
         breakOff("answers-differ");
         return;
       }
-      countAnswer(response.status());
+      events.answered(response.status());
       if (claim != null) {
         claim.finished(response.kept());
       }
--- /dev/null
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RunEvents.java
@@ -0,0 +1,59 @@
+package org.clementineford.entry.internal.requests;
+
+import org.clementineford.kernel.timeline.EventKind;
+
+/** Records what happens to one request, in the timeline and in the metrics. */
+final class RunEvents {
+  private final EntryServices services;
+  private final CallerRequest request;
+
+  RunEvents(EntryServices services, CallerRequest request) {
+    this.services = services;
+    this.request = request;
+  }
+
+  void dispatched(Target target, boolean first) {
+    record(
+        first ? EventKind.REQUEST_DISPATCHED : EventKind.REQUEST_RETRIED,
+        "attempt",
+        target.attemptId(),
+        "endpoint",
+        target.vm());
+  }
+
+  void revoked(String attemptId) {
+    record(EventKind.ATTEMPT_REVOKED, "attempt", attemptId);
+  }
+
+  void replayed(String source) {
+    services.metrics().replays.labelValues(source).inc();
+    record(EventKind.REQUEST_REPLAYED, "source", source);
+  }
+
+  void refused(Refusals.Response refusal) {
+    String run = refusal.headers().get("Clementineford-Run");
+    services.metrics().refusals.labelValues(refusal.kind(), run).inc();
+    record(EventKind.REQUEST_REFUSED, "reason", refusal.kind(), "run", run);
+  }
+
+  void broken(String reason) {
+    services.metrics().brokenAnswers.labelValues(reason).inc();
+    record(EventKind.REQUEST_BROKEN, "reason", reason);
+  }
+
+  void claimWritten(EventKind kind, Target target) {
+    record(kind, "attempt", target.attemptId(), "endpoint", target.vm());
+  }
+
+  void answered(int status) {
+    services.metrics().requests.labelValues(request.account(), Integer.toString(status)).inc();
+  }
+
+  private void record(EventKind kind, String... details) {
+    String[] all = new String[details.length + 2];
+    all[0] = "request";
+    all[1] = request.requestId();
+    System.arraycopy(details, 0, all, 2, details.length);
+    services.timeline().record(kind, all);
+  }
+}
