--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FairnessScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FairnessScenario.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -22,10 +23,11 @@
   private static final int ENDPOINTS = 3;
   private static final int ENTRIES = 2;
   private static final int SLOTS = 32;
-  private static final int TOKENS = 10;
+  private static final int MIN_TOKENS = 4;
+  private static final int MEAN_TOKENS = 10;
   private static final long FIRST_TOKEN_MS = 200;
   private static final long BETWEEN_TOKENS_MS = 30;
-  private static final long RUN_MS = FIRST_TOKEN_MS + BETWEEN_TOKENS_MS * (TOKENS - 1);
+  private static final long RUN_MS = FIRST_TOKEN_MS + BETWEEN_TOKENS_MS * (MEAN_TOKENS - 1);
   private static final double CAPACITY = ENDPOINTS * SLOTS * 1000.0 / RUN_MS;
   private static final int TOTAL_WEIGHT = WEIGHTS.values().stream().mapToInt(w -> w).sum();
   private static final long TIMEOUT_MS = 20_000;
@@ -34,7 +36,7 @@
   private static final double SHARE_BOUND = 0.1;
   private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
   private static final EngineOptions OPTIONS =
-      new EngineOptions(FIRST_TOKEN_MS, BETWEEN_TOKENS_MS, TOKENS, SLOTS, true, 0);
+      new EngineOptions(FIRST_TOKEN_MS, BETWEEN_TOKENS_MS, MEAN_TOKENS, SLOTS, true, 0);
 
   private final double seconds;
   private final int threads;
@@ -78,7 +80,7 @@
       within &= Math.abs(ratio - 1) <= SHARE_BOUND;
     }
     figures.put("servedCostByWeight", shares);
-    figures.put("servedPerSecond", full.total() / (seconds / 2));
+    figures.put("servedTokensPerSecond", full.total() / (seconds / 2));
     figures.put("wrongAnswers", together.wrong.sum() + full.wrong.sum());
     figures.put("withinTarget", within);
     return figures;
@@ -128,9 +130,10 @@
               int number = next[0]++;
               start[0] = start[0] == 0 ? due : start[0];
               String content = account + " " + number;
+              int tokens = tokens(content);
               caller.send(
                   site.entryAddress(number % ENTRIES),
-                  Chats.request(account, content, TOKENS, false),
+                  Chats.request(account, content, tokens, false),
                   TIMEOUT_MS,
                   outcome -> {
                     result.add(account, content, outcome, due, start[0] + half, half);
@@ -144,6 +147,15 @@
     }
   }
 
+  /**
+   * Lengths differ from answer to answer. With one length for all, the slots of an engine that were
+   * filled in a burst stay in step, and every wait is a whole run.
+   */
+  private static int tokens(String content) {
+    int range = 2 * (MEAN_TOKENS - MIN_TOKENS) + 1;
+    return MIN_TOKENS + new SplittableRandom(content.hashCode()).nextInt(range);
+  }
+
   private static final class Result {
     private final Map<String, ConcurrentHistogram> latencies = new ConcurrentHashMap<>();
     private final Map<String, LongAdder> served = new ConcurrentHashMap<>();
@@ -154,11 +166,11 @@
       if (outcome.end() != Caller.End.ANSWERED) {
         return;
       }
-      if (!Chats.isOwnAnswer(outcome.text(), content, TOKENS, false)) {
+      if (!Chats.isOwnAnswer(outcome.text(), content, tokens(content), false)) {
         wrong.increment();
       }
       if (outcome.endNanos() >= from && outcome.endNanos() < from + length) {
-        served.computeIfAbsent(account, key -> new LongAdder()).increment();
+        served.computeIfAbsent(account, key -> new LongAdder()).add(tokens(content));
       }
       if (due >= from) {
         latencies
