--- a/org.clementineford.daemons/src/main/java/org/clementineford/daemons/EndpointDaemon.java
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/EndpointDaemon.java
@@ -12,6 +12,6 @@
    * @param arguments flags; {@code --help} lists them
    */
   public static void main(String[] arguments) {
-    Daemon.run("endpoint", VmRole.ENDPOINT, arguments);
+    Daemon.run("endpoint-vm", VmRole.ENDPOINT, arguments);
   }
 }
--- a/org.clementineford.daemons/src/main/java/org/clementineford/daemons/EntryDaemon.java
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/EntryDaemon.java
@@ -12,6 +12,6 @@
    * @param arguments flags; {@code --help} lists them
    */
   public static void main(String[] arguments) {
-    Daemon.run("entry", VmRole.ENTRY, arguments);
+    Daemon.run("entry-vm", VmRole.ENTRY, arguments);
   }
 }
