Read the configuration in force without a lock

A process could fall silent for good when a revision arrived: the listeners of ConfigurationAgent run inside its lock and ask the membership (weights component), while MembershipAgent reads the revision for a message to a peer inside its own lock.

ManifestSearch asked peers and the origin inside its lock, and an answer that is there at once calls ModelRollout, whose lock is held by a thread that stops the search. It asks outside the lock now; found by reading, not seen in a run, and without a test of its own.

Ruled out: calling the listeners outside the lock, since they must see revisions in increasing order.

--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ManifestSearch.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ManifestSearch.java
@@ -47,9 +47,11 @@
     this.startedNanos = tools.context().nanoClock().nanoTime();
   }
 
-  synchronized void start() {
-    timer =
-        tools.context().scheduler().scheduleEvery(this::attempt, RETRY_MS, TimeUnit.MILLISECONDS);
+  void start() {
+    synchronized (this) {
+      timer =
+          tools.context().scheduler().scheduleEvery(this::attempt, RETRY_MS, TimeUnit.MILLISECONDS);
+    }
     attempt();
   }
 
@@ -58,20 +60,31 @@
     timer.cancel();
   }
 
-  private synchronized void attempt() {
-    if (ended) {
-      return;
+  /** Asks without the lock: an answer that is there at once calls back into the rollout. */
+  private void attempt() {
+    boolean askOrigin = false;
+    HostPort peer = null;
+    synchronized (this) {
+      if (ended) {
+        return;
+      }
+      List<VmIdentity> ranked = ranked();
+      int rank = ranked.indexOf(tools.context().self());
+      long waited = tools.context().nanoClock().nanoTime() - startedNanos;
+      if (!originAsked && waited >= rank * tools.limits().rankNanos()) {
+        originAsked = true;
+        askOrigin = true;
+      }
+      if (!peerAsked && ranked.size() > 1) {
+        peerAsked = true;
+        peer = peerToAsk(ranked).address();
+      }
     }
-    List<VmIdentity> ranked = ranked();
-    int rank = ranked.indexOf(tools.context().self());
-    long waited = tools.context().nanoClock().nanoTime() - startedNanos;
-    if (!originAsked && waited >= rank * tools.limits().rankNanos()) {
-      originAsked = true;
+    if (askOrigin) {
       tools.outside().manifest(model, version).whenComplete(this::originAnswered);
     }
-    if (!peerAsked && ranked.size() > 1) {
-      peerAsked = true;
-      askPeer(peerToAsk(ranked).address());
+    if (peer != null) {
+      askPeer(peer);
     }
   }
 
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -42,7 +42,9 @@
   private final Supplier<List<HostPort>> receivers;
   private final List<Consumer<ConfigurationSnapshot>> listeners = new CopyOnWriteArrayList<>();
   private final RevisionKeeper keeper = new RevisionKeeper();
-  private ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
+  // Read without the lock: a thread that holds the lock of the membership reads it while a
+  // listener, which runs inside the lock of this agent, asks the membership.
+  private volatile ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
   private long inForceSinceMs;
   private long pullingRevision;
   private long pullStartNanos;
@@ -82,7 +84,7 @@
   }
 
   @Override
-  public synchronized ConfigurationSnapshot current() {
+  public ConfigurationSnapshot current() {
     return snapshot;
   }
 
