--- a/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairQueueTest.java
+++ b/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairQueueTest.java
@@ -7,7 +7,7 @@
 import org.junit.jupiter.api.Test;
 
 class FairQueueTest {
-  private static final FairQueueLimits LIMITS = new FairQueueLimits(4, 1000, 0);
+  private static final FairQueueLimits LIMITS = new FairQueueLimits(4, 10, 0);
 
   private final FairQueue<String> queue = new FairQueue<>(LIMITS, 1, account -> 1);
 
@@ -61,6 +61,41 @@
     assertThat(order).containsSubsequence("n0", "n1", "n2", "n3");
   }
 
+  // Guards against turns that are saved up and then borrowed all at once.
+  @Test
+  void turnsThatNobodyBorrowedAreNotSavedUp() {
+    for (int i = 0; i < 8; i++) {
+      queue.offer(request("normal", false, "before"));
+      drain(1);
+    }
+    for (int i = 0; i < 4; i++) {
+      queue.offer(request("normal", false, "n"));
+      queue.offer(request("urgent", true, "u"));
+    }
+    assertThat(String.join("", drain(4))).isIn("nunu", "unun", "unnu", "nuun");
+  }
+
+  // Guards against an account that saves up enough share to starve the others.
+  @Test
+  void savedShareIsBounded() {
+    FairQueue<String> saving = new FairQueue<>(new FairQueueLimits(100, 10, 2), 1, account -> 1);
+    for (int i = 0; i < 50; i++) {
+      saving.offer(request("busy", false, "b"));
+      saving.finish(saving.poll(), 100);
+      saving.offer(request("busy", false, "b"));
+    }
+    for (int i = 0; i < 10; i++) {
+      saving.offer(request("quiet", false, "q"));
+    }
+    StringBuilder order = new StringBuilder();
+    for (int i = 0; i < 8; i++) {
+      QueuedRequest<String> next = saving.poll();
+      order.append(next.work());
+      saving.finish(next, 100);
+    }
+    assertThat(order.toString()).startsWith("qq").matches("q+(b+q+)+b*");
+  }
+
   // Guards against a request that starts after its deadline.
   @Test
   void expiredRequestsLeaveTheQueueInTheOrderOfTheirDeadlines() {
