Tell configuration listeners without holding the lock

NodeTest hung: the configuration agent called its listeners under its lock, the membership agent is one of them and takes its own lock, and it asks for the revision while it holds that. The thread dump showed the two threads waiting for each other.

--- a/org.clementineford.node.test/src/test/java/org/clementineford/node/NodeTest.java
+++ b/org.clementineford.node.test/src/test/java/org/clementineford/node/NodeTest.java
@@ -5,7 +5,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import org.clementineford.configuration.Document;
 import org.clementineford.configuration.DocumentEdit;
 import org.clementineford.kernel.VmRole;
@@ -13,6 +15,7 @@
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.kernel.timeline.TimelineEvent;
+import org.clementineford.node.internal.ConfigurationAgent;
 import org.clementineford.node.internal.RevisionMark;
 import org.clementineford.standins.FaultKind;
 import org.junit.jupiter.api.AfterEach;
@@ -173,6 +176,22 @@
     }
   }
 
+  /** Guards against a deadlock of a listener with a thread that reads the configuration. */
+  @Test
+  void letsOthersReadWhileListenersRun() throws Exception {
+    final Node first = fleet.entry("entry-1", "a");
+    ConfigurationView configuration = first.context().configuration();
+    CompletableFuture<Long> seen = new CompletableFuture<>();
+    configuration.onChange(
+        snapshot ->
+            CompletableFuture.supplyAsync(() -> ((ConfigurationAgent) configuration).document())
+                .orTimeout(5, TimeUnit.SECONDS)
+                .handle((document, failure) -> seen.complete(failure == null ? 1L : -1L))
+                .join());
+    fleet.apply(first, TestFleet.edit("c1", 0, "v1")).get();
+    assertThat(seen.get(10, TimeUnit.SECONDS)).isOne();
+  }
+
   /** Guards against a lease that is lost for a whole term when its holder stops as planned. */
   @Test
   void handsTheLeaseOver() throws Exception {
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -1,6 +1,7 @@
 package org.clementineford.node.internal;
 
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -46,7 +47,9 @@
   private final Supplier<List<HostPort>> receivers;
   private final List<Consumer<ConfigurationSnapshot>> listeners = new CopyOnWriteArrayList<>();
   private final RevisionKeeper keeper = new RevisionKeeper();
-  private ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
+  private final Deque<ConfigurationSnapshot> undelivered = new ArrayDeque<>();
+  private volatile ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
+  private boolean delivering;
   private long inForceSinceMs;
   private String lastRefusal;
   private long pullingRevision;
@@ -90,7 +93,7 @@
   }
 
   @Override
-  public synchronized ConfigurationSnapshot current() {
+  public ConfigurationSnapshot current() {
     return snapshot;
   }
 
@@ -221,29 +224,50 @@
     for (AppliedChange change : document.changes()) {
       hybridClock.receive(new HybridTime(change.epochMs(), 0));
     }
-    List<Consumer<ConfigurationSnapshot>> informed = new ArrayList<>(listeners);
     RevisionKeeper.Outcome outcome;
     synchronized (this) {
       outcome = keeper.offer(document);
       if (outcome.changed()) {
         snapshot = next;
         inForceSinceMs = epochClock.time();
+        undelivered.add(next);
         timeline.record(
             EventKind.REVISION_IN_FORCE,
             "revision",
             Long.toString(next.revision()),
             "source",
             source);
-        // Listeners run inside the lock, so that they see revisions in increasing order.
-        informed.forEach(listener -> listener.accept(next));
       }
     }
     if (outcome.changed()) {
       announce(next.revision());
+      deliver();
     }
     return outcome;
   }
 
+  /**
+   * Tells the listeners in the order of the revisions. One thread does this at a time, and without
+   * the lock, because listeners take locks of their own under which this object is called.
+   */
+  private void deliver() {
+    ConfigurationSnapshot next = nextToDeliver(false);
+    while (next != null) {
+      for (Consumer<ConfigurationSnapshot> listener : listeners) {
+        listener.accept(next);
+      }
+      next = nextToDeliver(true);
+    }
+  }
+
+  private synchronized ConfigurationSnapshot nextToDeliver(boolean mine) {
+    if (delivering && !mine) {
+      return null;
+    }
+    delivering = !undelivered.isEmpty();
+    return undelivered.poll();
+  }
+
   /**
    * Records that a document was refused.
    *
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
@@ -349,7 +349,8 @@
     List<HostPort> addresses;
     synchronized (this) {
       eagerScheduled = false;
-      addresses = receivers();
+      // A process that stops right after its start may not know any member yet.
+      addresses = receivers().isEmpty() ? seeds : receivers();
     }
     return CompletableFuture.allOf(
         addresses.stream()
