--- a/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -49,6 +49,7 @@
 
   private final NodeSettings settings;
   private final NodeEnvironment environment;
+  private final HybridLogicalClock hybridClock;
   private PeerNetwork network;
   private final HttpClient httpClient;
   private final List<NodeComponent> components = new ArrayList<>();
@@ -70,6 +71,7 @@
   public Node(NodeSettings settings, NodeEnvironment environment) {
     this.settings = settings;
     this.environment = environment;
+    this.hybridClock = new HybridLogicalClock(environment.epochClock());
     this.httpClient = new HttpClient(environment.eventLoops(), environment.shaping());
   }
 
@@ -110,7 +112,6 @@
     network = newNetwork(wanted);
     network.listen(wanted.address());
     final VmIdentity self = Payloads.fromWire(network.self());
-    final HybridLogicalClock hybridClock = new HybridLogicalClock(environment.epochClock());
     final Timeline timeline =
         new Timeline(hybridClock, self.vm(), self.incarnation(), TIMELINE_CAPACITY);
     final ObjectStore store = environment.objectStores().apply(httpClient, settings.platform());
@@ -122,8 +123,7 @@
             environment.scheduler(),
             MembershipTiming.DEFAULT,
             settings.seeds(),
-            timeline,
-            hybridClock);
+            timeline);
     ConfigurationAgent configuration =
         new ConfigurationAgent(
             network,
@@ -211,6 +211,7 @@
         Payloads.toWire(identity),
         PeerTiming.DEFAULT,
         environment.nanoClock(),
+        hybridClock,
         environment.shaping());
   }
 
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -62,7 +62,7 @@
    *
    * @param network connections to peers
    * @param timeline events of this process
-   * @param hybridClock clock of the timeline
+   * @param hybridClock clock of the timeline; also learns the times of accepted changes
    * @param nanoClock monotonic clock
    * @param epochClock wall clock, only for display
    * @param receivers peers to which a new revision is announced
@@ -123,7 +123,6 @@
   private void onAnnounce(Payload opening, IncomingExchange exchange) {
     exchange.finish(Payloads.acknowledgement());
     RevisionAnnounce announce = opening.getRevisionAnnounce();
-    hybridClock.receive(new HybridTime(announce.getClockPhysicalMs(), announce.getClockLogical()));
     try {
       hear(announce.getRevision(), Payloads.fromWire(announce.getSender()).address());
     } catch (org.clementineford.kernel.errors.SettingException e) {
@@ -292,10 +291,7 @@
   }
 
   private void announce(long revision) {
-    HybridTime now = hybridClock.now();
-    Payload announcement =
-        Payload.revisionAnnounce(
-            new RevisionAnnounce(revision, network.self(), now.physicalMs(), now.logical()));
+    Payload announcement = Payload.revisionAnnounce(new RevisionAnnounce(revision, network.self()));
     for (HostPort receiver : receivers.get()) {
       network.call(receiver, announcement);
     }
