--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Site.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Site.java
@@ -17,6 +17,7 @@
 import org.clementineford.configuration.ServiceSpecification;
 import org.clementineford.kernel.DistributionPolicy;
 import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.platform.ModelEngine.Loaded;
@@ -31,6 +32,7 @@
 
 /** Stand-ins, endpoint daemons and entry daemons of one data centre, each with its own threads. */
 final class Site implements AutoCloseable {
+  static final String ACCOUNT = "warehouse";
   static final String MODEL = "assistant";
   static final String VERSION = "v1";
   static final String DIGEST = "0".repeat(64);
@@ -122,6 +124,28 @@
     }
   }
 
+  /** Uses an entry VM that runs in another process. */
+  void useEntry(HostPort httpAddress, HostPort peerAddress) {
+    entryAddresses.add(httpAddress);
+    views.join(new VmIdentity("entry-1", VmRole.ENTRY, "lorient", "brittany", 1, peerAddress));
+  }
+
+  /** Runs only an entry VM in this process, for endpoints of another process. */
+  static RequestVm entryAlone(HostPort httpAddress, HostPort peerAddress, int threads)
+      throws ClementinefordException {
+    return new RequestVm(
+        "entry-1",
+        VmRole.ENTRY,
+        1,
+        peerAddress,
+        new RequestViews(snapshot(Map.of(ACCOUNT, 1))),
+        null,
+        threads,
+        "request-entry",
+        "--http-address",
+        httpAddress.toString());
+  }
+
   private RequestVm newEntry(int index, long incarnation, HostPort address)
       throws ClementinefordException {
     return new RequestVm(
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
@@ -1,6 +1,7 @@
 package org.clementineford.bench.requests;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -27,8 +28,12 @@
   private final int rounds;
   private final int threads;
   private final long seed;
+  private final List<HostPort> entryProcess;
 
-  ThroughputScenario(double rate, double seconds, int threads, long seed) {
+  /** Uses the entry VM of another process if its addresses for callers and peers are given. */
+  ThroughputScenario(
+      double rate, double seconds, int threads, long seed, List<HostPort> entryProcess) {
+    this.entryProcess = entryProcess;
     this.rate = rate;
     this.seconds = seconds;
     this.rounds = (int) Math.max(2, seconds / ROUND_SECONDS);
@@ -39,8 +44,12 @@
   Map<String, Object> run() throws Exception {
     Series through = new Series();
     Series direct = new Series();
-    try (Site site = new Site(Map.of("warehouse", 1), ENGINES, OPTIONS, threads, seed)) {
-      site.startEntries(1);
+    try (Site site = new Site(Map.of(Site.ACCOUNT, 1), ENGINES, OPTIONS, threads, seed)) {
+      if (entryProcess.isEmpty()) {
+        site.startEntries(1);
+      } else {
+        site.useEntry(entryProcess.get(0), entryProcess.get(1));
+      }
       site.startEndpoints();
       var loops = Loops.create("callers", threads);
       try (Caller caller = new Caller(loops)) {
@@ -75,7 +84,7 @@
                   through ? site.entryAddress(0) : site.engine(number % ENGINES).address();
               caller.send(
                   address,
-                  Chats.request("warehouse", content, TOKENS, true),
+                  Chats.request(Site.ACCOUNT, content, TOKENS, true),
                   TIMEOUT_MS,
                   outcome -> {
                     series.add(outcome, content, due);
@@ -89,7 +98,11 @@
   private Map<String, Object> figures(Series through, Series direct) {
     Map<String, Object> figures = new LinkedHashMap<>();
     figures.put("scenario", "throughput");
-    figures.put("layout", "one process, separate event loops for each part");
+    figures.put(
+        "layout",
+        entryProcess.isEmpty()
+            ? "one process, separate event loops for each part"
+            : "entry VM in its own process; callers, endpoints and engines in another");
     figures.put("ratePerSecond", rate);
     figures.put("requests", through.answered.sum());
     figures.put("failed", through.failed.sum() + through.unanswered.sum());
