--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/RequestViews.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/RequestViews.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.clementineford.configuration.ConfigurationSnapshot;
 import org.clementineford.endpoint.ServedVersions;
@@ -50,6 +51,26 @@
     };
   }
 
+  /** Returns the membership as one daemon sees it; a closed daemon is not called any more. */
+  MembershipView seenBy(BooleanSupplier open) {
+    return new MembershipView() {
+      @Override
+      public List<Member> members() {
+        return RequestViews.this.members();
+      }
+
+      @Override
+      public void onChange(Consumer<List<Member>> listener) {
+        RequestViews.this.onChange(
+            changed -> {
+              if (open.getAsBoolean()) {
+                listener.accept(changed);
+              }
+            });
+      }
+    };
+  }
+
   void join(VmIdentity vm) {
     members.removeIf(member -> member.identity().vm().equals(vm.vm()));
     members.add(new Member(vm, Phase.ALIVE));
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/RequestVm.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/RequestVm.java
@@ -44,6 +44,7 @@
   private final ChannelGroup links = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final NodeContext context;
   private final NodeComponent component;
+  private volatile boolean closed;
 
   RequestVm(
       String vm,
@@ -84,7 +85,7 @@
             network,
             router,
             views.configuration(),
-            views,
+            views.seenBy(() -> !closed),
             OptionalLong::empty,
             store,
             new HttpClient(loops, LinkShaping.NONE),
@@ -131,6 +132,7 @@
   /** Kills the daemon: closes all sockets at once; nothing is drained and all state is lost. */
   @Override
   public void close() {
+    closed = true;
     component.close();
     context.network().close();
     context.httpClient().close();
