Adapt the lock test to the shared timeline clock

The agent takes the hybrid clock as a dependency again, since documents read from the platform carry the times of accepted changes.

Ruled out: a second clock for the agent, whose readings would not order its events with those of the process.

--- a/org.clementineford.node.test/src/test/java/org/clementineford/node/internal/ConfigurationLockTest.java
+++ b/org.clementineford.node.test/src/test/java/org/clementineford/node/internal/ConfigurationLockTest.java
@@ -41,10 +41,12 @@
   // by a thread that reads the revision for a message to a peer.
   @Test
   void configurationIsReadableWhileListenersRun() {
+    HybridLogicalClock hybridClock = new HybridLogicalClock(time.epochClock());
     ConfigurationAgent agent =
         new ConfigurationAgent(
             network,
-            new Timeline(new HybridLogicalClock(time.epochClock()), "vm-1", 1, 100),
+            new Timeline(hybridClock, "vm-1", 1, 100),
+            hybridClock,
             time,
             time.epochClock(),
             List::of);
