Stop waits in tests at their time limit

A test that waited for a back end to come up spun for ever when the back end was never marked down (seen with that defect put in by hand), because the time limit interrupts the thread and the loop did not look.

--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/BackEndTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/BackEndTest.java
@@ -41,9 +41,7 @@
 
     fixture.restartBackEnd();
     fixture.time.advance(1, TimeUnit.SECONDS);
-    while (!up()) {
-      Thread.onSpinWait();
-    }
+    EndpointFixture.await(this::up);
     RecordingExchange accepted = fixture.dispatch("4", dispatch -> {});
     EndpointFixture.answer(fixture.nextCall(), "done");
     assertThat(accepted.awaitLast().isSetAnswerEnd()).isTrue();
--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.clementineford.configuration.ConfigurationSnapshot;
 import org.clementineford.endpoint.ServedVersions;
@@ -203,20 +204,26 @@
   }
 
   /** Moves time on and waits for the load reports of the engine. */
-  void advance(long milliseconds) {
+  void advance(long milliseconds) throws InterruptedException {
     time.advance(milliseconds, TimeUnit.MILLISECONDS);
     awaitLoadReports();
   }
 
-  private void awaitLoadReports() {
-    while (endpoint.isReadingLoad()) {
-      Thread.onSpinWait();
-    }
+  private void awaitLoadReports() throws InterruptedException {
+    await(() -> !endpoint.isReadingLoad());
   }
 
   /** Waits until each run has given back its slot; its exchange ends a little earlier. */
-  void awaitIdle() {
-    while (endpoint.activeRuns() > 0) {
+  void awaitIdle() throws InterruptedException {
+    await(() -> endpoint.activeRuns() == 0);
+  }
+
+  /** Waits for other threads until the test's time limit interrupts it. */
+  static void await(BooleanSupplier condition) throws InterruptedException {
+    while (!condition.getAsBoolean()) {
+      if (Thread.interrupted()) {
+        throw new InterruptedException("the time limit of the test has passed");
+      }
       Thread.onSpinWait();
     }
   }
