--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -1,6 +1,7 @@
 package org.clementineford.node.internal;
 
-import java.util.ArrayList;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -8,6 +9,7 @@
 import java.util.function.Supplier;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
+import org.clementineford.configuration.AppliedChange;
 import org.clementineford.configuration.ConfigurationSnapshot;
 import org.clementineford.configuration.Document;
 import org.clementineford.configuration.DocumentCheck;
@@ -45,8 +47,11 @@
   private final Supplier<List<HostPort>> receivers;
   private final List<Consumer<ConfigurationSnapshot>> listeners = new CopyOnWriteArrayList<>();
   private final RevisionKeeper keeper = new RevisionKeeper();
-  private ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
+  private final Deque<ConfigurationSnapshot> undelivered = new ArrayDeque<>();
+  private volatile ConfigurationSnapshot snapshot = ConfigurationSnapshot.EMPTY;
+  private boolean delivering;
   private long inForceSinceMs;
+  private String lastRefusal;
   private long pullingRevision;
   private long pullStartNanos;
   private long nextRevision;
@@ -57,7 +62,7 @@
    *
    * @param network connections to peers
    * @param timeline events of this process
-   * @param hybridClock clock of the timeline
+   * @param hybridClock clock of the timeline; also learns the times of accepted changes
    * @param nanoClock monotonic clock
    * @param epochClock wall clock, only for display
    * @param receivers peers to which a new revision is announced
@@ -88,7 +93,7 @@
   }
 
   @Override
-  public synchronized ConfigurationSnapshot current() {
+  public ConfigurationSnapshot current() {
     return snapshot;
   }
 
@@ -118,7 +123,6 @@
   private void onAnnounce(Payload opening, IncomingExchange exchange) {
     exchange.finish(Payloads.acknowledgement());
     RevisionAnnounce announce = opening.getRevisionAnnounce();
-    hybridClock.receive(new HybridTime(announce.getClockPhysicalMs(), announce.getClockLogical()));
     try {
       hear(announce.getRevision(), Payloads.fromWire(announce.getSender()).address());
     } catch (org.clementineford.kernel.errors.SettingException e) {
@@ -216,29 +220,53 @@
       refuse(document.revision(), e);
       return RevisionKeeper.Outcome.STALE;
     }
-    List<Consumer<ConfigurationSnapshot>> informed = new ArrayList<>(listeners);
+    for (AppliedChange change : document.changes()) {
+      hybridClock.receive(new HybridTime(change.epochMs(), 0));
+    }
     RevisionKeeper.Outcome outcome;
     synchronized (this) {
       outcome = keeper.offer(document);
       if (outcome.changed()) {
         snapshot = next;
         inForceSinceMs = epochClock.time();
+        undelivered.add(next);
         timeline.record(
             EventKind.REVISION_IN_FORCE,
             "revision",
             Long.toString(next.revision()),
             "source",
             source);
-        // Listeners run inside the lock, so that they see revisions in increasing order.
-        informed.forEach(listener -> listener.accept(next));
       }
     }
     if (outcome.changed()) {
       announce(next.revision());
+      deliver();
     }
     return outcome;
   }
 
+  /**
+   * Tells the listeners in the order of the revisions. One thread does this at a time, and without
+   * the lock, because listeners take locks of their own under which this object is called.
+   */
+  private void deliver() {
+    ConfigurationSnapshot next = nextToDeliver(false);
+    while (next != null) {
+      for (Consumer<ConfigurationSnapshot> listener : listeners) {
+        listener.accept(next);
+      }
+      next = nextToDeliver(true);
+    }
+  }
+
+  private synchronized ConfigurationSnapshot nextToDeliver(boolean mine) {
+    if (delivering && !mine) {
+      return null;
+    }
+    delivering = !undelivered.isEmpty();
+    return undelivered.poll();
+  }
+
   /**
    * Records that a document was refused.
    *
@@ -246,6 +274,13 @@
    * @param cause why
    */
   public void refuse(long revision, DocumentException cause) {
+    synchronized (this) {
+      // The same document is offered again every second until it is repaired.
+      if (cause.getMessage().equals(lastRefusal)) {
+        return;
+      }
+      lastRefusal = cause.getMessage();
+    }
     LOG.warn("revision {} is refused: {}", revision, cause.getMessage());
     timeline.record(
         EventKind.REVISION_REFUSED,
@@ -256,10 +291,7 @@
   }
 
   private void announce(long revision) {
-    HybridTime now = hybridClock.now();
-    Payload announcement =
-        Payload.revisionAnnounce(
-            new RevisionAnnounce(revision, network.self(), now.physicalMs(), now.logical()));
+    Payload announcement = Payload.revisionAnnounce(new RevisionAnnounce(revision, network.self()));
     for (HostPort receiver : receivers.get()) {
       network.call(receiver, announcement);
     }
