--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
@@ -19,6 +19,7 @@
   private static final int ENGINES = 3;
   // Short rounds, so that other work on the machine meets both ways alike.
   private static final double ROUND_SECONDS = 2;
+  private static final double WARM_UP_SECONDS = 8;
   private static final long TIMEOUT_MS = 10_000;
   private static final EngineOptions OPTIONS = new EngineOptions(20, 10, TOKENS, 4096, true, 0);
   private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
@@ -56,7 +57,7 @@
         // Compiles the code before anything counts.
         load(caller, site, true, new Series(), rate / 4, 3);
         load(caller, site, false, new Series(), rate / 4, 3);
-        load(caller, site, true, new Series(), rate, 3);
+        load(caller, site, true, new Series(), rate, WARM_UP_SECONDS);
         for (int round = 0; round < rounds; round++) {
           load(caller, site, false, direct, rate, seconds / rounds);
           load(caller, site, true, through, rate, seconds / rounds);
