Give work again to an endpoint that stays after all

Leaving was final for an incarnation, so that a late report could not undo it. An endpoint that operators took off the list of leaving VMs then got no work until it was restarted (a test of that was seen failing). A report without the mark now counts again 2 s after the last sign of leaving, which a late report cannot reach because reports come each second.

--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/EndpointLossScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/EndpointLossScenario.java
@@ -38,18 +38,18 @@
   private enum Loss {
     KILL {
       @Override
-      void strike(Site site) {
+      void inject(Site site) {
         site.endpoint(0).close();
       }
     },
     FREEZE {
       @Override
-      void strike(Site site) {
+      void inject(Site site) {
         site.endpoint(0).freeze(FREEZE_MS);
       }
     };
 
-    abstract void strike(Site site);
+    abstract void inject(Site site);
   }
 
   Map<String, Object> run() throws Exception {
@@ -59,7 +59,7 @@
     figures.put("ratePerSecond", rate);
     boolean within = true;
     for (Loss loss : Loss.values()) {
-      Counts counts = strike(loss);
+      Counts counts = inject(loss);
       figures.put(loss.name().toLowerCase(java.util.Locale.ROOT), counts.figures());
       within &= counts.share() >= TARGET_SHARE && counts.wrong.sum() == 0;
     }
@@ -67,7 +67,7 @@
     return figures;
   }
 
-  private Counts strike(Loss loss) throws InterruptedException, ClementinefordException {
+  private Counts inject(Loss loss) throws InterruptedException, ClementinefordException {
     Counts counts = new Counts();
     var loops = Loops.create("callers", threads);
     try (Site site = new Site(Map.of("warehouse", 1), ENDPOINTS, OPTIONS, threads, seed);
@@ -83,7 +83,7 @@
               due -> {
                 int number = next[0]++;
                 if (number == calls / 2) {
-                  loss.strike(site);
+                  loss.inject(site);
                 }
                 send(site, caller, number, due, counts, open);
               });
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultSchedule.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultSchedule.java
@@ -10,7 +10,7 @@
 import org.clementineford.standins.FaultKind;
 import org.clementineford.standins.Faults.Fault;
 
-/** Strikes a site with a fault every few hundred milliseconds, chosen by a seed. */
+/** Injects a fault into a site every few hundred milliseconds, chosen by a seed. */
 final class FaultSchedule {
   private static final long BETWEEN_FAULTS_MS = 400;
   private static final long DOWN_MS = 200;
@@ -18,7 +18,7 @@
   private final Site site;
   private final RandomGenerator random;
   private final CountDownLatch stopped = new CountDownLatch(1);
-  private final Map<String, Integer> struck = new TreeMap<>();
+  private final Map<String, Integer> injected = new TreeMap<>();
   private final Thread thread = new Thread(this::run, "faults");
   private volatile Exception failure;
 
@@ -32,14 +32,14 @@
     thread.start();
   }
 
-  /** Stops, and returns how often each fault struck. */
+  /** Stops, and returns how often each fault was injected. */
   Map<String, Integer> stop() throws Exception {
     stopped.countDown();
     thread.join();
     if (failure != null) {
       throw failure;
     }
-    return struck;
+    return injected;
   }
 
   private boolean pause(long milliseconds) throws InterruptedException {
@@ -50,8 +50,8 @@
     try {
       while (pause(BETWEEN_FAULTS_MS)) {
         Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
-        struck.merge(kind.name(), 1, Integer::sum);
-        kind.strike(this);
+        injected.merge(kind.name(), 1, Integer::sum);
+        kind.inject(this);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -75,7 +75,7 @@
   private enum Kind {
     KILL_ENDPOINT {
       @Override
-      void strike(FaultSchedule schedule) throws ClementinefordException, InterruptedException {
+      void inject(FaultSchedule schedule) throws ClementinefordException, InterruptedException {
         int index = schedule.anyEndpoint();
         schedule.site.endpoint(index).close();
         schedule.pause(DOWN_MS);
@@ -84,7 +84,7 @@
     },
     KILL_ENTRY {
       @Override
-      void strike(FaultSchedule schedule) throws ClementinefordException, InterruptedException {
+      void inject(FaultSchedule schedule) throws ClementinefordException, InterruptedException {
         int index = schedule.anyEntry();
         schedule.site.entry(index).close();
         schedule.pause(DOWN_MS);
@@ -93,69 +93,69 @@
     },
     FREEZE_ENDPOINT {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         int index = schedule.anyEndpoint();
         schedule.site.endpoint(index).freeze(schedule.random.nextLong(500, 5000));
       }
     },
     FREEZE_ENTRY {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         int index = schedule.anyEntry();
         schedule.site.entry(index).freeze(schedule.random.nextLong(500, 5000));
       }
     },
     CUT_ENDPOINT {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.site.endpoint(schedule.anyEndpoint()).cutConnections();
       }
     },
     CUT_ENTRY {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.site.entry(schedule.anyEntry()).cutConnections();
       }
     },
     LOSE_SERVICE_REPLIES {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.site.service().faults().setNext(FaultKind.LOST_REPLY, 3);
       }
     },
     HANG_SERVICE {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.site.service().faults().setNext(FaultKind.HANG, 2);
       }
     },
     SLOW_SERVICE {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.site.service().faults().set(new Fault(FaultKind.SLOWNESS, 1, 20, 800));
       }
     },
     BREAK_ENGINE_STREAMS {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.anyEngine().faults().setNext(FaultKind.BROKEN_STREAM, 3);
       }
     },
     CROSS_ENGINE_ANSWERS {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.anyEngine().faults().setNext(FaultKind.WRONG_REQUEST_ID, 3);
       }
     },
     HANG_ENGINE {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.anyEngine().faults().setNext(FaultKind.HANG, 2);
       }
     },
     ENGINE_OUTAGE {
       @Override
-      void strike(FaultSchedule schedule) throws InterruptedException {
+      void inject(FaultSchedule schedule) throws InterruptedException {
         EngineStandIn engine = schedule.anyEngine();
         engine.faults().set(FaultKind.OUTAGE);
         schedule.pause(schedule.random.nextLong(100, 1000));
@@ -164,26 +164,26 @@
     },
     LOSE_CLAIM_REPLIES {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.site.objectApi().faults().setNext(FaultKind.LOST_REPLY, 5);
       }
     },
     STALE_READS {
       @Override
-      void strike(FaultSchedule schedule) {
+      void inject(FaultSchedule schedule) {
         schedule.site.objectApi().faults().setNext(FaultKind.STALE_READ, 5);
       }
     },
     PLATFORM_OUTAGE {
       @Override
-      void strike(FaultSchedule schedule) throws InterruptedException {
+      void inject(FaultSchedule schedule) throws InterruptedException {
         schedule.site.objectApi().startOutage();
         schedule.pause(schedule.random.nextLong(100, 1000));
         schedule.site.objectApi().endOutage();
       }
     };
 
-    abstract void strike(FaultSchedule schedule)
+    abstract void inject(FaultSchedule schedule)
         throws ClementinefordException, InterruptedException;
   }
 }
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultsScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FaultsScenario.java
@@ -47,7 +47,7 @@
     figures.put("layout", "one process, separate event loops for each part");
     figures.put("seed", seed);
     try (Caller caller = new Caller(loops)) {
-      boolean safe = strike(caller, figures) & stop(caller, figures);
+      boolean safe = inject(caller, figures) & stop(caller, figures);
       figures.put("withinTarget", safe);
     } finally {
       resends.shutdownNow();
@@ -56,7 +56,7 @@
     return figures;
   }
 
-  private boolean strike(Caller caller, Map<String, Object> figures) throws Exception {
+  private boolean inject(Caller caller, Map<String, Object> figures) throws Exception {
     try (Site site = newSite()) {
       FaultSchedule faults =
           new FaultSchedule(site, RandomGeneratorFactory.of("L64X128MixRandom").create(seed));
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/AttemptFailuresTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/AttemptFailuresTest.java
@@ -258,6 +258,17 @@
       assertNothingNewOn(fleet.endpoint(1));
     }
 
+    // Guards against an endpoint that gets no work after operators let it stay.
+    @Test
+    void thatStaysAfterAllGetsWorkAgain() {
+      fleet.entry(1).report(fleet.endpoint(1), true);
+      fleet.pass(3000);
+      fleet.endpoint(2).behavior = Behavior.REFUSE;
+      FakeCall call = fleet.chat(fleet.entry(1), false);
+      shortWhile();
+      assertThat(call.status).isEqualTo(200);
+    }
+
     // Guards against new work for an endpoint that the operators' document calls leaving.
     @Test
     void byTheDocumentGetsNothingNew() {
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
@@ -70,7 +70,7 @@
     return 1000 + TimeUnit.NANOSECONDS.toMillis(time.nanoTime());
   }
 
-  /** Starts a new life, which knows nothing of the runs before. */
+  /** Starts a new incarnation, which has no record of earlier runs. */
   void restart() {
     incarnation++;
     attempts.clear();
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/AttemptInquiry.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/AttemptInquiry.java
@@ -78,14 +78,14 @@
                 TimeUnit.MILLISECONDS);
           }
         };
-    if (otherLifeAnswers(claim)) {
+    if (otherIncarnationAnswers(claim)) {
       result.reported(AttemptReport.FORGOTTEN, null);
       return;
     }
     link.open(claim.address(), Payload.reportOrRevoke(question), listener);
   }
 
-  private boolean otherLifeAnswers(Claim claim) {
+  private boolean otherIncarnationAnswers(Claim claim) {
     PeerInfo peer = link.peer(claim.address());
     return peer.identity() != null
         && (!peer.identity().getVm().equals(claim.vm())
--- a/org.clementineford.requests.test/src/test/java/org/clementineford/requests/routing/RouterTest.java
+++ b/org.clementineford.requests.test/src/test/java/org/clementineford/requests/routing/RouterTest.java
@@ -126,9 +126,9 @@
 
   @Nested
   class Incarnations {
-    // Guards against a late report of a former life replacing the newest one.
+    // Guards against a late report of an older incarnation replacing the newest one.
     @Test
-    void ofFormerLifeAreDropped() {
+    void ofFormerProcessesAreDropped() {
       report("vm", 2, "lorient", WANTED, 0);
       report("vm", 1, "lorient", OLDER, 0);
       assertThat(table.candidates(WANTED, 0))
@@ -136,9 +136,9 @@
           .containsExactly(2L);
     }
 
-    // Guards against a restarted VM that stays out because its former life was leaving.
+    // Guards against a restarted VM that stays out because its last incarnation was leaving.
     @Test
-    void ofTheNextLifeAreNotLeaving() {
+    void afterTheLeavingOneMayServe() {
       report("vm", 1, "lorient", WANTED, 0);
       table.markLeaving("vm", 1, 0);
       assertThat(table.candidates(WANTED, 0)).isEmpty();
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/routing/EndpointTable.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/routing/EndpointTable.java
@@ -18,6 +18,10 @@
   /** An endpoint that was not heard of for this long gets no requests. */
   public static final long EXPIRY_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  // Reports come each second. One that was sent before the endpoint started to leave, and arrives
+  // later over another connection, must not undo it; an endpoint that stays after all is believed.
+  private static final long LEAVING_HOLD_NANOS = TimeUnit.SECONDS.toNanos(2);
+
   private final Map<String, Entry> endpoints = new ConcurrentHashMap<>();
   private volatile Map<String, List<Candidate>> byName = Map.of();
   private volatile Set<String> leavingByDocument = Set.of();
@@ -39,11 +43,13 @@
               if (known != null && known.incarnation() > report.endpoint().incarnation()) {
                 return known;
               }
-              boolean sameLife =
+              boolean sameIncarnation =
                   known != null && known.incarnation() == report.endpoint().incarnation();
-              // Leaving is final within an incarnation, so a late older report cannot undo it.
-              boolean leaving = report.leaving() || (sameLife && known.leaving());
-              return Entry.of(report, leaving, nowNanos);
+              long leavingUntil =
+                  report.leaving()
+                      ? nowNanos + LEAVING_HOLD_NANOS
+                      : sameIncarnation ? known.leavingUntilNanos() : nowNanos;
+              return Entry.of(report, leavingUntil, nowNanos);
             });
     rebuild(nowNanos);
     return merged.incarnation() == report.endpoint().incarnation();
@@ -58,7 +64,11 @@
    */
   public void markLeaving(String vm, long incarnation, long nowNanos) {
     endpoints.computeIfPresent(
-        vm, (key, known) -> known.incarnation() == incarnation ? known.asLeaving() : known);
+        vm,
+        (key, known) ->
+            known.incarnation() == incarnation
+                ? known.leavingUntil(nowNanos + LEAVING_HOLD_NANOS)
+                : known);
     rebuild(nowNanos);
   }
 
@@ -126,7 +136,7 @@
     endpoints.values().removeIf(entry -> nowNanos - entry.receivedNanos() > 20 * EXPIRY_NANOS);
     Map<String, List<Candidate>> next = new HashMap<>();
     for (Entry entry : endpoints.values()) {
-      if (entry.leaving()
+      if (entry.isLeaving()
           || leavingByDocument.contains(entry.vm())
           || leavingByMembership.contains(entry.vm())) {
         continue;
@@ -147,21 +157,29 @@
       String vm,
       long incarnation,
       long receivedNanos,
-      boolean leaving,
+      long leavingUntilNanos,
       List<Candidate> candidates) {
 
-    static Entry of(EndpointReport report, boolean leaving, long nowNanos) {
+    static Entry of(EndpointReport report, long leavingUntilNanos, long nowNanos) {
       List<Candidate> candidates =
           report.backEnds().stream()
               .filter(BackEndReport::healthy)
               .map(backEnd -> new Candidate(report.endpoint(), backEnd, nowNanos))
               .toList();
       return new Entry(
-          report.endpoint().vm(), report.endpoint().incarnation(), nowNanos, leaving, candidates);
+          report.endpoint().vm(),
+          report.endpoint().incarnation(),
+          nowNanos,
+          leavingUntilNanos,
+          candidates);
+    }
+
+    Entry leavingUntil(long untilNanos) {
+      return new Entry(vm, incarnation, receivedNanos, untilNanos, candidates);
     }
 
-    Entry asLeaving() {
-      return new Entry(vm, incarnation, receivedNanos, true, candidates);
+    boolean isLeaving() {
+      return leavingUntilNanos - receivedNanos > 0;
     }
   }
 }
