Move messages of kernel and transport to bundles

Cause: the design asks for texts in resource bundles, and these two modules built theirs from string parts, one of them twice for a port in use.

Ruled out: one bundle for the whole project, which each module would have to change for a message of its own.

--- a/org.clementineford.kernel/src/main/java/org/clementineford/kernel/HostPort.java
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/HostPort.java
@@ -11,6 +11,7 @@
  */
 public record HostPort(String host, int port) {
   private static final int MAX_PORT = 65535;
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(HostPort.class);
 
   /**
    * Parses {@code host:port}.
@@ -31,8 +32,7 @@
         // Reported below together with the other malformed forms.
       }
     }
-    throw new SettingException(
-        "address \"" + text + "\" is not of the form HOST:PORT; use for example 127.0.0.1:7001");
+    throw new SettingException(MESSAGES.format("ADDRESS_MALFORMED", text));
   }
 
   /**
--- a/org.clementineford.kernel/src/main/java/org/clementineford/kernel/plugins/PlugInRegistry.java
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/plugins/PlugInRegistry.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.ServiceLoader;
 import java.util.TreeMap;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.SettingException;
 
 /**
@@ -11,6 +12,8 @@
  * @param <T> type of the plug-ins
  */
 public final class PlugInRegistry<T extends PlugIn> {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(MessageCatalog.class);
+
   private final String typeName;
   private final Map<String, T> plugIns;
 
@@ -32,7 +35,7 @@
       T other = found.putIfAbsent(plugIn.name(), plugIn);
       if (other != null) {
         throw new IllegalStateException(
-            "two plug-ins of type " + type.getName() + " have the name " + plugIn.name());
+            MESSAGES.format("PLUG_IN_DOUBLED", type.getName(), plugIn.name()));
       }
     }
     return new PlugInRegistry<>(type.getSimpleName(), found);
@@ -49,7 +52,7 @@
     T plugIn = plugIns.get(name);
     if (plugIn == null) {
       throw new SettingException(
-          "no " + typeName + " is named \"" + name + "\"; use one of " + plugIns.keySet());
+          MESSAGES.format("PLUG_IN_UNKNOWN", typeName, name, plugIns.keySet()));
     }
     return plugIn;
   }
--- a/org.clementineford.kernel/src/main/java/org/clementineford/kernel/settings/SettingParser.java
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/settings/SettingParser.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.SettingException;
 
 /**
@@ -13,6 +14,9 @@
  */
 @FunctionalInterface
 public interface SettingParser<T> {
+  /** Texts of the messages that name valid values. */
+  MessageCatalog MESSAGES = MessageCatalog.of(MessageCatalog.class);
+
   /**
    * Converts a text.
    *
@@ -30,7 +34,7 @@
   static SettingParser<String> text() {
     return text -> {
       if (text.isBlank()) {
-        throw new SettingException("the value is empty; give a name");
+        throw new SettingException(MESSAGES.format("SETTING_EMPTY"));
       }
       return text;
     };
@@ -62,7 +66,7 @@
       } catch (NumberFormatException e) {
         // Reported below together with values out of range.
       }
-      throw new SettingException("give a whole number from " + lowest + " to " + highest);
+      throw new SettingException(MESSAGES.format("SETTING_NOT_WHOLE_NUMBER", lowest, highest));
     };
   }
 
@@ -83,7 +87,7 @@
       } catch (NumberFormatException e) {
         // Reported below together with values out of range.
       }
-      throw new SettingException("give a number from " + lowest + " to " + highest);
+      throw new SettingException(MESSAGES.format("SETTING_NOT_NUMBER", lowest, highest));
     };
   }
 
@@ -97,7 +101,7 @@
       if (text.equals("true") || text.equals("false")) {
         return Boolean.valueOf(text);
       }
-      throw new SettingException("give true or false");
+      throw new SettingException(MESSAGES.format("SETTING_NOT_FLAG"));
     };
   }
 
@@ -142,7 +146,7 @@
       } catch (IllegalArgumentException e) {
         // Reported below together with incomplete URLs.
       }
-      throw new SettingException("give a URL such as http://127.0.0.1:7100");
+      throw new SettingException(MESSAGES.format("SETTING_NOT_URL"));
     };
   }
 }
--- a/org.clementineford.kernel/src/main/java/org/clementineford/kernel/settings/Settings.java
+++ b/org.clementineford.kernel/src/main/java/org/clementineford/kernel/settings/Settings.java
@@ -8,10 +8,12 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.SettingException;
 
 /** Checked values of the settings of one process. Flags go before environment variables. */
 public final class Settings {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(MessageCatalog.class);
   private static final String HELP = "help";
 
   private final Map<String, Object> values;
@@ -40,7 +42,7 @@
     try {
       parsed = new DefaultParser(false).parse(options(declared), commandLine);
     } catch (ParseException e) {
-      throw new SettingException(e.getMessage() + "; --help lists the flags");
+      throw new SettingException(MESSAGES.format("SETTING_COMMAND_LINE", e.getMessage()));
     }
     if (parsed.hasOption(HELP)) {
       return new Settings(Map.of(), List.of(), true);
@@ -96,16 +98,12 @@
     }
     if (text == null) {
       throw new SettingException(
-          "setting --"
-              + setting.name()
-              + " is missing; give the flag or set "
-              + setting.environmentVariable());
+          MESSAGES.format("SETTING_MISSING", setting.name(), setting.environmentVariable()));
     }
     try {
       return setting.parser().parse(text);
     } catch (SettingException e) {
-      throw new SettingException(
-          "setting " + source + " has the value \"" + text + "\": " + e.getMessage());
+      throw new SettingException(MESSAGES.format("SETTING_INVALID", source, text, e.getMessage()));
     }
   }
 
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
@@ -19,6 +19,7 @@
 import org.agrona.concurrent.NanoClock;
 import org.agrona.concurrent.SystemEpochClock;
 import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.timeline.HybridLogicalClock;
@@ -35,6 +36,8 @@
  * heartbeats, and is replaced after it was lost or became silent.
  */
 public final class PeerNetwork implements AutoCloseable {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(PeerNetwork.class);
+
   private final EventLoopGroup eventLoops;
   private final PeerTiming timing;
   private final NanoClock clock;
@@ -132,11 +135,7 @@
     if (!bound.isSuccess()) {
       throw new ClementinefordException(
           ErrorKind.LOCAL_RESOURCE,
-          "cannot listen on "
-              + address
-              + " ("
-              + bound.cause().getMessage()
-              + "); choose a free port or stop the process that uses it",
+          MESSAGES.format("LISTEN_FAILED", address, bound.cause().getMessage()),
           bound.cause());
     }
     listener = bound.channel();
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/SingleReply.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/SingleReply.java
@@ -2,12 +2,15 @@
 
 import java.util.concurrent.CompletableFuture;
 import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.wire.Payload;
 
 /** Turns an exchange with a single reply into a future. */
 final class SingleReply implements ExchangeListener {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(PeerNetwork.class);
+
   private final HostPort address;
   private final CompletableFuture<Payload> future = new CompletableFuture<>();
 
@@ -24,7 +27,8 @@
     if (payload.isSetFailure()) {
       future.completeExceptionally(
           new ClementinefordException(
-              ErrorKind.UNAVAILABLE, address + " refused: " + payload.getFailure().getMessage()));
+              ErrorKind.UNAVAILABLE,
+              MESSAGES.format("PEER_REFUSED", address, payload.getFailure().getMessage())));
     } else if (last) {
       future.complete(payload);
     }
@@ -35,7 +39,6 @@
     ErrorKind kind =
         failure.provesNotReceived() ? ErrorKind.UNAVAILABLE : ErrorKind.OUTCOME_UNKNOWN;
     future.completeExceptionally(
-        new ClementinefordException(
-            kind, "connection to " + address + " was lost; check that the process runs"));
+        new ClementinefordException(kind, MESSAGES.format("PEER_LOST", address)));
   }
 }
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
@@ -15,16 +15,19 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.errors.PlatformException;
 import org.clementineford.transport.ExchangeFailure;
 import org.clementineford.transport.LinkShaping;
+import org.clementineford.transport.PeerNetwork;
 
 /**
  * HTTP/1.1 client that keeps idle connections for later requests to the same address. A connection
  * on which a request timed out, was cancelled or failed is closed and never used again.
  */
 public final class HttpClient implements AutoCloseable {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(PeerNetwork.class);
   private static final int CONNECT_TIMEOUT_MS = 1000;
 
   private final EventLoopGroup eventLoops;
@@ -181,8 +184,7 @@
       ErrorKind kind =
           failure.provesNotReceived() ? ErrorKind.UNAVAILABLE : ErrorKind.OUTCOME_UNKNOWN;
       future.completeExceptionally(
-          new PlatformException(
-              kind, "no answer from " + address + " (" + cause + "); check that it runs"));
+          new PlatformException(kind, MESSAGES.format("NO_ANSWER", address, cause)));
     }
   }
 }
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
@@ -16,12 +16,16 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.transport.LinkShaping;
+import org.clementineford.transport.PeerNetwork;
 
 /** HTTP/1.1 server. */
 public final class HttpServer implements AutoCloseable {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(PeerNetwork.class);
+
   private final Channel listener;
   private final ChannelGroup accepted;
   private final HostPort address;
@@ -76,11 +80,7 @@
     if (!bound.isSuccess()) {
       throw new ClementinefordException(
           ErrorKind.LOCAL_RESOURCE,
-          "cannot listen on "
-              + address
-              + " ("
-              + bound.cause().getMessage()
-              + "); choose a free port or stop the process that uses it",
+          MESSAGES.format("LISTEN_FAILED", address, bound.cause().getMessage()),
           bound.cause());
     }
     int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
