Keep one slot in eight for accounts below their share

A flood starts all slots at about the same time, so they also end together, and a request that comes in between waits for most of a run.

While accounts below their share are active, accounts above it may use seven slots in eight. The simulation with equal costs failed first with 32 and 64 slots at 50% of the share and passes now.

--- a/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairShareTest.java
+++ b/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/FairShareTest.java
@@ -19,8 +19,9 @@
     engine.time.advance(10, TimeUnit.MINUTES);
   }
 
-  private static SimulatedEngine flooded(int slots, double part, boolean urgentFlood) {
-    SimulatedEngine engine = new SimulatedEngine(slots, SEED);
+  private static SimulatedEngine flooded(
+      int slots, double part, boolean equalCosts, boolean urgentFlood) {
+    SimulatedEngine engine = new SimulatedEngine(slots, equalCosts, SEED);
     for (int i = 1; i <= 9; i++) {
       engine.offer("account-" + i, part * SHARE, false);
     }
@@ -29,8 +30,8 @@
     return engine;
   }
 
-  private static SimulatedEngine alone(int slots, double part, String account) {
-    SimulatedEngine engine = new SimulatedEngine(slots, SEED);
+  private static SimulatedEngine alone(int slots, double part, boolean equalCosts, String account) {
+    SimulatedEngine engine = new SimulatedEngine(slots, equalCosts, SEED);
     engine.offer(account, part * SHARE, false);
     run(engine);
     return engine;
@@ -38,12 +39,12 @@
 
   // Guards against an account that slows down others by offering ten times its share.
   @ParameterizedTest
-  @CsvSource({"16,0.7", "32,0.9", "64,0.9"})
-  void floodLeavesOthersTheirLatencyAndCost(int slots, double part) {
-    SimulatedEngine flooded = flooded(slots, part, false);
+  @CsvSource({"16,0.7,false", "32,0.9,false", "64,0.9,false", "32,0.5,true", "64,0.5,true"})
+  void floodLeavesOthersTheirLatencyAndCost(int slots, double part, boolean equalCosts) {
+    SimulatedEngine flooded = flooded(slots, part, equalCosts, false);
     for (int i = 1; i <= 9; i++) {
       String account = "account-" + i;
-      SimulatedEngine alone = alone(slots, part, account);
+      SimulatedEngine alone = alone(slots, part, equalCosts, account);
       assertThat(flooded.percentile99(account))
           .isLessThanOrEqualTo(1.25 * alone.percentile99(account));
       assertThat(flooded.served(account)).isCloseTo(alone.served(account), TEN_PERCENT);
@@ -53,18 +54,18 @@
   // Guards against borrowing that gives an account more than its share for good.
   @Test
   void urgentFloodLeavesOthersTheirCost() {
-    SimulatedEngine flooded = flooded(SLOTS, 0.9, true);
+    SimulatedEngine flooded = flooded(SLOTS, 0.9, false, true);
     for (int i = 1; i <= 9; i++) {
       String account = "account-" + i;
       assertThat(flooded.served(account))
-          .isCloseTo(alone(SLOTS, 0.9, account).served(account), TEN_PERCENT);
+          .isCloseTo(alone(SLOTS, 0.9, false, account).served(account), TEN_PERCENT);
     }
   }
 
   // Guards against shares that do not follow the weights, before and after they change.
   @Test
   void servedCostFollowsWeightsAlsoAfterTheyChange() {
-    SimulatedEngine engine = new SimulatedEngine(SLOTS, SEED);
+    SimulatedEngine engine = new SimulatedEngine(SLOTS, false, SEED);
     engine.weights.put("small", 1);
     engine.weights.put("large", 3);
     engine.offer("small", 1, false);
--- a/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/SimulatedEngine.java
+++ b/org.clementineford.requests.test/src/test/java/org/clementineford/requests/admission/SimulatedEngine.java
@@ -11,8 +11,8 @@
 
 /**
  * An engine with a number of slots that makes one token in each slot every millisecond, behind a
- * fair queue. Arrivals are Poisson processes and costs are exponential; estimates are wrong by a
- * factor of 0.5 to 2.
+ * fair queue. Arrivals are Poisson processes and costs are equal or exponential; estimates are
+ * wrong by a factor of 0.5 to 2.
  */
 final class SimulatedEngine {
   private static final int MEAN_COST = 200;
@@ -23,10 +23,12 @@
   private final Map<String, List<Long>> latencies = new HashMap<>();
   private final Map<String, Long> served = new HashMap<>();
   private final int slots;
+  private final boolean equalCosts;
   private final long seed;
 
-  SimulatedEngine(int slots, long seed) {
+  SimulatedEngine(int slots, boolean equalCosts, long seed) {
     this.slots = slots;
+    this.equalCosts = equalCosts;
     this.seed = seed;
     this.queue =
         new FairQueue<>(FairQueueLimits.DEFAULT, slots, name -> weights.getOrDefault(name, 1));
@@ -50,7 +52,7 @@
   }
 
   private void arrive(String account, boolean urgent, SplittableRandom random) {
-    long cost = 1 + (long) (exponential(random) * MEAN_COST);
+    long cost = equalCosts ? MEAN_COST : 1 + (long) (exponential(random) * MEAN_COST);
     long estimate = (long) (cost * (0.5 + 1.5 * random.nextDouble()));
     Job job = new Job(cost, time.nanoTime());
     queue.offer(new QueuedRequest<>(account, urgent, estimate, Long.MAX_VALUE, job));
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/AccountQueue.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/AccountQueue.java
@@ -8,6 +8,7 @@
   private final ArrayDeque<QueuedRequest<T>> normal = new ArrayDeque<>();
   private int weight;
   private double startTag;
+  private double lastAddedAt = Double.NEGATIVE_INFINITY;
   private long servedCost;
 
   AccountQueue(int weight) {
@@ -47,9 +48,20 @@
     if (!isWaiting()) {
       startTag = Math.max(startTag, virtualTime - savedTokens / weight);
     }
+    lastAddedAt = virtualTime;
     queue(request).addLast(request);
   }
 
+  /** Tells whether the account has used less than its share up to now. */
+  boolean isBelowShare(double virtualTime) {
+    return startTag < virtualTime;
+  }
+
+  /** Tells whether the account is below its share and offered a request lately. */
+  boolean isLightlyActive(double virtualTime, double savedTokens) {
+    return isBelowShare(virtualTime) && (virtualTime - lastAddedAt) * weight <= savedTokens;
+  }
+
   void remove(QueuedRequest<T> request) {
     queue(request).remove(request);
   }
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
@@ -23,6 +23,9 @@
  * accounts that are well below their share. A similar warp of virtual time is described in K. Duda,
  * D. Cheriton, "Borrowed-Virtual-Time Scheduling", SOSP 1999.
  *
+ * <p>One slot in eight is kept free for accounts below their share while such accounts are active,
+ * so that their requests do not wait for the end of a long request of an account above its share.
+ *
  * <p>Urgent requests go before the others of their account. An urgent request may also go before
  * other accounts. Such borrowed turns get at most half of the cost that starts, and an account may
  * run ahead of its share by a bounded debt only, so its share over a longer time stays the same.
@@ -33,6 +36,9 @@
   /** Requests over which the mean cost is smoothed. */
   private static final int COSTS_IN_MEAN = 256;
 
+  /** One slot in so many is kept for accounts below their share while such accounts are active. */
+  private static final int RESERVED_PART = 8;
+
   private final FairQueueLimits limits;
   private final ToIntFunction<String> weights;
   private final Map<String, AccountQueue<T>> accounts = new HashMap<>();
@@ -105,6 +111,9 @@
     }
     AccountQueue<T> account = lowestStartTag(false);
     AccountQueue<T> borrower = borrower(account);
+    if (borrower == null && running >= slots - slots / RESERVED_PART && isReservedFrom(account)) {
+      return null;
+    }
     QueuedRequest<T> request;
     if (borrower == null) {
       virtualTime = Math.max(virtualTime, account.startTag());
@@ -120,6 +129,19 @@
     return request;
   }
 
+  private boolean isReservedFrom(AccountQueue<T> account) {
+    if (account.isBelowShare(virtualTime)) {
+      return false;
+    }
+    double saved = limits.savedRounds() * round();
+    for (AccountQueue<T> other : accounts.values()) {
+      if (other != account && other.isLightlyActive(virtualTime, saved)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private AccountQueue<T> borrower(AccountQueue<T> entitled) {
     if (borrowAllowance <= 0) {
       return null;
