Close connections that only cost heartbeats

PeerNetwork.release closes a connection without open exchanges, and the membership agent releases seeds and members that it no longer observes.

--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/FleetRoutes.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/FleetRoutes.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.VmRole;
 import org.clementineford.node.MembershipView;
 import org.clementineford.transport.PeerNetwork;
 import org.clementineford.transport.http.HttpExchange;
@@ -94,7 +95,16 @@
               : Payload.timelineEvents(observation.events(request.getTimelineFetch())));
     }
     HostPort address = identity.address();
-    return network.call(address, request).orTimeout(MEMBER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    return network
+        .call(address, request)
+        .orTimeout(MEMBER_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+        .whenComplete(
+            (reply, failure) -> {
+              // Connections to endpoints serve requests; the others would only cost heartbeats.
+              if (identity.role() == VmRole.ENTRY) {
+                network.release(address);
+              }
+            });
   }
 
   private static Map<String, Object> unanswered(MembershipView.Member member) {
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
@@ -1,10 +1,8 @@
 package org.clementineford.node.internal;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -39,7 +37,6 @@
   // 12 statements of about 90 bytes keep a message near 1 KB.
   private static final int UPDATES_PER_MESSAGE = 12;
   private static final int PAGE_PER_MESSAGE = 12;
-  private static final int KEPT_PEER_DIGESTS = 64;
   private static final long SEED_PERIOD_TICKS = 30;
   private static final long EAGER_DELAY_MS = 50;
   // Bounds the connections that one reading of a long list opens.
@@ -52,9 +49,9 @@
   private final MembershipTable table;
   private final List<HostPort> seeds;
   private final MemberEvents events;
+  private final PeerLinks links;
   private final List<Consumer<List<Member>>> listeners = new CopyOnWriteArrayList<>();
   private ConfigurationAgent configuration;
-  private final Map<HostPort, Long> peerDigests = new HashMap<>();
   private List<Member> members = List.of();
   private Set<String> leavingVms = Set.of();
   private long seenVersion = -1;
@@ -89,6 +86,7 @@
     this.timing = timing;
     this.seeds = seeds.stream().filter(seed -> !seed.equals(self.address())).toList();
     this.table = new MembershipTable(self, timing);
+    this.links = new PeerLinks(network);
     this.events = new MemberEvents(self.vm(), timeline);
     this.joined = this.seeds.isEmpty();
   }
@@ -196,7 +194,25 @@
     }
   }
 
+  private void releaseUnlessNeeded(HostPort peer) {
+    synchronized (this) {
+      if (!links.isUnneeded(peer, table.own().identity().role(), table.all())) {
+        return;
+      }
+    }
+    links.release(peer);
+  }
+
+  private void releaseFormerReceivers() {
+    List<HostPort> former;
+    synchronized (this) {
+      former = links.replaceReceivers(receivers());
+    }
+    former.forEach(this::releaseUnlessNeeded);
+  }
+
   private void tick() {
+    releaseFormerReceivers();
     List<VmIdentity> probed;
     VmIdentity remote = null;
     HostPort seed = null;
@@ -232,7 +248,7 @@
     MembersExchange message;
     synchronized (this) {
       List<MemberStatement> statements = new ArrayList<>(table.toRefute(probed));
-      if (!Long.valueOf(table.digest()).equals(peerDigests.get(address))) {
+      if (!links.hadDigest(address, table.digest())) {
         statements.addAll(table.takeUpdates(UPDATES_PER_MESSAGE));
       }
       message = message(statements, wantAll);
@@ -250,6 +266,9 @@
                 joined = true;
               }
               receive(reply.getMembersExchange());
+              if (probed.isEmpty()) {
+                releaseUnlessNeeded(address);
+              }
               return null;
             });
   }
@@ -297,7 +316,7 @@
       statements.addAll(WireMembers.fromWire(message.getMembers()));
       synchronized (this) {
         table.receive(statements, clock.nanoTime());
-        remember(sender.address(), message.getTableDigest());
+        links.remember(sender.address(), message.getTableDigest());
       }
       changed();
       configuration.hear(message.getRevision(), sender.address());
@@ -306,14 +325,6 @@
     }
   }
 
-  /** Statements are left out of messages to a peer whose table was equal to this one. */
-  private void remember(HostPort peer, long digest) {
-    if (peerDigests.size() >= KEPT_PEER_DIGESTS) {
-      peerDigests.clear();
-    }
-    peerDigests.put(peer, digest);
-  }
-
   private void changed() {
     List<Member> current;
     boolean eager;
--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
@@ -7,6 +7,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -25,6 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class PeerNetworkTest {
   private static final HostPort ANY = new HostPort("127.0.0.1", 0);
@@ -188,4 +190,32 @@
           .hasMessageContaining("choose a free port");
     }
   }
+
+  @Nested
+  class Release {
+    // Guards against heartbeats on connections that nobody uses, and against breaking exchanges.
+    @Test
+    @Timeout(20)
+    void closesOnlyIdleConnections() throws Exception {
+      VmIdentity self = new VmIdentity("a", VmRole.ENTRY, "lorient", "b", 1, ANY.toString());
+      PeerTiming patient = new PeerTiming(500, 20, 60_000);
+      try (ServerSocket peer = new ServerSocket(0);
+          PeerNetwork network =
+              new PeerNetwork(
+                  eventLoops, self, patient, SystemNanoClock.INSTANCE, LinkShaping.NONE)) {
+        HostPort silent = new HostPort("127.0.0.1", peer.getLocalPort());
+        Exchange exchange = network.open(silent, status(), new SingleReply(silent));
+        try (Socket socket = peer.accept()) {
+          socket.setSoTimeout(5000);
+          // The connection stands at this end once its first byte has arrived.
+          socket.getInputStream().readNBytes(1);
+          network.release(silent);
+          assertThat(socket.getInputStream().readNBytes(300)).hasSize(300);
+          exchange.cancel();
+          network.release(silent);
+          socket.getInputStream().readAllBytes();
+        }
+      }
+    }
+  }
 }
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
@@ -194,6 +194,19 @@
     return connection(address).peer();
   }
 
+  /**
+   * Closes the connection to a peer if no exchange is open on it. The next exchange opens a new
+   * one. Each open connection costs heartbeats in both directions every second.
+   *
+   * @param address listener of the peer
+   */
+  public void release(HostPort address) {
+    PeerConnection connection = connections.get(address);
+    if (connection != null) {
+      connection.closeIfIdle();
+    }
+  }
+
   /**
    * Returns the identity that this process states to its peers.
    *
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/internal/ConnectionHandler.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/internal/ConnectionHandler.java
@@ -123,6 +123,12 @@
     write(new Frame(number, FrameKind.OPEN).setPayload(opening));
   }
 
+  void closeIfIdle() {
+    if (context != null && outgoing.isEmpty() && incoming.isEmpty()) {
+      context.close();
+    }
+  }
+
   void write(Frame frame) {
     if (frame.getKind() != FrameKind.DATA) {
       HybridTime now = hybridClock.now();
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/internal/PeerConnection.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/internal/PeerConnection.java
@@ -111,6 +111,16 @@
     }
   }
 
+  /** Closes the connection unless an exchange is open on it or it is not established yet. */
+  public void closeIfIdle() {
+    synchronized (waiting) {
+      if (state != State.OPEN) {
+        return;
+      }
+    }
+    channel.eventLoop().execute(handler::closeIfIdle);
+  }
+
   /** Closes the connection; its exchanges fail. */
   public void close() {
     channel.close();
