Bound the read of the release test

With the release disabled the test never ended; it now fails after some seconds. Seen failing with the release disabled and with the check for open exchanges removed.

--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
@@ -26,7 +26,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 
 class PeerNetworkTest {
   private static final HostPort ANY = new HostPort("127.0.0.1", 0);
@@ -195,7 +194,6 @@
   class Release {
     // Guards against heartbeats on connections that nobody uses, and against breaking exchanges.
     @Test
-    @Timeout(20)
     void closesOnlyIdleConnections() throws Exception {
       VmIdentity self = new VmIdentity("a", VmRole.ENTRY, "lorient", "b", 1, ANY.toString());
       PeerTiming patient = new PeerTiming(500, 20, 60_000);
@@ -213,7 +211,8 @@
           assertThat(socket.getInputStream().readNBytes(300)).hasSize(300);
           exchange.cancel();
           network.release(silent);
-          socket.getInputStream().readAllBytes();
+          // Heartbeats would fill this in some seconds if the connection stayed.
+          assertThat(socket.getInputStream().readNBytes(5000)).hasSizeLessThan(5000);
         }
       }
     }
