--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FairnessScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/FairnessScenario.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
@@ -22,18 +23,20 @@
   private static final int ENDPOINTS = 3;
   private static final int ENTRIES = 2;
   private static final int SLOTS = 32;
-  private static final int TOKENS = 10;
+  private static final int MIN_TOKENS = 4;
+  private static final int MEAN_TOKENS = 10;
   private static final long FIRST_TOKEN_MS = 200;
   private static final long BETWEEN_TOKENS_MS = 30;
-  private static final long RUN_MS = FIRST_TOKEN_MS + BETWEEN_TOKENS_MS * (TOKENS - 1);
+  private static final long RUN_MS = FIRST_TOKEN_MS + BETWEEN_TOKENS_MS * (MEAN_TOKENS - 1);
   private static final double CAPACITY = ENDPOINTS * SLOTS * 1000.0 / RUN_MS;
   private static final int TOTAL_WEIGHT = WEIGHTS.values().stream().mapToInt(w -> w).sum();
+  private static final long TIMEOUT_MS = 20_000;
   private static final double GREED = 10;
   private static final double LATENCY_BOUND = 1.25;
   private static final double SHARE_BOUND = 0.1;
   private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
   private static final EngineOptions OPTIONS =
-      new EngineOptions(FIRST_TOKEN_MS, BETWEEN_TOKENS_MS, TOKENS, SLOTS, true, 0);
+      new EngineOptions(FIRST_TOKEN_MS, BETWEEN_TOKENS_MS, MEAN_TOKENS, SLOTS, true, 0);
 
   private final double seconds;
   private final int threads;
@@ -77,7 +80,7 @@
       within &= Math.abs(ratio - 1) <= SHARE_BOUND;
     }
     figures.put("servedCostByWeight", shares);
-    figures.put("servedPerSecond", full.total() / (seconds / 2));
+    figures.put("servedTokensPerSecond", full.total() / (seconds / 2));
     figures.put("wrongAnswers", together.wrong.sum() + full.wrong.sum());
     figures.put("withinTarget", within);
     return figures;
@@ -115,23 +118,42 @@
 
   private static void offer(
       Site site, Caller caller, String account, double rate, double seconds, Result result) {
+    CountDownLatch open = new CountDownLatch((int) (rate * seconds));
     int[] next = new int[1];
     long[] start = new long[1];
+    // Queues fill in the first half of the load; only the second half counts.
+    long half = (long) (seconds / 2 * TimeUnit.SECONDS.toNanos(1));
     new OpenLoop(rate)
         .run(
             seconds,
             due -> {
               int number = next[0]++;
               start[0] = start[0] == 0 ? due : start[0];
-              // Queues fill in the first half of the load; only the second half counts.
-              boolean counts = due - start[0] > seconds / 2 * TimeUnit.SECONDS.toNanos(1);
               String content = account + " " + number;
+              int tokens = tokens(content);
               caller.send(
                   site.entryAddress(number % ENTRIES),
-                  Chats.request(account, content, TOKENS, false),
-                  20_000,
-                  outcome -> result.add(account, content, outcome, due, counts));
+                  Chats.request(account, content, tokens, false),
+                  TIMEOUT_MS,
+                  outcome -> {
+                    result.add(account, content, outcome, due, start[0] + half, half);
+                    open.countDown();
+                  });
             });
+    try {
+      open.await(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Lengths differ from answer to answer. With one length for all, the slots of an engine that were
+   * filled in a burst stay in step, and every wait is a whole run.
+   */
+  private static int tokens(String content) {
+    int range = 2 * (MEAN_TOKENS - MIN_TOKENS) + 1;
+    return MIN_TOKENS + new SplittableRandom(content.hashCode()).nextInt(range);
   }
 
   private static final class Result {
@@ -139,15 +161,18 @@
     private final Map<String, LongAdder> served = new ConcurrentHashMap<>();
     private final LongAdder wrong = new LongAdder();
 
-    void add(String account, String content, Caller.Outcome outcome, long due, boolean counts) {
+    void add(
+        String account, String content, Caller.Outcome outcome, long due, long from, long length) {
       if (outcome.end() != Caller.End.ANSWERED) {
         return;
       }
-      if (!Chats.isOwnAnswer(outcome.text(), content, TOKENS, false)) {
+      if (!Chats.isOwnAnswer(outcome.text(), content, tokens(content), false)) {
         wrong.increment();
       }
-      if (counts) {
-        served.computeIfAbsent(account, key -> new LongAdder()).increment();
+      if (outcome.endNanos() >= from && outcome.endNanos() < from + length) {
+        served.computeIfAbsent(account, key -> new LongAdder()).add(tokens(content));
+      }
+      if (due >= from) {
         latencies
             .computeIfAbsent(
                 account, key -> new ConcurrentHistogram(TimeUnit.MINUTES.toNanos(2), 3))
@@ -164,7 +189,8 @@
     }
 
     double share(String account) {
-      return served.get(account).sum() / (double) total();
+      LongAdder own = served.get(account);
+      return own == null ? 0 : own.sum() / (double) total();
     }
   }
 }
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/ThroughputScenario.java
@@ -1,6 +1,7 @@
 package org.clementineford.bench.requests;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +17,8 @@
 final class ThroughputScenario {
   private static final int TOKENS = 8;
   private static final int ENGINES = 3;
+  // Short rounds, so that other work on the machine meets both ways alike.
+  private static final double ROUND_SECONDS = 2;
   private static final long TIMEOUT_MS = 10_000;
   private static final EngineOptions OPTIONS = new EngineOptions(20, 10, TOKENS, 4096, true, 0);
   private static final double NANOS_PER_MS = TimeUnit.MILLISECONDS.toNanos(1);
@@ -25,11 +28,15 @@
   private final int rounds;
   private final int threads;
   private final long seed;
+  private final List<HostPort> entryProcess;
 
-  ThroughputScenario(double rate, double seconds, int rounds, int threads, long seed) {
+  /** Uses the entry VM of another process if its addresses for callers and peers are given. */
+  ThroughputScenario(
+      double rate, double seconds, int threads, long seed, List<HostPort> entryProcess) {
+    this.entryProcess = entryProcess;
     this.rate = rate;
     this.seconds = seconds;
-    this.rounds = rounds;
+    this.rounds = (int) Math.max(2, seconds / ROUND_SECONDS);
     this.threads = threads;
     this.seed = seed;
   }
@@ -37,8 +44,12 @@
   Map<String, Object> run() throws Exception {
     Series through = new Series();
     Series direct = new Series();
-    try (Site site = new Site(Map.of("warehouse", 1), ENGINES, OPTIONS, threads, seed)) {
-      site.startEntries(1);
+    try (Site site = new Site(Map.of(Site.ACCOUNT, 1), ENGINES, OPTIONS, threads, seed)) {
+      if (entryProcess.isEmpty()) {
+        site.startEntries(1);
+      } else {
+        site.useEntry(entryProcess.get(0), entryProcess.get(1));
+      }
       site.startEndpoints();
       var loops = Loops.create("callers", threads);
       try (Caller caller = new Caller(loops)) {
@@ -73,7 +84,7 @@
                   through ? site.entryAddress(0) : site.engine(number % ENGINES).address();
               caller.send(
                   address,
-                  Chats.request("warehouse", content, TOKENS, true),
+                  Chats.request(Site.ACCOUNT, content, TOKENS, true),
                   TIMEOUT_MS,
                   outcome -> {
                     series.add(outcome, content, due);
@@ -87,7 +98,11 @@
   private Map<String, Object> figures(Series through, Series direct) {
     Map<String, Object> figures = new LinkedHashMap<>();
     figures.put("scenario", "throughput");
-    figures.put("layout", "one process, separate event loops for each part");
+    figures.put(
+        "layout",
+        entryProcess.isEmpty()
+            ? "one process, separate event loops for each part"
+            : "entry VM in its own process; callers, endpoints and engines in another");
     figures.put("ratePerSecond", rate);
     figures.put("requests", through.answered.sum());
     figures.put("failed", through.failed.sum() + through.unanswered.sum());
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/ClaimRun.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/ClaimRun.java
@@ -1,5 +1,6 @@
 package org.clementineford.entry.internal.requests;
 
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.requests.RunState;
@@ -17,6 +18,7 @@
   private final AttemptInquiry inquiry;
   private final RequestRun run;
   private final ClaimDecision decision;
+  private final RunEvents events;
   private final String objectKey;
   private Target target;
 
@@ -25,6 +27,7 @@
     this.request = request;
     this.inquiry = inquiry;
     this.run = run;
+    this.events = new RunEvents(services, request);
     this.decision = new ClaimDecision(request.digest());
     this.objectKey = ClaimStore.objectKey(request.account(), request.key());
   }
@@ -81,7 +84,7 @@
     } else if (action instanceof ClaimAction.Read) {
       read();
     } else if (action instanceof ClaimAction.Ask ask) {
-      inquiry.ask(ask.claim(), request.account(), request.key(), run::isWanted, this::reported);
+      inquiry.ask(ask.claim(), request.account(), run::isWanted, this::reported);
     } else if (action instanceof ClaimAction.Dispatch) {
       run.dispatch(target);
     } else if (action instanceof ClaimAction.Replay replay) {
@@ -97,21 +100,12 @@
           synchronized (run) {
             if (failure == null) {
               services.metrics().claimWrites.labelValues("written").inc();
-              services
-                  .timeline()
-                  .record(
-                      kind,
-                      "request",
-                      request.requestId(),
-                      "attempt",
-                      target.attemptId(),
-                      "endpoint",
-                      target.vm());
+              events.claimWritten(kind, target);
             } else {
               services
                   .metrics()
                   .claimWrites
-                  .labelValues(ClaimStore.kindOf(failure).name().toLowerCase(java.util.Locale.ROOT))
+                  .labelValues(ClaimStore.kindOf(failure).name().toLowerCase(Locale.ROOT))
                   .inc();
             }
             if (!run.isEnded()) {
@@ -152,18 +146,11 @@
         return;
       }
       if (report == AttemptReport.FINISHED) {
-        run.replay(run.answerOf(details), "endpoint");
+        run.replay(CallerHeaders.answerOf(details, request.requestId()), "endpoint");
         return;
       }
       if (report == AttemptReport.REVOKED) {
-        services
-            .timeline()
-            .record(
-                EventKind.ATTEMPT_REVOKED,
-                "request",
-                request.requestId(),
-                "attempt",
-                decision.current().attemptId());
+        events.revoked(decision.current().attemptId());
         run.avoid(decision.current().vm());
       }
       act(decision.reported(report, null));
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
@@ -1,8 +1,10 @@
 package org.clementineford.transport.http;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -14,12 +16,16 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.transport.LinkShaping;
+import org.clementineford.transport.PeerNetwork;
 
 /** HTTP/1.1 server. */
 public final class HttpServer implements AutoCloseable {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(PeerNetwork.class);
+
   private final Channel listener;
   private final ChannelGroup accepted;
   private final HostPort address;
@@ -74,11 +80,7 @@
     if (!bound.isSuccess()) {
       throw new ClementinefordException(
           ErrorKind.LOCAL_RESOURCE,
-          "cannot listen on "
-              + address
-              + " ("
-              + bound.cause().getMessage()
-              + "); choose a free port or stop the process that uses it",
+          MESSAGES.format("LISTEN_FAILED", address, bound.cause().getMessage()),
           bound.cause());
     }
     int port = ((InetSocketAddress) bound.channel().localAddress()).getPort();
@@ -99,6 +101,20 @@
     listener.close().awaitUninterruptibly();
   }
 
+  /**
+   * Stops accepting connections and closes each open one after its pending bytes were written.
+   *
+   * @param timeoutMs longest time to wait for callers that read slowly, in milliseconds
+   */
+  public void closeAfterWrites(long timeoutMs) {
+    stopAccepting();
+    for (Channel channel : accepted) {
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+    accepted.newCloseFuture().awaitUninterruptibly(timeoutMs);
+    accepted.close().awaitUninterruptibly();
+  }
+
   @Override
   public void close() {
     stopAccepting();
