Change the document with the operators' client in the quickstart

DocumentChange is used by tests only and moves there; ConfigurationLockTest follows the new constructor of ConfigurationAgent.

--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Caller.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Caller.java
@@ -3,10 +3,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -25,8 +21,9 @@
 import org.clementineford.transport.http.HttpClient;
 
 /**
- * Brings model version v1 into force, sends requests, brings v2 into force meanwhile, and ends
- * after all engines answer from v2. Fails if any request failed or any reservation ran twice.
+ * Waits until model version v1 is served, sends requests, prints {@code sending} once they flow,
+ * and ends after all engines answer from v2. Fails if any request failed or any reservation ran
+ * twice.
  */
 public final class Caller {
   private static final Setting<List<HostPort>> ENTRIES =
@@ -56,14 +53,13 @@
 
   private final Settings settings;
   private final Scheduler scheduler;
-  private final HttpClient client;
   private final GroundTruth truth;
   private final Traffic traffic;
 
   private Caller(Settings settings, EventLoopGroup eventLoops) throws ClementinefordException {
     this.settings = settings;
     this.scheduler = new EventLoopScheduler(eventLoops);
-    this.client = new HttpClient(eventLoops, LinkShaping.NONE);
+    HttpClient client = new HttpClient(eventLoops, LinkShaping.NONE);
     this.truth =
         new GroundTruth(client, settings.get(ENGINES), settings.get(ORIGIN), settings.get(SERVICE));
     this.traffic =
@@ -95,23 +91,13 @@
   }
 
   private void run() throws ClementinefordException {
-    long accounts =
-        change(
-            "accounts",
-            0,
-            "clientAccounts:\n  lorient-warehouse: {weight: 3, tokenSha256: "
-                + sha256(settings.get(TOKEN))
-                + "}\nservices:\n  reservations: {costTokens: 50}\n");
-    final long models = change("models", 0, models("v1"));
-    System.out.println("document revision " + models + " accepted; accounts since " + accounts);
     awaitVersion("v1");
     System.out.println("model version before: v1 on " + truth.engineCount() + " endpoint VMs");
     awaitRoutes();
     traffic.start(INTERVAL_MS);
     pause(BEFORE_CHANGE_MS);
     final long peerBytesBefore = truth.peerBytes(settings.get(ADMIN));
-    long revision = change("models", models, models("v2"));
-    System.out.println("document revision " + revision + " accepted while requests go on");
+    System.out.println("sending");
     awaitVersion("v2");
     pause(AFTER_CHANGE_MS);
     traffic.stop();
@@ -128,28 +114,6 @@
     check();
   }
 
-  private static String models(String version) {
-    return "models:\n  assistant: {version: " + version + ", policy: FEWEST_ORIGIN_BYTES}\n";
-  }
-
-  private static String sha256(String text) throws ClementinefordException {
-    try {
-      byte[] digest =
-          MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
-      return HexFormat.of().formatHex(digest);
-    } catch (NoSuchAlgorithmException e) {
-      throw new ClementinefordException(ErrorKind.INTERNAL, "this Java has no SHA-256", e);
-    }
-  }
-
-  private long change(String section, long baseRevision, String text)
-      throws ClementinefordException {
-    return truth.apply(
-        settings.get(ADMIN),
-        new DocumentChange(
-            "quickstart-" + section + "-" + baseRevision, section, section, baseRevision, text));
-  }
-
   private void awaitVersion(String version) throws ClementinefordException {
     await(
         () -> "version " + version + " is not loaded on all engines",
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/GroundTruth.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/GroundTruth.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,9 +19,8 @@
 import org.clementineford.platform.HttpWeightSource;
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpRequest;
-import org.clementineford.transport.http.HttpResponse;
 
-/** Changes the document, and reads from the stand-ins and the daemons what happened. */
+/** Reads from the stand-ins and the daemons what happened. */
 final class GroundTruth {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final long WAIT_SECONDS = 5;
@@ -91,17 +89,6 @@
     return bytes;
   }
 
-  /** Changes the document and returns the revision that has the change. */
-  long apply(HostPort admin, DocumentChange change) throws PlatformException {
-    HttpResponse answer = await(change.send(client, admin));
-    String text = new String(answer.body(), StandardCharsets.UTF_8);
-    if (answer.status() != 200) {
-      throw new PlatformException(
-          ErrorKind.INVALID_DOCUMENT, "the change of " + change.section() + " failed: " + text);
-    }
-    return parse(answer.body()).at("/change/revision").asLong();
-  }
-
   private JsonNode get(HostPort address, String path) throws PlatformException {
     return parse(
         await(client.call(address, new HttpRequest("GET", path, Map.of(), new byte[0]), 2000))
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/DocumentChange.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/DocumentChange.java
@@ -1,4 +1,4 @@
-package org.clementineford.bench.quickstart;
+package org.clementineford.daemons;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -19,7 +19,7 @@
  * @param baseRevision revision of the section that was read; 0 if it had no text
  * @param text new text, YAML
  */
-public record DocumentChange(
+record DocumentChange(
     String identity, String section, String team, long baseRevision, String text) {
   // The entry VM itself tries for 10 s to reach the platform.
   private static final long TIMEOUT_MS = 15_000;
@@ -31,7 +31,7 @@
    * @param admin admin address of an entry VM
    * @return the answer, whatever its status
    */
-  public CompletableFuture<HttpResponse> send(HttpClient client, HostPort admin) {
+  CompletableFuture<HttpResponse> send(HttpClient client, HostPort admin) {
     ObjectNode body =
         JsonNodeFactory.instance
             .objectNode()
--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/Fleet.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/Fleet.java
@@ -15,7 +15,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.clementineford.bench.quickstart.DocumentChange;
 import org.clementineford.bench.quickstart.Traffic;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/SessionTest.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/SessionTest.java
@@ -12,7 +12,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import org.clementineford.bench.quickstart.DocumentChange;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.standins.EngineOptions;
 import org.clementineford.transport.http.HttpRequest;
--- a/org.clementineford.node.test/src/test/java/org/clementineford/node/internal/ConfigurationLockTest.java
+++ b/org.clementineford.node.test/src/test/java/org/clementineford/node/internal/ConfigurationLockTest.java
@@ -41,13 +41,10 @@
   // by a thread that reads the revision for a message to a peer.
   @Test
   void configurationIsReadableWhileListenersRun() {
+    HybridLogicalClock clock = new HybridLogicalClock(time.epochClock());
     ConfigurationAgent agent =
         new ConfigurationAgent(
-            network,
-            new Timeline(new HybridLogicalClock(time.epochClock()), "vm-1", 1, 100),
-            time,
-            time.epochClock(),
-            List::of);
+            network, new Timeline(clock, "vm-1", 1, 100), clock, time, time.epochClock(), List::of);
     CompletableFuture<Long> read = new CompletableFuture<>();
     agent.onChange(
         snapshot -> {
