--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/weights/WeightsComponentTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/weights/WeightsComponentTest.java
@@ -17,6 +17,7 @@
 import org.clementineford.weights.TransferLimits;
 import org.clementineford.wire.ActivateOrder;
 import org.clementineford.wire.OrderReply;
+import org.clementineford.wire.OriginPermit;
 import org.clementineford.wire.Payload;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -134,6 +135,25 @@
       assertThat(reply.getHighestFencingNumber()).isEqualTo(2);
     }
 
+    // Guards against origin reads that an earlier lease holder still permits.
+    @Test
+    void refusesPermitsOfAnEarlierHolder() throws Exception {
+      order(7, 2, "v1");
+      assertThat(permit(1).isAccepted()).isFalse();
+      assertThat(permit(2).isAccepted()).isTrue();
+    }
+
+    private OrderReply permit(long fencingNumber) throws Exception {
+      OriginPermit permit =
+          new OriginPermit(
+              origin.manifestOf("v1").address(), 7, fencingNumber, List.of(0, 1), "entry-1");
+      return node.context()
+          .network()
+          .call(node.context().self().address(), Payload.originPermit(permit))
+          .get(5, TimeUnit.SECONDS)
+          .getOrderReply();
+    }
+
     // Guards against an engine that refuses a rollback because its number did not rise.
     @Test
     void rollsBackWithRisingNumbers() throws Exception {
--- a/org.clementineford.weights.test/src/test/java/org/clementineford/weights/TransferStateTest.java
+++ b/org.clementineford.weights.test/src/test/java/org/clementineford/weights/TransferStateTest.java
@@ -75,6 +75,33 @@
     }
   }
 
+  @Nested
+  class Links {
+    // Guards against transfers that take the bandwidth between regions from requests.
+    @Test
+    void betweenRegionsCarryOneFetchInEachInterval() {
+      VmIdentity far = TestFleet.vm("vm-9", "paris");
+      state.setMembers(List.of(SELF, far));
+      state.setImportInterval(TimeUnit.SECONDS.toNanos(10));
+      state.setMap(far, map(0, 1, 2, 3));
+      final int first = imports();
+      time.advance(9, TimeUnit.SECONDS);
+      assertThat(imports()).isZero();
+      time.advance(2, TimeUnit.SECONDS);
+      assertThat(first).isBetween(1, 2);
+      assertThat(imports()).isEqualTo(1);
+    }
+
+    private int imports() {
+      int started = 0;
+      for (Fetch fetch : plan().started()) {
+        started += fetch.kind() == SourceKind.PEER_ELSEWHERE ? 1 : 0;
+        state.succeeded(fetch.id(), time.nanoTime());
+      }
+      return started;
+    }
+  }
+
   @Nested
   class Corruption {
     // Guards against fetching again and again from a VM with broken memory.
--- /dev/null
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/RunningFetches.java
@@ -0,0 +1,163 @@
+package org.clementineford.weights;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.clementineford.kernel.VmIdentity;
+
+/** The fetches of a transfer that have neither ended nor been given up. */
+final class RunningFetches {
+  /**
+   * Progress deadlines, or slowest successful fetches, after which one from outside is given up.
+   */
+  private static final int OUTSIDE_PATIENCE = 4;
+
+  /** Multiple of the deadline after which a fetch is given up although its sender sends others. */
+  private static final int QUEUE_PATIENCE = 4;
+
+  private final SwarmView swarm;
+  private final TransferLimits limits;
+  private final Map<Long, Running> running = new HashMap<>();
+  private final int[] fetchesOfChunk;
+  private final Map<SourceKind, Integer> fetchesOfKind = new HashMap<>();
+  private final Map<SourceKind, Long> slowestNanos = new HashMap<>();
+  private long nextId = 1;
+
+  RunningFetches(SwarmView swarm, TransferLimits limits, int chunks) {
+    this.swarm = swarm;
+    this.limits = limits;
+    this.fetchesOfChunk = new int[chunks];
+  }
+
+  Fetch start(int chunk, SourceKind kind, VmIdentity peer, long now) {
+    Fetch fetch = new Fetch(nextId++, chunk, kind, peer);
+    running.put(fetch.id(), new Running(fetch, now));
+    fetchesOfChunk[chunk]++;
+    fetchesOfKind.merge(kind, 1, Integer::sum);
+    if (peer != null) {
+      swarm.find(peer).addOutstanding(1);
+    }
+    return fetch;
+  }
+
+  /** Ends a fetch and returns it, or null if it has ended already. */
+  Fetch end(long id) {
+    Running done = running.remove(id);
+    if (done == null) {
+      return null;
+    }
+    Fetch fetch = done.fetch;
+    fetchesOfChunk[fetch.chunk()]--;
+    fetchesOfKind.merge(fetch.kind(), -1, Integer::sum);
+    SwarmPeer peer = sender(fetch);
+    if (peer != null) {
+      peer.addOutstanding(-1);
+    }
+    return fetch;
+  }
+
+  /** Ends a fetch whose chunk was verified and returns it, or null if it has ended already. */
+  Fetch succeed(long id, long now) {
+    Running done = running.get(id);
+    if (done != null) {
+      slowestNanos.merge(done.fetch.kind(), now - done.startedNanos, Math::max);
+    }
+    return end(id);
+  }
+
+  void progress(long id, long now) {
+    Running fetch = running.get(id);
+    if (fetch != null) {
+      fetch.lastProgressNanos = now;
+      SwarmPeer peer = sender(fetch.fetch);
+      if (peer != null) {
+        peer.progressed(now);
+      }
+    }
+  }
+
+  private SwarmPeer sender(Fetch fetch) {
+    return fetch.peer() == null ? null : swarm.find(fetch.peer());
+  }
+
+  List<Fetch> silent(long now) {
+    return running.values().stream()
+        .filter(fetch -> isSilent(fetch, now))
+        .map(fetch -> fetch.fetch)
+        .toList();
+  }
+
+  /**
+   * Tells whether to give a fetch up. It may wait in the sender's queue while other chunks arrive
+   * from the same sender: with five VMs, fetches waited 0.9 s for VMs that were busy and well.
+   */
+  private boolean isSilent(Running fetch, long now) {
+    long patience = patience(fetch.fetch.kind());
+    long waited = now - fetch.lastProgressNanos;
+    SwarmPeer peer = sender(fetch.fetch);
+    boolean senderSilent = peer == null || now - peer.lastProgressNanos() >= patience;
+    return waited >= patience && (senderSilent || waited >= QUEUE_PATIENCE * patience);
+  }
+
+  /**
+   * Returns how long a fetch may receive nothing. Links between regions and to the origin are
+   * shared by many VMs, so a fetch over them waits for others and gets several deadlines, or more
+   * if one that succeeded took longer.
+   */
+  private long patience(SourceKind kind) {
+    if (kind.isLocal()) {
+      return limits.progressNanos();
+    }
+    long slowest = slowestNanos.getOrDefault(kind, 0L);
+    return OUTSIDE_PATIENCE * Math.max(limits.progressNanos(), slowest);
+  }
+
+  /** Returns the chunks with one fetch that has received nothing for a while. */
+  BitSet slowSingles(long nanos, long now) {
+    BitSet chunks = new BitSet(fetchesOfChunk.length);
+    for (Running fetch : running.values()) {
+      int chunk = fetch.fetch.chunk();
+      chunks.set(chunk, fetchesOfChunk[chunk] == 1 && now - fetch.lastProgressNanos >= nanos);
+    }
+    return chunks;
+  }
+
+  List<Fetch> ofChunk(int chunk) {
+    return all().stream().filter(fetch -> fetch.chunk() == chunk).toList();
+  }
+
+  List<Fetch> all() {
+    Collection<Running> values = running.values();
+    List<Fetch> fetches = new ArrayList<>(values.size());
+    values.forEach(fetch -> fetches.add(fetch.fetch));
+    return fetches;
+  }
+
+  int count(SourceKind kind) {
+    return fetchesOfKind.getOrDefault(kind, 0);
+  }
+
+  int countPeers(Predicate<SourceKind> kinds) {
+    int sum = 0;
+    for (SourceKind kind : SourceKind.values()) {
+      sum += kind.isPeer() && kinds.test(kind) ? count(kind) : 0;
+    }
+    return sum;
+  }
+
+  private static final class Running {
+    private final Fetch fetch;
+    private final long startedNanos;
+    private long lastProgressNanos;
+
+    Running(Fetch fetch, long now) {
+      this.fetch = fetch;
+      this.startedNanos = now;
+      this.lastProgressNanos = now;
+    }
+  }
+}
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -19,17 +17,6 @@
  * monotonic clock. Callers synchronize.
  */
 public final class TransferState {
-  /** Largest number of fetches of one chunk near the end of a transfer. */
-  private static final int END_GAME_FETCHES = 2;
-
-  /**
-   * Progress deadlines, or slowest successful fetches, after which one from outside is given up.
-   */
-  private static final int OUTSIDE_PATIENCE = 4;
-
-  /** Multiple of the deadline after which a fetch is given up although its sender sends others. */
-  private static final int QUEUE_PATIENCE = 4;
-
   private final VmIdentity self;
   private final int chunks;
   private final TransferLimits limits;
@@ -39,14 +26,10 @@
   private final AssignedReads assigned;
   private final SourceSelection selection;
   private final ImportPace importPace = new ImportPace();
-  private final Map<Long, Running> running = new HashMap<>();
-  private final int[] fetchesOfChunk;
-  private final Map<SourceKind, Integer> fetchesOfKind = new HashMap<>();
-  private final Map<SourceKind, Long> slowestNanos = new HashMap<>();
+  private final RunningFetches running;
   private final Set<String> lostVms = new HashSet<>();
   private List<VmIdentity> members = List.of();
   private long originRetryNanos = Long.MIN_VALUE;
-  private long nextId = 1;
 
   /**
    * Creates the state of a transfer of which no chunk is held yet.
@@ -74,7 +57,7 @@
     this.selection =
         new SourceSelection(
             swarm, limits, RendezvousHash.seed(self.vm() + self.incarnation() + manifestAddress));
-    this.fetchesOfChunk = new int[chunks];
+    this.running = new RunningFetches(swarm, limits, chunks);
   }
 
   /**
@@ -146,14 +129,7 @@
    * @param now monotonic time
    */
   public void progress(long id, long now) {
-    Running fetch = running.get(id);
-    if (fetch != null) {
-      fetch.lastProgressNanos = now;
-      SwarmPeer peer = fetch.fetch.peer() == null ? null : swarm.find(fetch.fetch.peer());
-      if (peer != null) {
-        peer.progressed(now);
-      }
-    }
+    running.progress(id, now);
   }
 
   /**
@@ -164,19 +140,13 @@
    * @return the fetches of the same chunk to cancel
    */
   public List<Fetch> succeeded(long id, long now) {
-    Running done = end(id);
+    Fetch done = running.succeed(id, now);
     if (done == null) {
       return List.of();
     }
-    slowestNanos.merge(done.fetch.kind(), now - done.startedNanos, Math::max);
-    hold(done.fetch.chunk());
-    List<Fetch> obsolete = new ArrayList<>();
-    for (Running other : List.copyOf(running.values())) {
-      if (other.fetch.chunk() == done.fetch.chunk()) {
-        end(other.fetch.id());
-        obsolete.add(other.fetch);
-      }
-    }
+    hold(done.chunk());
+    List<Fetch> obsolete = running.ofChunk(done.chunk());
+    obsolete.forEach(fetch -> running.end(fetch.id()));
     return obsolete;
   }
 
@@ -189,15 +159,15 @@
    * @param now monotonic time
    */
   public void failed(long id, FetchOutcome outcome, long retryAfterNanos, long now) {
-    Running done = end(id);
+    Fetch done = running.end(id);
     if (done == null) {
       return;
     }
-    if (!done.fetch.kind().isPeer()) {
+    if (!done.kind().isPeer()) {
       originRetryNanos = now + Math.max(retryAfterNanos, limits.announceNanos());
       return;
     }
-    SwarmPeer peer = swarm.find(done.fetch.peer());
+    SwarmPeer peer = swarm.find(done.peer());
     if (peer != null) {
       punish(peer, outcome, retryAfterNanos, now);
     }
@@ -218,20 +188,6 @@
     }
   }
 
-  private Running end(long id) {
-    Running done = running.remove(id);
-    if (done != null) {
-      Fetch fetch = done.fetch;
-      fetchesOfChunk[fetch.chunk()]--;
-      fetchesOfKind.merge(fetch.kind(), -1, Integer::sum);
-      SwarmPeer peer = fetch.peer() == null ? null : swarm.find(fetch.peer());
-      if (peer != null) {
-        peer.addOutstanding(-1);
-      }
-    }
-    return done;
-  }
-
   /**
    * Decides what to do now. Called after each event and at least once in each announce interval.
    *
@@ -246,9 +202,7 @@
     List<Fetch> started = new ArrayList<>();
     BitSet idle = new BitSet(chunks);
     idle.or(missing);
-    for (Running fetch : running.values()) {
-      idle.clear(fetch.fetch.chunk());
-    }
+    running.all().forEach(fetch -> idle.clear(fetch.chunk()));
     readFromOutside(idle, started, now);
     fetchFromPeers(idle, SourceKind::isLocal, limits.localFetches(), started, now);
     if (idle.isEmpty()) {
@@ -258,41 +212,11 @@
   }
 
   private List<Fetch> giveUpSilent(long now) {
-    List<Fetch> silent = new ArrayList<>();
-    for (Running fetch : List.copyOf(running.values())) {
-      if (isSilent(fetch, now)) {
-        silent.add(fetch.fetch);
-        failed(fetch.fetch.id(), FetchOutcome.SILENT, 0, now);
-      }
-    }
+    List<Fetch> silent = running.silent(now);
+    silent.forEach(fetch -> failed(fetch.id(), FetchOutcome.SILENT, 0, now));
     return silent;
   }
 
-  /**
-   * Tells whether to give a fetch up. It may wait in the sender's queue while other chunks arrive
-   * from the same sender: with five VMs, fetches waited 0.9 s for VMs that were busy and well.
-   */
-  private boolean isSilent(Running fetch, long now) {
-    long patience = patience(fetch.fetch.kind());
-    long waited = now - fetch.lastProgressNanos;
-    SwarmPeer peer = fetch.fetch.peer() == null ? null : swarm.find(fetch.fetch.peer());
-    boolean senderSilent = peer == null || now - peer.lastProgressNanos() >= patience;
-    return waited >= patience && (senderSilent || waited >= QUEUE_PATIENCE * patience);
-  }
-
-  /**
-   * Returns how long a fetch may receive nothing. Links between regions and to the origin are
-   * shared by many VMs, so a fetch over them waits for others and gets several deadlines, or more
-   * if one that succeeded took longer.
-   */
-  private long patience(SourceKind kind) {
-    if (kind.isLocal()) {
-      return limits.progressNanos();
-    }
-    long slowest = slowestNanos.getOrDefault(kind, 0L);
-    return OUTSIDE_PATIENCE * Math.max(limits.progressNanos(), slowest);
-  }
-
   private void readFromOutside(BitSet idle, List<Fetch> started, long now) {
     BitSet absent = new BitSet(chunks);
     for (int chunk = missing.nextSetBit(0); chunk >= 0; chunk = missing.nextSetBit(chunk + 1)) {
@@ -317,7 +241,7 @@
 
   private void readOrigin(List<Integer> chunksToRead, BitSet idle, List<Fetch> started, long now) {
     for (int chunk : chunksToRead) {
-      if (count(SourceKind.ORIGIN) >= limits.originFetches() || now < originRetryNanos) {
+      if (running.count(SourceKind.ORIGIN) >= limits.originFetches() || now < originRetryNanos) {
         return;
       }
       idle.clear(chunk);
@@ -327,7 +251,7 @@
 
   private void fetchFromPeers(
       BitSet wanted, Predicate<SourceKind> kinds, int limit, List<Fetch> started, long now) {
-    while (countPeers(kinds) < limit) {
+    while (running.countPeers(kinds) < limit) {
       Optional<SourceSelection.Choice> choice =
           selection.choose(wanted, peer -> kinds.test(peer.kind()) && isPaceOpen(peer, now), now);
       if (choice.isEmpty()) {
@@ -343,41 +267,17 @@
     return peer.kind().isLocal() || importPace.isOpen(peer.identity().region(), now);
   }
 
+  /** Asks a second peer for chunks that wait, when no other chunk is left to ask for. */
   private void endGame(List<Fetch> started, long now) {
-    BitSet single = new BitSet(chunks);
-    for (Running fetch : running.values()) {
-      int chunk = fetch.fetch.chunk();
-      // A fetch that just started or just received bytes is left alone to save the link.
-      boolean slow = now - fetch.lastProgressNanos >= 2 * limits.announceNanos();
-      single.set(chunk, slow && fetchesOfChunk[chunk] < END_GAME_FETCHES);
-    }
-    fetchFromPeers(single, SourceKind::isLocal, limits.localFetches(), started, now);
+    BitSet slow = running.slowSingles(2 * limits.announceNanos(), now);
+    fetchFromPeers(slow, SourceKind::isLocal, limits.localFetches(), started, now);
   }
 
   private Fetch start(int chunk, SourceKind kind, VmIdentity peer, long now) {
-    Fetch fetch = new Fetch(nextId++, chunk, kind, peer);
-    running.put(fetch.id(), new Running(fetch, now));
-    fetchesOfChunk[chunk]++;
-    fetchesOfKind.merge(kind, 1, Integer::sum);
-    if (peer != null) {
-      swarm.find(peer).addOutstanding(1);
-      if (!kind.isLocal()) {
-        importPace.started(peer.region(), now);
-      }
+    if (kind == SourceKind.PEER_ELSEWHERE) {
+      importPace.started(peer.region(), now);
     }
-    return fetch;
-  }
-
-  private int count(SourceKind kind) {
-    return fetchesOfKind.getOrDefault(kind, 0);
-  }
-
-  private int countPeers(Predicate<SourceKind> kinds) {
-    int sum = 0;
-    for (SourceKind kind : SourceKind.values()) {
-      sum += kind.isPeer() && kinds.test(kind) ? count(kind) : 0;
-    }
-    return sum;
+    return running.start(chunk, kind, peer, now);
   }
 
   /**
@@ -404,18 +304,6 @@
    * @return in no particular order
    */
   public List<Fetch> running() {
-    return running.values().stream().map(fetch -> fetch.fetch).toList();
-  }
-
-  private static final class Running {
-    private final Fetch fetch;
-    private final long startedNanos;
-    private long lastProgressNanos;
-
-    Running(Fetch fetch, long now) {
-      this.fetch = fetch;
-      this.startedNanos = now;
-      this.lastProgressNanos = now;
-    }
+    return running.all();
   }
 }
