--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/Activation.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/Activation.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.clementineford.endpoint.ServedVersions.ServedVersion;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.errors.PlatformException;
 import org.clementineford.kernel.platform.ModelEngine;
@@ -13,6 +14,8 @@
 
 /** Orders the engines of one model to load a whole copy, and publishes the version afterwards. */
 final class Activation {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(Activation.class);
+
   private final List<ModelEngine> engines;
   private final PublishedVersions published;
   private final Timeline timeline;
@@ -68,15 +71,12 @@
     return CompletableFuture.failedFuture(
         new PlatformException(
             ErrorKind.CORRUPT_DATA,
-            "the engine loaded "
-                + loaded.version()
-                + " with digest "
-                + loaded.digest()
-                + " instead of "
-                + manifest.version()
-                + " with digest "
-                + manifest.digest()
-                + "; it gets no requests for that version until it is loaded again"));
+            MESSAGES.format(
+                "other-digest",
+                loaded.version(),
+                loaded.digest(),
+                manifest.version(),
+                manifest.digest())));
   }
 
   private void publish(Manifest manifest) {
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ChunkUpload.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ChunkUpload.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.transport.IncomingExchange;
 import org.clementineford.transport.Payloads;
 import org.clementineford.weights.ChunkStore;
@@ -10,6 +11,8 @@
 
 /** Sends one chunk to a peer in parts, as fast as the connection takes them. */
 final class ChunkUpload {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(ChunkUpload.class);
+
   /** Longest part in bytes; several uploads on one link take turns part by part. */
   static final int PART_BYTES = 64 << 10;
 
@@ -55,7 +58,7 @@
   private void sendPart() {
     Optional<byte[]> part = store.read(digest, offset, PART_BYTES);
     if (part.isEmpty()) {
-      exchange.finish(Payloads.failure("chunk-dropped", "the chunk was dropped; ask another VM"));
+      exchange.finish(Payloads.failure("chunk-dropped", MESSAGES.format("chunk-dropped")));
       end();
       return;
     }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ChunkUploads.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ChunkUploads.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.transport.IncomingExchange;
 import org.clementineford.transport.Payloads;
 import org.clementineford.weights.Manifest;
@@ -17,6 +18,8 @@
 
 /** Answers peers that fetch manifests and chunks. */
 final class ChunkUploads {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(ChunkUploads.class);
+
   private static final long BUSY_RETRY_MS = 20;
   private static final long ABSENT_RETRY_MS = TimeUnit.SECONDS.toMillis(1);
 
@@ -48,7 +51,7 @@
             .findFirst();
     if (found.isEmpty()) {
       exchange.finish(
-          Payloads.failure("no-manifest", "this VM has no manifest of that version yet"));
+          Payloads.failure("no-manifest", MESSAGES.format("no-manifest")));
       return;
     }
     ManifestBytes reply = new ManifestBytes();
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ModelRollout.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ModelRollout.java
@@ -7,6 +7,7 @@
 import org.clementineford.configuration.ConfigurationSnapshot;
 import org.clementineford.configuration.ModelSpecification;
 import org.clementineford.endpoint.ServedVersions.ServedVersion;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.errors.ClementinefordException;
@@ -20,6 +21,8 @@
 
 /** Brings the wanted version of one model onto this VM and into its engines. */
 final class ModelRollout {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(ModelRollout.class);
+
   /** Assumed time of one load, which spreads VMs that activate without an order. */
   private static final long LOAD_NANOS = TimeUnit.SECONDS.toNanos(5);
 
@@ -163,10 +166,10 @@
   synchronized CompletableFuture<Void> activate(
       String version, String address, OrderNumber number) {
     if (transfer == null || !transfer.address().equals(address) || wanted.paused()) {
-      return refused("this VM does not want " + model + " " + version + " now");
+      return refused("not-wanted", version);
     }
     if (!transfer.isWhole()) {
-      return refused("the copy of " + model + " " + version + " is not whole yet");
+      return refused("not-whole", version);
     }
     if (isServing(transfer)) {
       return CompletableFuture.completedFuture(null);
@@ -185,9 +188,9 @@
     return loading;
   }
 
-  private static CompletableFuture<Void> refused(String reason) {
+  private CompletableFuture<Void> refused(String key, String version) {
     return CompletableFuture.failedFuture(
-        new PlatformException(ErrorKind.CONFLICT, reason + "; order it again later"));
+        new PlatformException(ErrorKind.CONFLICT, MESSAGES.format(key, model, version)));
   }
 
   private synchronized void loaded(VersionTransfer whole, Throwable failure) {
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/OrderHandler.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/OrderHandler.java
@@ -1,6 +1,7 @@
 package org.clementineford.endpoint.internal.weights;
 
 import java.util.Map;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.kernel.timeline.Timeline;
 import org.clementineford.transport.IncomingExchange;
@@ -13,6 +14,8 @@
 
 /** Carries out orders of the rollout controller, unless a later holder has ordered already. */
 final class OrderHandler {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(OrderHandler.class);
+
   private final FencingGuard guard;
   private final Map<String, ModelRollout> rollouts;
   private final Timeline timeline;
@@ -27,12 +30,12 @@
     ActivateOrder order = opening.getActivateOrder();
     OrderNumber number = new OrderNumber(order.getDocumentRevision(), order.getFencingNumber());
     if (!guard.accept(number)) {
-      refuse(exchange, order, "a later order was accepted; stop and read the lease again");
+      refuse(exchange, order, MESSAGES.format("order-overtaken"));
       return;
     }
     ModelRollout rollout = rollouts.get(order.getModel());
     if (rollout == null) {
-      refuse(exchange, order, "this VM has no engine for " + order.getModel());
+      refuse(exchange, order, MESSAGES.format("no-engine", order.getModel()));
       return;
     }
     record(EventKind.ORDER_ACCEPTED, order, "");
@@ -52,14 +55,14 @@
     OriginPermit permit = opening.getOriginPermit();
     OrderNumber number = new OrderNumber(permit.getDocumentRevision(), permit.getFencingNumber());
     if (!guard.accept(number)) {
-      exchange.finish(reply(false, "a later order was accepted; stop and read the lease again"));
+      exchange.finish(reply(false, MESSAGES.format("order-overtaken")));
       return;
     }
     boolean known = false;
     for (ModelRollout rollout : rollouts.values()) {
       known |= rollout.permit(permit.getManifestDigest(), permit.getChunks());
     }
-    exchange.finish(reply(known, known ? "reading" : "this VM does not transfer that manifest"));
+    exchange.finish(reply(known, known ? "reading" : MESSAGES.format("other-manifest")));
   }
 
   private void refuse(IncomingExchange exchange, ActivateOrder order, String reason) {
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.clementineford.kernel.DistributionPolicy;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.timeline.EventKind;
@@ -21,6 +22,8 @@
 
 /** Carries out the transfer of one manifest to this VM. */
 final class VersionTransfer implements PeerFetch.Listener {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(VersionTransfer.class);
+
   private final TransferTools tools;
   private final Manifest manifest;
   private final String address;
@@ -269,7 +272,7 @@
     if (Digests.hex(digest.digest()).equals(manifest.digest())) {
       wholeChecked();
     } else {
-      record(EventKind.ACTIVATION_FAILED, "reason", "the chunks do not make up the whole digest");
+      record(EventKind.ACTIVATION_FAILED, "reason", MESSAGES.format("not-one-copy"));
     }
   }
 
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/Manifest.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/Manifest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 
@@ -27,6 +28,7 @@
     long length,
     int chunkLength,
     List<String> chunkDigests) {
+  private static final MessageCatalog MESSAGES = MessageCatalog.of(Manifest.class);
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int DIGEST_DIGITS = 64;
 
@@ -48,7 +50,7 @@
       manifest = JSON.readValue(json, Manifest.class);
     } catch (IOException e) {
       throw new ClementinefordException(
-          ErrorKind.CORRUPT_DATA, "manifest is not valid JSON; publish it again", e);
+          ErrorKind.CORRUPT_DATA, MESSAGES.format("manifest-not-json"), e);
     }
     manifest.check();
     return manifest;
@@ -85,7 +87,7 @@
     if (!shape) {
       throw new ClementinefordException(
           ErrorKind.CORRUPT_DATA,
-          "manifest of " + model + " " + version + " is incomplete; publish it again");
+          MESSAGES.format("manifest-incomplete", model, version));
     }
   }
 
