--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ChunkUploads.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ChunkUploads.java
@@ -50,8 +50,7 @@
             .filter(manifest -> manifest.version().equals(fetch.getVersion()))
             .findFirst();
     if (found.isEmpty()) {
-      exchange.finish(
-          Payloads.failure("no-manifest", MESSAGES.format("no-manifest")));
+      exchange.finish(Payloads.failure("no-manifest", MESSAGES.format("no-manifest")));
       return;
     }
     ManifestBytes reply = new ManifestBytes();
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/Manifest.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/Manifest.java
@@ -86,8 +86,7 @@
             && chunkDigests.stream().allMatch(Manifest::isDigest);
     if (!shape) {
       throw new ClementinefordException(
-          ErrorKind.CORRUPT_DATA,
-          MESSAGES.format("manifest-incomplete", model, version));
+          ErrorKind.CORRUPT_DATA, MESSAGES.format("manifest-incomplete", model, version));
     }
   }
 
