Close kept connections only when no request is on its way

Refusals of a stopping entry VM now carry "Connection: close", and the drain ends only after 500 ms without a new request. Waiting for the load balancer alone (--readiness-ms) was ruled out, because callers keep connections longer than that. A connection that stays idle for the whole time and is used at the very moment of the close can still break; HTTP/1.1 has no remedy for that.

--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/RequestFrontTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/RequestFrontTest.java
@@ -98,10 +98,25 @@
       FakeCall refused = fleet.chat(entry, false);
       assertThat(refused.status).isEqualTo(503);
       assertThat(refused.run()).isEqualTo("not-run");
+      assertThat(refused.headers).containsEntry("Connection", "close");
       assertThat(idle).isNotDone();
       shortWhile();
       fleet.endpoints.values().forEach(FakeEndpoint::finishRuns);
       assertThat(inFlight.complete).isTrue();
+      fleet.time.advance(600, TimeUnit.MILLISECONDS);
+      assertThat(idle).isDone();
+    }
+
+    // Guards against closing a kept connection while a request is on its way to this entry VM.
+    @Test
+    void waitsUntilNoMoreRequestsArrive() {
+      CompletableFuture<Void> idle = entry.front.refuseNewRequests();
+      for (int i = 0; i < 10; i++) {
+        fleet.time.advance(400, TimeUnit.MILLISECONDS);
+        assertThat(fleet.chat(entry, false).status).isEqualTo(503);
+        assertThat(idle).isNotDone();
+      }
+      fleet.time.advance(600, TimeUnit.MILLISECONDS);
       assertThat(idle).isDone();
     }
   }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestFront.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestFront.java
@@ -1,7 +1,9 @@
 package org.clementineford.entry.internal.requests;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.agrona.concurrent.NanoClock;
@@ -21,6 +23,11 @@
   // Memory of a request besides its body: buffers of the connection and the run's own state.
   private static final long REQUEST_OVERHEAD_BYTES = 16 << 10;
 
+  // A caller whose kept connection is closed while its request is on the way cannot tell whether
+  // the request ran. Each refusal ends one kept connection, so silence means that none is in use.
+  private static final long QUIET_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final long CHECK_INTERVAL_MS = 50;
+
   private final VmIdentity self;
   private final ConfigurationView configuration;
   private final EntryServices services;
@@ -32,6 +39,7 @@
   private final CompletableFuture<Void> idle = new CompletableFuture<>();
   private volatile boolean leaving;
   private volatile boolean refusing;
+  private volatile long lastArrivalNanos;
 
   RequestFront(
       VmIdentity self, ConfigurationView configuration, EntryServices services, long memoryBytes) {
@@ -54,13 +62,24 @@
     leaving = true;
   }
 
-  /** Refuses new requests; the future completes when none is in flight. */
+  /**
+   * Refuses new requests and asks callers to close their connections. The future completes when no
+   * request is in flight and none has arrived for a while.
+   */
   CompletableFuture<Void> refuseNewRequests() {
+    lastArrivalNanos = services.clock().nanoTime();
     refusing = true;
-    if (inFlight.get() == 0) {
+    checkIdle();
+    return idle;
+  }
+
+  private void checkIdle() {
+    long quiet = services.clock().nanoTime() - lastArrivalNanos;
+    if (inFlight.get() == 0 && quiet >= QUIET_NANOS) {
       idle.complete(null);
+    } else {
+      services.scheduler().schedule(this::checkIdle, CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
-    return idle;
   }
 
   @Override
@@ -97,6 +116,7 @@
     // Counted before the check, so that a drain cannot miss a request that passed it.
     inFlight.incrementAndGet();
     if (refusing) {
+      lastArrivalNanos = services.clock().nanoTime();
       refuse(http, EntryRefusal.ENTRY_LEAVING, request.requestId(), "");
       ended();
       return;
@@ -128,16 +148,18 @@
   }
 
   private void ended() {
-    if (inFlight.decrementAndGet() == 0 && refusing) {
-      idle.complete(null);
-    }
+    inFlight.decrementAndGet();
   }
 
   private void refuse(HttpExchange http, EntryRefusal refusal, String requestId, String detail) {
     String run = RunState.NOT_RUN.headerValue();
     services.metrics().refusals.labelValues(refusal.wireName(), run).inc();
     Refusals.Response response = Refusals.of(refusal, RunState.NOT_RUN, requestId, detail);
-    http.respond(response.status(), response.headers(), response.body());
+    Map<String, String> headers = new HashMap<>(response.headers());
+    if (refusing) {
+      headers.put("Connection", "close");
+    }
+    http.respond(response.status(), headers, response.body());
   }
 
   private String newRequestId() {
