Race cancels with the end of answers in all orders

The test let the cancel win in nearly all rounds: a defect that counted the end of a run twice when the cancel came later survived it. The cancel now comes at once, after the head or after the end, in turn; that defect is found.

The tests of the endpoint component failed once in 14 repetitions under a load average of 16; the output was not kept and the failure did not come back in 8 more runs.

--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/DispatchTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/DispatchTest.java
@@ -206,10 +206,16 @@
         RecordingExchange exchange = fixture.dispatch("race-" + i, dispatch -> {});
         HttpExchange call = fixture.nextCall();
         CyclicBarrier barrier = new CyclicBarrier(2);
+        int when = i % 3;
         Future<?> cancelled =
             other.submit(
                 () -> {
                   barrier.await();
+                  if (when == 1) {
+                    exchange.awaitFirst();
+                  } else if (when == 2) {
+                    exchange.awaitLast();
+                  }
                   exchange.cancel();
                   return null;
                 });
