--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/BackEndTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/BackEndTest.java
@@ -6,7 +6,6 @@
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.timeline.EventKind;
-import org.clementineford.kernel.timeline.TimelineEvent;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -66,7 +65,7 @@
 
   private boolean up() {
     return fixture.timeline.after(0, 100).stream()
-        .map(TimelineEvent::kind)
-        .anyMatch(EventKind.BACK_END_UP::equals);
+        .filter(event -> event.kind() == EventKind.BACK_END_UP)
+        .anyMatch(event -> event.attributes().containsValue("assistant"));
   }
 }
