Test entry VMs and endpoint VMs that start during a failure

An entry VM that starts while the platform is down becomes ready with the configuration of its peers and answers; a replaced endpoint VM with the same name takes its copy from peers without a byte from the origin and gets requests.

--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/Fleet.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/Fleet.java
@@ -65,9 +65,7 @@
       digests.put(version, origin.publish("assistant", version, LENGTH, CHUNK_LENGTH).digest());
     }
     for (int i = 1; i <= 2; i++) {
-      HostPort callers = freeAddress();
-      callerAddresses.add(callers);
-      entries.add(node(VmRole.ENTRY, "entry-" + i, "--http-address", callers.toString()));
+      addEntry("entry-" + i);
     }
     for (int i = 1; i <= ENDPOINTS; i++) {
       EngineStandIn engine = started(new EngineStandIn(context, engineOptions));
@@ -76,6 +74,14 @@
     }
   }
 
+  /** Starts an entry VM and returns its address for callers. */
+  HostPort addEntry(String vm) throws Exception {
+    HostPort callers = freeAddress();
+    entries.add(node(VmRole.ENTRY, vm, "--http-address", callers.toString()));
+    callerAddresses.add(callers);
+    return callers;
+  }
+
   TestNode endpoint(String vm, EngineStandIn engine) throws Exception {
     return node(
         VmRole.ENDPOINT,
--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/WholePathTest.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/WholePathTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.clementineford.bench.quickstart.Outcomes;
 import org.clementineford.bench.quickstart.Traffic;
+import org.clementineford.kernel.HostPort;
 import org.clementineford.standins.EngineOptions;
 import org.clementineford.standins.EngineStandIn;
 import org.junit.jupiter.api.AfterEach;
@@ -175,4 +176,60 @@
     assertAllAnswered(later.reservations());
     assertThat(later.lookups().versions()).containsOnlyKeys("v2");
   }
+
+  // Guards against an entry VM that turns callers away, or answers from no configuration, because
+  // it started while the platform was down.
+  @Test
+  void entryStartedDuringAnOutageServesFromItsPeers() throws Exception {
+    fleet.platform.startOutage();
+    HostPort callers = fleet.addEntry("entry-3");
+    AtomicInteger status = new AtomicInteger();
+    fleet.await.until(
+        "/ready succeeds",
+        10,
+        () -> {
+          fleet.readStatus(callers, "/ready", status);
+          return status.get() == 200;
+        });
+    Traffic probes = fleet.traffic("probe", List.of(callers));
+    fleet.await.until(
+        "the entry VM knows the endpoint VMs",
+        5,
+        () -> {
+          probes.lookUp(callers, "probe", false);
+          return probes.lookups().answeredCount() > 0;
+        });
+    Traffic traffic = fleet.traffic("new-entry", List.of(callers));
+    traffic.start(INTERVAL_MS);
+    fleet.run(1000);
+    traffic.stop();
+    fleet.awaitEnded(traffic);
+    fleet.awaitEnded(probes);
+    assertAllAnswered(traffic.lookups());
+    assertThat(traffic.reservations().failures()).isEmpty();
+    assertThat(probes.lookups().failures()).isEmpty();
+  }
+
+  // Guards against a replaced endpoint VM that is taken for the old one and never serves.
+  @Test
+  void replacedEndpointCatchesUpFromItsPeers() throws Exception {
+    fleet.endpoints.get(2).kill();
+    fleet.order("v2");
+    fleet.awaitServed("v2", fleet.engines.subList(0, 2));
+    final long originBytes = fleet.origin.bytesServed();
+    fleet.engines.get(2).setLoaded(null);
+    fleet.endpoints.add(fleet.endpoint("endpoint-3", fleet.engines.get(2)));
+    fleet.awaitServed("v2", fleet.engines);
+    assertThat(fleet.origin.bytesServed()).isEqualTo(originBytes);
+    Traffic traffic = fleet.traffic("replaced", fleet.callerAddresses);
+    traffic.start(INTERVAL_MS);
+    fleet.await.until(
+        "the replaced endpoint VM gets requests",
+        10,
+        () -> fleet.engines.get(2).counters().get("finished") > 20);
+    traffic.stop();
+    fleet.awaitEnded(traffic);
+    assertAllAnswered(traffic.lookups());
+    assertAllAnswered(traffic.reservations());
+  }
 }
