--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/AssignedReads.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/AssignedReads.java
@@ -2,6 +2,7 @@
 
 import java.util.BitSet;
 import java.util.List;
+import java.util.Set;
 import org.clementineford.kernel.DistributionPolicy;
 import org.clementineford.kernel.VmIdentity;
 
@@ -46,11 +47,11 @@
     this.permitted = new BitSet(chunks);
     this.importRanks = new int[chunks];
     this.originRanks = new int[chunks];
-    setMembers(List.of());
+    setMembers(List.of(), Set.of());
   }
 
-  void setMembers(List<VmIdentity> live) {
-    assignment = new OriginAssignment(manifestAddress, chunks, self, live);
+  void setMembers(List<VmIdentity> known, Set<String> lost) {
+    assignment = new OriginAssignment(manifestAddress, chunks, self, known, lost);
     boolean severalCopies = policy.originCopies(assignment.dataCentres()) > 1;
     for (int chunk = 0; chunk < chunks; chunk++) {
       importer.set(chunk, assignment.isImporter(chunk));
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/OriginAssignment.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/OriginAssignment.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.clementineford.kernel.VmIdentity;
@@ -33,25 +34,34 @@
    * @param manifestAddress content address of the manifest
    * @param chunks number of chunks
    * @param self this VM
-   * @param live live endpoint VMs, with or without this one
+   * @param known endpoint VMs of the transfer, with or without this one
+   * @param lost names of those that are gone; only their chunks are given to others, since moving
+   *     the chunks of the living would make both the old and the new reader read them
    */
   public OriginAssignment(
-      String manifestAddress, int chunks, VmIdentity self, List<VmIdentity> live) {
+      String manifestAddress,
+      int chunks,
+      VmIdentity self,
+      List<VmIdentity> known,
+      Set<String> lost) {
     this.manifestSeed = RendezvousHash.seed(manifestAddress);
     this.chunks = chunks;
-    this.self = new Candidate(self, RendezvousHash.seed(self.vm()));
+    this.self = new Candidate(self, RendezvousHash.seed(self.vm()), false);
     members.add(this.self);
-    for (VmIdentity vm : live) {
+    for (VmIdentity vm : known) {
       if (!vm.vm().equals(self.vm())) {
-        members.add(new Candidate(vm, RendezvousHash.seed(vm.vm())));
+        members.add(new Candidate(vm, RendezvousHash.seed(vm.vm()), lost.contains(vm.vm())));
       }
     }
     members.sort(Comparator.comparing(candidate -> candidate.vm.vm()));
     TreeSet<String> centres = new TreeSet<>();
-    members.forEach(candidate -> centres.add(candidate.vm.dataCentre()));
+    members.stream()
+        .filter(candidate -> !candidate.lost)
+        .forEach(candidate -> centres.add(candidate.vm.dataCentre()));
     this.dataCentres = centres.size();
     this.originReaders = assignReaders();
     assignImporters();
+    replaceLost();
   }
 
   private Candidate[] assignReaders() {
@@ -101,6 +111,30 @@
     return first == null ? candidates.get(0) : first;
   }
 
+  private void replaceLost() {
+    for (int chunk = 0; chunk < chunks; chunk++) {
+      originReaders[chunk] = alive(originReaders[chunk], chunk);
+      for (Candidate[] firsts : importers.values()) {
+        firsts[chunk] = alive(firsts[chunk], chunk);
+      }
+    }
+  }
+
+  /** Returns a VM of the same region if the given one is lost, or any other if none is left. */
+  private Candidate alive(Candidate assigned, int chunk) {
+    if (!assigned.lost) {
+      return assigned;
+    }
+    Comparator<Candidate> order =
+        Comparator.comparing((Candidate other) -> isNear(assigned, other))
+            .thenComparingLong(other -> other.weight(key(chunk)));
+    return members.stream().filter(other -> !other.lost).max(order).orElse(self);
+  }
+
+  private static boolean isNear(Candidate a, Candidate b) {
+    return a.vm.region().equals(b.vm.region());
+  }
+
   /**
    * Tells whether this VM is the one that reads a chunk from the origin.
    *
@@ -134,7 +168,7 @@
     int rank = 0;
     for (Candidate candidate : members) {
       boolean counts = !withinRegion || candidate.vm.region().equals(self.vm.region());
-      if (counts && candidate.weight(key) > own) {
+      if (counts && !candidate.lost && candidate.weight(key) > own) {
         rank++;
       }
     }
@@ -174,11 +208,13 @@
   private static final class Candidate {
     private final VmIdentity vm;
     private final long seed;
+    private final boolean lost;
     private int load;
 
-    Candidate(VmIdentity vm, long seed) {
+    Candidate(VmIdentity vm, long seed, boolean lost) {
       this.vm = vm;
       this.seed = seed;
+      this.lost = lost;
     }
 
     long weight(long key) {
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
@@ -5,8 +5,10 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.clementineford.kernel.DistributionPolicy;
 import org.clementineford.kernel.VmIdentity;
@@ -28,7 +30,8 @@
   private final ImportPace importPace = new ImportPace();
   private final RunningFetches running;
   private final Set<String> lostVms = new HashSet<>();
-  private List<VmIdentity> members = List.of();
+  private final Set<String> departedVms = new HashSet<>();
+  private final Map<String, VmIdentity> known = new TreeMap<>();
   private long originRetryNanos = Long.MIN_VALUE;
 
   /**
@@ -66,13 +69,23 @@
    * @param live members that are not dead, with or without this VM
    */
   public void setMembers(Collection<VmIdentity> live) {
-    members = List.copyOf(live);
+    Set<String> names = new HashSet<>();
+    for (VmIdentity member : live) {
+      names.add(member.vm());
+      known.put(member.vm(), member);
+    }
+    departedVms.clear();
+    departedVms.addAll(known.keySet());
+    departedVms.removeAll(names);
     swarm.setMembers(live);
     assign();
   }
 
   private void assign() {
-    assigned.setMembers(members.stream().filter(member -> !lostVms.contains(member.vm())).toList());
+    Set<String> gone = new HashSet<>(lostVms);
+    gone.addAll(departedVms);
+    gone.remove(self.vm());
+    assigned.setMembers(List.copyOf(known.values()), gone);
   }
 
   /**
