List each setting of a daemon once

The list is now made in one place and holds each setting once. Sizes in MiB and KiB have flags that end in -mib and -kib.

Ruled out: removing the setting from one component, which would then depend on the other being present.

--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/TestNode.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/TestNode.java
@@ -34,7 +34,7 @@
   TestNode(VmRole role, List<String> arguments) throws ClementinefordException {
     List<NodeComponentFactory> factories = NodeComponentFactories.of(role);
     List<Setting<?>> declared = new ArrayList<>(NodeSettings.declared());
-    factories.forEach(factory -> declared.addAll(factory.settings()));
+    declared.addAll(NodeComponentFactories.settings(role));
     Settings settings = Settings.read(declared, arguments.toArray(String[]::new), Map.of());
     node =
         new Node(
--- a/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.SystemEpochClock;
@@ -64,8 +63,7 @@
   private static void start(String name, VmRole role, String[] arguments)
       throws ClementinefordException {
     List<NodeComponentFactory> factories = NodeComponentFactories.of(role);
-    List<Setting<?>> declared = new ArrayList<>(NodeSettings.declared());
-    factories.forEach(factory -> declared.addAll(factory.settings()));
+    List<Setting<?>> declared = NodeComponentFactories.settings(role);
     Settings settings = Settings.read(declared, arguments, System.getenv());
     if (settings.isHelpRequested()) {
       printHelp(name, declared);
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/EntrySettings.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/EntrySettings.java
@@ -23,13 +23,13 @@
           SettingParser.hostPort());
   private static final Setting<Long> REQUEST_MEMORY =
       new Setting<>(
-          "request-memory-mb",
+          "request-memory-mib",
           "Memory for requests in flight, in MiB.",
           "128",
           SettingParser.wholeNumber(1, 1 << 16));
   private static final Setting<Long> MAX_BODY =
       new Setting<>(
-          "max-body-kb",
+          "max-body-kib",
           "Longest request body, in KiB.",
           "4096",
           SettingParser.wholeNumber(1, 1 << 20));
--- a/org.clementineford.node/src/main/java/org/clementineford/node/NodeComponentFactories.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/NodeComponentFactories.java
@@ -1,9 +1,12 @@
 package org.clementineford.node;
 
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.ServiceLoader;
+import java.util.Set;
 import org.clementineford.kernel.VmRole;
+import org.clementineford.kernel.settings.Setting;
 
 /** Finds the factories that are registered with {@link ServiceLoader}. */
 public final class NodeComponentFactories {
@@ -25,4 +28,16 @@
                 .thenComparing(NodeComponentFactory::name))
         .toList();
   }
+
+  /**
+   * Returns the settings of a daemon: those of the node and of its components.
+   *
+   * @param role the role
+   * @return each setting once, also if several components read it
+   */
+  public static List<Setting<?>> settings(VmRole role) {
+    Set<Setting<?>> settings = new LinkedHashSet<>(NodeSettings.declared());
+    of(role).forEach(factory -> settings.addAll(factory.settings()));
+    return List.copyOf(settings);
+  }
 }
