Stop repeating reads over a full link

Cause: with links between regions half as wide as a VM's link, reads of the origin waited longer than the 2 s of the HTTP adapter, were given up without being cancelled, and were sent again.

Change: 8 s for a silent range, cancel of reads that are given up, more time after a silent fetch, and exponential backoff of failed origin reads.

Ruled out: too many outstanding fetches from peers; those bytes came once.

Two new tests failed on the old code and pass now.

--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/TestNode.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/TestNode.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -33,8 +32,7 @@
 
   TestNode(VmRole role, List<String> arguments) throws ClementinefordException {
     List<NodeComponentFactory> factories = NodeComponentFactories.of(role);
-    List<Setting<?>> declared = new ArrayList<>(NodeSettings.declared());
-    declared.addAll(NodeComponentFactories.settings(role));
+    List<Setting<?>> declared = NodeComponentFactories.settings(role);
     Settings settings = Settings.read(declared, arguments.toArray(String[]::new), Map.of());
     node =
         new Node(
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.clementineford.kernel.DistributionPolicy;
@@ -31,6 +32,7 @@
   private final Consumer<VersionTransfer> onWhole;
   private final TransferCounts counts = new TransferCounts();
   private final Map<Long, PeerFetch> peerFetches = new HashMap<>();
+  private final Map<Long, CompletableFuture<byte[]>> outsideReads = new HashMap<>();
   private final MapAnnouncer announcer;
   private Scheduler.Cancellable timer;
   private boolean begun;
@@ -80,6 +82,8 @@
     }
     peerFetches.values().forEach(PeerFetch::cancel);
     peerFetches.clear();
+    List.copyOf(outsideReads.values()).forEach(read -> read.cancel(false));
+    outsideReads.clear();
     announcer.close();
     tools.store().unpin(address);
     if (!whole) {
@@ -147,20 +151,26 @@
       peerFetch.start(tools.context().network());
       return;
     }
-    tools
-        .outside()
-        .read(manifest.model(), manifest.version(), manifest.offset(fetch.chunk()), length)
-        .whenComplete(
-            (bytes, failure) -> {
-              if (failure == null) {
-                received(fetch, bytes);
-              } else {
-                failed(fetch, FetchOutcome.LOST, 0, 0);
-              }
-            });
+    CompletableFuture<byte[]> read =
+        tools
+            .outside()
+            .read(manifest.model(), manifest.version(), manifest.offset(fetch.chunk()), length);
+    outsideReads.put(fetch.id(), read);
+    read.whenComplete(
+        (bytes, failure) -> {
+          if (failure == null) {
+            received(fetch, bytes);
+          } else {
+            failed(fetch, FetchOutcome.LOST, 0, 0);
+          }
+        });
   }
 
   private void giveUp(Fetch fetch) {
+    CompletableFuture<byte[]> read = outsideReads.remove(fetch.id());
+    if (read != null) {
+      read.cancel(false);
+    }
     PeerFetch peerFetch = peerFetches.remove(fetch.id());
     if (peerFetch != null) {
       inVain(peerFetch.cancel());
@@ -214,6 +224,7 @@
 
   private synchronized void stored(Fetch fetch, int length) {
     peerFetches.remove(fetch.id());
+    outsideReads.remove(fetch.id());
     final boolean alreadyHeld = state.held().holds(fetch.chunk());
     for (Fetch obsolete : state.succeeded(fetch.id(), now())) {
       PeerFetch other = peerFetches.remove(obsolete.id());
@@ -240,6 +251,7 @@
   @Override
   public synchronized void failed(
       Fetch fetch, FetchOutcome outcome, long retryAfterNanos, int bytesInVain) {
+    outsideReads.remove(fetch.id());
     if (peerFetches.remove(fetch.id()) == null && fetch.kind().isPeer()) {
       return;
     }
--- a/org.clementineford.platform/src/main/java/org/clementineford/platform/BodyTransfer.java
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/BodyTransfer.java
@@ -7,14 +7,15 @@
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.errors.PlatformException;
 import org.clementineford.transport.ExchangeFailure;
+import org.clementineford.transport.http.HttpCall;
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpRequest;
 import org.clementineford.transport.http.HttpResponse;
 import org.clementineford.transport.http.HttpResponseListener;
 
 /**
- * Collects an answer that may take long as a whole. It fails once nothing arrives for 2 s, so a
- * slow link does not fail but a stalled one does.
+ * Collects an answer that may take long as a whole. It fails once nothing arrives for a set time,
+ * so a slow link does not fail but a stalled one does. Cancelling the future closes the connection.
  */
 final class BodyTransfer implements HttpResponseListener {
   private final CompletableFuture<HttpResponse> future = new CompletableFuture<>();
@@ -27,9 +28,19 @@
   }
 
   static CompletableFuture<HttpResponse> start(
-      HttpClient client, HostPort address, HttpRequest request, int expectedLength) {
+      HttpClient client,
+      HostPort address,
+      HttpRequest request,
+      int expectedLength,
+      long idleTimeoutMs) {
     BodyTransfer transfer = new BodyTransfer(expectedLength);
-    client.send(address, request, HttpCalls.TIMEOUT_MS, transfer);
+    HttpCall call = client.send(address, request, idleTimeoutMs, transfer);
+    transfer.future.whenComplete(
+        (answer, failure) -> {
+          if (transfer.future.isCancelled()) {
+            call.cancel();
+          }
+        });
     return transfer.future;
   }
 
--- a/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpWeightSource.java
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpWeightSource.java
@@ -15,10 +15,15 @@
 
 /**
  * An origin or weight store over HTTP. The manifest fails after 2 s without an answer; a range
- * fails once no byte arrives for 2 s, however long the whole takes. Fails with {@code NOT_FOUND} if
+ * fails once no byte arrives for 8 s, however long the whole takes. Cancelling the future of a
+ * range closes its connection, so that the source stops sending. Fails with {@code NOT_FOUND} if
  * the source answers that it has no such version, else with {@code UNAVAILABLE}.
  */
 public final class HttpWeightSource implements WeightSource {
+  // Reads queue behind one another on a link between regions. With 2 s, reads that were only
+  // waiting were given up and sent again, which filled the link with repeated bytes.
+  private static final long RANGE_IDLE_TIMEOUT_MS = 8000;
+
   private final HttpCalls calls;
 
   /**
@@ -49,18 +54,25 @@
     HttpRequest request =
         new HttpRequest("GET", path(model, version, "data"), Map.of("Range", range), new byte[0]);
     CompletableFuture<byte[]> bytes = new CompletableFuture<>();
-    BodyTransfer.start(calls.client(), calls.address(), request, length)
-        .whenComplete(
-            (answer, failure) -> {
-              try {
-                if (failure != null) {
-                  throw calls.readFailed(subject, HttpCalls.unwrap(failure));
-                }
-                bytes.complete(range(subject, answer, length));
-              } catch (PlatformException e) {
-                bytes.completeExceptionally(e);
-              }
-            });
+    CompletableFuture<HttpResponse> transfer =
+        BodyTransfer.start(calls.client(), calls.address(), request, length, RANGE_IDLE_TIMEOUT_MS);
+    bytes.whenComplete(
+        (read, failure) -> {
+          if (bytes.isCancelled()) {
+            transfer.cancel(false);
+          }
+        });
+    transfer.whenComplete(
+        (answer, failure) -> {
+          try {
+            if (failure != null) {
+              throw calls.readFailed(subject, HttpCalls.unwrap(failure));
+            }
+            bytes.complete(range(subject, answer, length));
+          } catch (PlatformException e) {
+            bytes.completeExceptionally(e);
+          }
+        });
     return bytes;
   }
 
--- a/org.clementineford.weights.test/src/test/java/org/clementineford/weights/TransferStateTest.java
+++ b/org.clementineford.weights.test/src/test/java/org/clementineford/weights/TransferStateTest.java
@@ -186,6 +186,34 @@
       assertThat(state.running()).isNotEmpty().allMatch(f -> f.kind() == SourceKind.ORIGIN);
     }
 
+    // Guards against a full link that carries nothing but chunks that were given up before.
+    @Test
+    void ofTheOriginIsRetriedLessAndLessOften() {
+      state.setMembers(List.of(SELF));
+      int reads = 0;
+      for (int tenth = 0; tenth < 100; tenth++) {
+        for (Fetch fetch : plan().started()) {
+          reads++;
+          state.failed(fetch.id(), FetchOutcome.LOST, 0, time.nanoTime());
+        }
+        time.advance(100, TimeUnit.MILLISECONDS);
+      }
+      assertThat(reads).isLessThan(40);
+    }
+
+    // Guards against reads that are repeated because they wait for others on the same link.
+    @Test
+    void ofTheOriginGivesLaterReadsMoreTime() {
+      state.setMembers(List.of(SELF));
+      plan();
+      time.advance(4, TimeUnit.SECONDS);
+      assertThat(plan().cancelled()).isNotEmpty();
+      time.advance(1, TimeUnit.SECONDS);
+      assertThat(plan().started()).isNotEmpty();
+      time.advance(8, TimeUnit.SECONDS);
+      assertThat(plan().cancelled()).isEmpty();
+    }
+
     // Guards against origin reads that stop for ever after one failure.
     @Test
     void ofTheOriginIsRetried() {
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/RunningFetches.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/RunningFetches.java
@@ -60,6 +60,18 @@
     return fetch;
   }
 
+  /**
+   * Ends a fetch that received nothing in time. Further fetches from sources of its kind get more
+   * time, since a link that is full would otherwise carry the same chunks again and again.
+   */
+  Fetch giveUp(long id, long now) {
+    Running silent = running.get(id);
+    if (silent != null) {
+      slowestNanos.merge(silent.fetch.kind(), now - silent.startedNanos, Math::max);
+    }
+    return end(id);
+  }
+
   /** Ends a fetch whose chunk was verified and returns it, or null if it has ended already. */
   Fetch succeed(long id, long now) {
     Running done = running.get(id);
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import org.clementineford.kernel.DistributionPolicy;
 import org.clementineford.kernel.VmIdentity;
@@ -19,6 +20,8 @@
  * monotonic clock. Callers synchronize.
  */
 public final class TransferState {
+  private static final long MAX_ORIGIN_BACKOFF_NANOS = TimeUnit.SECONDS.toNanos(5);
+
   private final VmIdentity self;
   private final int chunks;
   private final TransferLimits limits;
@@ -33,6 +36,7 @@
   private final Set<String> departedVms = new HashSet<>();
   private final Map<String, VmIdentity> known = new TreeMap<>();
   private long originRetryNanos = Long.MIN_VALUE;
+  private long originBackoffNanos;
 
   /**
    * Creates the state of a transfer of which no chunk is held yet.
@@ -52,6 +56,7 @@
     this.self = self;
     this.chunks = chunks;
     this.limits = limits;
+    this.originBackoffNanos = limits.announceNanos();
     this.held = new ChunkMap(chunks);
     this.missing = new BitSet(chunks);
     this.missing.set(0, chunks);
@@ -157,6 +162,9 @@
     if (done == null) {
       return List.of();
     }
+    if (!done.kind().isPeer()) {
+      originBackoffNanos = limits.announceNanos();
+    }
     hold(done.chunk());
     List<Fetch> obsolete = running.ofChunk(done.chunk());
     obsolete.forEach(fetch -> running.end(fetch.id()));
@@ -172,12 +180,13 @@
    * @param now monotonic time
    */
   public void failed(long id, FetchOutcome outcome, long retryAfterNanos, long now) {
-    Fetch done = running.end(id);
+    Fetch done = outcome == FetchOutcome.SILENT ? running.giveUp(id, now) : running.end(id);
     if (done == null) {
       return;
     }
     if (!done.kind().isPeer()) {
-      originRetryNanos = now + Math.max(retryAfterNanos, limits.announceNanos());
+      originRetryNanos = now + Math.max(retryAfterNanos, originBackoffNanos);
+      originBackoffNanos = Math.min(2 * originBackoffNanos, MAX_ORIGIN_BACKOFF_NANOS);
       return;
     }
     SwarmPeer peer = swarm.find(done.peer());
