Share the search for free ports

The quickstart had its own search below the ephemeral range.

The search moved to the testing module; the measurement, the whole-path tests and PeerNetworkTest use it. Ruled out: retrying the bind, since the port may stay taken.

--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Site.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/Site.java
@@ -1,6 +1,7 @@
 package org.clementineford.bench.requests;
 
 import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -20,6 +21,7 @@
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.VmRole;
 import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.platform.ModelEngine.Loaded;
 import org.clementineford.platform.HttpObjectStore;
 import org.clementineford.standins.EngineOptions;
@@ -27,6 +29,7 @@
 import org.clementineford.standins.ObjectApiStandIn;
 import org.clementineford.standins.ServiceStandIn;
 import org.clementineford.standins.StandInContext;
+import org.clementineford.testing.FreePorts;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
 
@@ -36,7 +39,6 @@
   static final String MODEL = "assistant";
   static final String VERSION = "v1";
   static final String DIGEST = "0".repeat(64);
-  private static final HostPort ANY = new HostPort("127.0.0.1", 0);
 
   private final RequestViews views;
   private final EventLoopGroup standInLoops;
@@ -96,7 +98,7 @@
 
   void startEndpoints() throws ClementinefordException {
     for (int i = 0; i < engines.size(); i++) {
-      endpoints.add(newEndpoint(i, 1, ANY));
+      endpoints.add(newEndpoint(i, 1, freePort()));
     }
   }
 
@@ -120,7 +122,7 @@
   void startEntries(int count) throws ClementinefordException {
     for (int i = 0; i < count; i++) {
       entryAddresses.add(freePort());
-      entries.add(newEntry(i, 1, ANY));
+      entries.add(newEntry(i, 1, freePort()));
     }
   }
 
@@ -163,12 +165,12 @@
         "0");
   }
 
+  // Processes restart at their addresses, so these must not be taken by outgoing connections.
   private static HostPort freePort() throws ClementinefordException {
-    try (java.net.ServerSocket socket = new java.net.ServerSocket(0)) {
-      return new HostPort("127.0.0.1", socket.getLocalPort());
-    } catch (java.io.IOException e) {
-      throw new ClementinefordException(
-          org.clementineford.kernel.errors.ErrorKind.LOCAL_RESOURCE, "no free port", e);
+    try {
+      return FreePorts.find();
+    } catch (IOException e) {
+      throw new ClementinefordException(ErrorKind.LOCAL_RESOURCE, e.getMessage(), e);
     }
   }
 
--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/Fleet.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/Fleet.java
@@ -3,9 +3,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.ArrayList;
@@ -27,6 +24,7 @@
 import org.clementineford.standins.OriginStandIn;
 import org.clementineford.standins.ServiceStandIn;
 import org.clementineford.standins.StandInContext;
+import org.clementineford.testing.FreePorts;
 import org.clementineford.transport.EventLoopScheduler;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
@@ -76,7 +74,7 @@
 
   /** Starts an entry VM and returns its address for callers. */
   HostPort addEntry(String vm) throws Exception {
-    HostPort callers = freeAddress();
+    HostPort callers = FreePorts.find();
     entries.add(node(VmRole.ENTRY, vm, "--http-address", callers.toString()));
     callerAddresses.add(callers);
     return callers;
@@ -120,12 +118,6 @@
     return standIn;
   }
 
-  private static HostPort freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new HostPort("127.0.0.1", socket.getLocalPort());
-    }
-  }
-
   /** Accepts accounts, services and a first version, and waits until it is served everywhere. */
   void serve(String version) throws Exception {
     byte[] token =
--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/FreePorts.java
+++ b/org.clementineford.testing/src/main/java/org/clementineford/testing/FreePorts.java
@@ -1,4 +1,4 @@
-package org.clementineford.bench.quickstart;
+package org.clementineford.testing;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -6,9 +6,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import org.clementineford.kernel.HostPort;
 
 /**
- * Prints free TCP ports of the loopback interface, separated by spaces.
+ * Finds free TCP ports of the loopback interface, for listeners that start later or again.
  *
  * <p>They lie below the range from which systems usually take the local ports of outgoing
  * connections. A port from that range can be taken by such a connection before its process listens.
@@ -21,24 +23,47 @@
   private FreePorts() {}
 
   /**
-   * Finds ports. All are held until the last is found, so they differ.
+   * Prints ports, separated by spaces.
    *
    * @param arguments number of ports
    * @throws IOException if too few ports are free
    */
   public static void main(String[] arguments) throws IOException {
-    int wanted = Integer.parseInt(arguments[0]);
+    System.out.println(
+        find(Integer.parseInt(arguments[0])).stream()
+            .map(address -> Integer.toString(address.port()))
+            .collect(Collectors.joining(" ")));
+  }
+
+  /**
+   * Finds one port.
+   *
+   * @return its address on loopback
+   * @throws IOException if no port is free
+   */
+  public static HostPort find() throws IOException {
+    return find(1).get(0);
+  }
+
+  /**
+   * Finds ports. All are held until the last is found, so they differ.
+   *
+   * @param count number of ports
+   * @return their addresses on loopback
+   * @throws IOException if too few ports are free
+   */
+  public static List<HostPort> find(int count) throws IOException {
     SplittableRandom random = new SplittableRandom();
     List<ServerSocket> held = new ArrayList<>();
-    List<String> ports = new ArrayList<>();
-    for (int tries = 0; ports.size() < wanted; tries++) {
+    List<HostPort> found = new ArrayList<>();
+    for (int tries = 0; found.size() < count; tries++) {
       if (tries == MAX_TRIES) {
-        throw new IOException("fewer than " + wanted + " free ports; stop other processes");
+        throw new IOException("fewer than " + count + " free ports; stop other processes");
       }
       int port = random.nextInt(LOWEST_PORT, HIGHEST_PORT);
       try {
         held.add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
-        ports.add(Integer.toString(port));
+        found.add(new HostPort("127.0.0.1", port));
       } catch (IOException e) {
         // The port is in use; the next one is tried.
       }
@@ -46,6 +71,6 @@
     for (ServerSocket socket : held) {
       socket.close();
     }
-    System.out.println(String.join(" ", ports));
+    return found;
   }
 }
--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
@@ -17,6 +17,7 @@
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.timeline.HybridLogicalClock;
 import org.clementineford.kernel.timeline.HybridTime;
+import org.clementineford.testing.FreePorts;
 import org.clementineford.wire.Payload;
 import org.clementineford.wire.RevisionAnnounce;
 import org.clementineford.wire.StatusFetch;
@@ -41,7 +42,8 @@
     eventLoops = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     server = network("server");
     client = network("client");
-    address = server.listen(ANY);
+    // A test listens here again, so the port must not be one that outgoing connections take.
+    address = server.listen(FreePorts.find());
   }
 
   @AfterEach
