Collect long responses in the HTTP client

Cause: the platform adapter had its own copy of the collector of whole responses, differing only in having no deadline for the whole.

HttpClient.collect serves both; a response that fails or is cancelled closes its connection. Ruled out: a flag on HttpClient.call, whose timeout would then mean two things.

--- a/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpModelEngine.java
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpModelEngine.java
@@ -51,7 +51,9 @@
       return CompletableFuture.failedFuture(e);
     }
     CompletableFuture<Loaded> loaded = new CompletableFuture<>();
-    BodyTransfer.start(calls.client(), calls.address(), request, 256, HttpCalls.TIMEOUT_MS)
+    calls
+        .client()
+        .collect(calls.address(), request, HttpCalls.TIMEOUT_MS)
         .whenComplete(
             (answer, failure) -> {
               try {
--- a/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpWeightSource.java
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpWeightSource.java
@@ -55,7 +55,7 @@
         new HttpRequest("GET", path(model, version, "data"), Map.of("Range", range), new byte[0]);
     CompletableFuture<byte[]> bytes = new CompletableFuture<>();
     CompletableFuture<HttpResponse> transfer =
-        BodyTransfer.start(calls.client(), calls.address(), request, length, RANGE_IDLE_TIMEOUT_MS);
+        calls.client().collect(calls.address(), request, RANGE_IDLE_TIMEOUT_MS);
     bytes.whenComplete(
         (read, failure) -> {
           if (bytes.isCancelled()) {
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
@@ -92,7 +92,7 @@
   }
 
   /**
-   * Sends a request and collects the whole response.
+   * Sends a request and collects the whole response within a time.
    *
    * @param address address of the server
    * @param request the request
@@ -103,19 +103,42 @@
   public CompletableFuture<HttpResponse> call(
       HostPort address, HttpRequest request, long timeoutMs) {
     Collector collector = new Collector(address);
-    HttpCall call = send(address, request, timeoutMs, collector);
+    collect(address, request, timeoutMs, collector);
     var deadline =
         eventLoops.schedule(
-            () -> {
-              call.cancel();
-              collector.onFailure(ExchangeFailure.UNKNOWN, "no answer in " + timeoutMs + " ms");
-            },
+            () -> collector.onFailure(ExchangeFailure.UNKNOWN, "no answer in " + timeoutMs + " ms"),
             timeoutMs,
             TimeUnit.MILLISECONDS);
     collector.future.whenComplete((response, failure) -> deadline.cancel(false));
     return collector.future;
   }
 
+  /**
+   * Sends a request and collects a response that may take long as a whole.
+   *
+   * @param address address of the server
+   * @param request the request
+   * @param idleTimeoutMs the call fails if nothing arrives for this long, in milliseconds
+   * @return the response; fails as that of {@link #call}. Cancelling it closes the connection.
+   */
+  public CompletableFuture<HttpResponse> collect(
+      HostPort address, HttpRequest request, long idleTimeoutMs) {
+    Collector collector = new Collector(address);
+    collect(address, request, idleTimeoutMs, collector);
+    return collector.future;
+  }
+
+  private void collect(
+      HostPort address, HttpRequest request, long idleTimeoutMs, Collector collector) {
+    HttpCall call = send(address, request, idleTimeoutMs, collector);
+    collector.future.whenComplete(
+        (response, failure) -> {
+          if (failure != null) {
+            call.cancel();
+          }
+        });
+  }
+
   private Channel takeIdle(HostPort address) {
     ArrayDeque<Channel> channels = idle.get(address);
     if (channels == null) {
