--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/TestNode.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/TestNode.java
@@ -65,7 +65,7 @@
         });
   }
 
-  /** Ends without a word: all sockets close and no timer runs any more. */
+  /** Ends like a killed process: all sockets close and no timer runs any more. */
   void kill() {
     eventLoops.shutdownGracefully(0, 0, TimeUnit.SECONDS);
   }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/PeerFetch.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/PeerFetch.java
@@ -92,6 +92,6 @@
     void received(Fetch fetch, byte[] bytes);
 
     /** Called once if the chunk did not arrive. */
-    void failed(Fetch fetch, FetchOutcome outcome, long retryAfterNanos, int bytesInVain);
+    void failed(Fetch fetch, FetchOutcome outcome, long retryAfterNanos, int wastedBytes);
   }
 }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/TransferCounts.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/TransferCounts.java
@@ -12,7 +12,7 @@
     (fromPeer ? peers : origin).add(bytes);
   }
 
-  void inVain(long bytes) {
+  void wasted(long bytes) {
     refetched.add(bytes);
   }
 
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
@@ -173,7 +173,7 @@
     }
     PeerFetch peerFetch = peerFetches.remove(fetch.id());
     if (peerFetch != null) {
-      inVain(peerFetch.cancel());
+      wasted(peerFetch.cancel());
     }
     tools
         .context()
@@ -194,8 +194,8 @@
     return fetch.peer() == null ? fetch.kind().name() : fetch.peer().vm();
   }
 
-  private void inVain(long bytes) {
-    counts.inVain(bytes);
+  private void wasted(long bytes) {
+    counts.wasted(bytes);
     tools.metrics().refetched(bytes);
   }
 
@@ -229,7 +229,7 @@
     for (Fetch obsolete : state.succeeded(fetch.id(), now())) {
       PeerFetch other = peerFetches.remove(obsolete.id());
       if (other != null) {
-        inVain(other.cancel());
+        wasted(other.cancel());
       }
     }
     // A read that was given up may still bring a chunk that is missing.
@@ -237,7 +237,7 @@
     counts.received(fetch.kind().isPeer(), length);
     tools.metrics().received(fetch.kind().name(), length);
     if (alreadyHeld) {
-      inVain(length);
+      wasted(length);
     }
     announcer.gained(fetch);
     if (!fetch.kind().isLocal()) {
@@ -250,12 +250,12 @@
 
   @Override
   public synchronized void failed(
-      Fetch fetch, FetchOutcome outcome, long retryAfterNanos, int bytesInVain) {
+      Fetch fetch, FetchOutcome outcome, long retryAfterNanos, int wastedBytes) {
     outsideReads.remove(fetch.id());
     if (peerFetches.remove(fetch.id()) == null && fetch.kind().isPeer()) {
       return;
     }
-    inVain(bytesInVain);
+    wasted(wastedBytes);
     state.failed(fetch.id(), outcome, retryAfterNanos, now());
     if (outcome == FetchOutcome.CORRUPT) {
       tools
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsMetrics.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsMetrics.java
@@ -26,7 +26,7 @@
     refetched =
         Counter.builder()
             .name("clementineford_weights_refetched_bytes_total")
-            .help("Bytes of weights that arrived in vain and were fetched again.")
+            .help("Bytes of weights that were wasted and were fetched again.")
             .register(registry);
     held =
         Gauge.builder()
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/AttemptFailuresTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/AttemptFailuresTest.java
@@ -121,7 +121,7 @@
 
     // Guards against a late answer, or none, when every endpoint refuses.
     @Test
-    void areRefusedAtOnceWithTheEndpointsWordWhenAllRefuse() {
+    void areRefusedAtOnceWithTheEndpointsReasonWhenAllRefuse() {
       everywhere(Behavior.REFUSE);
       FakeCall call = fleet.reserve(fleet.entry(1), null);
       fleet.time.advance(5, TimeUnit.MILLISECONDS);
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/RequestFrontTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/RequestFrontTest.java
@@ -27,7 +27,7 @@
       assertThat(call.headers).containsKey("Clementineford-Request");
     }
 
-    // Guards against work for callers that no account vouches for.
+    // Guards against work for callers without a client account.
     @Test
     void refuseUnknownTokens() {
       assertRefused(entry.call("POST", CHAT, Map.of(), "{}"), 401);
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -37,7 +37,7 @@
 public final class ConfigurationAgent implements ConfigurationView {
   private static final Logger LOG = LoggerFactory.getLogger(ConfigurationAgent.class);
   // A pull that has no answer after this time does not hold up a pull from another peer.
-  private static final long PULL_PATIENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  private static final long PULL_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private final PeerNetwork network;
   private final Timeline timeline;
@@ -124,7 +124,7 @@
     exchange.finish(Payloads.acknowledgement());
     RevisionAnnounce announce = opening.getRevisionAnnounce();
     try {
-      hear(announce.getRevision(), Payloads.fromWire(announce.getSender()).address());
+      revisionAnnounced(announce.getRevision(), Payloads.fromWire(announce.getSender()).address());
     } catch (org.clementineford.kernel.errors.SettingException e) {
       LOG.warn("ignoring an announcement: {}", e.getMessage());
     }
@@ -147,7 +147,7 @@
    * @param revision revision of the peer
    * @param peer listener of the peer
    */
-  public void hear(long revision, HostPort peer) {
+  public void revisionAnnounced(long revision, HostPort peer) {
     long since;
     synchronized (this) {
       since = keeper.current().revision();
@@ -155,7 +155,7 @@
         return;
       }
       boolean waiting =
-          pullingRevision > 0 && nanoClock.nanoTime() - pullStartNanos < PULL_PATIENCE_NANOS;
+          pullingRevision > 0 && nanoClock.nanoTime() - pullStartNanos < PULL_TIMEOUT_NANOS;
       if (waiting) {
         if (revision > pullingRevision && revision > nextRevision) {
           nextRevision = revision;
@@ -189,7 +189,7 @@
       nextRevision = 0;
     }
     if (peer != null) {
-      hear(revision, peer);
+      revisionAnnounced(revision, peer);
     }
   }
 
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/DocumentOperations.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/DocumentOperations.java
@@ -35,7 +35,7 @@
    * Creates the operations.
    *
    * @param store the platform's object API
-   * @param configuration hears of each accepted change at once
+   * @param configuration learns of each accepted change at once
    * @param scheduler timers
    * @param nanoClock monotonic clock
    * @param epochClock hybrid clock in milliseconds, so that readers of the document order their
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
@@ -95,7 +95,7 @@
    * Starts to exchange.
    *
    * @param payloads router of the process
-   * @param agent agent of the configuration, which hears the revisions of peers
+   * @param agent agent of the configuration, which learns the revisions of peers
    */
   public void start(PayloadRouter payloads, ConfigurationAgent agent) {
     this.configuration = agent;
@@ -319,7 +319,7 @@
         links.remember(sender.address(), message.getTableDigest());
       }
       changed();
-      configuration.hear(message.getRevision(), sender.address());
+      configuration.revisionAnnounced(message.getRevision(), sender.address());
     } catch (SettingException e) {
       LOG.warn("ignoring statements about members: {}", e.getMessage());
     }
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/PlatformWatch.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/PlatformWatch.java
@@ -20,7 +20,7 @@
   private static final long FIRST_RETRY_MS = 200;
   private static final long LAST_RETRY_MS = 2000;
   // Peers deliver a delta within tens of milliseconds; the whole document costs up to 1 MB.
-  private static final long PEER_PATIENCE_MS = 500;
+  private static final long PEER_TIMEOUT_MS = 500;
 
   private final ObjectStore store;
   private final RevisionMark mark;
@@ -106,7 +106,7 @@
       knownVersion = Math.max(knownVersion, object.map(StoredObject::version).orElse(0L));
     }
     if (marked > own) {
-      scheduler.schedule(() -> readIfLacking(marked), PEER_PATIENCE_MS, TimeUnit.MILLISECONDS);
+      scheduler.schedule(() -> readIfLacking(marked), PEER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     } else if (object.isPresent() && marked < own && !stale) {
       // The writer stopped, or lost the platform, between the document and the mark.
       mark.raise(own);
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/RunningFetches.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/RunningFetches.java
@@ -14,10 +14,10 @@
   /**
    * Progress deadlines, or slowest successful fetches, after which one from outside is given up.
    */
-  private static final int OUTSIDE_PATIENCE = 4;
+  private static final int OUTSIDE_TIMEOUT_FACTOR = 4;
 
   /** Multiple of the deadline after which a fetch is given up although its sender sends others. */
-  private static final int QUEUE_PATIENCE = 4;
+  private static final int QUEUE_TIMEOUT_FACTOR = 4;
 
   private final SwarmView swarm;
   private final TransferLimits limits;
@@ -108,11 +108,11 @@
    * from the same sender: with five VMs, fetches waited 0.9 s for VMs that were busy and well.
    */
   private boolean isSilent(Running fetch, long now) {
-    long patience = patience(fetch.fetch.kind());
+    long timeout = timeout(fetch.fetch.kind());
     long waited = now - fetch.lastProgressNanos;
     SwarmPeer peer = sender(fetch.fetch);
-    boolean senderSilent = peer == null || now - peer.lastProgressNanos() >= patience;
-    return waited >= patience && (senderSilent || waited >= QUEUE_PATIENCE * patience);
+    boolean senderSilent = peer == null || now - peer.lastProgressNanos() >= timeout;
+    return waited >= timeout && (senderSilent || waited >= QUEUE_TIMEOUT_FACTOR * timeout);
   }
 
   /**
@@ -120,12 +120,12 @@
    * shared by many VMs, so a fetch over them waits for others and gets several deadlines, or more
    * if one that succeeded took longer.
    */
-  private long patience(SourceKind kind) {
+  private long timeout(SourceKind kind) {
     if (kind.isLocal()) {
       return limits.progressNanos();
     }
     long slowest = slowestNanos.getOrDefault(kind, 0L);
-    return OUTSIDE_PATIENCE * Math.max(limits.progressNanos(), slowest);
+    return OUTSIDE_TIMEOUT_FACTOR * Math.max(limits.progressNanos(), slowest);
   }
 
   /** Returns the chunks with one fetch that has received nothing for a while. */
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
@@ -191,11 +191,11 @@
     }
     SwarmPeer peer = swarm.find(done.peer());
     if (peer != null) {
-      punish(peer, outcome, retryAfterNanos, now);
+      penalize(peer, outcome, retryAfterNanos, now);
     }
   }
 
-  private void punish(SwarmPeer peer, FetchOutcome outcome, long retryAfterNanos, long now) {
+  private void penalize(SwarmPeer peer, FetchOutcome outcome, long retryAfterNanos, long now) {
     switch (outcome) {
       case CORRUPT, SILENT -> peer.avoid(now, limits.penaltyNanos(), limits.progressNanos());
       case BUSY -> peer.busyUntil(now + retryAfterNanos);
