Cancel superseded fetches in one way

Cause: a read of the origin whose chunk came from elsewhere was not cancelled, while one that was given up was, in code beside it. A cancelled read also ran the failure path inside the plan that had cancelled it.

One method now cancels fetches of both kinds, and cancelled reads report nothing. Ruled out: leaving superseded reads to end by themselves, which spends bytes of the origin on chunks that are held already.

--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
@@ -82,7 +82,7 @@
     }
     peerFetches.values().forEach(PeerFetch::cancel);
     peerFetches.clear();
-    List.copyOf(outsideReads.values()).forEach(read -> read.cancel(false));
+    outsideReads.values().forEach(read -> read.cancel(false));
     outsideReads.clear();
     announcer.close();
     tools.store().unpin(address);
@@ -160,13 +160,13 @@
         (bytes, failure) -> {
           if (failure == null) {
             received(fetch, bytes);
-          } else {
+          } else if (!read.isCancelled()) {
             failed(fetch, FetchOutcome.LOST, 0, 0);
           }
         });
   }
 
-  private void giveUp(Fetch fetch) {
+  private void cancel(Fetch fetch) {
     CompletableFuture<byte[]> read = outsideReads.remove(fetch.id());
     if (read != null) {
       read.cancel(false);
@@ -175,6 +175,10 @@
     if (peerFetch != null) {
       wasted(peerFetch.cancel());
     }
+  }
+
+  private void giveUp(Fetch fetch) {
+    cancel(fetch);
     tools
         .context()
         .timeline()
@@ -226,13 +230,8 @@
     peerFetches.remove(fetch.id());
     outsideReads.remove(fetch.id());
     final boolean alreadyHeld = state.held().holds(fetch.chunk());
-    for (Fetch obsolete : state.succeeded(fetch.id(), now())) {
-      PeerFetch other = peerFetches.remove(obsolete.id());
-      if (other != null) {
-        wasted(other.cancel());
-      }
-    }
-    // A read that was given up may still bring a chunk that is missing.
+    state.succeeded(fetch.id(), now()).forEach(this::cancel);
+    // The fetch may have been given up while its chunk was verified.
     state.hold(fetch.chunk());
     counts.received(fetch.kind().isPeer(), length);
     tools.metrics().received(fetch.kind().name(), length);
