--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
@@ -0,0 +1,143 @@
+package org.clementineford.gateway.internal;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** A caller's request and the way back for its answer. */
+final class CallerExchange {
+  private final CallerConnection connection;
+  private final ChannelHandlerContext context;
+  private final HttpRequest head;
+  private final byte[] body;
+  private final boolean keepAlive;
+  private boolean started;
+  private boolean ended;
+  private Runnable onGone = () -> {};
+  private Runnable onWritable = () -> {};
+
+  CallerExchange(
+      CallerConnection connection,
+      ChannelHandlerContext context,
+      HttpRequest head,
+      byte[] body,
+      boolean keepAlive) {
+    this.connection = connection;
+    this.context = context;
+    this.head = head;
+    this.body = body;
+    this.keepAlive = keepAlive;
+  }
+
+  HttpRequest head() {
+    return head;
+  }
+
+  byte[] body() {
+    return body;
+  }
+
+  void onGone(Runnable action) {
+    onGone = action;
+  }
+
+  void onWritable(Runnable action) {
+    onWritable = action;
+  }
+
+  boolean isStarted() {
+    return started;
+  }
+
+  boolean isWritable() {
+    return context.channel().isWritable();
+  }
+
+  /** Sends a whole answer. */
+  void respond(int status, HttpHeaders headers, byte[] bytes) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    DefaultFullHttpResponse response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.wrappedBuffer(bytes));
+    response.headers().add(headers);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+    final boolean close = stateConnection(response);
+    end(context.writeAndFlush(response), close);
+  }
+
+  /** Starts an answer whose body follows in parts. */
+  void start(int status, HttpHeaders headers) {
+    started = true;
+    DefaultHttpResponse response =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+    response.headers().add(headers);
+    response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    stateConnection(response);
+    context.write(response);
+  }
+
+  private boolean stateConnection(HttpResponse response) {
+    boolean close = !keepAlive || connection.isClosing();
+    if (close) {
+      response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    return close;
+  }
+
+  void write(byte[] bytes) {
+    if (!ended) {
+      context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    }
+  }
+
+  void finish() {
+    if (!ended) {
+      ended = true;
+      boolean close = !keepAlive || connection.isClosing();
+      end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), close);
+    }
+  }
+
+  /** Closes the connection, so that the caller sees that the answer is not whole. */
+  void abort() {
+    if (!ended) {
+      ended = true;
+      context.close();
+    }
+  }
+
+  private void end(ChannelFuture written, boolean close) {
+    if (close) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+    connection.ended(this, close);
+  }
+
+  void gone() {
+    if (!ended) {
+      ended = true;
+      onGone.run();
+    }
+  }
+
+  void writable() {
+    onWritable.run();
+  }
+}
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -0,0 +1,110 @@
+package org.clementineford.gateway.internal;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.serving.model.CallerLimits;
+
+/** Accepts the connections of callers. */
+final class CallerListener {
+  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int BACKLOG = 4096;
+
+  /** Callers reuse a connection for most of the limit, so it is closed only some time after it. */
+  private static final long IDLE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private final Supplier<CallerLimits> limits;
+  private final Set<CallerConnection> connections = new HashSet<>();
+  private Channel channel;
+  private boolean stopping;
+
+  CallerListener(Supplier<CallerLimits> limits) {
+    this.limits = limits;
+  }
+
+  void start(
+      EventLoopGroup eventLoops,
+      HostPort address,
+      NanoClock clock,
+      Consumer<CallerExchange> requests)
+      throws ClementinefordException {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(eventLoops)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel accepted) {
+                    accepted
+                        .pipeline()
+                        .addLast(
+                            new HttpServerCodec(8192, MAX_HEADER_BYTES, 8192),
+                            new HttpObjectAggregator(limits.get().maxBodyBytes()),
+                            new CallerConnection(CallerListener.this, requests, clock));
+                  }
+                });
+    ChannelFuture bound = bootstrap.bind(address.toSocketAddress()).awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new ClementinefordException(
+          ErrorKind.LOCAL_RESOURCE,
+          "cannot accept callers at " + address + "; free the port or set another",
+          bound.cause());
+    }
+    channel = bound.channel();
+  }
+
+  void opened(CallerConnection connection) {
+    connections.add(connection);
+  }
+
+  void closed(CallerConnection connection) {
+    connections.remove(connection);
+  }
+
+  boolean isStopping() {
+    return stopping;
+  }
+
+  /** Lets each connection end with its next answer. */
+  void beginStop() {
+    stopping = true;
+  }
+
+  void stopAccepting() {
+    channel.close();
+  }
+
+  /** Closes the connections that have been without a request for longer than the limit. */
+  void closeIdle() {
+    long limit = TimeUnit.MILLISECONDS.toNanos(limits.get().idleTimeoutMs()) + IDLE_MARGIN_NANOS;
+    closeIdle(limit);
+  }
+
+  void closeIdle(long limitNanos) {
+    for (CallerConnection connection : List.copyOf(connections)) {
+      if (connection.idleNanos() > limitNanos) {
+        connection.close();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -0,0 +1,236 @@
+package org.clementineford.gateway.internal;
+
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.gateway.AnswerHead;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.serving.model.RequestKind;
+import org.clementineford.serving.routing.AttemptOutcome;
+import org.clementineford.serving.routing.EndpointState;
+import org.clementineford.serving.streams.EventSplitter;
+import org.clementineford.serving.streams.StreamEvent;
+
+/** One send of a request to one endpoint. */
+final class EndpointAttempt implements EndpointCall {
+  /** Longest wait for the first event of a stream, in milliseconds. */
+  private static final long FIRST_EVENT_MS = 1_500;
+
+  /**
+   * Longest wait for another event, in milliseconds; callers abandon a stream after two seconds.
+   */
+  private static final long NEXT_EVENT_MS = 1_000;
+
+  /** Part of the remaining time after which an idempotent request is sent elsewhere. */
+  private static final double IDEMPOTENT_PART = 0.45;
+
+  private static final int FIRST_FAILURE_STATUS = 500;
+
+  private final RequestRun run;
+  private final RequestRouter router;
+  private final EndpointState endpoint;
+  private final boolean continuation;
+  private final EventSplitter events = new EventSplitter();
+  private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
+  private EndpointConnection connection;
+  private AnswerHead head;
+  private HttpHeaders headers;
+  private boolean streaming;
+  private boolean promptRead;
+  private boolean over;
+  private Scheduler.Cancellable silence;
+
+  EndpointAttempt(
+      RequestRun run, RequestRouter router, EndpointState endpoint, boolean continuation) {
+    this.run = run;
+    this.router = router;
+    this.endpoint = endpoint;
+    this.continuation = continuation;
+  }
+
+  EndpointState endpoint() {
+    return endpoint;
+  }
+
+  void start(FullHttpRequest request) {
+    endpoint.sent(run.promptTokens());
+    boolean repeatable = run.route().mayRunAgain();
+    if (run.route().kind() == RequestKind.STREAM) {
+      expect(FIRST_EVENT_MS);
+    } else if (repeatable && run.route().maxAttempts() > 1) {
+      expect((long) (run.remainingMs() * IDEMPOTENT_PART));
+    }
+    router.pool().send(endpoint, request, repeatable, this);
+  }
+
+  /** Gives the endpoint up if nothing arrives in time and the request may go elsewhere. */
+  private void expect(long timeoutMs) {
+    if (silence != null) {
+      silence.cancel();
+    }
+    if (!run.route().mayRunAgain()) {
+      return;
+    }
+    silence =
+        router
+            .scheduler()
+            .schedule(
+                () -> giveUp(AttemptOutcome.SILENT, "no answer in " + timeoutMs + " ms"),
+                timeoutMs,
+                TimeUnit.MILLISECONDS);
+  }
+
+  private void giveUp(AttemptOutcome outcome, String cause) {
+    if (!over) {
+      closeConnection();
+      failed(outcome, cause);
+    }
+  }
+
+  private void closeConnection() {
+    if (connection != null) {
+      connection.cancel();
+    }
+  }
+
+  /** Ends the attempt because the time of the request is over. */
+  void timedOut() {
+    if (!over) {
+      closeConnection();
+      release();
+      if (!promptRead) {
+        endpoint.failed(AttemptOutcome.SILENT, router.state().clock().nanoTime());
+      }
+    }
+  }
+
+  /** Ends the attempt because the caller left. */
+  void cancel() {
+    if (!over) {
+      closeConnection();
+      release();
+    }
+  }
+
+  void pauseReading(boolean paused) {
+    if (connection != null && !over) {
+      connection.pauseReading(paused);
+    }
+  }
+
+  private void release() {
+    over = true;
+    if (silence != null) {
+      silence.cancel();
+    }
+    readPrompt();
+    endpoint.ended();
+    router.pump(run.service());
+  }
+
+  private void readPrompt() {
+    if (!promptRead) {
+      promptRead = true;
+      endpoint.promptRead(run.promptTokens());
+    }
+  }
+
+  @Override
+  public String requestId() {
+    return run.request().id();
+  }
+
+  @Override
+  public boolean connected(EndpointConnection connection) {
+    this.connection = connection;
+    return !over;
+  }
+
+  @Override
+  public void head(AnswerHead head, HttpHeaders headers) {
+    this.head = head;
+    this.headers = headers;
+    if (run.route().kind() != RequestKind.STREAM) {
+      // Engines report their load through their VMs, which is fresher than this.
+      head.load().ifPresent(load -> endpoint.stated(load.running(), load.waiting()));
+    }
+    boolean success = head.status() / 100 == 2;
+    if (success && (!head.proven() || head.encoded())) {
+      giveUp(AttemptOutcome.BROKEN, "answer without proof or in another encoding");
+      return;
+    }
+    streaming = success && run.route().kind() == RequestKind.STREAM;
+  }
+
+  @Override
+  public void body(byte[] bytes) {
+    if (!streaming) {
+      whole.writeBytes(bytes);
+      return;
+    }
+    for (StreamEvent event : events.add(bytes)) {
+      if (over) {
+        return;
+      }
+      readPrompt();
+      expect(NEXT_EVENT_MS);
+      if (!run.exchange().isStarted()) {
+        run.startStream(head.status(), headers);
+      }
+      run.event(event.bytes(), event.identity());
+    }
+  }
+
+  @Override
+  public void end() {
+    if (over) {
+      return;
+    }
+    if (streaming) {
+      endStream();
+    } else if (head.notRun() || head.otherEndpoint()) {
+      AttemptOutcome outcome =
+          head.otherEndpoint() ? AttemptOutcome.OTHER_ENDPOINT : AttemptOutcome.REJECTED;
+      failed(outcome, "status " + head.status());
+    } else if (!head.proven()) {
+      failed(AttemptOutcome.BROKEN, "status " + head.status() + " without proof");
+    } else {
+      endWhole();
+    }
+  }
+
+  private void endWhole() {
+    boolean failure = head.status() >= FIRST_FAILURE_STATUS;
+    if (continuation || (failure && run.mayRetryFailure())) {
+      failed(AttemptOutcome.BROKEN, "status " + head.status());
+      return;
+    }
+    release();
+    endpoint.answered();
+    run.answer(head.status(), headers, whole.toByteArray(), endpoint);
+  }
+
+  private void endStream() {
+    if (events.isInsideEvent()) {
+      failed(AttemptOutcome.BROKEN, "stream ended inside an event");
+      return;
+    }
+    if (!run.exchange().isStarted()) {
+      run.startStream(head.status(), headers);
+    }
+    release();
+    endpoint.answered();
+    run.endStream(endpoint);
+  }
+
+  @Override
+  public void failed(AttemptOutcome outcome, String cause) {
+    if (over) {
+      return;
+    }
+    release();
+    endpoint.failed(outcome, router.state().clock().nanoTime());
+    run.attemptFailed(endpoint, outcome, cause);
+  }
+}
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -0,0 +1,214 @@
+package org.clementineford.gateway.internal;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.gateway.AnswerHead;
+import org.clementineford.gateway.RequestProtocol;
+import org.clementineford.serving.routing.AttemptOutcome;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A connection to one endpoint; it carries one request at a time. */
+final class EndpointConnection extends ChannelInboundHandlerAdapter {
+  private static final Logger LOG = LoggerFactory.getLogger(EndpointConnection.class);
+  private static final String KEEP_ALIVE = "keep-alive";
+  private static final String TIMEOUT_PARAMETER = "timeout=";
+
+  /**
+   * How long a kept connection is used if the endpoint states no timeout; a timeout below one
+   * second is not stated.
+   */
+  private static final long UNSTATED_IDLE_MS = 300;
+
+  /** A connection is not used for the last part of its stated timeout, in milliseconds. */
+  private static final long IDLE_MARGIN_MS = 400;
+
+  private final RequestProtocol protocol;
+  private final NanoClock clock;
+  private final EndpointPool.Owner owner;
+  private Channel channel;
+  private EndpointCall call;
+  private boolean skipping;
+  private boolean bodyStarted;
+  private boolean reusable;
+  private boolean broken;
+  private String breakCause = "connection closed";
+  private long idleLimitMs = UNSTATED_IDLE_MS;
+  private long idleSince;
+
+  EndpointConnection(RequestProtocol protocol, NanoClock clock, EndpointPool.Owner owner) {
+    this.protocol = protocol;
+    this.clock = clock;
+    this.owner = owner;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    channel = context.channel();
+  }
+
+  void send(FullHttpRequest request, EndpointCall call) {
+    this.call = call;
+    this.skipping = false;
+    this.bodyStarted = false;
+    if (call.connected(this)) {
+      channel.writeAndFlush(request);
+    } else {
+      request.release();
+      cancel();
+    }
+  }
+
+  /** Closes the connection; the call in progress hears nothing more. */
+  void cancel() {
+    call = null;
+    channel.close();
+  }
+
+  void pauseReading(boolean paused) {
+    channel.config().setAutoRead(!paused);
+  }
+
+  boolean isUsable(boolean repeatable) {
+    long idleMs = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - idleSince);
+    // A request that crosses the endpoint's close may have run, so others keep a wide margin.
+    long limitMs = repeatable ? idleLimitMs : idleLimitMs / 2;
+    return channel.isActive() && idleMs < limitMs;
+  }
+
+  void close() {
+    channel.close();
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    try {
+      HttpObject object = (HttpObject) message;
+      if (object.decoderResult().isFailure()) {
+        fail(AttemptOutcome.BROKEN, "malformed response: " + object.decoderResult().cause());
+      } else if (call == null) {
+        // Bytes that belong to no request.
+        owner.discard(this);
+        channel.close();
+      } else {
+        if (object instanceof HttpResponse response) {
+          readHead(response);
+        }
+        if (object instanceof HttpContent content) {
+          readBody(content);
+        }
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void readHead(HttpResponse response) {
+    AnswerHead head = protocol.decode(response);
+    boolean other = head.requestId().map(id -> !id.equals(call.requestId())).orElse(false);
+    if (head.status() < 200 || other) {
+      if (other) {
+        LOG.atWarn()
+            .addKeyValue("request", call.requestId())
+            .addKeyValue("answered", head.requestId().orElse(""))
+            .log("response to another request skipped");
+      }
+      skipping = true;
+      return;
+    }
+    reusable =
+        HttpUtil.isKeepAlive(response)
+            && (HttpUtil.isTransferEncodingChunked(response)
+                || HttpUtil.isContentLengthSet(response));
+    readIdleLimit(response.headers());
+    bodyStarted = true;
+    call.head(head, response.headers());
+  }
+
+  private void readIdleLimit(HttpHeaders headers) {
+    String value = headers.get(KEEP_ALIVE);
+    idleLimitMs = UNSTATED_IDLE_MS;
+    if (value == null) {
+      return;
+    }
+    for (String part : value.split(",")) {
+      String parameter = part.strip();
+      if (parameter.startsWith(TIMEOUT_PARAMETER)) {
+        try {
+          long seconds = Long.parseLong(parameter.substring(TIMEOUT_PARAMETER.length()));
+          idleLimitMs = Math.max(UNSTATED_IDLE_MS, seconds * 1000 - IDLE_MARGIN_MS);
+        } catch (NumberFormatException e) {
+          LOG.debug("keep-alive timeout {} cannot be read; it is taken as not stated", parameter);
+        }
+      }
+    }
+  }
+
+  private void readBody(HttpContent content) {
+    boolean last = content instanceof LastHttpContent;
+    if (skipping) {
+      skipping = !last;
+      return;
+    }
+    if (!bodyStarted || call == null) {
+      return;
+    }
+    if (content.content().isReadable()) {
+      call.body(ByteBufUtil.getBytes(content.content()));
+    }
+    if (last && call != null) {
+      if (broken) {
+        fail(AttemptOutcome.BROKEN, breakCause);
+      } else {
+        finish();
+      }
+    }
+  }
+
+  private void finish() {
+    EndpointCall done = call;
+    call = null;
+    idleSince = clock.nanoTime();
+    if (reusable && channel.isActive()) {
+      owner.keep(this);
+    } else {
+      channel.close();
+    }
+    done.end();
+  }
+
+  private void fail(AttemptOutcome outcome, String cause) {
+    EndpointCall failed = call;
+    call = null;
+    owner.discard(this);
+    channel.close();
+    if (failed != null) {
+      failed.failed(outcome, cause);
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    // A body without a length ends with its connection, and is not whole after a reset.
+    broken = true;
+    breakCause = String.valueOf(cause.getMessage());
+    context.close();
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    fail(AttemptOutcome.BROKEN, breakCause);
+  }
+}
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointPool.java
@@ -0,0 +1,120 @@
+package org.clementineford.gateway.internal;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.gateway.RequestProtocol;
+import org.clementineford.serving.routing.AttemptOutcome;
+import org.clementineford.serving.routing.EndpointState;
+
+/** Connections to endpoints, kept between requests. Used by one thread. */
+final class EndpointPool {
+  /** Longest time to connect; links within and between regions take a few milliseconds. */
+  private static final int CONNECT_TIMEOUT_MS = 500;
+
+  private final EventLoopGroup eventLoops;
+  private final RequestProtocol protocol;
+  private final NanoClock clock;
+  private final Map<EndpointState, Owner> owners = new HashMap<>();
+
+  EndpointPool(EventLoopGroup eventLoops, RequestProtocol protocol, NanoClock clock) {
+    this.eventLoops = eventLoops;
+    this.protocol = protocol;
+    this.clock = clock;
+  }
+
+  /** Sends a request over a kept connection or a new one. */
+  void send(
+      EndpointState endpoint, FullHttpRequest request, boolean repeatable, EndpointCall call) {
+    Owner owner = owners.computeIfAbsent(endpoint, key -> new Owner());
+    EndpointConnection kept = owner.take(repeatable);
+    if (kept != null) {
+      kept.send(request, call);
+    } else {
+      connect(endpoint, owner, request, call);
+    }
+  }
+
+  private void connect(
+      EndpointState endpoint, Owner owner, FullHttpRequest request, EndpointCall call) {
+    EndpointConnection connection = new EndpointConnection(protocol, clock, owner);
+    new Bootstrap()
+        .group(eventLoops)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpResponseDecoder(), new HttpRequestEncoder(), connection);
+              }
+            })
+        .connect(endpoint.endpoint().address().toSocketAddress())
+        .addListener(
+            (ChannelFuture connected) -> {
+              if (connected.isSuccess()) {
+                connection.send(request, call);
+              } else {
+                request.release();
+                call.failed(AttemptOutcome.NOT_CONNECTED, connected.cause().getMessage());
+              }
+            });
+  }
+
+  /** Closes the idle connections to an endpoint that is no longer used. */
+  void remove(EndpointState endpoint) {
+    Owner owner = owners.remove(endpoint);
+    if (owner != null) {
+      owner.closeIdle();
+    }
+  }
+
+  /** The idle connections to one endpoint, the one used last in front. */
+  final class Owner {
+    private final ArrayDeque<EndpointConnection> idle = new ArrayDeque<>();
+    private boolean removed;
+
+    EndpointConnection take(boolean repeatable) {
+      EndpointConnection connection = idle.peekFirst();
+      if (connection != null && connection.isUsable(repeatable)) {
+        return idle.pollFirst();
+      }
+      return null;
+    }
+
+    void keep(EndpointConnection connection) {
+      if (removed) {
+        connection.close();
+      } else {
+        idle.addFirst(connection);
+      }
+    }
+
+    void discard(EndpointConnection connection) {
+      idle.remove(connection);
+    }
+
+    void closeIdle() {
+      removed = true;
+      List<EndpointConnection> all = new ArrayList<>(idle);
+      idle.clear();
+      all.forEach(EndpointConnection::close);
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -0,0 +1,110 @@
+package org.clementineford.gateway.internal;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.serving.model.EngineProfile;
+import org.clementineford.serving.queueing.WaitingQueue;
+import org.clementineford.serving.queueing.WaitingRequest;
+import org.clementineford.serving.routing.EndpointState;
+import org.clementineford.serving.routing.EngineModel;
+import org.clementineford.serving.routing.Placement;
+
+/** Requests of one service that wait at this entry VM until an engine has a free slot. */
+final class EngineQueue {
+  /** Smallest share of the engines that this entry VM counts on. */
+  private static final double SMALLEST_SHARE = 0.05;
+
+  private final GatewayState state;
+  private final String service;
+  private final WaitingQueue<RequestRun> queue = new WaitingQueue<>();
+
+  EngineQueue(GatewayState state, String service) {
+    this.state = state;
+    this.service = service;
+  }
+
+  /** Sends a request to an engine, lets it wait, or refuses it. */
+  void submit(RequestRun run, EngineProfile profile) {
+    if (queue.size() == 0) {
+      Optional<EndpointState> engine = place(run, profile);
+      if (engine.isPresent()) {
+        run.send(engine.get());
+        return;
+      }
+    }
+    WaitingRequest<RequestRun> request = run.waiting(costMs(run, profile));
+    OptionalDouble refusal =
+        state
+            .admission()
+            .refuse(queue.costMs() + request.costMs(), ownEngines(), run.remainingMs());
+    if (refusal.isPresent()) {
+      run.refuse(Ending.OVERLOADED, refusal.getAsDouble());
+      return;
+    }
+    queue.add(request);
+    pump(profile);
+  }
+
+  private double costMs(RequestRun run, EngineProfile profile) {
+    double passes = Math.max(1, run.answerTokens(profile) / profile.stepsPerPass());
+    return EngineModel.readMs(profile, run.promptTokens())
+        + passes * EngineModel.passMs(profile, profile.slots()) / profile.slots();
+  }
+
+  private Optional<EndpointState> place(RequestRun run, EngineProfile profile) {
+    long now = state.clock().nanoTime();
+    List<EndpointState> engines = state.endpoints().ofService(service);
+    return state
+        .placement()
+        .engine(
+            engines, run.tried(), profile, run.promptTokens(), state.versions().minimum(now), now);
+  }
+
+  /** Returns the engines that work for this entry VM, by its share of their requests. */
+  private double ownEngines() {
+    long now = state.clock().nanoTime();
+    long minimum = state.versions().minimum(now);
+    int engines = 0;
+    int load = 0;
+    int own = 0;
+    for (EndpointState engine : state.endpoints().ofService(service)) {
+      if (engine.acceptsRequests() && Placement.isServing(engine, minimum)) {
+        engines++;
+        load += engine.load();
+        own += engine.outstanding();
+      }
+    }
+    double share = load == 0 ? 1 : Math.max(SMALLEST_SHARE, (double) own / load);
+    return engines * share;
+  }
+
+  /** Sends waiting requests while engines have free slots. */
+  void pump(EngineProfile profile) {
+    long now = state.clock().nanoTime();
+    for (WaitingRequest<RequestRun> hopeless : queue.removeHopeless(now)) {
+      hopeless.item().refuse(Ending.NOT_SENT_IN_TIME, state.admission().retryAfterSeconds(0));
+    }
+    while (queue.size() > 0) {
+      long firstEvent = (long) (2 * EngineModel.passMs(profile, profile.slots()));
+      Optional<WaitingRequest<RequestRun>> next =
+          queue.poll(now, TimeUnit.MILLISECONDS.toNanos(firstEvent));
+      RequestRun run = next.get().item();
+      Optional<EndpointState> engine = place(run, profile);
+      if (engine.isEmpty()) {
+        queue.add(next.get());
+        return;
+      }
+      run.send(engine.get());
+    }
+  }
+
+  void remove(RequestRun run) {
+    queue.remove(run);
+  }
+
+  int size() {
+    return queue.size();
+  }
+}
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -0,0 +1,250 @@
+package org.clementineford.gateway.internal;
+
+import io.netty.channel.EventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.fleet.VmSettings;
+import org.clementineford.gateway.RequestProtocol;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.serving.model.CallerLimits;
+import org.clementineford.serving.model.Endpoint;
+import org.clementineford.serving.model.RoutingConfiguration;
+import org.clementineford.serving.model.Service;
+import org.clementineford.serving.routing.EndpointState;
+import org.clementineford.serving.routing.LoadReport;
+import org.clementineford.wire.EngineReport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Callers on one side, endpoints on the other. Used by one thread, but for {@link #running}. */
+public final class Gateway {
+  private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
+  /** Time without a report after which the last one no longer counts. */
+  private static final long REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  private final GatewayState state;
+  private final EventLoopGroup eventLoops;
+  private final NanoClock clock;
+  private final EndpointPool pool;
+  private final RequestRouter router;
+  private final CallerListener listener;
+  private final Map<String, EndpointState> enginesByHost = new HashMap<>();
+  private final Map<EndpointState, Long> reportedAt = new HashMap<>();
+  private List<Endpoint> listed = List.of();
+  private boolean stopping;
+  private volatile int running;
+
+  /**
+   * Creates a gateway.
+   *
+   * @param settings settings of the VM
+   * @param protocol headers of requests
+   * @param eventLoops a group of one thread
+   * @param scheduler timers on that thread
+   * @param clock monotonic clock
+   * @param random numbers of at least 0 and below 1
+   * @param configurationAge time since the configuration was proven to be current, in nanoseconds
+   * @param entryVms number of entry VMs that share common limits
+   * @param registry registry of metrics
+   */
+  public Gateway(
+      VmSettings settings,
+      RequestProtocol protocol,
+      EventLoopGroup eventLoops,
+      Scheduler scheduler,
+      NanoClock clock,
+      DoubleSupplier random,
+      LongSupplier configurationAge,
+      IntSupplier entryVms,
+      PrometheusRegistry registry) {
+    this.state = new GatewayState(settings, clock, random, entryVms);
+    this.eventLoops = eventLoops;
+    this.clock = clock;
+    this.pool = new EndpointPool(eventLoops, protocol, clock);
+    this.router =
+        new RequestRouter(
+            state, protocol, pool, scheduler, configurationAge, new RequestMetrics(registry));
+    this.listener =
+        new CallerListener(
+            () ->
+                state.configuration() == null
+                    ? CallerLimits.DEFAULT
+                    : state.configuration().limits());
+  }
+
+  /**
+   * Starts to accept callers.
+   *
+   * @param address where they connect
+   * @throws ClementinefordException if the address cannot be used
+   */
+  public void start(HostPort address) throws ClementinefordException {
+    listener.start(eventLoops, address, clock, this::accept);
+  }
+
+  private void accept(CallerExchange exchange) {
+    router.accept(exchange);
+    running = router.running();
+  }
+
+  /**
+   * Tells whether callers should be sent here.
+   *
+   * @return false before a configuration and endpoints are known, and while stopping
+   */
+  public boolean isReady() {
+    return !stopping && state.configuration() != null && !listed.isEmpty();
+  }
+
+  /**
+   * Puts a configuration into force unless a newer one is.
+   *
+   * @param configuration the configuration
+   */
+  public void configure(RoutingConfiguration configuration) {
+    if (state.configure(configuration)) {
+      LOG.atInfo().addKeyValue("version", configuration.version()).log("configuration in force");
+      indexEngines();
+      router.pumpAll();
+    }
+  }
+
+  /**
+   * Takes in the listed endpoints.
+   *
+   * @param endpoints all endpoints
+   */
+  public void endpointsChanged(Collection<Endpoint> endpoints) {
+    listed = List.copyOf(endpoints);
+    for (EndpointState removed : state.endpoints().update(listed)) {
+      pool.remove(removed);
+      reportedAt.remove(removed);
+      LOG.atInfo().addKeyValue("endpoint", removed.endpoint()).log("endpoint gone");
+    }
+    indexEngines();
+    router.pumpAll();
+  }
+
+  private void indexEngines() {
+    enginesByHost.clear();
+    for (EndpointState endpoint : state.endpoints().all()) {
+      if (isEngine(endpoint.endpoint())) {
+        enginesByHost.put(endpoint.endpoint().address().host(), endpoint);
+      }
+    }
+  }
+
+  private boolean isEngine(Endpoint endpoint) {
+    return state.configuration() != null
+        && state.configuration().service(endpoint.service()).flatMap(Service::engine).isPresent();
+  }
+
+  /**
+   * Returns the engines that are listed.
+   *
+   * @return listed endpoints of services with an engine profile
+   */
+  public List<Endpoint> engines() {
+    expireReports();
+    List<Endpoint> engines = new ArrayList<>();
+    enginesByHost.values().forEach(engine -> engines.add(engine.endpoint()));
+    return engines;
+  }
+
+  private void expireReports() {
+    long now = clock.nanoTime();
+    reportedAt
+        .entrySet()
+        .removeIf(
+            entry -> {
+              boolean old = now - entry.getValue() > REPORT_NANOS;
+              if (old) {
+                entry.getKey().reported(LoadReport.NONE);
+                LOG.atInfo()
+                    .addKeyValue("endpoint", entry.getKey().endpoint().id())
+                    .log("reports stopped; the listing counts");
+              }
+              return old;
+            });
+  }
+
+  /**
+   * Takes in the report of an endpoint VM.
+   *
+   * @param host address of the VM
+   * @param report the report
+   */
+  public void reported(String host, EngineReport report) {
+    long now = clock.nanoTime();
+    if (report.getTargetVersion() > 0) {
+      state
+          .versions()
+          .named(
+              report.getTargetVersion(),
+              now - TimeUnit.MILLISECONDS.toNanos(report.getTargetAgeMs()));
+    }
+    EndpointState engine = enginesByHost.get(host);
+    if (engine == null || report.getNumber() <= engine.report().number()) {
+      return;
+    }
+    if (engine.weightVersion() != report.getWeightVersion()) {
+      LOG.atInfo()
+          .addKeyValue("endpoint", engine.endpoint().id())
+          .addKeyValue("weights", report.getWeightVersion())
+          .log("engine reports other weights");
+    }
+    reportedAt.put(engine, now);
+    engine.reported(
+        new LoadReport(
+            report.getIncarnation(),
+            report.getNumber(),
+            report.getWeightVersion(),
+            report.isChangingVersion(),
+            report.getRunning(),
+            report.getWaiting(),
+            report.getPace()));
+    router.pump(engine.endpoint().service());
+  }
+
+  /** Closes connections of callers that have been idle for too long. */
+  public void closeIdle() {
+    running = router.running();
+    listener.closeIdle();
+  }
+
+  /** Asks callers to go elsewhere; requests are still served. */
+  public void beginStop() {
+    stopping = true;
+    listener.beginStop();
+  }
+
+  /** Takes no new connections and closes those without a request. */
+  public void stopAccepting() {
+    listener.stopAccepting();
+    listener.closeIdle(0);
+    running = router.running();
+    eventLoops.scheduleWithFixedDelay(
+        () -> running = router.running(), 10, 10, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Returns the requests in progress. May be called from any thread.
+   *
+   * @return number of requests without a final answer
+   */
+  public int running() {
+    return running;
+  }
+}
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/HopHeaders.java
@@ -0,0 +1,43 @@
+package org.clementineford.gateway.internal;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.List;
+
+/**
+ * Headers that concern one connection only.
+ *
+ * <p>Source: RFC 9110, section 7.6.1.
+ */
+final class HopHeaders {
+  private static final List<CharSequence> NAMES =
+      List.of(
+          HttpHeaderNames.CONNECTION,
+          "keep-alive",
+          "proxy-connection",
+          HttpHeaderNames.PROXY_AUTHENTICATE,
+          HttpHeaderNames.PROXY_AUTHORIZATION,
+          HttpHeaderNames.TE,
+          HttpHeaderNames.TRAILER,
+          HttpHeaderNames.TRANSFER_ENCODING,
+          HttpHeaderNames.UPGRADE,
+          HttpHeaderNames.EXPECT,
+          HttpHeaderNames.CONTENT_LENGTH);
+
+  private HopHeaders() {}
+
+  /** Copies all headers but those of the connection and the length of the body. */
+  static HttpHeaders without(HttpHeaders headers) {
+    HttpHeaders copy = new DefaultHttpHeaders().add(headers);
+    for (String value : headers.getAll(HttpHeaderNames.CONNECTION)) {
+      for (String name : value.split(",")) {
+        if (!name.isBlank()) {
+          copy.remove(name.strip());
+        }
+      }
+    }
+    NAMES.forEach(copy::remove);
+    return copy;
+  }
+}
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestMetrics.java
@@ -0,0 +1,50 @@
+package org.clementineford.gateway.internal;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.clementineford.serving.routing.AttemptOutcome;
+
+/** Counters and latency histograms of requests. */
+final class RequestMetrics {
+  private static final double MILLIS_PER_SECOND = 1000;
+  private static final double[] BOUNDS = {0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8};
+
+  private final Counter requests;
+  private final Counter attempts;
+  private final Histogram latency;
+
+  RequestMetrics(PrometheusRegistry registry) {
+    requests =
+        Counter.builder()
+            .name("clementineford_entry_requests_total")
+            .help("Requests by how they ended")
+            .labelNames("ending")
+            .register(registry);
+    attempts =
+        Counter.builder()
+            .name("clementineford_entry_failed_attempts_total")
+            .help("Sends to endpoints that brought no answer, by outcome")
+            .labelNames("outcome")
+            .register(registry);
+    latency =
+        Histogram.builder()
+            .name("clementineford_entry_first_answer_seconds")
+            .help("Time until an answer or its first event was passed on")
+            .classicOnly()
+            .classicUpperBounds(BOUNDS)
+            .register(registry);
+  }
+
+  void ended(String ending) {
+    requests.labelValues(ending).inc();
+  }
+
+  void failed(AttemptOutcome outcome) {
+    attempts.labelValues(outcome.name()).inc();
+  }
+
+  void answered(long firstMs) {
+    latency.observe(firstMs / MILLIS_PER_SECOND);
+  }
+}
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Connections and requests of the entry VM. Not for use outside of this bundle. */
+package org.clementineford.gateway.internal;
--- /dev/null
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/WeightDigests.java
@@ -0,0 +1,17 @@
+package org.clementineford.replica;
+
+import java.util.List;
+
+/**
+ * Digests of one version of a model.
+ *
+ * @param model name of the model
+ * @param version the version
+ * @param digests SHA-256 of each chunk in hexadecimal, in lower case
+ */
+public record WeightDigests(String model, long version, List<String> digests) {
+  /** Copies the digests. */
+  public WeightDigests {
+    digests = List.copyOf(digests);
+  }
+}
--- /dev/null
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
@@ -0,0 +1,39 @@
+package org.clementineford.replica.internal;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * When an engine leaves its present weights for new ones. Engines take turns within the bound of a
+ * named version, so that the service keeps most of its engines while all of them change.
+ */
+final class ActivationSchedule {
+  /** Part of the bound before which no engine changes; transfers take about this long. */
+  private static final double FIRST_PART = 0.4;
+
+  /** Part of the bound at which the last engine begins to change. */
+  private static final double LAST_PART = 0.75;
+
+  private final long boundNanos;
+
+  ActivationSchedule(long boundMs) {
+    this.boundNanos = TimeUnit.MILLISECONDS.toNanos(boundMs);
+  }
+
+  /**
+   * Returns the earliest time to begin.
+   *
+   * @param namedAt when the version was learnt, monotonic nanoseconds
+   * @param rank place of this engine among those of the service, from 0
+   * @param engines number of engines of the service
+   * @param serving true if the engine has weights that it may still answer from
+   * @return monotonic nanoseconds
+   */
+  long beginAt(long namedAt, int rank, int engines, boolean serving) {
+    if (!serving) {
+      return namedAt;
+    }
+    double turn = engines <= 1 ? 0 : (double) rank / (engines - 1);
+    double part = FIRST_PART + (LAST_PART - FIRST_PART) * turn;
+    return namedAt + (long) (part * boundNanos);
+  }
+}
--- /dev/null
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -0,0 +1,343 @@
+package org.clementineford.replica.internal;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.replica.EngineStatus;
+import org.clementineford.replica.LocalEngine;
+import org.clementineford.replica.WeightDigests;
+import org.clementineford.weights.RendezvousHash;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Brings the named version to the engine of this VM: transfer, staging, then the order to load. An
+ * engine that restarted empty gets its version again. Used by one thread.
+ */
+final class WeightRollout {
+  private static final Logger LOG = LoggerFactory.getLogger(WeightRollout.class);
+
+  /** Versions kept for peers that are still fetching them. */
+  private static final int KEPT_VERSIONS = 3;
+
+  /** Part of a transfer from which it is completed before the next version begins. */
+  private static final double WORTH_COMPLETING = 0.3;
+
+  /** Time for entry VMs to learn that this engine takes no requests, in milliseconds. */
+  private static final long NOTICE_MS = 120;
+
+  /** Time until an order that has no effect yet is given again, in milliseconds. */
+  private static final long ORDER_RETRY_MS = 400;
+
+  private static final long DIGESTS_RETRY_MS = 300;
+
+  /** Chunks staged at once. */
+  private static final int STAGING_AT_ONCE = 8;
+
+  private final ReplicaTools tools;
+  private final LocalEngine engine;
+  private final ActivationSchedule schedule;
+  private final TreeMap<Long, ChunkTransfer> transfers = new TreeMap<>();
+  private final Runnable onChanging;
+  private String model;
+  private long target;
+  private long targetAt;
+  private EngineStatus status = EngineStatus.UNREACHABLE;
+  private List<VmIdentity> peers = List.of();
+  private boolean digestsPending;
+  private boolean activating;
+  private boolean changing;
+  private long orderedVersion;
+  private long orderedAt;
+
+  WeightRollout(
+      ReplicaTools tools, LocalEngine engine, ActivationSchedule schedule, Runnable onChanging) {
+    this.tools = tools;
+    this.engine = engine;
+    this.schedule = schedule;
+    this.onChanging = onChanging;
+  }
+
+  long target() {
+    return target;
+  }
+
+  String model() {
+    return model;
+  }
+
+  int targetAgeMs() {
+    return (int)
+        Math.min(
+            Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(tools.clock().nanoTime() - targetAt));
+  }
+
+  boolean isChanging() {
+    return changing;
+  }
+
+  EngineStatus status() {
+    return status;
+  }
+
+  /** Notes the model of the engine's service, whose newest version counts until one is named. */
+  void setModel(String serviceModel) {
+    if (model == null) {
+      model = serviceModel;
+      proceed();
+    }
+  }
+
+  /** Notes the model and version that the engine should have. */
+  void named(String namedModel, long version, long namedAt) {
+    if (version <= target) {
+      if (version == target && namedAt - targetAt < 0) {
+        targetAt = namedAt;
+      }
+      return;
+    }
+    model = namedModel;
+    target = version;
+    targetAt = namedAt;
+    LOG.atInfo()
+        .addKeyValue("model", namedModel)
+        .addKeyValue("version", version)
+        .log("version of weights named");
+    proceed();
+  }
+
+  void setPeers(Collection<VmIdentity> listed) {
+    peers = List.copyOf(listed);
+    transfers.values().forEach(transfer -> transfer.setPeers(peers));
+  }
+
+  void peerHolds(VmIdentity peer, long version, byte[] bitmap) {
+    ChunkTransfer transfer = transfers.get(version);
+    if (transfer != null && !transfer.isWhole()) {
+      transfer.peerHolds(peer, bitmap);
+    }
+  }
+
+  /** Returns the transfers that peers may fetch from. */
+  Collection<ChunkTransfer> transfers() {
+    return transfers.values();
+  }
+
+  byte[] chunk(String wantedModel, long version, int number) {
+    ChunkTransfer transfer = transfers.get(version);
+    return transfer == null || !wantedModel.equals(model) ? null : transfer.chunk(number);
+  }
+
+  /** Runs an action when an upload of that many bytes should have left the VM's link. */
+  void afterUpload(int bytes, Runnable action) {
+    long bytesPerSecond = Math.max(1, tools.limits().regionLinkBytesPerSecond());
+    tools.scheduler().schedule(action, bytes * 1000L / bytesPerSecond, TimeUnit.MILLISECONDS);
+  }
+
+  void statusChanged(EngineStatus next) {
+    boolean restarted = next.incarnation() != status.incarnation();
+    if (restarted || next.weightVersion() != status.weightVersion()) {
+      LOG.atInfo()
+          .addKeyValue("incarnation", next.incarnation())
+          .addKeyValue("weights", next.weightVersion())
+          .log("engine state changed");
+    }
+    if (restarted) {
+      orderedVersion = 0;
+    }
+    status = next;
+    if (changing && !activating && status.weightVersion() >= orderedVersion && !status.busy()) {
+      setChanging(false);
+    }
+    proceed();
+  }
+
+  private void setChanging(boolean next) {
+    if (changing != next) {
+      changing = next;
+      onChanging.run();
+    }
+  }
+
+  /** Starts what is due next. Called after each event and with each report of the engine. */
+  void proceed() {
+    if (model == null) {
+      return;
+    }
+    ChunkTransfer newest = transfers.isEmpty() ? null : transfers.lastEntry().getValue();
+    boolean completing =
+        newest != null && !newest.isWhole() && newest.progress() >= WORTH_COMPLETING;
+    boolean missing = newest == null || newest.digests().version() < target;
+    if (missing && !completing && !digestsPending) {
+      readDigests();
+    }
+    activateIfDue();
+  }
+
+  private void readDigests() {
+    var origin = tools.origin().get();
+    if (origin == null) {
+      return;
+    }
+    digestsPending = true;
+    long wanted = target;
+    tools
+        .weights()
+        .digests(origin, model, wanted == 0 ? OptionalLong.empty() : OptionalLong.of(wanted))
+        .whenComplete(
+            (digests, failure) -> {
+              if (failure == null) {
+                digestsPending = false;
+                begin(digests);
+              } else {
+                LOG.atWarn()
+                    .addKeyValue("version", wanted)
+                    .addKeyValue("reason", failure.getMessage())
+                    .log("digests not read");
+                tools
+                    .scheduler()
+                    .schedule(
+                        () -> {
+                          digestsPending = false;
+                          proceed();
+                        },
+                        DIGESTS_RETRY_MS,
+                        TimeUnit.MILLISECONDS);
+              }
+            });
+  }
+
+  private void begin(WeightDigests digests) {
+    if (digests.version() > target) {
+      named(digests.model(), digests.version(), tools.clock().nanoTime());
+    }
+    if (transfers.containsKey(digests.version())) {
+      return;
+    }
+    ChunkTransfer previous = transfers.isEmpty() ? null : transfers.lastEntry().getValue();
+    if (previous != null && !previous.isWhole()) {
+      previous.stop();
+    }
+    transfers.put(
+        digests.version(), new ChunkTransfer(tools, digests, peers, previous, this::proceed));
+    while (transfers.size() > KEPT_VERSIONS) {
+      transfers.pollFirstEntry().getValue().stop();
+    }
+    proceed();
+  }
+
+  private void activateIfDue() {
+    ChunkTransfer whole = newestWhole();
+    if (whole == null || activating || status.busy() || status == EngineStatus.UNREACHABLE) {
+      return;
+    }
+    long version = whole.digests().version();
+    long now = tools.clock().nanoTime();
+    boolean ordered =
+        orderedVersion == version
+            && now - orderedAt < TimeUnit.MILLISECONDS.toNanos(ORDER_RETRY_MS);
+    if (status.weightVersion() >= version || ordered) {
+      return;
+    }
+    boolean serving = status.weightVersion() > 0;
+    long beginAt = schedule.beginAt(targetAt, rank(version), peers.size() + 1, serving);
+    if (now - beginAt < 0 && version == target) {
+      return;
+    }
+    activating = true;
+    if (serving) {
+      setChanging(true);
+      tools.scheduler().schedule(() -> stage(whole), NOTICE_MS, TimeUnit.MILLISECONDS);
+    } else {
+      stage(whole);
+    }
+  }
+
+  private ChunkTransfer newestWhole() {
+    for (ChunkTransfer transfer : transfers.descendingMap().values()) {
+      if (transfer.isWhole()) {
+        return transfer;
+      }
+    }
+    return null;
+  }
+
+  private int rank(long version) {
+    long seed = RendezvousHash.seed(model + "/" + version);
+    long own = RendezvousHash.weight(RendezvousHash.seed(tools.self().vm()), seed);
+    int rank = 0;
+    for (VmIdentity peer : peers) {
+      if (RendezvousHash.weight(RendezvousHash.seed(peer.vm()), seed) > own) {
+        rank++;
+      }
+    }
+    return rank;
+  }
+
+  /**
+   * Stages all chunks right before the order, since staged bytes may turn bad as they lie and the
+   * engine does not check them.
+   */
+  private void stage(ChunkTransfer transfer) {
+    List<byte[]> all = transfer.all();
+    stageFrom(transfer, all, 0);
+  }
+
+  private void stageFrom(ChunkTransfer transfer, List<byte[]> all, int first) {
+    if (first >= all.size()) {
+      order(transfer);
+      return;
+    }
+    List<CompletableFuture<Void>> group = new ArrayList<>();
+    for (int i = first; i < Math.min(all.size(), first + STAGING_AT_ONCE); i++) {
+      group.add(engine.stage(model, i, all.get(i)));
+    }
+    CompletableFuture.allOf(group.toArray(new CompletableFuture<?>[0]))
+        .whenComplete(
+            (done, failure) -> {
+              if (failure == null) {
+                stageFrom(transfer, all, first + STAGING_AT_ONCE);
+              } else {
+                activationFailed("staging", failure);
+              }
+            });
+  }
+
+  private void order(ChunkTransfer transfer) {
+    long version = transfer.digests().version();
+    engine
+        .load(model, version)
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                activationFailed("order", failure);
+                return;
+              }
+              activating = false;
+              orderedVersion = version;
+              orderedAt = tools.clock().nanoTime();
+              LOG.atInfo().addKeyValue("version", version).log("engine loads weights");
+            });
+  }
+
+  private void activationFailed(String step, Throwable failure) {
+    LOG.atWarn()
+        .addKeyValue("step", step)
+        .addKeyValue("reason", failure.getMessage())
+        .log("activation failed, to be tried again");
+    tools
+        .scheduler()
+        .schedule(
+            () -> {
+              activating = false;
+              setChanging(false);
+            },
+            NOTICE_MS,
+            TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/package-info.java
@@ -0,0 +1,2 @@
+/** Copies of the platform's objects that each process keeps. */
+package org.clementineford.serving.directory;
--- /dev/null
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/model/package-info.java
@@ -0,0 +1,2 @@
+/** Immutable descriptions of configuration, endpoints and requests. */
+package org.clementineford.serving.model;
--- /dev/null
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointHealth.java
@@ -0,0 +1,63 @@
+package org.clementineford.serving.routing;
+
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Whether an endpoint should get requests, judged by the outcomes of earlier ones. An endpoint that
+ * fails gets none for a while and then one trial. It answers endpoints that die silently and those
+ * that fail part of their requests while their health probe is good.
+ */
+final class EndpointHealth {
+  /** Weight of the newest outcome in the failure score. */
+  private static final double SMOOTHING = 0.25;
+
+  /** Failure score from which an endpoint is set aside; two failures in a row reach it. */
+  private static final double FAILING_SCORE = 0.4;
+
+  private static final long FIRST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+  private static final long LONGEST_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(8_000);
+
+  private double score;
+  private long pauseNanos = FIRST_PAUSE_NANOS;
+  private long setAsideUntil;
+  private boolean setAside;
+  private boolean trialRunning;
+
+  void sent() {
+    trialRunning = setAside;
+  }
+
+  void answered() {
+    score *= 1 - SMOOTHING;
+    trialRunning = false;
+    setAside = false;
+    if (score < FAILING_SCORE / 2) {
+      pauseNanos = FIRST_PAUSE_NANOS;
+    }
+  }
+
+  void released() {
+    trialRunning = false;
+  }
+
+  void failed(AttemptOutcome outcome, long now) {
+    trialRunning = false;
+    if (outcome.blame() == 0) {
+      return;
+    }
+    score += SMOOTHING * outcome.blame() * (1 - score);
+    if (outcome.blame() >= 1 || score >= FAILING_SCORE || setAside) {
+      setAside = true;
+      setAsideUntil = now + pauseNanos;
+      pauseNanos = Math.min(2 * pauseNanos, LONGEST_PAUSE_NANOS);
+    }
+  }
+
+  boolean isUsable(long now) {
+    return !setAside || (now - setAsideUntil >= 0 && !trialRunning);
+  }
+
+  double score() {
+    return score;
+  }
+}
--- /dev/null
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/streams/package-info.java
@@ -0,0 +1,2 @@
+/** Event streams. */
+package org.clementineford.serving.streams;
--- /dev/null
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -0,0 +1,65 @@
+// Messages between entry VMs and endpoint VMs on the platform. A datagram holds one
+// FleetDatagram; the bodies of HTTP calls between the VMs are the other structs.
+// All ages are milliseconds on the sender's monotonic clock.
+namespace java org.clementineford.wire
+
+// An entry VM that wants the load reports of an engine.
+struct ReportSubscription { 1: string vm }
+
+// Load and weights of the engine on the sender's VM.
+struct EngineReport {
+  1: i64 incarnation, // start of the engine, Unix ms; 0 if the engine does not state it
+  2: i64 weightVersion, // version that answers requests; 0 for none
+  3: i64 targetVersion, // newest version that the sender knows; 0 for none
+  4: i32 targetAgeMs, // time since the sender learnt of the target
+  5: bool changingVersion, // requests should go elsewhere until this is false
+  6: i32 running,
+  7: i32 waiting,
+  8: i64 memoryUsed, // tokens
+  9: i64 memoryTotal, // tokens
+  10: double pace, // above 1 if the engine is slower than its profile
+  11: i64 number, // increases with each report of one incarnation of the sender
+}
+
+// Chunks of one version that the sender holds and serves.
+struct ChunkHoldings {
+  1: string vm,
+  2: string model,
+  3: i64 version,
+  4: i32 chunks,
+  5: binary bitmap,
+  6: i64 senderIncarnation,
+  7: string dataCentre,
+  8: string region,
+  9: string address,
+}
+
+union FleetDatagram {
+  1: ReportSubscription subscription,
+  2: EngineReport report,
+  3: ChunkHoldings holdings,
+}
+
+struct DirectoryObject {
+  1: string name,
+  2: i64 revision,
+  3: binary content, // as the platform encodes it
+}
+
+// The sender's copy of one kind of platform objects.
+struct DirectoryCopy {
+  1: string kind,
+  2: i64 revision, // of the platform when this copy was current
+  3: i64 provenAgeMs, // the copy was current this long ago
+  4: list<DirectoryObject> objects, // absent if the copy is not newer than the receiver's
+}
+
+struct DirectoryCopies {
+  1: list<DirectoryCopy> copies,
+  2: list<string> entryVms, // addresses of the entry VMs that the sender knows
+}
+
+struct ChunkDigests {
+  1: i64 version,
+  2: list<string> digests, // SHA-256 in hexadecimal
+}
