Announce whole copies of earlier versions, seed from staged chunks

VMs whose engine already served the version fetched it again.

Ruled out: the origin's link, which sent 3.6 copies in 18 s.

--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/LocalEngine.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/LocalEngine.java
@@ -1,5 +1,6 @@
 package org.clementineford.replica;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
 /**
@@ -24,6 +25,15 @@
    */
   CompletableFuture<Void> stage(String model, int chunk, byte[] bytes);
 
+  /**
+   * Reads a staged chunk back.
+   *
+   * @param model name of the model
+   * @param chunk number of the chunk
+   * @return the bytes, not verified; empty if none are staged
+   */
+  CompletableFuture<Optional<byte[]>> staged(String model, int chunk);
+
   /**
    * Orders the engine to load what is staged.
    *
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
@@ -50,6 +50,7 @@
       WeightDigests digests,
       Collection<VmIdentity> peers,
       ChunkTransfer reusable,
+      Map<Integer, byte[]> staged,
       Runnable onWhole) {
     this.tools = tools;
     this.digests = digests;
@@ -64,6 +65,7 @@
             DistributionPolicy.FEWEST_ORIGIN_BYTES,
             tools.limits());
     reuse(reusable);
+    staged.forEach(this::reuse);
     state.setMembers(peers);
     timer =
         tools
@@ -76,6 +78,13 @@
         .log("transfer started");
   }
 
+  private void reuse(int chunk, byte[] bytes) {
+    if (Digests.sha256Hex(bytes).equals(digests.digests().get(chunk))) {
+      chunks[chunk] = bytes;
+      state.hold(chunk);
+    }
+  }
+
   private void reuse(ChunkTransfer other) {
     if (other == null) {
       return;
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -306,9 +306,6 @@
   /** Tells the other endpoint VMs which chunks they can fetch here. */
   private void announce() {
     for (ChunkTransfer transfer : rollout.transfers()) {
-      if (transfer.digests().version() < rollout.target() && transfer.isWhole()) {
-        continue;
-      }
       if (!isAnnouncementDue(transfer)) {
         continue;
       }
@@ -334,7 +331,7 @@
     long version = transfer.digests().version();
     int held = (int) Math.round(transfer.progress() * transfer.chunkCount());
     long now = clock.nanoTime();
-    long quiet = TimeUnit.MILLISECONDS.toNanos(transfer.isWhole() ? 2_000 : 300);
+    long quiet = TimeUnit.MILLISECONDS.toNanos(transfer.isWhole() ? 1_000 : 300);
     Integer before = announced.get(version);
     if (before != null && before == held && now - announcedAt.get(version) < quiet) {
       return false;
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
@@ -192,8 +195,7 @@
         .whenComplete(
             (digests, failure) -> {
               if (failure == null) {
-                digestsPending = false;
-                begin(digests);
+                readStaged(digests);
               } else {
                 LOG.atWarn()
                     .addKeyValue("version", wanted)
@@ -212,7 +214,48 @@
             });
   }
 
-  private void begin(WeightDigests digests) {
+  /**
+   * Reads what is staged at the engine, if that may be the version; an engine that restarted, or
+   * whose VM's process did, then needs no transfer, and serves peers that do.
+   */
+  private void readStaged(WeightDigests digests) {
+    if (status.weightVersion() != digests.version() && status.weightVersion() != 0) {
+      begin(digests, Map.of());
+      return;
+    }
+    readStaged(digests, new HashMap<>(), 0);
+  }
+
+  private void readStaged(WeightDigests digests, Map<Integer, byte[]> staged, int first) {
+    int end = Math.min(digests.digests().size(), first + STAGING_AT_ONCE);
+    List<CompletableFuture<Optional<byte[]>>> group = new ArrayList<>();
+    for (int i = first; i < end; i++) {
+      group.add(engine.staged(digests.model(), i));
+    }
+    CompletableFuture.allOf(group.toArray(new CompletableFuture<?>[0]))
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                LOG.atInfo()
+                    .addKeyValue("reason", failure.getMessage())
+                    .log("staged chunks not read; they are fetched");
+                begin(digests, staged);
+                return;
+              }
+              for (int i = first; i < end; i++) {
+                int chunk = i;
+                group.get(i - first).join().ifPresent(bytes -> staged.put(chunk, bytes));
+              }
+              if (end < digests.digests().size() && staged.size() > first) {
+                readStaged(digests, staged, end);
+              } else {
+                begin(digests, staged);
+              }
+            });
+  }
+
+  private void begin(WeightDigests digests, Map<Integer, byte[]> staged) {
+    digestsPending = false;
     if (digests.version() > target) {
       named(digests.model(), digests.version(), tools.clock().nanoTime());
     }
@@ -224,7 +267,7 @@
       previous.stop();
     }
     transfers.put(
-        digests.version(), new ChunkTransfer(tools, digests, peers, previous, this::proceed));
+        digests.version(), new ChunkTransfer(tools, digests, peers, previous, staged, this::proceed));
     while (transfers.size() > KEPT_VERSIONS) {
       transfers.pollFirstEntry().getValue().stop();
     }
