Pace uploads of chunks by the link of the VM, start from a class archive

Cause: upload slots were freed as if each upload had the link alone, so fetches queued for more than a second, were given up as silent and their bytes were lost.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/VmSettings.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/VmSettings.java
@@ -21,6 +21,7 @@
  * @param engineAddress engine on this VM; empty on entry VMs
  * @param engineService service of that engine; empty on entry VMs
  * @param platformAddress address of the platform's object API
+ * @param linkBytesPerSecond rate of the VM's link
  * @param bounds times and ratios that the deployment states
  */
 public record VmSettings(
@@ -36,6 +37,7 @@
     Optional<HostPort> engineAddress,
     String engineService,
     HostPort platformAddress,
+    long linkBytesPerSecond,
     Bounds bounds) {
   /** Copies the collections. */
   public VmSettings {
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
@@ -37,7 +37,7 @@
   /**
    * Starts a process.
    *
-   * @param arguments {@code entry} or {@code endpoint}
+   * @param arguments {@code entry} or {@code endpoint}; the build uses {@code load-classes}
    */
   public static void main(String[] arguments) {
     LogConfiguration.apply(System.getenv());
@@ -58,8 +58,12 @@
     if (arguments.length != 1) {
       throw new SettingException(USAGE);
     }
-    VmSettings settings = SettingsFile.read(environment);
     EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    if (arguments[0].equals("load-classes")) {
+      ClassArchive.loadClasses(eventLoops);
+      return;
+    }
+    VmSettings settings = SettingsFile.read(environment);
     switch (arguments[0]) {
       case "entry" -> startEntryVm(settings, eventLoops);
       case "endpoint" -> startEndpointVm(settings, eventLoops);
@@ -68,7 +72,7 @@
     Signal.handle(new Signal("HUP"), signal -> reload(settings, environment));
   }
 
-  private static void startEntryVm(VmSettings settings, EventLoopGroup eventLoops)
+  static void startEntryVm(VmSettings settings, EventLoopGroup eventLoops)
       throws ClementinefordException {
     NanoClock clock = SystemNanoClock.INSTANCE;
     EntryVm vm =
@@ -86,7 +90,7 @@
     Runtime.getRuntime().addShutdownHook(new Thread(vm::stop, "stop"));
   }
 
-  private static void startEndpointVm(VmSettings settings, EventLoopGroup eventLoops)
+  static void startEndpointVm(VmSettings settings, EventLoopGroup eventLoops)
       throws ClementinefordException {
     EndpointVm vm =
         new EndpointVm(
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkServer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkServer.java
@@ -8,7 +8,7 @@
   private static final String ROOT = "/chunks/";
 
   /** Uploads at once; more would only share the VM's link. */
-  private static final int UPLOADS = 6;
+  private static final int UPLOADS = 4;
 
   private final WeightRollout rollout;
   private int uploads;
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
@@ -28,7 +28,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(ChunkTransfer.class);
 
   /** A fetch without any byte for this long is given up, in milliseconds. */
-  private static final long SILENCE_MS = 1_500;
+  private static final long SILENCE_MS = 2_000;
 
   private static final int BUSY_STATUS = 503;
   private static final int ABSENT_STATUS = 404;
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -58,8 +58,24 @@
   private static final long SUBSCRIPTION_NANOS = TimeUnit.SECONDS.toNanos(3);
   private static final int MAX_PEER_BODY_BYTES = 1 << 16;
 
-  /** Link of an endpoint VM in bytes per second, used to pace uploads. */
-  private static final long LINK_BYTES_PER_SECOND = 600_000;
+  /**
+   * Limits of transfers over links that send a chunk in about 40 ms. A fetch waits behind at most a
+   * few others at its peer, so one that takes seconds has lost its connection.
+   */
+  private static final TransferLimits LIMITS =
+      new TransferLimits(
+          8,
+          3,
+          2,
+          2,
+          4,
+          4,
+          24,
+          TimeUnit.MILLISECONDS.toNanos(50),
+          TimeUnit.MILLISECONDS.toNanos(2_500),
+          TimeUnit.SECONDS.toNanos(3),
+          0,
+          TimeUnit.MILLISECONDS.toNanos(500));
 
   private final VmSettings settings;
   private final DirectoryDecoder decoder;
@@ -130,8 +146,8 @@
             client,
             weights,
             () -> origin,
-            TransferLimits.DEFAULT.with(
-                TransferLimits.DEFAULT.uploadSlots(), LINK_BYTES_PER_SECOND));
+            LIMITS,
+            settings.linkBytesPerSecond());
     this.rollout =
         new WeightRollout(
             tools, engine, new ActivationSchedule(settings.bounds().versionMs()), this::report);
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ReplicaTools.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ReplicaTools.java
@@ -19,6 +19,7 @@
  * @param weights the origin of weights
  * @param origin address of the origin; null while it is not known
  * @param limits limits of transfers
+ * @param linkBytesPerSecond rate of this VM's link
  */
 record ReplicaTools(
     VmIdentity self,
@@ -27,4 +28,5 @@
     HttpClient client,
     WeightOrigin weights,
     Supplier<HostPort> origin,
-    TransferLimits limits) {}
+    TransferLimits limits,
+    long linkBytesPerSecond) {}
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -57,6 +57,7 @@
   private boolean changing;
   private long orderedVersion;
   private long orderedAt;
+  private long linkFreeAt;
 
   WeightRollout(
       ReplicaTools tools, LocalEngine engine, ActivationSchedule schedule, Runnable onChanging) {
@@ -138,8 +139,10 @@
 
   /** Runs an action when an upload of that many bytes should have left the VM's link. */
   void afterUpload(int bytes, Runnable action) {
-    long bytesPerSecond = Math.max(1, tools.limits().regionLinkBytesPerSecond());
-    tools.scheduler().schedule(action, bytes * 1000L / bytesPerSecond, TimeUnit.MILLISECONDS);
+    long now = tools.clock().nanoTime();
+    long start = linkFreeAt - now > 0 ? linkFreeAt : now;
+    linkFreeAt = start + bytes * TimeUnit.SECONDS.toNanos(1) / tools.linkBytesPerSecond();
+    tools.scheduler().schedule(action, linkFreeAt - now, TimeUnit.NANOSECONDS);
   }
 
   void statusChanged(EngineStatus next) {
