Send chunks one at a time and fetch few at once

Cause: the engine's answers leave over the same 5.11 Mbit/s link as chunks, so events of streams waited behind several chunks for more than 120 ms and counted as late: 75 to 218 of about 260 requests in each two seconds of a transfer, at a median first event of 110 to 260 ms.

Open: one JVM of 26 ended at its start with SIGILL in read() of the C library; not seen before and not traced.

--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkServer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkServer.java
@@ -1,20 +1,40 @@
 package org.clementineford.replica.internal;
 
+import java.util.ArrayDeque;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.Scheduler;
 import org.clementineford.transport.http.HttpExchange;
 
-/** Gives verified chunks to peers. */
+/**
+ * Gives verified chunks to peers, one at a time and slower than the VM's link. The engine's answers
+ * leave over the same link, and an event of a stream must not wait behind several chunks.
+ */
 final class ChunkServer {
   private static final String ROOT = "/chunks/";
 
-  /** Uploads at once; more would only share the VM's link. */
-  private static final int UPLOADS = 4;
+  /** Part of the link that chunks may use; the engine's answers need a small part. */
+  private static final double LINK_PART = 0.85;
+
+  /** Requests that wait for their turn; further peers are asked to go elsewhere. */
+  private static final int MAX_WAITING = 6;
 
   private final WeightRollout rollout;
-  private int uploads;
+  private final Scheduler scheduler;
+  private final NanoClock clock;
+  private final double nanosPerByte;
+  private final ArrayDeque<Upload> waiting = new ArrayDeque<>();
+  private long linkFreeAt;
+  private boolean timerSet;
 
-  ChunkServer(WeightRollout rollout) {
+  ChunkServer(
+      WeightRollout rollout, Scheduler scheduler, NanoClock clock, long linkBytesPerSecond) {
     this.rollout = rollout;
+    this.scheduler = scheduler;
+    this.clock = clock;
+    this.nanosPerByte = TimeUnit.SECONDS.toNanos(1) / (LINK_PART * linkBytesPerSecond);
+    this.linkFreeAt = clock.nanoTime();
   }
 
   static String path(String model, long version, int chunk) {
@@ -25,13 +45,33 @@
     byte[] bytes = find(exchange.request().path());
     if (bytes == null) {
       exchange.respond(404, Map.of(), new byte[0]);
-    } else if (uploads >= UPLOADS) {
+    } else if (waiting.size() >= MAX_WAITING) {
       exchange.respond(503, Map.of(), new byte[0]);
     } else {
-      uploads++;
-      exchange.respond(200, Map.of(), bytes);
-      rollout.afterUpload(bytes.length, () -> uploads--);
+      waiting.add(new Upload(exchange, bytes));
+      send();
+    }
+  }
+
+  private void send() {
+    long now = clock.nanoTime();
+    if (waiting.isEmpty() || timerSet) {
+      return;
     }
+    if (linkFreeAt - now > 0) {
+      timerSet = true;
+      scheduler.schedule(this::linkFree, linkFreeAt - now, TimeUnit.NANOSECONDS);
+      return;
+    }
+    Upload upload = waiting.poll();
+    linkFreeAt = now + (long) (upload.bytes.length * nanosPerByte);
+    upload.exchange.respond(200, Map.of(), upload.bytes);
+    send();
+  }
+
+  private void linkFree() {
+    timerSet = false;
+    send();
   }
 
   private byte[] find(String path) {
@@ -48,4 +88,6 @@
       return null;
     }
   }
+
+  private record Upload(HttpExchange exchange, byte[] bytes) {}
 }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -52,6 +52,9 @@
   private static final long STATUS_MS = 100;
   private static final long ANNOUNCE_MS = 100;
 
+  /** Announcements of which one also goes to other regions, since links between them are narrow. */
+  private static final int FAR_ANNOUNCEMENTS = 4;
+
   /** Reports are repeated this often, since any datagram may be lost. */
   private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -60,14 +63,15 @@
 
   /**
    * Limits of transfers over links that send a chunk in about 40 ms. A fetch waits behind at most a
-   * few others at its peer, so one that takes seconds has lost its connection.
+   * few others at its peer, so one that takes seconds has lost its connection. Few fetches run at
+   * once, since requests for the engine arrive over the same link.
    */
   private static final TransferLimits LIMITS =
       new TransferLimits(
-          8,
-          3,
-          2,
           2,
+          1,
+          1,
+          1,
           4,
           4,
           24,
@@ -97,6 +101,7 @@
   private EngineReport lastReport;
   private long reportedAt;
   private long reports;
+  private long announcements;
   private boolean statusPending;
 
   /**
@@ -146,12 +151,12 @@
             client,
             weights,
             () -> origin,
-            LIMITS,
-            settings.linkBytesPerSecond());
+            LIMITS);
     this.rollout =
         new WeightRollout(
             tools, engine, new ActivationSchedule(settings.bounds().versionMs()), this::report);
-    this.chunkServer = new ChunkServer(rollout);
+    this.chunkServer =
+        new ChunkServer(rollout, scheduler, clock, settings.linkBytesPerSecond());
   }
 
   /** Returns the identity of an endpoint VM; its address names it, as no other list does. */
@@ -269,8 +274,10 @@
     } else if (datagram.isSetHoldings()) {
       ChunkHoldings holdings = datagram.getHoldings();
       rollout.named(holdings.getModel(), holdings.getVersion(), clock.nanoTime());
-      VmIdentity peer = identity(sender.host(), holdings.getDataCentre(), holdings.getRegion());
-      rollout.peerHolds(peer, holdings.getVersion(), holdings.getBitmap());
+      VmIdentity peer = replicas.get(sender.host());
+      if (peer != null) {
+        rollout.peerHolds(peer, holdings.getVersion(), holdings.getBitmap());
+      }
     }
   }
 
@@ -321,6 +328,7 @@
 
   /** Tells the other endpoint VMs which chunks they can fetch here. */
   private void announce() {
+    announcements++;
     for (ChunkTransfer transfer : rollout.transfers()) {
       if (!isAnnouncementDue(transfer)) {
         continue;
@@ -328,17 +336,16 @@
       FleetDatagram datagram = new FleetDatagram();
       datagram.setHoldings(
           new ChunkHoldings()
-              .setVm(settings.vm())
               .setModel(rollout.model())
               .setVersion(transfer.digests().version())
               .setChunks(transfer.chunkCount())
-              .setBitmap(transfer.bitmap())
-              .setSenderIncarnation(incarnation)
-              .setDataCentre(settings.dataCentre())
-              .setRegion(settings.region())
-              .setAddress(settings.peerAddress().toString()));
+              .setBitmap(transfer.bitmap()));
       for (VmIdentity replica : replicas.values()) {
-        datagrams.send(new HostPort(replica.vm(), settings.datagramAddress().port()), datagram);
+        boolean near = replica.region().equals(settings.region());
+        if (near || transfer.isWhole() || announcements % FAR_ANNOUNCEMENTS == 0) {
+          datagrams.send(
+              new HostPort(replica.vm(), settings.datagramAddress().port()), datagram);
+        }
       }
     }
   }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ReplicaTools.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ReplicaTools.java
@@ -19,7 +19,6 @@
  * @param weights the origin of weights
  * @param origin address of the origin; null while it is not known
  * @param limits limits of transfers
- * @param linkBytesPerSecond rate of this VM's link
  */
 record ReplicaTools(
     VmIdentity self,
@@ -28,5 +27,4 @@
     HttpClient client,
     WeightOrigin weights,
     Supplier<HostPort> origin,
-    TransferLimits limits,
-    long linkBytesPerSecond) {}
+    TransferLimits limits) {}
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -57,7 +57,6 @@
   private boolean changing;
   private long orderedVersion;
   private long orderedAt;
-  private long linkFreeAt;
 
   WeightRollout(
       ReplicaTools tools, LocalEngine engine, ActivationSchedule schedule, Runnable onChanging) {
@@ -137,14 +136,6 @@
     return transfer == null || !wantedModel.equals(model) ? null : transfer.chunk(number);
   }
 
-  /** Runs an action when an upload of that many bytes should have left the VM's link. */
-  void afterUpload(int bytes, Runnable action) {
-    long now = tools.clock().nanoTime();
-    long start = linkFreeAt - now > 0 ? linkFreeAt : now;
-    linkFreeAt = start + bytes * TimeUnit.SECONDS.toNanos(1) / tools.linkBytesPerSecond();
-    tools.scheduler().schedule(action, linkFreeAt - now, TimeUnit.NANOSECONDS);
-  }
-
   void statusChanged(EngineStatus next) {
     boolean restarted = next.incarnation() != status.incarnation();
     if (restarted || next.weightVersion() != status.weightVersion()) {
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/ChunkHoldings.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/ChunkHoldings.java
@@ -10,40 +10,25 @@
 public class ChunkHoldings implements org.apache.thrift.TBase<ChunkHoldings, ChunkHoldings._Fields>, java.io.Serializable, Cloneable, Comparable<ChunkHoldings> {
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("ChunkHoldings");
 
-  private static final org.apache.thrift.protocol.TField VM_FIELD_DESC = new org.apache.thrift.protocol.TField("vm", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC = new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short)2);
-  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)3);
-  private static final org.apache.thrift.protocol.TField CHUNKS_FIELD_DESC = new org.apache.thrift.protocol.TField("chunks", org.apache.thrift.protocol.TType.I32, (short)4);
-  private static final org.apache.thrift.protocol.TField BITMAP_FIELD_DESC = new org.apache.thrift.protocol.TField("bitmap", org.apache.thrift.protocol.TType.STRING, (short)5);
-  private static final org.apache.thrift.protocol.TField SENDER_INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("senderIncarnation", org.apache.thrift.protocol.TType.I64, (short)6);
-  private static final org.apache.thrift.protocol.TField DATA_CENTRE_FIELD_DESC = new org.apache.thrift.protocol.TField("dataCentre", org.apache.thrift.protocol.TType.STRING, (short)7);
-  private static final org.apache.thrift.protocol.TField REGION_FIELD_DESC = new org.apache.thrift.protocol.TField("region", org.apache.thrift.protocol.TType.STRING, (short)8);
-  private static final org.apache.thrift.protocol.TField ADDRESS_FIELD_DESC = new org.apache.thrift.protocol.TField("address", org.apache.thrift.protocol.TType.STRING, (short)9);
+  private static final org.apache.thrift.protocol.TField MODEL_FIELD_DESC = new org.apache.thrift.protocol.TField("model", org.apache.thrift.protocol.TType.STRING, (short)1);
+  private static final org.apache.thrift.protocol.TField VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("version", org.apache.thrift.protocol.TType.I64, (short)2);
+  private static final org.apache.thrift.protocol.TField CHUNKS_FIELD_DESC = new org.apache.thrift.protocol.TField("chunks", org.apache.thrift.protocol.TType.I32, (short)3);
+  private static final org.apache.thrift.protocol.TField BITMAP_FIELD_DESC = new org.apache.thrift.protocol.TField("bitmap", org.apache.thrift.protocol.TType.STRING, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new ChunkHoldingsStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new ChunkHoldingsTupleSchemeFactory();
 
-  public @org.apache.thrift.annotation.Nullable java.lang.String vm; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String model; // required
   public long version; // required
   public int chunks; // required
   public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer bitmap; // required
-  public long senderIncarnation; // required
-  public @org.apache.thrift.annotation.Nullable java.lang.String dataCentre; // required
-  public @org.apache.thrift.annotation.Nullable java.lang.String region; // required
-  public @org.apache.thrift.annotation.Nullable java.lang.String address; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
-    VM((short)1, "vm"),
-    MODEL((short)2, "model"),
-    VERSION((short)3, "version"),
-    CHUNKS((short)4, "chunks"),
-    BITMAP((short)5, "bitmap"),
-    SENDER_INCARNATION((short)6, "senderIncarnation"),
-    DATA_CENTRE((short)7, "dataCentre"),
-    REGION((short)8, "region"),
-    ADDRESS((short)9, "address");
+    MODEL((short)1, "model"),
+    VERSION((short)2, "version"),
+    CHUNKS((short)3, "chunks"),
+    BITMAP((short)4, "bitmap");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -59,24 +44,14 @@
     @org.apache.thrift.annotation.Nullable
     public static _Fields findByThriftId(int fieldId) {
       switch(fieldId) {
-        case 1: // VM
-          return VM;
-        case 2: // MODEL
+        case 1: // MODEL
           return MODEL;
-        case 3: // VERSION
+        case 2: // VERSION
           return VERSION;
-        case 4: // CHUNKS
+        case 3: // CHUNKS
           return CHUNKS;
-        case 5: // BITMAP
+        case 4: // BITMAP
           return BITMAP;
-        case 6: // SENDER_INCARNATION
-          return SENDER_INCARNATION;
-        case 7: // DATA_CENTRE
-          return DATA_CENTRE;
-        case 8: // REGION
-          return REGION;
-        case 9: // ADDRESS
-          return ADDRESS;
         default:
           return null;
       }
@@ -122,13 +97,10 @@
   // isset id assignments
   private static final int __VERSION_ISSET_ID = 0;
   private static final int __CHUNKS_ISSET_ID = 1;
-  private static final int __SENDERINCARNATION_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
-    tmpMap.put(_Fields.VM, new org.apache.thrift.meta_data.FieldMetaData("vm", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.MODEL, new org.apache.thrift.meta_data.FieldMetaData("model", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.VERSION, new org.apache.thrift.meta_data.FieldMetaData("version", org.apache.thrift.TFieldRequirementType.DEFAULT, 
@@ -137,14 +109,6 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I32)));
     tmpMap.put(_Fields.BITMAP, new org.apache.thrift.meta_data.FieldMetaData("bitmap", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
-    tmpMap.put(_Fields.SENDER_INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("senderIncarnation", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
-    tmpMap.put(_Fields.DATA_CENTRE, new org.apache.thrift.meta_data.FieldMetaData("dataCentre", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.REGION, new org.apache.thrift.meta_data.FieldMetaData("region", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.ADDRESS, new org.apache.thrift.meta_data.FieldMetaData("address", org.apache.thrift.TFieldRequirementType.DEFAULT, 
-        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(ChunkHoldings.class, metaDataMap);
   }
@@ -153,29 +117,18 @@
   }
 
   public ChunkHoldings(
-    java.lang.String vm,
     java.lang.String model,
     long version,
     int chunks,
-    java.nio.ByteBuffer bitmap,
-    long senderIncarnation,
-    java.lang.String dataCentre,
-    java.lang.String region,
-    java.lang.String address)
+    java.nio.ByteBuffer bitmap)
   {
     this();
-    this.vm = vm;
     this.model = model;
     this.version = version;
     setVersionIsSet(true);
     this.chunks = chunks;
     setChunksIsSet(true);
     this.bitmap = org.apache.thrift.TBaseHelper.copyBinary(bitmap);
-    this.senderIncarnation = senderIncarnation;
-    setSenderIncarnationIsSet(true);
-    this.dataCentre = dataCentre;
-    this.region = region;
-    this.address = address;
   }
 
   /**
@@ -183,9 +136,6 @@
    */
   public ChunkHoldings(ChunkHoldings other) {
     __isset_bitfield = other.__isset_bitfield;
-    if (other.isSetVm()) {
-      this.vm = other.vm;
-    }
     if (other.isSetModel()) {
       this.model = other.model;
     }
@@ -194,16 +144,6 @@
     if (other.isSetBitmap()) {
       this.bitmap = org.apache.thrift.TBaseHelper.copyBinary(other.bitmap);
     }
-    this.senderIncarnation = other.senderIncarnation;
-    if (other.isSetDataCentre()) {
-      this.dataCentre = other.dataCentre;
-    }
-    if (other.isSetRegion()) {
-      this.region = other.region;
-    }
-    if (other.isSetAddress()) {
-      this.address = other.address;
-    }
   }
 
   @Override
@@ -213,43 +153,12 @@
 
   @Override
   public void clear() {
-    this.vm = null;
     this.model = null;
     setVersionIsSet(false);
     this.version = 0;
     setChunksIsSet(false);
     this.chunks = 0;
     this.bitmap = null;
-    setSenderIncarnationIsSet(false);
-    this.senderIncarnation = 0;
-    this.dataCentre = null;
-    this.region = null;
-    this.address = null;
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getVm() {
-    return this.vm;
-  }
-
-  public ChunkHoldings setVm(@org.apache.thrift.annotation.Nullable java.lang.String vm) {
-    this.vm = vm;
-    return this;
-  }
-
-  public void unsetVm() {
-    this.vm = null;
-  }
-
-  /** Returns true if field vm is set (has been assigned a value) and false otherwise */
-  public boolean isSetVm() {
-    return this.vm != null;
-  }
-
-  public void setVmIsSet(boolean value) {
-    if (!value) {
-      this.vm = null;
-    }
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -357,115 +266,9 @@
     }
   }
 
-  public long getSenderIncarnation() {
-    return this.senderIncarnation;
-  }
-
-  public ChunkHoldings setSenderIncarnation(long senderIncarnation) {
-    this.senderIncarnation = senderIncarnation;
-    setSenderIncarnationIsSet(true);
-    return this;
-  }
-
-  public void unsetSenderIncarnation() {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SENDERINCARNATION_ISSET_ID);
-  }
-
-  /** Returns true if field senderIncarnation is set (has been assigned a value) and false otherwise */
-  public boolean isSetSenderIncarnation() {
-    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SENDERINCARNATION_ISSET_ID);
-  }
-
-  public void setSenderIncarnationIsSet(boolean value) {
-    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SENDERINCARNATION_ISSET_ID, value);
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getDataCentre() {
-    return this.dataCentre;
-  }
-
-  public ChunkHoldings setDataCentre(@org.apache.thrift.annotation.Nullable java.lang.String dataCentre) {
-    this.dataCentre = dataCentre;
-    return this;
-  }
-
-  public void unsetDataCentre() {
-    this.dataCentre = null;
-  }
-
-  /** Returns true if field dataCentre is set (has been assigned a value) and false otherwise */
-  public boolean isSetDataCentre() {
-    return this.dataCentre != null;
-  }
-
-  public void setDataCentreIsSet(boolean value) {
-    if (!value) {
-      this.dataCentre = null;
-    }
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getRegion() {
-    return this.region;
-  }
-
-  public ChunkHoldings setRegion(@org.apache.thrift.annotation.Nullable java.lang.String region) {
-    this.region = region;
-    return this;
-  }
-
-  public void unsetRegion() {
-    this.region = null;
-  }
-
-  /** Returns true if field region is set (has been assigned a value) and false otherwise */
-  public boolean isSetRegion() {
-    return this.region != null;
-  }
-
-  public void setRegionIsSet(boolean value) {
-    if (!value) {
-      this.region = null;
-    }
-  }
-
-  @org.apache.thrift.annotation.Nullable
-  public java.lang.String getAddress() {
-    return this.address;
-  }
-
-  public ChunkHoldings setAddress(@org.apache.thrift.annotation.Nullable java.lang.String address) {
-    this.address = address;
-    return this;
-  }
-
-  public void unsetAddress() {
-    this.address = null;
-  }
-
-  /** Returns true if field address is set (has been assigned a value) and false otherwise */
-  public boolean isSetAddress() {
-    return this.address != null;
-  }
-
-  public void setAddressIsSet(boolean value) {
-    if (!value) {
-      this.address = null;
-    }
-  }
-
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
-    case VM:
-      if (value == null) {
-        unsetVm();
-      } else {
-        setVm((java.lang.String)value);
-      }
-      break;
-
     case MODEL:
       if (value == null) {
         unsetModel();
@@ -502,38 +305,6 @@
       }
       break;
 
-    case SENDER_INCARNATION:
-      if (value == null) {
-        unsetSenderIncarnation();
-      } else {
-        setSenderIncarnation((java.lang.Long)value);
-      }
-      break;
-
-    case DATA_CENTRE:
-      if (value == null) {
-        unsetDataCentre();
-      } else {
-        setDataCentre((java.lang.String)value);
-      }
-      break;
-
-    case REGION:
-      if (value == null) {
-        unsetRegion();
-      } else {
-        setRegion((java.lang.String)value);
-      }
-      break;
-
-    case ADDRESS:
-      if (value == null) {
-        unsetAddress();
-      } else {
-        setAddress((java.lang.String)value);
-      }
-      break;
-
     }
   }
 
@@ -541,9 +312,6 @@
   @Override
   public java.lang.Object getFieldValue(_Fields field) {
     switch (field) {
-    case VM:
-      return getVm();
-
     case MODEL:
       return getModel();
 
@@ -556,18 +324,6 @@
     case BITMAP:
       return getBitmap();
 
-    case SENDER_INCARNATION:
-      return getSenderIncarnation();
-
-    case DATA_CENTRE:
-      return getDataCentre();
-
-    case REGION:
-      return getRegion();
-
-    case ADDRESS:
-      return getAddress();
-
     }
     throw new java.lang.IllegalStateException();
   }
@@ -580,8 +336,6 @@
     }
 
     switch (field) {
-    case VM:
-      return isSetVm();
     case MODEL:
       return isSetModel();
     case VERSION:
@@ -590,14 +344,6 @@
       return isSetChunks();
     case BITMAP:
       return isSetBitmap();
-    case SENDER_INCARNATION:
-      return isSetSenderIncarnation();
-    case DATA_CENTRE:
-      return isSetDataCentre();
-    case REGION:
-      return isSetRegion();
-    case ADDRESS:
-      return isSetAddress();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -615,15 +361,6 @@
     if (this == that)
       return true;
 
-    boolean this_present_vm = true && this.isSetVm();
-    boolean that_present_vm = true && that.isSetVm();
-    if (this_present_vm || that_present_vm) {
-      if (!(this_present_vm && that_present_vm))
-        return false;
-      if (!this.vm.equals(that.vm))
-        return false;
-    }
-
     boolean this_present_model = true && this.isSetModel();
     boolean that_present_model = true && that.isSetModel();
     if (this_present_model || that_present_model) {
@@ -660,42 +397,6 @@
         return false;
     }
 
-    boolean this_present_senderIncarnation = true;
-    boolean that_present_senderIncarnation = true;
-    if (this_present_senderIncarnation || that_present_senderIncarnation) {
-      if (!(this_present_senderIncarnation && that_present_senderIncarnation))
-        return false;
-      if (this.senderIncarnation != that.senderIncarnation)
-        return false;
-    }
-
-    boolean this_present_dataCentre = true && this.isSetDataCentre();
-    boolean that_present_dataCentre = true && that.isSetDataCentre();
-    if (this_present_dataCentre || that_present_dataCentre) {
-      if (!(this_present_dataCentre && that_present_dataCentre))
-        return false;
-      if (!this.dataCentre.equals(that.dataCentre))
-        return false;
-    }
-
-    boolean this_present_region = true && this.isSetRegion();
-    boolean that_present_region = true && that.isSetRegion();
-    if (this_present_region || that_present_region) {
-      if (!(this_present_region && that_present_region))
-        return false;
-      if (!this.region.equals(that.region))
-        return false;
-    }
-
-    boolean this_present_address = true && this.isSetAddress();
-    boolean that_present_address = true && that.isSetAddress();
-    if (this_present_address || that_present_address) {
-      if (!(this_present_address && that_present_address))
-        return false;
-      if (!this.address.equals(that.address))
-        return false;
-    }
-
     return true;
   }
 
@@ -703,10 +404,6 @@
   public int hashCode() {
     int hashCode = 1;
 
-    hashCode = hashCode * 8191 + ((isSetVm()) ? 131071 : 524287);
-    if (isSetVm())
-      hashCode = hashCode * 8191 + vm.hashCode();
-
     hashCode = hashCode * 8191 + ((isSetModel()) ? 131071 : 524287);
     if (isSetModel())
       hashCode = hashCode * 8191 + model.hashCode();
@@ -719,20 +416,6 @@
     if (isSetBitmap())
       hashCode = hashCode * 8191 + bitmap.hashCode();
 
-    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(senderIncarnation);
-
-    hashCode = hashCode * 8191 + ((isSetDataCentre()) ? 131071 : 524287);
-    if (isSetDataCentre())
-      hashCode = hashCode * 8191 + dataCentre.hashCode();
-
-    hashCode = hashCode * 8191 + ((isSetRegion()) ? 131071 : 524287);
-    if (isSetRegion())
-      hashCode = hashCode * 8191 + region.hashCode();
-
-    hashCode = hashCode * 8191 + ((isSetAddress()) ? 131071 : 524287);
-    if (isSetAddress())
-      hashCode = hashCode * 8191 + address.hashCode();
-
     return hashCode;
   }
 
@@ -744,16 +427,6 @@
 
     int lastComparison = 0;
 
-    lastComparison = java.lang.Boolean.compare(isSetVm(), other.isSetVm());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetVm()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.vm, other.vm);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     lastComparison = java.lang.Boolean.compare(isSetModel(), other.isSetModel());
     if (lastComparison != 0) {
       return lastComparison;
@@ -794,46 +467,6 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetSenderIncarnation(), other.isSetSenderIncarnation());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetSenderIncarnation()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.senderIncarnation, other.senderIncarnation);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetDataCentre(), other.isSetDataCentre());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetDataCentre()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.dataCentre, other.dataCentre);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetRegion(), other.isSetRegion());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetRegion()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.region, other.region);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
-    lastComparison = java.lang.Boolean.compare(isSetAddress(), other.isSetAddress());
-    if (lastComparison != 0) {
-      return lastComparison;
-    }
-    if (isSetAddress()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.address, other.address);
-      if (lastComparison != 0) {
-        return lastComparison;
-      }
-    }
     return 0;
   }
 
@@ -858,14 +491,6 @@
     java.lang.StringBuilder sb = new java.lang.StringBuilder("ChunkHoldings(");
     boolean first = true;
 
-    sb.append("vm:");
-    if (this.vm == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.vm);
-    }
-    first = false;
-    if (!first) sb.append(", ");
     sb.append("model:");
     if (this.model == null) {
       sb.append("null");
@@ -889,34 +514,6 @@
       org.apache.thrift.TBaseHelper.toString(this.bitmap, sb);
     }
     first = false;
-    if (!first) sb.append(", ");
-    sb.append("senderIncarnation:");
-    sb.append(this.senderIncarnation);
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("dataCentre:");
-    if (this.dataCentre == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.dataCentre);
-    }
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("region:");
-    if (this.region == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.region);
-    }
-    first = false;
-    if (!first) sb.append(", ");
-    sb.append("address:");
-    if (this.address == null) {
-      sb.append("null");
-    } else {
-      sb.append(this.address);
-    }
-    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -964,15 +561,7 @@
           break;
         }
         switch (schemeField.id) {
-          case 1: // VM
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.vm = iprot.readString();
-              struct.setVmIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 2: // MODEL
+          case 1: // MODEL
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.model = iprot.readString();
               struct.setModelIsSet(true);
@@ -980,7 +569,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 3: // VERSION
+          case 2: // VERSION
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.version = iprot.readI64();
               struct.setVersionIsSet(true);
@@ -988,7 +577,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 4: // CHUNKS
+          case 3: // CHUNKS
             if (schemeField.type == org.apache.thrift.protocol.TType.I32) {
               struct.chunks = iprot.readI32();
               struct.setChunksIsSet(true);
@@ -996,7 +585,7 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 5: // BITMAP
+          case 4: // BITMAP
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
               struct.bitmap = iprot.readBinary();
               struct.setBitmapIsSet(true);
@@ -1004,38 +593,6 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 6: // SENDER_INCARNATION
-            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
-              struct.senderIncarnation = iprot.readI64();
-              struct.setSenderIncarnationIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 7: // DATA_CENTRE
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.dataCentre = iprot.readString();
-              struct.setDataCentreIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 8: // REGION
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.region = iprot.readString();
-              struct.setRegionIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
-          case 9: // ADDRESS
-            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.address = iprot.readString();
-              struct.setAddressIsSet(true);
-            } else { 
-              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
-            }
-            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1052,11 +609,6 @@
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
-      if (struct.vm != null) {
-        oprot.writeFieldBegin(VM_FIELD_DESC);
-        oprot.writeString(struct.vm);
-        oprot.writeFieldEnd();
-      }
       if (struct.model != null) {
         oprot.writeFieldBegin(MODEL_FIELD_DESC);
         oprot.writeString(struct.model);
@@ -1073,24 +625,6 @@
         oprot.writeBinary(struct.bitmap);
         oprot.writeFieldEnd();
       }
-      oprot.writeFieldBegin(SENDER_INCARNATION_FIELD_DESC);
-      oprot.writeI64(struct.senderIncarnation);
-      oprot.writeFieldEnd();
-      if (struct.dataCentre != null) {
-        oprot.writeFieldBegin(DATA_CENTRE_FIELD_DESC);
-        oprot.writeString(struct.dataCentre);
-        oprot.writeFieldEnd();
-      }
-      if (struct.region != null) {
-        oprot.writeFieldBegin(REGION_FIELD_DESC);
-        oprot.writeString(struct.region);
-        oprot.writeFieldEnd();
-      }
-      if (struct.address != null) {
-        oprot.writeFieldBegin(ADDRESS_FIELD_DESC);
-        oprot.writeString(struct.address);
-        oprot.writeFieldEnd();
-      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1110,37 +644,19 @@
     public void write(org.apache.thrift.protocol.TProtocol prot, ChunkHoldings struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
-      if (struct.isSetVm()) {
-        optionals.set(0);
-      }
       if (struct.isSetModel()) {
-        optionals.set(1);
+        optionals.set(0);
       }
       if (struct.isSetVersion()) {
-        optionals.set(2);
+        optionals.set(1);
       }
       if (struct.isSetChunks()) {
-        optionals.set(3);
+        optionals.set(2);
       }
       if (struct.isSetBitmap()) {
-        optionals.set(4);
-      }
-      if (struct.isSetSenderIncarnation()) {
-        optionals.set(5);
-      }
-      if (struct.isSetDataCentre()) {
-        optionals.set(6);
-      }
-      if (struct.isSetRegion()) {
-        optionals.set(7);
-      }
-      if (struct.isSetAddress()) {
-        optionals.set(8);
-      }
-      oprot.writeBitSet(optionals, 9);
-      if (struct.isSetVm()) {
-        oprot.writeString(struct.vm);
+        optionals.set(3);
       }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetModel()) {
         oprot.writeString(struct.model);
       }
@@ -1153,60 +669,28 @@
       if (struct.isSetBitmap()) {
         oprot.writeBinary(struct.bitmap);
       }
-      if (struct.isSetSenderIncarnation()) {
-        oprot.writeI64(struct.senderIncarnation);
-      }
-      if (struct.isSetDataCentre()) {
-        oprot.writeString(struct.dataCentre);
-      }
-      if (struct.isSetRegion()) {
-        oprot.writeString(struct.region);
-      }
-      if (struct.isSetAddress()) {
-        oprot.writeString(struct.address);
-      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, ChunkHoldings struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(9);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
-        struct.vm = iprot.readString();
-        struct.setVmIsSet(true);
-      }
-      if (incoming.get(1)) {
         struct.model = iprot.readString();
         struct.setModelIsSet(true);
       }
-      if (incoming.get(2)) {
+      if (incoming.get(1)) {
         struct.version = iprot.readI64();
         struct.setVersionIsSet(true);
       }
-      if (incoming.get(3)) {
+      if (incoming.get(2)) {
         struct.chunks = iprot.readI32();
         struct.setChunksIsSet(true);
       }
-      if (incoming.get(4)) {
+      if (incoming.get(3)) {
         struct.bitmap = iprot.readBinary();
         struct.setBitmapIsSet(true);
       }
-      if (incoming.get(5)) {
-        struct.senderIncarnation = iprot.readI64();
-        struct.setSenderIncarnationIsSet(true);
-      }
-      if (incoming.get(6)) {
-        struct.dataCentre = iprot.readString();
-        struct.setDataCentreIsSet(true);
-      }
-      if (incoming.get(7)) {
-        struct.region = iprot.readString();
-        struct.setRegionIsSet(true);
-      }
-      if (incoming.get(8)) {
-        struct.address = iprot.readString();
-        struct.setAddressIsSet(true);
-      }
     }
   }
 
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -23,15 +23,10 @@
 
 // Chunks of one version that the sender holds and serves.
 struct ChunkHoldings {
-  1: string vm,
-  2: string model,
-  3: i64 version,
-  4: i32 chunks,
-  5: binary bitmap,
-  6: i64 senderIncarnation,
-  7: string dataCentre,
-  8: string region,
-  9: string address,
+  1: string model,
+  2: i64 version,
+  3: i32 chunks,
+  4: binary bitmap,
 }
 
 union FleetDatagram {
