--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/RequestProtocol.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/RequestProtocol.java
@@ -13,7 +13,7 @@
    * @param request head of the request
    * @return what it states
    */
-  CallerRequest decode(HttpRequest request);
+  CallerRequest decodeRequest(HttpRequest request);
 
   /**
    * Turns a caller's headers into those for an endpoint.
@@ -29,5 +29,5 @@
    * @param response head of the response
    * @return what it states
    */
-  AnswerHead decode(HttpResponse response);
+  AnswerHead decodeAnswer(HttpResponse response);
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -116,7 +116,7 @@
   }
 
   private void readHead(HttpResponse response) {
-    AnswerHead head = protocol.decode(response);
+    AnswerHead head = protocol.decodeAnswer(response);
     boolean other = head.requestId().map(id -> !id.equals(call.requestId())).orElse(false);
     if (head.status() < 200 || other) {
       if (other) {
@@ -178,7 +178,7 @@
   }
 
   private void finish() {
-    EndpointCall done = call;
+    final EndpointCall done = call;
     call = null;
     idleSince = clock.nanoTime();
     if (reusable && channel.isActive()) {
@@ -190,7 +190,7 @@
   }
 
   private void fail(AttemptOutcome outcome, String cause) {
-    EndpointCall failed = call;
+    final EndpointCall failed = call;
     call = null;
     owner.discard(this);
     channel.close();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -75,7 +75,7 @@
   /** Takes a request that was read whole. */
   void accept(CallerExchange exchange) {
     running++;
-    CallerRequest request = protocol.decode(exchange.head());
+    CallerRequest request = protocol.decodeRequest(exchange.head());
     RequestRun run = new RequestRun(this, exchange, request);
     RoutingConfiguration configuration = state.configuration();
     if (configuration == null) {
