--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -90,6 +90,15 @@
     sync.next();
   }
 
+  /**
+   * Reads a polled kind now, unless a call is on its way.
+   *
+   * @param kind a kind that is polled
+   */
+  public void refresh(ObjectKind kind) {
+    kinds.get(kind).refresh();
+  }
+
   /** Starts the expiry of entries that do not return after an outage. */
   public void start() {
     scheduler.scheduleEvery(this::expire, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -154,6 +163,8 @@
     private final boolean watching;
     private final DirectoryCopyState copy = new DirectoryCopyState();
     private boolean listNeeded = true;
+    private boolean calling;
+    private Scheduler.Cancellable timer;
     private int failures;
     private boolean returned;
     private long returnedAt;
@@ -164,16 +175,24 @@
       this.watching = watching;
     }
 
+    void refresh() {
+      if (!calling) {
+        next();
+      }
+    }
+
     void next() {
       if (stopped) {
         return;
       }
+      calling = true;
       final long sentAt = clock.nanoTime();
       boolean list = listNeeded || !watching;
       var call =
           list ? directory.list(kind, watching) : directory.watch(kind, copy.revision(), waitMs);
       call.whenComplete(
           (listing, failure) -> {
+            calling = false;
             if (failure == null) {
               succeeded(list, listing, sentAt);
             } else {
@@ -209,8 +228,15 @@
       if (watching) {
         next();
       } else {
-        scheduler.schedule(this::next, waitMs, TimeUnit.MILLISECONDS);
+        later(waitMs);
+      }
+    }
+
+    private void later(long delayMs) {
+      if (timer != null) {
+        timer.cancel();
       }
+      timer = scheduler.schedule(this::refresh, delayMs, TimeUnit.MILLISECONDS);
     }
 
     private void failed(Throwable failure) {
@@ -228,7 +254,7 @@
       }
       long pause = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS << Math.min(failures, 3));
       failures++;
-      scheduler.schedule(this::next, pause, TimeUnit.MILLISECONDS);
+      later(pause);
     }
 
     void expire() {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -31,6 +31,7 @@
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpServer;
+import org.clementineford.weights.ChunkMap;
 import org.clementineford.weights.TransferLimits;
 import org.clementineford.wire.ChunkHoldings;
 import org.clementineford.wire.EngineReport;
@@ -58,6 +59,9 @@
   /** Reports are repeated this often, since any datagram may be lost. */
   private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+  /** Shortest time between two listings for the sake of VMs that are not listed here yet. */
+  private static final long REFRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
   private static final long SUBSCRIPTION_NANOS = TimeUnit.SECONDS.toNanos(3);
   private static final int MAX_PEER_BODY_BYTES = 1 << 16;
 
@@ -97,6 +101,7 @@
   private final Map<Long, Integer> announced = new HashMap<>();
   private final Map<Long, Long> announcedAt = new HashMap<>();
   private HostPort origin;
+  private long refreshedAt;
   private DatagramLink datagrams;
   private EngineReport lastReport;
   private long reportedAt;
@@ -130,6 +135,7 @@
     this.engine = engine;
     this.eventLoops = eventLoops;
     this.clock = clock;
+    this.refreshedAt = clock.nanoTime();
     this.incarnation = incarnation;
     this.scheduler = new EventLoopScheduler(eventLoops);
     HttpClient client = new HttpClient(eventLoops, LinkShaping.NONE);
@@ -274,13 +280,47 @@
     } else if (datagram.isSetHoldings()) {
       ChunkHoldings holdings = datagram.getHoldings();
       rollout.named(holdings.getModel(), holdings.getVersion(), clock.nanoTime());
-      VmIdentity peer = replicas.get(sender.host());
-      if (peer != null) {
-        rollout.peerHolds(peer, holdings.getVersion(), holdings.getBitmap());
+      holdingsReceived(sender, holdings);
+    }
+  }
+
+  private void holdingsReceived(HostPort sender, ChunkHoldings holdings) {
+    VmIdentity peer = replicas.get(sender.host());
+    if (peer == null) {
+      refreshEndpoints();
+    } else {
+      rollout.peerHolds(peer, holdings.getVersion(), holdings.getBitmap());
+    }
+    if (ChunkMap.fromBytes(holdings.getBitmap(), holdings.getChunks()).isWhole()) {
+      return;
+    }
+    // A VM that joins would otherwise wait until this one lists it.
+    for (ChunkTransfer transfer : rollout.transfers()) {
+      if (transfer.digests().version() == holdings.getVersion() && transfer.isWhole()) {
+        datagrams.send(sender, holdings(transfer));
       }
     }
   }
 
+  private void refreshEndpoints() {
+    long now = clock.nanoTime();
+    if (now - refreshedAt >= REFRESH_NANOS) {
+      refreshedAt = now;
+      sync.refresh(ObjectKind.ENDPOINTS);
+    }
+  }
+
+  private FleetDatagram holdings(ChunkTransfer transfer) {
+    FleetDatagram datagram = new FleetDatagram();
+    datagram.setHoldings(
+        new ChunkHoldings()
+            .setModel(rollout.model())
+            .setVersion(transfer.digests().version())
+            .setChunks(transfer.chunkCount())
+            .setBitmap(transfer.bitmap()));
+    return datagram;
+  }
+
   private void readStatus() {
     if (statusPending) {
       return;
@@ -333,13 +373,7 @@
       if (!isAnnouncementDue(transfer)) {
         continue;
       }
-      FleetDatagram datagram = new FleetDatagram();
-      datagram.setHoldings(
-          new ChunkHoldings()
-              .setModel(rollout.model())
-              .setVersion(transfer.digests().version())
-              .setChunks(transfer.chunkCount())
-              .setBitmap(transfer.bitmap()));
+      FleetDatagram datagram = holdings(transfer);
       for (VmIdentity replica : replicas.values()) {
         boolean near = replica.region().equals(settings.region());
         if (near || transfer.isWhole() || announcements % FAR_ANNOUNCEMENTS == 0) {
