List a kind again when the platform lost its history

Cause: failures of dependent stages are wrapped, so the answer 410 was taken for an outage and the watch was repeated at the lost revision for ever.

The test with a wrapped failure failed before. Unwrapping now stands once, in the kernel.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.errors.PlatformException;
@@ -60,7 +61,7 @@
     @Test
     void listsAgainWhenTheHistoryIsLost() {
       start();
-      directory.fail(failure(ErrorKind.NOT_FOUND));
+      directory.fail(new CompletionException(failure(ErrorKind.NOT_FOUND)));
       assertThat(directory.asked).endsWith("list");
     }
 
@@ -134,7 +135,7 @@
       pending.poll().complete(listing);
     }
 
-    void fail(PlatformException failure) {
+    void fail(Exception failure) {
       pending.poll().completeExceptionally(failure);
     }
 
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -9,6 +9,7 @@
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.errors.Failures;
 import org.clementineford.serving.directory.DirectoryCopyState;
 import org.clementineford.serving.directory.Listing;
 import org.clementineford.serving.directory.ObjectDirectory;
@@ -239,7 +240,8 @@
       timer = scheduler.schedule(this::refresh, delayMs, TimeUnit.MILLISECONDS);
     }
 
-    private void failed(Throwable failure) {
+    private void failed(Throwable wrapped) {
+      Throwable failure = Failures.unwrap(wrapped);
       if (failure instanceof ClementinefordException known && known.kind() == ErrorKind.NOT_FOUND) {
         LOG.atInfo().addKeyValue("kind", kind).log("history lost, listing again");
         listNeeded = true;
--- a/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpCalls.java
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpCalls.java
@@ -4,10 +4,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.MessageCatalog;
 import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.errors.Failures;
 import org.clementineford.kernel.errors.PlatformException;
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpRequest;
@@ -94,7 +94,7 @@
           if (failure == null) {
             mapped.complete(value);
           } else {
-            mapped.completeExceptionally(mapping.map(unwrap(failure)));
+            mapped.completeExceptionally(mapping.map(Failures.unwrap(failure)));
           }
         });
     return mapped;
@@ -107,7 +107,7 @@
     future.whenComplete(
         (value, failure) -> {
           if (failure != null) {
-            converted.completeExceptionally(unwrap(failure));
+            converted.completeExceptionally(Failures.unwrap(failure));
             return;
           }
           try {
@@ -119,12 +119,6 @@
     return converted;
   }
 
-  static Throwable unwrap(Throwable failure) {
-    return failure instanceof CompletionException && failure.getCause() != null
-        ? failure.getCause()
-        : failure;
-  }
-
   @FunctionalInterface
   private interface FailureMapping {
     PlatformException map(Throwable cause);
--- a/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpModelEngine.java
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpModelEngine.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.errors.Failures;
 import org.clementineford.kernel.errors.PlatformException;
 import org.clementineford.kernel.platform.ModelEngine;
 import org.clementineford.transport.http.HttpClient;
@@ -58,7 +59,7 @@
             (answer, failure) -> {
               try {
                 if (failure != null) {
-                  throw calls.writeFailed(subject(order), HttpCalls.unwrap(failure));
+                  throw calls.writeFailed(subject(order), Failures.unwrap(failure));
                 }
                 loaded.complete(loaded(order, answer));
               } catch (PlatformException e) {
--- a/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpWeightSource.java
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpWeightSource.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.errors.Failures;
 import org.clementineford.kernel.errors.PlatformException;
 import org.clementineford.kernel.platform.WeightSource;
 import org.clementineford.transport.http.HttpClient;
@@ -66,7 +67,7 @@
         (answer, failure) -> {
           try {
             if (failure != null) {
-              throw calls.readFailed(subject, HttpCalls.unwrap(failure));
+              throw calls.readFailed(subject, Failures.unwrap(failure));
             }
             bytes.complete(range(subject, answer, length));
           } catch (PlatformException e) {
