Serve metrics and check the flags of the platform's programs

Lines that wait are written before a process ends: the message of a failed start was lost in the queue of the log.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -20,6 +20,7 @@
 
 class DirectorySyncTest {
   private static final ObjectKind KIND = ObjectKind.ENDPOINTS;
+  private static final long REST_MS = 300;
 
   private final PausedTime time = new PausedTime(0);
   private final FakeDirectory directory = new FakeDirectory();
@@ -40,19 +41,23 @@
 
   private void start() {
     sync.start();
-    sync.watch(KIND, 1_000);
+    sync.watch(KIND, 1_000, REST_MS);
     directory.answer(new Listing(List.of(entry("a", 1), entry("b", 2)), 2));
+    time.advance(REST_MS, TimeUnit.MILLISECONDS);
   }
 
   @Nested
   class Watch {
-    // Guards against changes that are missed between the listing and the watch.
+    // Guards against changes that are missed between the listing and the watch, and against a call
+    // for each of many changes.
     @Test
     void continuesFromTheRevisionOfTheListing() {
       start();
       assertThat(directory.asked).containsExactly("list", "watch 2");
       directory.answer(new Listing(List.of(entry("c", 3)), 3));
       assertThat(names()).containsExactly("a", "b", "c");
+      assertThat(directory.asked).endsWith("watch 2");
+      time.advance(REST_MS, TimeUnit.MILLISECONDS);
       assertThat(directory.asked).endsWith("watch 3");
       assertThat(changes).hasSize(2);
     }
@@ -62,6 +67,7 @@
     void listsAgainWhenTheHistoryIsLost() {
       start();
       directory.fail(new CompletionException(failure(ErrorKind.NOT_FOUND)));
+      time.advance(50, TimeUnit.MILLISECONDS);
       assertThat(directory.asked).endsWith("list");
     }
 
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -28,6 +28,9 @@
   /** First and longest pause after a failed call, in milliseconds. */
   private static final long FIRST_PAUSE_MS = 100;
 
+  /** Pause before a listing after the history was lost, in milliseconds. */
+  private static final long LISTING_PAUSE_MS = 50;
+
   private static final long LONGEST_PAUSE_MS = 800;
 
   /** How long after an outage removed entries may only be late to register again. */
@@ -72,9 +75,10 @@
    *
    * @param kind the kind
    * @param waitMs longest wait of a watch; a lost connection is noticed about this late
+   * @param restMs pause after a change, in which further changes gather for one call
    */
-  public void watch(ObjectKind kind, long waitMs) {
-    KindSync sync = new KindSync(kind, waitMs, true);
+  public void watch(ObjectKind kind, long waitMs, long restMs) {
+    KindSync sync = new KindSync(kind, waitMs, restMs, true);
     kinds.put(kind, sync);
     sync.next();
   }
@@ -86,7 +90,7 @@
    * @param intervalMs time between two listings
    */
   public void poll(ObjectKind kind, long intervalMs) {
-    KindSync sync = new KindSync(kind, intervalMs, false);
+    KindSync sync = new KindSync(kind, 0, intervalMs, false);
     kinds.put(kind, sync);
     sync.next();
   }
@@ -161,6 +165,7 @@
   private final class KindSync {
     private final ObjectKind kind;
     private final long waitMs;
+    private final long restMs;
     private final boolean watching;
     private final DirectoryCopyState copy = new DirectoryCopyState();
     private boolean listNeeded = true;
@@ -170,7 +175,8 @@
     private boolean returned;
     private long returnedAt;
 
-    KindSync(ObjectKind kind, long waitMs, boolean watching) {
+    KindSync(ObjectKind kind, long waitMs, long restMs, boolean watching) {
+      this.restMs = restMs;
       this.kind = kind;
       this.waitMs = waitMs;
       this.watching = watching;
@@ -226,10 +232,10 @@
             .log("copy changed");
         onChange.accept(kind);
       }
-      if (watching) {
+      if (watching && (!changed || restMs == 0)) {
         next();
       } else {
-        later(waitMs);
+        later(restMs);
       }
     }
 
@@ -245,7 +251,7 @@
       if (failure instanceof ClementinefordException known && known.kind() == ErrorKind.NOT_FOUND) {
         LOG.atInfo().addKeyValue("kind", kind).log("history lost, listing again");
         listNeeded = true;
-        next();
+        later(LISTING_PAUSE_MS);
         return;
       }
       if (failures == 0) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -49,6 +49,12 @@
   /** Longest wait of a watch of the endpoints; a silent connection is noticed about this late. */
   private static final long ENDPOINTS_WATCH_MS = 2_500;
 
+  /**
+   * Pause after a change of the endpoints. Engines change their entries often while they load, and
+   * each call of each entry VM is paid for; an endpoint that leaves is still known of in time.
+   */
+  private static final long ENDPOINTS_REST_MS = 300;
+
   private static final long ENTRY_VMS_POLL_MS = 10_000;
 
   /** Age of a copy from which peers are asked: a lost watch and the lag of a good one. */
@@ -175,8 +181,8 @@
   private void startSync() {
     peers.addPeers(settings.seeds());
     sync.start();
-    sync.watch(ObjectKind.CONFIGURATION, CONFIGURATION_WATCH_MS);
-    sync.watch(ObjectKind.ENDPOINTS, ENDPOINTS_WATCH_MS);
+    sync.watch(ObjectKind.CONFIGURATION, CONFIGURATION_WATCH_MS, 0);
+    sync.watch(ObjectKind.ENDPOINTS, ENDPOINTS_WATCH_MS, ENDPOINTS_REST_MS);
     sync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_MS);
     peers.start();
     directory
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/LogConfiguration.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/LogConfiguration.java
@@ -7,19 +7,27 @@
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
-import java.util.Map;
 import org.slf4j.LoggerFactory;
 
 /** JSON lines on standard output, written by a thread of their own. */
 final class LogConfiguration {
-  private static final String LEVEL_VARIABLE = "CLEMENTINEFORD_LOG_LEVEL";
 
   /** Lines that wait to be written; further ones are dropped, so that no request waits for them. */
   private static final int QUEUE_LINES = 2048;
 
   private LogConfiguration() {}
 
-  static void apply(Map<String, String> environment) {
+  /** Writes the lines that wait; later ones are dropped. */
+  static void flush() {
+    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
+  }
+
+  static void setLevel(String level) {
+    Logger root = (Logger) LoggerFactory.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.toLevel(level, Level.INFO));
+  }
+
+  static void apply() {
     LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
     JsonEncoder encoder = new JsonEncoder();
     encoder.setContext(context);
@@ -44,7 +52,7 @@
     queue.start();
     Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
     root.detachAndStopAllAppenders();
-    root.setLevel(Level.toLevel(environment.get(LEVEL_VARIABLE), Level.INFO));
+    root.setLevel(Level.INFO);
     root.addAppender(queue);
   }
 }
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
@@ -4,17 +4,25 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import org.agrona.concurrent.NanoClock;
 import org.agrona.concurrent.SystemEpochClock;
 import org.agrona.concurrent.SystemNanoClock;
+import org.apache.commons.cli.help.HelpFormatter;
 import org.clementineford.fleet.TrustClock;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.gateway.EntryVm;
+import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.errors.SettingException;
+import org.clementineford.kernel.settings.Setting;
+import org.clementineford.kernel.settings.SettingParser;
+import org.clementineford.kernel.settings.Settings;
 import org.clementineford.platform.fleet.HttpEngine;
 import org.clementineford.platform.fleet.HttpOrigin;
 import org.clementineford.platform.fleet.ObjectDecoder;
@@ -24,54 +32,105 @@
 import org.clementineford.replica.EndpointVm;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
+import org.clementineford.transport.http.HttpServer;
+import org.clementineford.transport.http.MetricsPage;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
 
 /** Starts the process of an entry VM or of an endpoint VM. */
 public final class Main {
-  private static final String USAGE = "usage: clementineford entry|endpoint";
+  private static final String NAME = "clementineford";
+  private static final String USAGE = "the role is missing; use: " + NAME + " entry|endpoint";
+  private static final int MAX_BODY_BYTES = 1 << 16;
+
+  /** Port of the metrics; 0 serves none. */
+  private static final Setting<Long> METRICS_PORT =
+      new Setting<>(
+          "metrics-port",
+          "Port at which metrics are served in Prometheus text format, at /metrics; 0 for none.",
+          "0",
+          SettingParser.wholeNumber(0, 65_535));
+
+  private static final Setting<String> LOG_LEVEL =
+      new Setting<>(
+          "log-level",
+          "Lowest level of log lines: DEBUG, INFO, WARN.",
+          "INFO",
+          SettingParser.text());
+
+  private static final List<Setting<?>> SETTINGS = List.of(METRICS_PORT, LOG_LEVEL);
 
   private Main() {}
 
   /**
    * Starts a process.
    *
-   * @param arguments {@code entry} or {@code endpoint}; the build uses {@code load-classes}
+   * @param arguments flags, and {@code entry} or {@code endpoint}; the build uses {@code
+   *     load-classes}
    */
   public static void main(String[] arguments) {
-    LogConfiguration.apply(System.getenv());
+    LogConfiguration.apply();
     Logger log = LoggerFactory.getLogger(Main.class);
     try {
       start(arguments, System.getenv());
     } catch (ClementinefordException e) {
-      log.error("not started: {}", e.getMessage(), e);
+      log.error("not started: {}", e.getMessage());
+      LogConfiguration.flush();
       System.exit(e.kind().exitCode());
     } catch (RuntimeException e) {
       log.error("not started", e);
+      LogConfiguration.flush();
       System.exit(ErrorKind.INTERNAL.exitCode());
     }
   }
 
   private static void start(String[] arguments, Map<String, String> environment)
       throws ClementinefordException {
-    if (arguments.length != 1) {
+    Settings flags = Settings.read(SETTINGS, arguments, environment);
+    if (flags.isHelpRequested()) {
+      printHelp();
+      return;
+    }
+    LogConfiguration.setLevel(flags.get(LOG_LEVEL));
+    if (flags.arguments().size() != 1) {
       throw new SettingException(USAGE);
     }
+    String role = flags.arguments().get(0);
     EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    if (arguments[0].equals("load-classes")) {
+    if (role.equals("load-classes")) {
       ClassArchive.loadClasses(eventLoops);
       return;
     }
     VmSettings settings = SettingsFile.read(environment);
-    switch (arguments[0]) {
+    switch (role) {
       case "entry" -> startEntryVm(settings, eventLoops);
       case "endpoint" -> startEndpointVm(settings, eventLoops);
       default -> throw new SettingException(USAGE);
     }
+    int metricsPort = flags.get(METRICS_PORT).intValue();
+    if (metricsPort > 0) {
+      HttpServer.start(
+          eventLoops,
+          new HostPort(settings.peerAddress().host(), metricsPort),
+          MAX_BODY_BYTES,
+          LinkShaping.NONE,
+          new MetricsPage(PrometheusRegistry.defaultRegistry));
+    }
     Signal.handle(new Signal("HUP"), signal -> reload(settings, environment));
   }
 
+  private static void printHelp() {
+    try {
+      HelpFormatter.builder()
+          .setShowSince(false)
+          .get()
+          .printHelp(NAME + " entry|endpoint", "", Settings.options(SETTINGS), "", true);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   static void startEntryVm(VmSettings settings, EventLoopGroup eventLoops)
       throws ClementinefordException {
     NanoClock clock = SystemNanoClock.INSTANCE;
@@ -87,7 +146,7 @@
             () -> ThreadLocalRandom.current().nextDouble(),
             PrometheusRegistry.defaultRegistry);
     vm.start();
-    Runtime.getRuntime().addShutdownHook(new Thread(vm::stop, "stop"));
+    Runtime.getRuntime().addShutdownHook(stopping(vm::stop));
   }
 
   static void startEndpointVm(VmSettings settings, EventLoopGroup eventLoops)
@@ -103,7 +162,16 @@
             SystemNanoClock.INSTANCE,
             SystemEpochClock.INSTANCE.time());
     vm.start();
-    Runtime.getRuntime().addShutdownHook(new Thread(vm::stop, "stop"));
+    Runtime.getRuntime().addShutdownHook(stopping(vm::stop));
+  }
+
+  private static Thread stopping(Runnable stop) {
+    return new Thread(
+        () -> {
+          stop.run();
+          LogConfiguration.flush();
+        },
+        "stop");
   }
 
   private static PlatformObjects objects(VmSettings settings, EventLoopGroup eventLoops) {
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/AdminServer.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/AdminServer.java
@@ -1,11 +1,7 @@
 package org.clementineford.node.internal;
 
 import io.netty.channel.EventLoopGroup;
-import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
@@ -14,6 +10,7 @@
 import org.clementineford.transport.PeerNetwork;
 import org.clementineford.transport.http.HttpExchange;
 import org.clementineford.transport.http.HttpServer;
+import org.clementineford.transport.http.MetricsPage;
 
 /** HTTP server for operators and for the platform's load balancer. */
 public final class AdminServer implements AutoCloseable {
@@ -40,7 +37,7 @@
     new DocumentRoutes(parts.configuration(), parts.operations()).register(routes);
     new FleetRoutes(parts.network(), parts.membership(), parts.observation()).register(routes);
     routes.register("GET", "/ready", exchange -> ready(exchange, parts.ready()));
-    routes.register("GET", "/metrics", exchange -> metrics(exchange, parts.metrics()));
+    routes.register("GET", "/metrics", new MetricsPage(parts.metrics())::handle);
     return new AdminServer(
         HttpServer.start(eventLoops, address, MAX_BODY_BYTES, LinkShaping.NONE, routes));
   }
@@ -81,18 +78,6 @@
     AdminRoutes.respondText(exchange, isReady ? 200 : 503, isReady ? "ready" : "not ready");
   }
 
-  private static void metrics(HttpExchange exchange, PrometheusRegistry metrics) {
-    ByteArrayOutputStream text = new ByteArrayOutputStream();
-    PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
-    try {
-      writer.write(text, metrics.scrape());
-    } catch (IOException e) {
-      AdminRoutes.respondText(exchange, 500, "metrics cannot be written; report this defect");
-      return;
-    }
-    exchange.respond(200, Map.of("Content-Type", writer.getContentType()), text.toByteArray());
-  }
-
   @Override
   public void close() {
     server.close();
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
@@ -8,10 +8,10 @@
  */
 final class ActivationSchedule {
   /** Part of the bound before which no engine changes; transfers take about this long. */
-  private static final double FIRST_PART = 0.4;
+  private static final double FIRST_PART = 0.5;
 
   /** Part of the bound at which the last engine begins to change. */
-  private static final double LAST_PART = 0.75;
+  private static final double LAST_PART = 0.8;
 
   private final long boundNanos;
 
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -72,10 +72,10 @@
    */
   private static final TransferLimits LIMITS =
       new TransferLimits(
+          4,
           2,
           1,
           1,
-          1,
           4,
           4,
           24,
@@ -209,7 +209,7 @@
     sync.start();
     sync.poll(ObjectKind.CONFIGURATION, CONFIGURATION_POLL_MS);
     sync.poll(ObjectKind.ENDPOINTS, ENDPOINTS_POLL_MS);
-    sync.watch(ObjectKind.WEIGHT_TARGETS, TARGETS_WATCH_MS);
+    sync.watch(ObjectKind.WEIGHT_TARGETS, TARGETS_WATCH_MS, 0);
     sync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_MS);
     peers.start();
   }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
@@ -14,7 +14,7 @@
    * Time by which an endpoint elsewhere must be faster than one in the same data centre, since
    * links between regions are narrow and shared.
    */
-  private static final double ELSEWHERE_MS = 20;
+  private static final double ELSEWHERE_MS = 50;
 
   /** Share of the predicted time by which choices vary, so that entry VMs do not all agree. */
   private static final double SPREAD = 0.1;
--- /dev/null
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/MetricsPage.java
@@ -0,0 +1,37 @@
+package org.clementineford.transport.http;
+
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** Answers requests with all metrics of a process, in Prometheus text format. */
+public final class MetricsPage implements HttpHandler {
+  private final PrometheusRegistry registry;
+
+  /**
+   * Creates a page.
+   *
+   * @param registry the metrics
+   */
+  public MetricsPage(PrometheusRegistry registry) {
+    this.registry = registry;
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    ByteArrayOutputStream text = new ByteArrayOutputStream();
+    PrometheusTextFormatWriter writer = PrometheusTextFormatWriter.create();
+    try {
+      writer.write(text, registry.scrape());
+    } catch (IOException e) {
+      byte[] message =
+          "metrics cannot be written; report this defect\n".getBytes(StandardCharsets.UTF_8);
+      exchange.respond(500, Map.of("Content-Type", "text/plain; charset=utf-8"), message);
+      return;
+    }
+    exchange.respond(200, Map.of("Content-Type", writer.getContentType()), text.toByteArray());
+  }
+}
