Set an endpoint aside when a request got no answer in its time

Cause, found by reading and then by a test seen failing: the check ran after the attempt had been released, when its prompt always counted as read, so an endpoint that died silently kept getting requests that must run once.

Kept connections to an endpoint are closed when one goes silent, since something between may have lost track of all of them.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
@@ -119,6 +119,23 @@
       }
     }
 
+    // Guards against one lost request after the other at an endpoint that died silently.
+    @Test
+    void thatGotNoAnswerSetsItsEndpointAside() throws Exception {
+      CountDownLatch end = new CountDownLatch(1);
+      FakeEndpoint.Script silent = (request, connection) -> await(end);
+      try (FakeEndpoint first = new FakeEndpoint(silent);
+          FakeEndpoint second = new FakeEndpoint(good());
+          GatewayFixture fixture = new GatewayFixture(first, second)) {
+        assertThat(fixture.send("POST", "/post/a", "1", "timeout", "300").statusCode())
+            .isEqualTo(504);
+        assertThat(fixture.send("POST", "/post/a", "2", "timeout", "300").statusCode())
+            .isEqualTo(200);
+      } finally {
+        end.countDown();
+      }
+    }
+
     // Guards against a refusal that says "not run" without proof.
     @Test
     void isRefusedOnlyIfEachEndpointStatedThatItDidNotRun() throws Exception {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -99,7 +99,8 @@
     if (!over) {
       closeConnection();
       release();
-      if (!promptRead) {
+      if (head == null) {
+        router.pool().closeIdle(endpoint);
         endpoint.failed(AttemptOutcome.SILENT, router.state().clock().nanoTime());
       }
     }
@@ -230,6 +231,9 @@
       return;
     }
     release();
+    if (outcome == AttemptOutcome.SILENT) {
+      router.pool().closeIdle(endpoint);
+    }
     endpoint.failed(outcome, router.state().clock().nanoTime());
     run.attemptFailed(endpoint, outcome, cause);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointPool.java
@@ -77,10 +77,22 @@
             });
   }
 
+  /**
+   * Closes the idle connections to an endpoint after one went silent. Something between may have
+   * lost track of all of them, while a new connection works.
+   */
+  void closeIdle(EndpointState endpoint) {
+    Owner owner = owners.get(endpoint);
+    if (owner != null) {
+      owner.closeIdle();
+    }
+  }
+
   /** Closes the idle connections to an endpoint that is no longer used. */
   void remove(EndpointState endpoint) {
     Owner owner = owners.remove(endpoint);
     if (owner != null) {
+      owner.removed = true;
       owner.closeIdle();
     }
   }
@@ -111,7 +123,6 @@
     }
 
     void closeIdle() {
-      removed = true;
       List<EndpointConnection> all = new ArrayList<>(idle);
       idle.clear();
       all.forEach(EndpointConnection::close);
