Split the endpoint VM's reports and holdings, keep models apart

Found while reading: a named version of another service's model would have been loaded, and reports of one service raised the required version of all. Versions now count for the model of their service only. The origin was known only 20 s after the first start, since the first listing came before the operator had written a configuration; it is listed every 0.7 s until known. Engines that serve no longer make their VM read digests at its start. Tests: a version of another model is ignored. Not measured yet.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -63,7 +63,7 @@
             run.tried(),
             profile,
             run.promptTokens(),
-            state.versions().minimum(now),
+            state.versions(service).minimum(now),
             run.route().mayRunAgain(),
             now);
   }
@@ -71,7 +71,7 @@
   /** Returns the engines that work for this entry VM, by its share of their requests. */
   private double ownEngines() {
     long now = state.clock().nanoTime();
-    long minimum = state.versions().minimum(now);
+    long minimum = state.versions(service).minimum(now);
     int engines = 0;
     int load = 0;
     int own = 0;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -189,17 +189,17 @@
    */
   public void reported(String host, EngineReport report) {
     long now = clock.nanoTime();
+    EndpointState engine = enginesByHost.get(host);
+    if (engine == null || report.getNumber() <= engine.report().number()) {
+      return;
+    }
     if (report.getTargetVersion() > 0) {
       state
-          .versions()
+          .versions(engine.endpoint().service())
           .named(
               report.getTargetVersion(),
               now - TimeUnit.MILLISECONDS.toNanos(report.getTargetAgeMs()));
     }
-    EndpointState engine = enginesByHost.get(host);
-    if (engine == null || report.getNumber() <= engine.report().number()) {
-      return;
-    }
     if (engine.weightVersion() != report.getWeightVersion()) {
       LOG.atInfo()
           .addKeyValue("endpoint", engine.endpoint().id())
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
@@ -26,7 +26,7 @@
   private final EndpointTable endpoints = new EndpointTable();
   private final Placement placement;
   private final Admission admission;
-  private final VersionGate versions;
+  private final Map<String, VersionGate> versions = new HashMap<>();
   private final Map<String, RetryBudget> budgets = new HashMap<>();
   private RoutingConfiguration configuration;
 
@@ -37,7 +37,6 @@
     this.entryVms = entryVms;
     this.placement = new Placement(settings.dataCentre(), random);
     this.admission = new Admission(random);
-    this.versions = new VersionGate(settings.bounds().versionMs());
   }
 
   NanoClock clock() {
@@ -60,8 +59,10 @@
     return admission;
   }
 
-  VersionGate versions() {
-    return versions;
+  /** Returns the gate of a service; each service has weights of its own. */
+  VersionGate versions(String service) {
+    return versions.computeIfAbsent(
+        service, name -> new VersionGate(settings.bounds().versionMs()));
   }
 
   /** Returns the configuration in force; null until one is known. */
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -26,6 +26,7 @@
 import org.clementineford.weights.Digests;
 import org.clementineford.weights.TransferLimits;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -67,6 +68,11 @@
     }
   }
 
+  @BeforeEach
+  void setModel() {
+    rollout.setModel("m");
+  }
+
   @AfterEach
   void stop() {
     eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
@@ -112,6 +118,14 @@
     }
   }
 
+  // Guards against loading the weights of another service's model.
+  @Test
+  void versionsOfOtherModelsAreIgnored() {
+    rollout.statusChanged(status(1, 1));
+    rollout.named("other", 5, 0);
+    assertThat(rollout.target()).isZero();
+  }
+
   @Nested
   class RestartedEngine {
     // Guards against an engine that stays empty after a crash.
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
@@ -107,7 +107,11 @@
   }
 
   double progress() {
-    return (double) state.held().count() / chunks.length;
+    return (double) chunksHeld() / chunks.length;
+  }
+
+  int chunksHeld() {
+    return state.held().count();
   }
 
   byte[] bitmap() {
--- /dev/null
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/HoldingsExchange.java
@@ -0,0 +1,112 @@
+package org.clementineford.replica.internal;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.weights.ChunkMap;
+import org.clementineford.wire.ChunkHoldings;
+import org.clementineford.wire.FleetDatagram;
+
+/** Tells other endpoint VMs which chunks they can fetch here. Used by one thread. */
+final class HoldingsExchange {
+  /** Announcements of which one also goes to other regions, since links between them are narrow. */
+  private static final int FAR_ANNOUNCEMENTS = 4;
+
+  /** Holdings that did not change are announced again this often, as any datagram may be lost. */
+  private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+  private static final long REPEAT_WHOLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  private final WeightRollout rollout;
+  private final NanoClock clock;
+  private final VmIdentity self;
+  private final int datagramPort;
+  private final BiConsumer<HostPort, FleetDatagram> sender;
+  private final Map<Long, Announcement> announced = new HashMap<>();
+  private long announcements;
+
+  private record Announcement(int chunks, long sentAt) {}
+
+  /**
+   * Creates an exchange.
+   *
+   * @param rollout transfers of this VM
+   * @param clock monotonic clock
+   * @param self this VM
+   * @param datagramPort port of datagrams on each VM
+   * @param sender sends a datagram
+   */
+  HoldingsExchange(
+      WeightRollout rollout,
+      NanoClock clock,
+      VmIdentity self,
+      int datagramPort,
+      BiConsumer<HostPort, FleetDatagram> sender) {
+    this.rollout = rollout;
+    this.clock = clock;
+    this.self = self;
+    this.datagramPort = datagramPort;
+    this.sender = sender;
+  }
+
+  /** Announces what changed, and from time to time what did not. */
+  void announce(Iterable<VmIdentity> replicas) {
+    announcements++;
+    for (ChunkTransfer transfer : rollout.transfers()) {
+      if (!isDue(transfer)) {
+        continue;
+      }
+      FleetDatagram datagram = holdings(transfer);
+      for (VmIdentity replica : replicas) {
+        boolean near = replica.region().equals(self.region());
+        if (near || transfer.isWhole() || announcements % FAR_ANNOUNCEMENTS == 0) {
+          sender.accept(new HostPort(replica.vm(), datagramPort), datagram);
+        }
+      }
+    }
+  }
+
+  private boolean isDue(ChunkTransfer transfer) {
+    long version = transfer.digests().version();
+    int held = transfer.chunksHeld();
+    long now = clock.nanoTime();
+    Announcement before = announced.get(version);
+    if (before != null
+        && before.chunks == held
+        && now - before.sentAt < (transfer.isWhole() ? REPEAT_WHOLE_NANOS : REPEAT_NANOS)) {
+      return false;
+    }
+    announced.put(version, new Announcement(held, now));
+    return true;
+  }
+
+  /**
+   * Answers the holdings of a VM that lacks chunks. A VM that joins would otherwise wait until this
+   * one lists it.
+   */
+  void answer(HostPort peer, ChunkHoldings holdings) {
+    if (ChunkMap.fromBytes(holdings.getBitmap(), holdings.getChunks()).isWhole()) {
+      return;
+    }
+    for (ChunkTransfer transfer : rollout.transfers()) {
+      if (transfer.digests().version() == holdings.getVersion() && transfer.isWhole()) {
+        sender.accept(peer, holdings(transfer));
+      }
+    }
+  }
+
+  private FleetDatagram holdings(ChunkTransfer transfer) {
+    FleetDatagram datagram = new FleetDatagram();
+    datagram.setHoldings(
+        new ChunkHoldings()
+            .setModel(rollout.model())
+            .setVersion(transfer.digests().version())
+            .setChunks(transfer.chunkCount())
+            .setBitmap(transfer.bitmap()));
+    return datagram;
+  }
+}
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -31,10 +31,8 @@
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpServer;
-import org.clementineford.weights.ChunkMap;
 import org.clementineford.weights.TransferLimits;
 import org.clementineford.wire.ChunkHoldings;
-import org.clementineford.wire.EngineReport;
 import org.clementineford.wire.FleetDatagram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -53,16 +51,9 @@
   private static final long STATUS_MS = 100;
   private static final long ANNOUNCE_MS = 100;
 
-  /** Announcements of which one also goes to other regions, since links between them are narrow. */
-  private static final int FAR_ANNOUNCEMENTS = 4;
+  /** Shortest time between two listings before their turn. */
+  private static final long REFRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
-  /** Reports are repeated this often, since any datagram may be lost. */
-  private static final long REPEAT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
-
-  /** Shortest time between two listings for the sake of VMs that are not listed here yet. */
-  private static final long REFRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
-  private static final long SUBSCRIPTION_NANOS = TimeUnit.SECONDS.toNanos(3);
   private static final int MAX_PEER_BODY_BYTES = 1 << 16;
 
   /**
@@ -90,23 +81,17 @@
   private final LocalEngine engine;
   private final EventLoopGroup eventLoops;
   private final NanoClock clock;
-  private final long incarnation;
   private final Scheduler scheduler;
   private final DirectorySync sync;
   private final PeerDirectory peers;
   private final WeightRollout rollout;
   private final ChunkServer chunkServer;
-  private final Map<HostPort, Long> subscribers = new HashMap<>();
+  private final EngineReports reports;
+  private final HoldingsExchange exchange;
   private final Map<String, VmIdentity> replicas = new HashMap<>();
-  private final Map<Long, Integer> announced = new HashMap<>();
-  private final Map<Long, Long> announcedAt = new HashMap<>();
   private HostPort origin;
   private long refreshedAt;
   private DatagramLink datagrams;
-  private EngineReport lastReport;
-  private long reportedAt;
-  private long reports;
-  private long announcements;
   private boolean statusPending;
 
   /**
@@ -136,7 +121,6 @@
     this.eventLoops = eventLoops;
     this.clock = clock;
     this.refreshedAt = clock.nanoTime();
-    this.incarnation = incarnation;
     this.scheduler = new EventLoopScheduler(eventLoops);
     HttpClient client = new HttpClient(eventLoops, LinkShaping.NONE);
     this.sync = new DirectorySync(directory, scheduler, clock, this::changed);
@@ -163,6 +147,10 @@
             tools, engine, new ActivationSchedule(settings.bounds().versionMs()), this::report);
     this.chunkServer =
         new ChunkServer(rollout::chunk, scheduler, clock, settings.linkBytesPerSecond());
+    this.reports = new EngineReports(rollout, clock, incarnation, this::send);
+    this.exchange =
+        new HoldingsExchange(
+            rollout, clock, tools.self(), settings.datagramAddress().port(), this::send);
   }
 
   /** Returns the identity of an endpoint VM; its address names it, as no other list does. */
@@ -197,7 +185,8 @@
     datagrams = new DatagramLink(eventLoops, settings.datagramAddress(), this::received);
     eventLoops.execute(this::startSync);
     scheduler.scheduleEvery(this::readStatus, STATUS_MS, TimeUnit.MILLISECONDS);
-    scheduler.scheduleEvery(this::announce, ANNOUNCE_MS, TimeUnit.MILLISECONDS);
+    scheduler.scheduleEvery(
+        () -> exchange.announce(replicas.values()), ANNOUNCE_MS, TimeUnit.MILLISECONDS);
     LOG.atInfo()
         .addKeyValue("vm", settings.vm())
         .addKeyValue("engine", settings.engineAddress().orElse(null))
@@ -207,9 +196,9 @@
   private void startSync() {
     peers.addPeers(settings.seeds());
     sync.start();
+    sync.watch(ObjectKind.WEIGHT_TARGETS, TARGETS_WATCH_MS, 0);
     sync.poll(ObjectKind.CONFIGURATION, CONFIGURATION_POLL_MS);
     sync.poll(ObjectKind.ENDPOINTS, ENDPOINTS_POLL_MS);
-    sync.watch(ObjectKind.WEIGHT_TARGETS, TARGETS_WATCH_MS, 0);
     sync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_MS);
     peers.start();
   }
@@ -229,8 +218,7 @@
     switch (kind) {
       case CONFIGURATION -> entries.forEach(this::readOrigin);
       case ENDPOINTS -> setReplicas(entries);
-      case WEIGHT_TARGETS ->
-          entries.forEach(entry -> decoder.weightTarget(entry).ifPresent(this::named));
+      case WEIGHT_TARGETS -> readTargets();
       case ENTRY_VMS -> {
         List<HostPort> addresses = new ArrayList<>();
         entries.forEach(entry -> decoder.entryVm(entry).ifPresent(addresses::add));
@@ -240,6 +228,12 @@
     }
   }
 
+  private void readTargets() {
+    sync.copy(ObjectKind.WEIGHT_TARGETS)
+        .entries()
+        .forEach(entry -> decoder.weightTarget(entry).ifPresent(this::named));
+  }
+
   private void readOrigin(StoredEntry entry) {
     try {
       RoutingConfiguration configuration = decoder.configuration(entry);
@@ -248,6 +242,7 @@
           .service(settings.engineService())
           .flatMap(Service::engine)
           .ifPresent(profile -> rollout.setModel(profile.model()));
+      readTargets();
     } catch (ClementinefordException e) {
       LOG.atError().log("configuration cannot be read; the origin known before is used", e);
     }
@@ -276,7 +271,7 @@
 
   private void received(HostPort sender, FleetDatagram datagram) {
     if (datagram.isSetSubscription()) {
-      subscribers.put(sender, clock.nanoTime());
+      reports.subscribe(sender);
     } else if (datagram.isSetHoldings()) {
       ChunkHoldings holdings = datagram.getHoldings();
       rollout.named(holdings.getModel(), holdings.getVersion(), clock.nanoTime());
@@ -287,38 +282,28 @@
   private void holdingsReceived(HostPort sender, ChunkHoldings holdings) {
     VmIdentity peer = replicas.get(sender.host());
     if (peer == null) {
-      refreshEndpoints();
+      refresh(ObjectKind.ENDPOINTS);
     } else {
       rollout.peerHolds(peer, holdings.getVersion(), holdings.getBitmap());
     }
-    if (ChunkMap.fromBytes(holdings.getBitmap(), holdings.getChunks()).isWhole()) {
-      return;
-    }
-    // A VM that joins would otherwise wait until this one lists it.
-    for (ChunkTransfer transfer : rollout.transfers()) {
-      if (transfer.digests().version() == holdings.getVersion() && transfer.isWhole()) {
-        datagrams.send(sender, holdings(transfer));
-      }
-    }
+    exchange.answer(sender, holdings);
   }
 
-  private void refreshEndpoints() {
+  /** Reads a kind before its next poll, because something is missing in the copy. */
+  private void refresh(ObjectKind kind) {
     long now = clock.nanoTime();
     if (now - refreshedAt >= REFRESH_NANOS) {
       refreshedAt = now;
-      sync.refresh(ObjectKind.ENDPOINTS);
+      sync.refresh(kind);
     }
   }
 
-  private FleetDatagram holdings(ChunkTransfer transfer) {
-    FleetDatagram datagram = new FleetDatagram();
-    datagram.setHoldings(
-        new ChunkHoldings()
-            .setModel(rollout.model())
-            .setVersion(transfer.digests().version())
-            .setChunks(transfer.chunkCount())
-            .setBitmap(transfer.bitmap()));
-    return datagram;
+  private void send(HostPort receiver, FleetDatagram datagram) {
+    datagrams.send(receiver, datagram);
+  }
+
+  private void report() {
+    reports.send();
   }
 
   private void readStatus() {
@@ -326,6 +311,9 @@
       return;
     }
     statusPending = true;
+    if (origin == null) {
+      refresh(ObjectKind.CONFIGURATION);
+    }
     engine
         .status()
         .whenComplete(
@@ -335,65 +323,7 @@
                 LOG.debug("engine does not answer", failure);
               }
               rollout.statusChanged(failure == null ? status : EngineStatus.UNREACHABLE);
-              report();
+              reports.send();
             });
   }
-
-  private void report() {
-    EngineStatus status = rollout.status();
-    EngineReport report =
-        new EngineReport()
-            .setIncarnation(status.incarnation())
-            .setWeightVersion(status.weightVersion())
-            .setTargetVersion(rollout.target())
-            .setChangingVersion(rollout.isChanging())
-            .setRunning(status.running())
-            .setWaiting(status.waiting())
-            .setMemoryUsed(status.memoryUsed())
-            .setMemoryTotal(status.memoryTotal())
-            .setPace(status.pace());
-    long now = clock.nanoTime();
-    if (report.equals(lastReport) && now - reportedAt < REPEAT_NANOS) {
-      return;
-    }
-    lastReport = report;
-    reportedAt = now;
-    reports++;
-    FleetDatagram datagram = new FleetDatagram();
-    datagram.setReport(
-        report.deepCopy().setTargetAgeMs(rollout.targetAgeMs()).setNumber(incarnation + reports));
-    subscribers.values().removeIf(heardAt -> now - heardAt > SUBSCRIPTION_NANOS);
-    subscribers.keySet().forEach(entryVm -> datagrams.send(entryVm, datagram));
-  }
-
-  /** Tells the other endpoint VMs which chunks they can fetch here. */
-  private void announce() {
-    announcements++;
-    for (ChunkTransfer transfer : rollout.transfers()) {
-      if (!isAnnouncementDue(transfer)) {
-        continue;
-      }
-      FleetDatagram datagram = holdings(transfer);
-      for (VmIdentity replica : replicas.values()) {
-        boolean near = replica.region().equals(settings.region());
-        if (near || transfer.isWhole() || announcements % FAR_ANNOUNCEMENTS == 0) {
-          datagrams.send(new HostPort(replica.vm(), settings.datagramAddress().port()), datagram);
-        }
-      }
-    }
-  }
-
-  private boolean isAnnouncementDue(ChunkTransfer transfer) {
-    long version = transfer.digests().version();
-    int held = (int) Math.round(transfer.progress() * transfer.chunkCount());
-    long now = clock.nanoTime();
-    long quiet = TimeUnit.MILLISECONDS.toNanos(transfer.isWhole() ? 1_000 : 300);
-    Integer before = announced.get(version);
-    if (before != null && before == held && now - announcedAt.get(version) < quiet) {
-      return false;
-    }
-    announced.put(version, held);
-    announcedAt.put(version, now);
-    return true;
-  }
 }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -96,15 +96,17 @@
     }
   }
 
-  /** Notes the model and version that the engine should have. */
+  /** Notes a named version, unless it is of a model of another service. */
   void named(String namedModel, long version, long namedAt) {
+    if (!namedModel.equals(model)) {
+      return;
+    }
     if (version <= target) {
       if (version == target && namedAt - targetAt < 0) {
         targetAt = namedAt;
       }
       return;
     }
-    model = namedModel;
     target = version;
     targetAt = namedAt;
     LOG.atInfo()
@@ -169,13 +171,19 @@
     ChunkTransfer newest = transfers.isEmpty() ? null : transfers.lastEntry().getValue();
     boolean completing =
         newest != null && !newest.isWhole() && newest.progress() >= WORTH_COMPLETING;
-    boolean missing = newest == null || newest.digests().version() < target;
+    boolean missing =
+        target > 0 ? newest == null || newest.digests().version() < target : isEmpty();
     if (missing && !completing && !digestsPending) {
       readDigests();
     }
     activateIfDue();
   }
 
+  /** Tells whether the engine runs without weights, which the newest version then ends. */
+  private boolean isEmpty() {
+    return status != EngineStatus.UNREACHABLE && status.weightVersion() == 0;
+  }
+
   private void readDigests() {
     var origin = tools.origin().get();
     if (origin == null) {
