Keep the bound of a version over restarts

Cause: entry VMs took the time at which an endpoint VM first heard of a version as the time of its naming.

Ruled out: the lost history, after which endpoint VMs list again.

Endpoint VMs say whether they saw the naming. A version that nobody saw being named is required 0.7 s after it is heard of, and engines load it without waiting for a turn. Tests on the gate.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -23,6 +23,7 @@
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.serving.routing.LoadReport;
+import org.clementineford.serving.routing.VersionGate;
 import org.clementineford.wire.EngineReport;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -194,11 +195,14 @@
       return;
     }
     if (report.getTargetVersion() > 0) {
-      state
-          .versions(engine.endpoint().service())
-          .named(
-              report.getTargetVersion(),
-              now - TimeUnit.MILLISECONDS.toNanos(report.getTargetAgeMs()));
+      VersionGate gate = state.versions(engine.endpoint().service());
+      if (report.getTargetAgeMs() < 0) {
+        gate.namedBefore(report.getTargetVersion(), now);
+      } else {
+        gate.named(
+            report.getTargetVersion(),
+            now - TimeUnit.MILLISECONDS.toNanos(report.getTargetAgeMs()));
+      }
     }
     if (engine.weightVersion() != report.getWeightVersion()) {
       LOG.atInfo()
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -84,7 +84,7 @@
     @Test
     void isStagedWholeBeforeTheOrder() {
       rollout.statusChanged(status(1, 1));
-      rollout.named("m", 2, 0);
+      rollout.named("m", 2, 0, true);
       advance(8_000);
       assertThat(engine.loaded).isNotEmpty().containsOnly(2L);
       for (int i = 0; i < CHUNKS; i++) {
@@ -97,7 +97,7 @@
     void isNotLoadedFromCorruptChunks() {
       origin.corrupt = true;
       rollout.statusChanged(status(1, 1));
-      rollout.named("m", 2, 0);
+      rollout.named("m", 2, 0, true);
       advance(8_000);
       assertThat(engine.loaded).isEmpty();
       origin.corrupt = false;
@@ -109,7 +109,7 @@
     @Test
     void isAnnouncedBeforeTheOrder() {
       rollout.statusChanged(status(1, 1));
-      rollout.named("m", 2, 0);
+      rollout.named("m", 2, 0, true);
       engine.onLoad = () -> assertThat(rollout.isChanging()).isTrue();
       advance(8_000);
       assertThat(engine.loaded).isNotEmpty();
@@ -122,7 +122,7 @@
   @Test
   void versionsOfOtherModelsAreIgnored() {
     rollout.statusChanged(status(1, 1));
-    rollout.named("other", 5, 0);
+    rollout.named("other", 5, 0, true);
     assertThat(rollout.target()).isZero();
   }
 
@@ -132,7 +132,7 @@
     @Test
     void getsItsVersionAgain() {
       rollout.statusChanged(status(1, 1));
-      rollout.named("m", 2, 0);
+      rollout.named("m", 2, 0, true);
       advance(8_000);
       rollout.statusChanged(status(1, 2));
       rollout.statusChanged(status(2, 0));
@@ -150,7 +150,7 @@
         engine.staged.put(i, chunk(1, i));
       }
       rollout.statusChanged(status(1, 1));
-      rollout.named("m", 1, 0);
+      rollout.named("m", 1, 0, true);
       advance(500);
       assertThat(origin.chunksRead).isZero();
       assertThat(rollout.chunk("m", 1, 3)).isEqualTo(chunk(1, 3));
@@ -163,7 +163,7 @@
         engine.staged.put(i, chunk(i == 2 ? 9 : 1, i));
       }
       rollout.statusChanged(status(1, 1));
-      rollout.named("m", 1, 0);
+      rollout.named("m", 1, 0, true);
       advance(500);
       assertThat(origin.chunksRead).isEqualTo(1);
     }
@@ -177,9 +177,9 @@
     void waitsForATransferThatIsMostlyDone() {
       origin.held = 1;
       rollout.statusChanged(status(1, 1));
-      rollout.named("m", 2, 0);
+      rollout.named("m", 2, 0, true);
       advance(1_000);
-      rollout.named("m", 3, time.nanoTime());
+      rollout.named("m", 3, time.nanoTime(), true);
       advance(500);
       assertThat(rollout.transfers()).hasSize(1);
       origin.release();
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
@@ -19,6 +19,11 @@
     this.boundNanos = TimeUnit.MILLISECONDS.toNanos(boundMs);
   }
 
+  /** Returns the bound of a named version in nanoseconds. */
+  long boundNanos() {
+    return boundNanos;
+  }
+
   /**
    * Returns the earliest time to begin.
    *
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -93,6 +93,7 @@
   private long refreshedAt;
   private DatagramLink datagrams;
   private boolean statusPending;
+  private boolean targetsKnown;
 
   /**
    * Creates the parts of an endpoint VM.
@@ -266,7 +267,7 @@
   }
 
   private void named(WeightTarget target) {
-    rollout.named(target.model(), target.version(), clock.nanoTime());
+    rollout.named(target.model(), target.version(), clock.nanoTime(), targetsKnown);
   }
 
   private void received(HostPort sender, FleetDatagram datagram) {
@@ -274,7 +275,7 @@
       reports.subscribe(sender);
     } else if (datagram.isSetHoldings()) {
       ChunkHoldings holdings = datagram.getHoldings();
-      rollout.named(holdings.getModel(), holdings.getVersion(), clock.nanoTime());
+      rollout.named(holdings.getModel(), holdings.getVersion(), clock.nanoTime(), targetsKnown);
       holdingsReceived(sender, holdings);
     }
   }
@@ -307,6 +308,8 @@
   }
 
   private void readStatus() {
+    // Only what is named after the first listing is seen being named.
+    targetsKnown |= sync.copy(ObjectKind.WEIGHT_TARGETS).isKnown() && rollout.model() != null;
     if (statusPending) {
       return;
     }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -50,6 +50,7 @@
   private String model;
   private long target;
   private long targetAt;
+  private boolean targetWitnessed;
   private EngineStatus status = EngineStatus.UNREACHABLE;
   private List<VmIdentity> peers = List.of();
   private boolean digestsPending;
@@ -74,7 +75,11 @@
     return model;
   }
 
+  /** Returns the time since the target was named; -1 if that was before this process knew. */
   int targetAgeMs() {
+    if (!targetWitnessed) {
+      return -1;
+    }
     return (int)
         Math.min(
             Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(tools.clock().nanoTime() - targetAt));
@@ -97,18 +102,17 @@
   }
 
   /** Notes a named version, unless it is of a model of another service. */
-  void named(String namedModel, long version, long namedAt) {
+  void named(String namedModel, long version, long namedAt, boolean witnessed) {
     if (!namedModel.equals(model)) {
       return;
     }
     if (version <= target) {
-      if (version == target && namedAt - targetAt < 0) {
-        targetAt = namedAt;
-      }
       return;
     }
     target = version;
-    targetAt = namedAt;
+    targetWitnessed = witnessed;
+    // A version that was named at an unknown time is due at once.
+    targetAt = witnessed ? namedAt : namedAt - schedule.boundNanos();
     LOG.atInfo()
         .addKeyValue("model", namedModel)
         .addKeyValue("version", version)
@@ -259,7 +263,7 @@
   private void begin(WeightDigests digests, Map<Integer, byte[]> staged) {
     digestsPending = false;
     if (digests.version() > target) {
-      named(digests.model(), digests.version(), tools.clock().nanoTime());
+      named(digests.model(), digests.version(), tools.clock().nanoTime(), false);
     }
     if (transfers.containsKey(digests.version())) {
       return;
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/VersionGateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/VersionGateTest.java
@@ -39,6 +39,25 @@
     assertThat(gate.minimum(ms(BOUND_MS))).isEqualTo(2);
   }
 
+  // Guards against old weights after a restart of all processes, when none of them knows any more
+  // when the version was named.
+  @Test
+  void requiresAVersionAtOnceIfNobodySawItBeingNamed() {
+    gate.namedBefore(2, 0);
+    assertThat(gate.minimum(ms(100))).isZero();
+    assertThat(gate.minimum(ms(1_000))).isEqualTo(2);
+  }
+
+  // Guards against engines that are taken out of use early because one process restarted.
+  @Test
+  void believesAWitnessMoreThanARestartedProcess() {
+    gate.namedBefore(2, 0);
+    gate.named(2, 0);
+    gate.namedBefore(2, ms(100));
+    assertThat(gate.minimum(ms(1_000))).isZero();
+    assertThat(gate.minimum(ms(BOUND_MS))).isEqualTo(2);
+  }
+
   // Guards against a minimum that goes back.
   @Test
   void neverDecreases() {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/VersionGate.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/VersionGate.java
@@ -10,12 +10,26 @@
   /** Part of the bound after which the named version is required; the rest covers the way there. */
   private static final double REQUIRED_PART = 0.9;
 
+  /** Time in which a process that saw the naming should be heard, if there is one. */
+  private static final long WITNESS_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
   private final long requiredAfterNanos;
   private long minimum;
-  private long target;
-  private long targetAt;
-  private long later;
-  private long laterAt;
+  private Named next = Named.NONE;
+  private Named later = Named.NONE;
+
+  /** A version, the time that its bound counts from, and whether a process saw it being named. */
+  private record Named(long version, long at, boolean witnessed) {
+    private static final Named NONE = new Named(0, 0, false);
+
+    /** Combines two statements about the same version. */
+    Named and(Named other) {
+      if (witnessed != other.witnessed) {
+        return witnessed ? this : other;
+      }
+      return other.at - at < 0 ? other : this;
+    }
+  }
 
   /**
    * Creates a gate that lets each version pass.
@@ -30,23 +44,37 @@
    * Notes that a version was named.
    *
    * @param version the version
-   * @param namedAt monotonic time at which it was first known, in nanoseconds
+   * @param namedAt monotonic time at which a process first knew it, in nanoseconds
    */
   public void named(long version, long namedAt) {
-    if (version > target) {
-      if (target > minimum && later == 0) {
-        later = version;
-        laterAt = namedAt;
-      } else if (target > minimum) {
-        later = Math.max(later, version);
-      } else {
-        target = version;
-        targetAt = namedAt;
-      }
-    } else if (version == target && namedAt - targetAt < 0) {
-      targetAt = namedAt;
-    } else if (version == later && namedAt - laterAt < 0) {
-      laterAt = namedAt;
+    note(new Named(version, namedAt, true));
+  }
+
+  /**
+   * Notes that a version was named at an unknown time, before a process started. Unless another
+   * process saw it, its bound counts as over.
+   *
+   * @param version the version
+   * @param now monotonic time in nanoseconds
+   */
+  public void namedBefore(long version, long now) {
+    note(new Named(version, now - requiredAfterNanos + WITNESS_NANOS, false));
+  }
+
+  private void note(Named named) {
+    if (named.version() <= minimum) {
+      return;
+    }
+    if (next.version() <= minimum) {
+      next = named;
+    } else if (named.version() == next.version()) {
+      next = next.and(named);
+    } else if (named.version() == later.version()) {
+      later = later.and(named);
+    } else if (named.version() > Math.max(next.version(), later.version())) {
+      // With several versions to come, the newest takes the bound of the first.
+      later = later.version() > next.version() ? later.and(named) : named;
+      later = new Named(named.version(), later.at(), later.witnessed());
     }
   }
 
@@ -57,13 +85,10 @@
    * @return a version; it never decreases
    */
   public long minimum(long now) {
-    if (target > minimum && now - targetAt >= requiredAfterNanos) {
-      minimum = target;
-      if (later > target) {
-        target = later;
-        targetAt = laterAt;
-        later = 0;
-      }
+    if (next.version() > minimum && now - next.at() >= requiredAfterNanos) {
+      minimum = next.version();
+      next = later;
+      later = Named.NONE;
     }
     return minimum;
   }
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -11,7 +11,7 @@
   1: i64 incarnation, // start of the engine, Unix ms; 0 if the engine does not state it
   2: i64 weightVersion, // version that answers requests; 0 for none
   3: i64 targetVersion, // newest version that the sender knows; 0 for none
-  4: i32 targetAgeMs, // time since the sender learnt of the target
+  4: i32 targetAgeMs, // time since the target was named; -1 if before the sender's start
   5: bool changingVersion, // requests should go elsewhere until this is false
   6: i32 running,
   7: i32 waiting,
