Drop a transfer whose version is too old by its end

Endpoint VMs completed version 2 at 29.6 s although version 3 was required from 27.2 s, began version 3 then, and were killed before its end: nothing was served for 20 s.

Ruled out: the choice of versions at the entry VMs, which is the rule.

A transfer is completed only if its version can serve for 2.5 s before the next one is required, by its rate so far. Tests on the decision.

--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
@@ -19,6 +19,25 @@
     assertThat(last).isLessThan(TimeUnit.MILLISECONDS.toNanos(BOUND_MS));
   }
 
+  private static long seconds(double seconds) {
+    return (long) (seconds * TimeUnit.SECONDS.toNanos(1));
+  }
+
+  // Guards against leaving all engines without a version that may answer, when the next version is
+  // named while the transfer of the one before is well under way.
+  @Test
+  void aTransferIsCompletedIfItsVersionCanStillServe() {
+    assertThat(schedule.isWorthCompleting(0.6, seconds(3), seconds(1), seconds(2))).isTrue();
+  }
+
+  // Guards against completing a transfer, delayed by an outage of the origin, of a version that is
+  // too old to serve by then.
+  @Test
+  void aTransferIsDroppedIfItsVersionIsTooOldByItsEnd() {
+    assertThat(schedule.isWorthCompleting(0.8, seconds(8), seconds(0), seconds(6))).isFalse();
+    assertThat(schedule.isWorthCompleting(0.1, seconds(1), seconds(0), seconds(0))).isFalse();
+  }
+
   // Guards against an engine that waits for its turn although it can answer nothing.
   @Test
   void anEngineWithoutWeightsDoesNotWait() {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
@@ -13,12 +13,37 @@
   /** Part of the bound at which the last engine begins to change. */
   private static final double LAST_PART = 0.8;
 
+  /** Part of a transfer below which starting the next one loses little. */
+  private static final double LEAST_PROGRESS = 0.3;
+
+  /** Time for which a version must serve, with the time to load it, to be worth its transfer. */
+  private static final long USE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
+
   private final long boundNanos;
 
   ActivationSchedule(long boundMs) {
     this.boundNanos = TimeUnit.MILLISECONDS.toNanos(boundMs);
   }
 
+  /**
+   * Tells whether a transfer should be completed although a newer version is named. If all engines
+   * dropped it, none would have a version that may answer until the newer one is there; if it ends
+   * shortly before the newer version is required, it only delays that one.
+   *
+   * @param progress part of the chunks that is held
+   * @param elapsedNanos time since the transfer began
+   * @param nextNamedAt when the newer version was named, monotonic nanoseconds
+   * @param now present time
+   * @return true if the older version can serve for a while
+   */
+  boolean isWorthCompleting(double progress, long elapsedNanos, long nextNamedAt, long now) {
+    if (progress < LEAST_PROGRESS) {
+      return false;
+    }
+    double remaining = elapsedNanos * (1 - progress) / progress;
+    return now + remaining + USE_NANOS < nextNamedAt + boundNanos;
+  }
+
   /** Returns the bound of a named version in nanoseconds. */
   long boundNanos() {
     return boundNanos;
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
@@ -114,6 +114,10 @@
     return state.held().count();
   }
 
+  long elapsedNanos() {
+    return tools.clock().nanoTime() - startedAt;
+  }
+
   byte[] bitmap() {
     return state.held().toBytes();
   }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -28,9 +28,6 @@
   /** Versions kept for peers that are still fetching them. */
   private static final int KEPT_VERSIONS = 3;
 
-  /** Part of a transfer from which it is completed before the next version begins. */
-  private static final double WORTH_COMPLETING = 0.3;
-
   /** Time for entry VMs to learn that this engine takes no requests, in milliseconds. */
   private static final long NOTICE_MS = 120;
 
@@ -174,7 +171,10 @@
     }
     ChunkTransfer newest = transfers.isEmpty() ? null : transfers.lastEntry().getValue();
     boolean completing =
-        newest != null && !newest.isWhole() && newest.progress() >= WORTH_COMPLETING;
+        newest != null
+            && !newest.isWhole()
+            && schedule.isWorthCompleting(
+                newest.progress(), newest.elapsedNanos(), targetAt, tools.clock().nanoTime());
     boolean missing =
         target > 0 ? newest == null || newest.digests().version() < target : isEmpty();
     if (missing && !completing && !digestsPending) {
@@ -294,6 +294,9 @@
     if (status.weightVersion() >= version || ordered) {
       return;
     }
+    if (version < target && !schedule.isWorthCompleting(1, 0, targetAt, now)) {
+      return;
+    }
     boolean serving = status.weightVersion() > 0;
     long beginAt = schedule.beginAt(targetAt, rank(version), peers.size() + 1, serving);
     if (now - beginAt < 0 && version == target) {
