--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -114,7 +114,7 @@
 
     // Guards against counting an empty answer as proof for the time at which it came.
     @Test
-    void ofAWatchCountsFromBeforeItsCall() {
+    void ofTheWatchCountsFromBeforeItsCall() {
       start();
       time.advance(1, TimeUnit.SECONDS);
       directory.answer(new Listing(List.of(), 2));
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/TrustClockTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/TrustClockTest.java
@@ -19,7 +19,7 @@
 
   // Guards against trust in keys that were removed while the VM was suspended.
   @Test
-  void countsTheTimeOfASuspension() {
+  void countsTheTimeOfTheSuspension() {
     assertThat(advance(10, 6_010)).isEqualTo(6_010);
     assertThat(advance(10, 10)).isEqualTo(10);
   }
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
@@ -69,7 +69,7 @@
 
     // Guards against a body without a length that is taken as whole after a reset.
     @Test
-    void withoutLengthIsNotWholeAfterAReset() throws Exception {
+    void withoutLengthIsNotWholeAfterTheReset() throws Exception {
       FakeEndpoint.Script script =
           (request, connection) -> {
             connection.write("HTTP/1.1 200 OK\r\nid: 1\r\nproof: p\r\n\r\npart");
@@ -97,7 +97,7 @@
   class NonIdempotentRequest {
     // Guards against a second run of a request whose first run had an unknown outcome.
     @Test
-    void isNotSentAgainAfterAReset() throws Exception {
+    void isNotSentAgainAfterTheReset() throws Exception {
       FakeEndpoint.Script script = (request, connection) -> connection.reset();
       try (FakeEndpoint first = new FakeEndpoint(script);
           FakeEndpoint second = new FakeEndpoint(script);
@@ -109,7 +109,7 @@
 
     // Guards against failing a request that is certain not to have run.
     @Test
-    void isSentAgainAfterAStatedRejection() throws Exception {
+    void isSentAgainAfterTheStatedRejection() throws Exception {
       FakeEndpoint.Script script =
           (request, connection) -> connection.whole(503, request.id(), "not-run: 1\r\n", "");
       try (FakeEndpoint first = new FakeEndpoint(script);
@@ -155,7 +155,7 @@
   class IdempotentRequest {
     // Guards against failing a request that another endpoint can answer.
     @Test
-    void isSentAgainAfterASilence() throws Exception {
+    void isSentAgainAfterTheSilence() throws Exception {
       CountDownLatch end = new CountDownLatch(1);
       FakeEndpoint.Script silent = (request, connection) -> await(end);
       try (FakeEndpoint first = new FakeEndpoint(silent);
@@ -244,7 +244,7 @@
   class Key {
     // Guards against requests with a key that may have been removed.
     @Test
-    void isNotTrustedWithoutARecentProof() throws Exception {
+    void isNotTrustedWithoutTheRecentProof() throws Exception {
       try (FakeEndpoint endpoint = new FakeEndpoint(good());
           GatewayFixture fixture = new GatewayFixture(endpoint)) {
         fixture.setConfigurationAge(4_900);
@@ -257,7 +257,7 @@
 
     // Guards against requests of strangers, and against a 404 where a route exists.
     @Test
-    void mustBelongToAClientAccount() throws Exception {
+    void mustBelongToTheClientAccount() throws Exception {
       try (FakeEndpoint endpoint = new FakeEndpoint(good());
           GatewayFixture fixture = new GatewayFixture(endpoint)) {
         assertThat(fixture.send("GET", "/keyed/a", "1", "key", "other").statusCode())
--- a/org.clementineford.platform.fleet.test/src/test/java/org/clementineford/platform/fleet/DecodingTest.java
+++ b/org.clementineford.platform.fleet.test/src/test/java/org/clementineford/platform/fleet/DecodingTest.java
@@ -110,7 +110,7 @@
 
     // Guards against entries of foreign writers that would be used, or would stop the decoding.
     @Test
-    void ofAForeignWriterIsIgnored() {
+    void ofTheForeignWriterIsIgnored() {
       assertThat(decoder.endpoint(entry(GOOD.replace("ready", "sleeping")))).isEmpty();
       assertThat(decoder.endpoint(entry(GOOD.replace("\"pool\"", "5")))).isEmpty();
       assertThat(decoder.endpoint(entry(GOOD.replace("10.0.0.9:80", "nowhere")))).isEmpty();
@@ -160,7 +160,7 @@
 
     // Guards against sizes and times that are read wrongly or end the process.
     @Test
-    void ofACallerAreDecoded() {
+    void ofTheCallerAreDecoded() {
       HttpRequest request =
           new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a/b?c=/d");
       request.headers().set("X-Token-Usage", "1460,80").set("X-Timeout-Ms", "6041");
--- a/org.clementineford.platform.fleet.test/src/test/java/org/clementineford/platform/fleet/PlatformCallsTest.java
+++ b/org.clementineford.platform.fleet.test/src/test/java/org/clementineford/platform/fleet/PlatformCallsTest.java
@@ -102,7 +102,7 @@
 
     // Guards against an entry VM that cannot register again after a restart.
     @Test
-    void ofThisVmAreReplacedAfterARestart() throws Exception {
+    void ofThisVmAreReplacedAfterTheRestart() throws Exception {
       platform
           .when("POST /-/objects/entryvms", 409, "{}")
           .when("PUT /-/objects/entryvms/front-1", 200, "{}");
@@ -144,7 +144,7 @@
   class Origin {
     // Guards against chunks of the newest version where an older one is wanted.
     @Test
-    void givesDigestsAndChunksOfAVersion() throws Exception {
+    void givesDigestsAndChunksOfTheVersion() throws Exception {
       platform
           .when(
               "GET /-/manifest/m?version=2",
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ChunkServerTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ChunkServerTest.java
@@ -29,7 +29,7 @@
 
   // Guards against events of streams that wait behind several chunks on the VM's link.
   @Test
-  void sendsOneChunkAtATimeAndSlowerThanTheLink() {
+  void sendsOneChunkAtTheTimeAndSlowerThanTheLink() {
     for (int chunk = 0; chunk < 4; chunk++) {
       ask(ChunkServer.path("m", 2, chunk));
     }
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -145,7 +145,7 @@
   class StagedChunks {
     // Guards against fetching what the engine of this VM already has.
     @Test
-    void areUsedInsteadOfATransfer() {
+    void areUsedInsteadOfTheTransfer() {
       for (int i = 0; i < CHUNKS; i++) {
         engine.staged.put(i, chunk(1, i));
       }
@@ -174,7 +174,7 @@
     // Guards against dropping a transfer that is nearly done, which leaves all engines without a
     // version that may still answer when versions follow each other closely.
     @Test
-    void waitsForATransferThatIsMostlyDone() {
+    void waitsForTheTransferThatIsMostlyDone() {
       origin.held = 1;
       rollout.statusChanged(status(1, 1));
       rollout.named("m", 2, 0, true);
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -44,7 +44,7 @@
   class AfterOutage {
     // Guards against dropping endpoints that only had no time to register again.
     @Test
-    void missingEntriesAreKeptForAWhile() {
+    void missingEntriesAreKeptForTheWhile() {
       copy.replace(List.of(entry("a", 1), entry("b", 2)), 2, 0, false, 0);
       copy.replace(List.of(entry("a", 1)), 9, 0, true, 0);
       assertThat(names()).containsExactly("a", "b");
@@ -85,7 +85,7 @@
 
     // Guards against a proof for a newer copy that is taken for this older one.
     @Test
-    void isNotRenewedByAProofOfANewerCopy() {
+    void isNotRenewedByTheProofOfTheNewerCopy() {
       copy.replace(List.of(), 1, 5, false, 5);
       copy.proveCurrent(2, 12);
       assertThat(copy.ageNanos(15)).isEqualTo(10);
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/queueing/WaitingQueueTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/queueing/WaitingQueueTest.java
@@ -66,7 +66,7 @@
 
   // Guards against work for callers that are gone.
   @Test
-  void forgetsARequestWhoseCallerLeft() {
+  void forgetsTheRequestWhoseCallerLeft() {
     add("gone", 0, 1);
     assertThat(queue.remove("gone")).isTrue();
     assertThat(queue.poll(0, FIRST_EVENT)).isEmpty();
@@ -78,7 +78,7 @@
 
     // Guards against refusing requests that can be served while their callers wait.
     @Test
-    void letsARequestWaitIfItIsServedInTime() {
+    void letsTheRequestWaitIfItIsServedInTime() {
       assertThat(admission.refuse(10_000, 10, 6_000)).isEmpty();
     }
 
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/EndpointTableTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/EndpointTableTest.java
@@ -17,7 +17,7 @@
   class RestartedEndpoint {
     // Guards against load and weights of an earlier life under the same identity.
     @Test
-    void isANewEntry() {
+    void isTheNewEntry() {
       table.update(List.of(RoutingFixture.endpoint("a", 1, 1, "x")));
       EndpointState before = only();
       before.sent(100);
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/PlacementTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/PlacementTest.java
@@ -38,7 +38,7 @@
 
     // Guards against requests that wait unseen inside an engine.
     @Test
-    void withoutAFreeSlotIsNotChosen() {
+    void withoutTheFreeSlotIsNotChosen() {
       for (int i = 0; i < RoutingFixture.PROFILE.slots(); i++) {
         near.sent(1);
         far.sent(1);
@@ -102,7 +102,7 @@
 
     // Guards against trying a failed endpoint with a request that must run once.
     @Test
-    void getsNoTrialFromARequestThatMustRunOnce() {
+    void getsNoTrialFromTheRequestThatMustRunOnce() {
       near.failed(AttemptOutcome.SILENT, now);
       now += TimeUnit.SECONDS.toNanos(1);
       assertThat(placement.plain(List.of(near, far), Set.of(), false, now)).contains(far);
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/VersionGateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/VersionGateTest.java
@@ -16,7 +16,7 @@
 
   // Guards against requests on the old version after the bound, and against refusing it too early.
   @Test
-  void requiresAVersionShortlyBeforeItsBound() {
+  void requiresTheVersionShortlyBeforeItsBound() {
     gate.named(2, 0);
     assertThat(gate.minimum(ms(4_000))).isZero();
     assertThat(gate.minimum(ms(BOUND_MS))).isEqualTo(2);
@@ -42,7 +42,7 @@
   // Guards against old weights after a restart of all processes, when none of them knows any more
   // when the version was named.
   @Test
-  void requiresAVersionAtOnceIfNobodySawItBeingNamed() {
+  void requiresTheVersionAtOnceIfNobodySawItBeingNamed() {
     gate.namedBefore(2, 0);
     assertThat(gate.minimum(ms(100))).isZero();
     assertThat(gate.minimum(ms(1_000))).isEqualTo(2);
@@ -50,7 +50,7 @@
 
   // Guards against engines that are taken out of use early because one process restarted.
   @Test
-  void believesAWitnessMoreThanARestartedProcess() {
+  void believesTheWitnessMoreThanTheRestartedProcess() {
     gate.namedBefore(2, 0);
     gate.named(2, 0);
     gate.namedBefore(2, ms(100));
