Share out the last slots of engines, newest first in overload

Cause: with more requests than the engines can do, each entry VM sent a request for the same free slot of a report, so requests waited inside engines (286 attempts without an event for 1.5 s), and the queue sent the request closest to its goal first, so that nearly all missed it. Requests that newer ones passed were held until their callers left.

Ruled out: the rate of the engines, busy at 94 of 100.

An entry VM sends its share of the free slots of a report, and reuses the slots of its own requests. In overload the newest request goes first, a request that waited 35 % of its time in vain is refused, and the queue holds 20 % of a caller's time instead of 60 %.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -16,6 +16,12 @@
   /** Smallest share of the engines that this entry VM counts on. */
   private static final double SMALLEST_SHARE = 0.05;
 
+  /** Predicted wait from which not all requests can meet their goals of a few hundred ms. */
+  private static final double OVERLOAD_MS = 150;
+
+  /** Passes of a full engine, with prompts read between them, until a request's first event. */
+  private static final double FIRST_EVENT_PASSES = 3.5;
+
   private final GatewayState state;
   private final String service;
   private final WaitingQueue<RequestRun> queue = new WaitingQueue<>();
@@ -93,9 +99,9 @@
       hopeless.item().refuse(Ending.NOT_SENT_IN_TIME, state.admission().retryAfterSeconds(0));
     }
     while (queue.size() > 0) {
-      long firstEvent = (long) (2 * EngineModel.passMs(profile, profile.slots()));
+      long firstEvent = (long) (FIRST_EVENT_PASSES * EngineModel.passMs(profile, profile.slots()));
       Optional<WaitingRequest<RequestRun>> next =
-          queue.poll(now, TimeUnit.MILLISECONDS.toNanos(firstEvent));
+          queue.poll(now, TimeUnit.MILLISECONDS.toNanos(firstEvent), isOverloaded());
       RequestRun run = next.get().item();
       Optional<EndpointState> engine = place(run, profile);
       if (engine.isEmpty()) {
@@ -106,6 +112,10 @@
     }
   }
 
+  private boolean isOverloaded() {
+    return queue.costMs() > OVERLOAD_MS * ownEngines();
+  }
+
   void remove(RequestRun run) {
     queue.remove(run);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -19,10 +19,12 @@
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.serving.model.CallerLimits;
 import org.clementineford.serving.model.Endpoint;
+import org.clementineford.serving.model.EngineProfile;
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.serving.routing.LoadReport;
+import org.clementineford.serving.routing.SlotShare;
 import org.clementineford.serving.routing.VersionGate;
 import org.clementineford.wire.EngineReport;
 import org.slf4j.Logger;
@@ -38,6 +40,7 @@
   private final GatewayState state;
   private final EventLoopGroup eventLoops;
   private final NanoClock clock;
+  private final IntSupplier entryVms;
   private final EndpointPool pool;
   private final RequestRouter router;
   private final CallerListener listener;
@@ -73,6 +76,7 @@
     this.state = new GatewayState(settings, clock, random, entryVms);
     this.eventLoops = eventLoops;
     this.clock = clock;
+    this.entryVms = entryVms;
     this.pool = new EndpointPool(eventLoops, protocol, clock);
     this.router =
         new RequestRouter(
@@ -211,6 +215,14 @@
           .log("engine reports other weights");
     }
     reportedAt.put(engine, now);
+    int slots =
+        state
+            .configuration()
+            .service(engine.endpoint().service())
+            .flatMap(Service::engine)
+            .map(EngineProfile::slots)
+            .orElse(0);
+    int free = slots - report.getRunning() - report.getWaiting();
     engine.reported(
         new LoadReport(
             report.getIncarnation(),
@@ -219,7 +231,8 @@
             report.isChangingVersion(),
             report.getRunning(),
             report.getWaiting(),
-            report.getPace()));
+            report.getPace()),
+        SlotShare.requests(free, slots, entryVms.getAsInt(), state::random));
     router.pump(engine.endpoint().service());
   }
 
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/Admission.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/Admission.java
@@ -8,8 +8,11 @@
  * callers leave.
  */
 public final class Admission {
-  /** Part of a caller's time that the predicted wait may take. */
-  private static final double WAITING_PART = 0.6;
+  /**
+   * Part of a caller's time that the predicted wait may take. A longer queue only adds requests
+   * that wait in vain while newer ones meet their latency goal.
+   */
+  private static final double WAITING_PART = 0.2;
 
   /** Longest time that a refused caller is asked to wait, in seconds. */
   private static final double LONGEST_RETRY_SECONDS = 2.0;
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/WaitingQueue.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/WaitingQueue.java
@@ -9,7 +9,8 @@
 /**
  * Requests that wait for a free slot of an engine, for loads above what the engines can do.
  *
- * <p>Requests that can still meet their latency goal go first, the earliest goal before others.
+ * <p>Requests that can still meet their latency goal go first: the earliest goal before others, or
+ * the newest request in overload, when serving the most urgent first makes all of them miss it.
  * When there are none, those that will be late follow in order of arrival. A first-in-first-out
  * queue would make every request late once the wait exceeds the goal.
  *
@@ -19,6 +20,9 @@
   /** Shortest time in which a request can still be answered, in nanoseconds. */
   private static final long SHORTEST_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /** Part of its time for which a request waits; its caller can then still try once more. */
+  private static final double LONGEST_WAIT_PART = 0.35;
+
   private final List<WaitingRequest<T>> waiting = new ArrayList<>();
 
   /**
@@ -45,12 +49,13 @@
    *
    * @param now present time
    * @param firstEventNanos predicted time from sending a request to its first event
+   * @param overloaded true if not all requests can meet their goal
    * @return the request; empty if none waits
    */
-  public Optional<WaitingRequest<T>> poll(long now, long firstEventNanos) {
+  public Optional<WaitingRequest<T>> poll(long now, long firstEventNanos, boolean overloaded) {
     WaitingRequest<T> best = null;
     for (WaitingRequest<T> request : waiting) {
-      if (best == null || goesBefore(request, best, now + firstEventNanos)) {
+      if (best == null || goesBefore(request, best, now + firstEventNanos, overloaded)) {
         best = request;
       }
     }
@@ -60,7 +65,8 @@
     return Optional.ofNullable(best);
   }
 
-  private boolean goesBefore(WaitingRequest<T> a, WaitingRequest<T> b, long firstEventAt) {
+  private boolean goesBefore(
+      WaitingRequest<T> a, WaitingRequest<T> b, long firstEventAt, boolean overloaded) {
     boolean meetsA = a.goalAt() - firstEventAt >= 0;
     boolean meetsB = b.goalAt() - firstEventAt >= 0;
     if (meetsA != meetsB) {
@@ -69,7 +75,10 @@
     if (a.rank() != b.rank()) {
       return a.rank() < b.rank();
     }
-    return meetsA ? a.goalAt() < b.goalAt() : a.arrivedAt() < b.arrivedAt();
+    if (!meetsA) {
+      return a.arrivedAt() < b.arrivedAt();
+    }
+    return overloaded ? a.arrivedAt() > b.arrivedAt() : a.goalAt() < b.goalAt();
   }
 
   /**
@@ -83,7 +92,8 @@
     Iterator<WaitingRequest<T>> requests = waiting.iterator();
     while (requests.hasNext()) {
       WaitingRequest<T> request = requests.next();
-      if (request.deadlineAt() - now < SHORTEST_ANSWER_NANOS) {
+      boolean tooLate = request.deadlineAt() - now < SHORTEST_ANSWER_NANOS;
+      if (tooLate || hasWaitedInVain(request, now)) {
         requests.remove();
         hopeless.add(request);
       }
@@ -91,6 +101,12 @@
     return hopeless;
   }
 
+  /** A late request that newer ones passed for this long would wait until its caller leaves. */
+  private boolean hasWaitedInVain(WaitingRequest<T> request, long now) {
+    long time = request.deadlineAt() - request.arrivedAt();
+    return now - request.goalAt() > 0 && now - request.arrivedAt() > LONGEST_WAIT_PART * time;
+  }
+
   /**
    * Returns the engine time that all waiting requests need.
    *
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
@@ -14,6 +14,7 @@
   private long unreadPromptTokens;
   private LoadReport report = LoadReport.NONE;
   private int outstandingAtReport;
+  private int allowance = Integer.MAX_VALUE;
 
   EndpointState(Endpoint endpoint) {
     this.endpoint = endpoint;
@@ -52,6 +53,9 @@
    */
   public void sent(int promptTokens) {
     outstanding++;
+    if (allowance != Integer.MAX_VALUE) {
+      allowance--;
+    }
     unreadPromptTokens += promptTokens;
     health.sent();
   }
@@ -68,6 +72,10 @@
   /** Notes that a request ended, however it ended. */
   public void ended() {
     outstanding--;
+    if (allowance != Integer.MAX_VALUE) {
+      // The slot of this VM's own request is free for its next one.
+      allowance++;
+    }
     health.released();
   }
 
@@ -96,8 +104,28 @@
    * @param report the report
    */
   public void reported(LoadReport report) {
+    reported(report, Integer.MAX_VALUE);
+  }
+
+  /**
+   * Takes in a report of the endpoint's load.
+   *
+   * @param report the report
+   * @param requests requests to send until the next report, besides those that replace own ones
+   */
+  public void reported(LoadReport report, int requests) {
     this.report = report;
     this.outstandingAtReport = outstanding;
+    this.allowance = requests;
+  }
+
+  /**
+   * Tells whether another request may be sent before the next report.
+   *
+   * @return false once the share of the free slots is used
+   */
+  public boolean hasAllowance() {
+    return allowance > 0;
   }
 
   /**
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
@@ -67,7 +67,8 @@
         engine ->
             isCandidate(engine, tried, now)
                 && isServing(engine, minimumVersion)
-                && engine.load() < profile.slots(),
+                && engine.load() < profile.slots()
+                && engine.hasAllowance(),
         engine -> {
           double ms = EngineModel.firstTokenMs(profile, engine, promptTokens);
           return (ms * (1 + SPREAD * random.getAsDouble()) + distanceMs(engine))
