--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -44,7 +44,7 @@
    * Longest wait of a watch of the configuration. It bounds the age of the keys, so it stays well
    * below the time in which a removed key must stop working.
    */
-  private static final long CONFIGURATION_WATCH_MS = 1_500;
+  private static final long CONFIGURATION_WATCH_MS = 1_000;
 
   /** Longest wait of a watch of the endpoints; a silent connection is noticed about this late. */
   private static final long ENDPOINTS_WATCH_MS = 2_500;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -49,10 +49,6 @@
     this.continuation = continuation;
   }
 
-  EndpointState endpoint() {
-    return endpoint;
-  }
-
   void start(FullHttpRequest request) {
     endpoint.sent(run.promptTokens());
     boolean repeatable = run.route().mayRunAgain();
@@ -212,7 +208,7 @@
     }
     release();
     endpoint.answered(router.state().clock().nanoTime());
-    run.answer(head.status(), headers, whole.toByteArray(), endpoint);
+    run.answer(head.status(), headers, whole.toByteArray());
   }
 
   private void endStream() {
@@ -225,7 +221,7 @@
     }
     release();
     endpoint.answered(router.state().clock().nanoTime());
-    run.endStream(endpoint);
+    run.endStream();
   }
 
   @Override
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRun.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRun.java
@@ -49,6 +49,7 @@
   private long callerDeadlineAt;
   private Scheduler.Cancellable deadlineTimer;
   private EndpointAttempt attempt;
+  private EndpointState lastEndpoint;
   private int attempts;
   private boolean mayHaveRun;
   private String lastEvent;
@@ -148,6 +149,7 @@
       return;
     }
     attempts++;
+    lastEndpoint = endpoint;
     tried.add(endpoint.endpoint().id());
     attempt = new EndpointAttempt(this, router, endpoint, lastEvent != null);
     attempt.start(endpointRequest(endpoint));
@@ -179,10 +181,10 @@
   }
 
   /** Passes on a whole answer. */
-  void answer(int status, HttpHeaders headers, byte[] body, EndpointState endpoint) {
+  void answer(int status, HttpHeaders headers, byte[] body) {
     firstAnswer();
     exchange.respond(status, HopHeaders.without(headers), body);
-    finish("ANSWERED_" + status, endpoint);
+    finish("ANSWERED_" + status);
   }
 
   /** Starts to pass on a stream. */
@@ -212,9 +214,9 @@
     }
   }
 
-  void endStream(EndpointState endpoint) {
+  void endStream() {
     exchange.finish();
-    finish("STREAMED", endpoint);
+    finish("STREAMED");
   }
 
   /** Decides what follows after a send that brought no whole answer. */
@@ -242,7 +244,7 @@
       router.place(this);
     } else if (exchange.isStarted()) {
       exchange.abort();
-      finish("BROKEN_OFF", endpoint);
+      finish("BROKEN_OFF");
     } else if (mayHaveRun) {
       end(Ending.OUTCOME_UNKNOWN);
     } else {
@@ -276,7 +278,7 @@
   void refuse(Ending ending, double retryAfterSeconds) {
     if (exchange.isStarted()) {
       exchange.abort();
-      finish("BROKEN_OFF", null);
+      finish("BROKEN_OFF");
       return;
     }
     if (mayHaveRun) {
@@ -286,7 +288,7 @@
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryAfterSeconds));
     exchange.respond(ending.status(), headers, new byte[0]);
-    finish(ending.name(), null);
+    finish(ending.name());
   }
 
   /** Keeps an endpoint's failure for the case that no other endpoint answers. */
@@ -299,18 +301,17 @@
   /** Ends the request with the failure that an endpoint stated, else with one of this system. */
   void end(Ending ending) {
     if (failure != null) {
-      answer(failure.status, failure.headers, failure.body, null);
+      answer(failure.status, failure.headers, failure.body);
       return;
     }
     exchange.respond(ending.status(), EmptyHttpHeaders.INSTANCE, new byte[0]);
-    finish(ending.name(), null);
+    finish(ending.name());
   }
 
   private void deadline() {
     if (finished) {
       return;
     }
-    EndpointState endpoint = attempt == null ? null : attempt.endpoint();
     if (attempt != null) {
       attempt.timedOut();
       attempt = null;
@@ -319,7 +320,7 @@
     router.removeWaiting(this);
     if (exchange.isStarted()) {
       exchange.abort();
-      finish("CUT_AT_DEADLINE", endpoint);
+      finish("CUT_AT_DEADLINE");
     } else if (mayHaveRun) {
       end(Ending.TIMED_OUT);
     } else {
@@ -331,15 +332,15 @@
     if (finished) {
       return;
     }
-    EndpointState endpoint = attempt == null ? null : attempt.endpoint();
     if (attempt != null && route.kind() != RequestKind.NON_IDEMPOTENT) {
       attempt.cancel();
     }
     router.removeWaiting(this);
-    finish("CALLER_GONE", endpoint);
+    finish("CALLER_GONE");
   }
 
-  private void finish(String ending, EndpointState endpoint) {
+  private void finish(String ending) {
+    EndpointState endpoint = lastEndpoint;
     if (finished) {
       return;
     }
