--- /dev/null
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/PeerDirectoryTest.java
@@ -0,0 +1,163 @@
+package org.clementineford.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.SystemNanoClock;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.kernel.errors.PlatformException;
+import org.clementineford.serving.directory.DirectoryCopyState;
+import org.clementineford.serving.directory.Listing;
+import org.clementineford.serving.directory.ObjectDirectory;
+import org.clementineford.serving.directory.ObjectKind;
+import org.clementineford.serving.directory.StoredEntry;
+import org.clementineford.transport.EventLoopScheduler;
+import org.clementineford.transport.LinkShaping;
+import org.clementineford.transport.http.HttpClient;
+import org.clementineford.transport.http.HttpServer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PeerDirectoryTest {
+  private static final ObjectKind KIND = ObjectKind.CONFIGURATION;
+  private static final long STALE_MS = 200;
+
+  private final MultiThreadIoEventLoopGroup eventLoops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+  @AfterEach
+  void stop() {
+    eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+  }
+
+  /** An entry VM whose platform answers as given. */
+  private final class Vm {
+    private final DirectorySync sync;
+    private final PeerDirectory peers;
+    private final HostPort address;
+
+    Vm(boolean reachesPlatform) throws Exception {
+      EventLoopScheduler scheduler = new EventLoopScheduler(eventLoops);
+      sync =
+          new DirectorySync(
+              new FakePlatform(reachesPlatform), scheduler, SystemNanoClock.INSTANCE, kind -> {});
+      PeerDirectory[] holder = new PeerDirectory[1];
+      address =
+          HttpServer.start(
+                  eventLoops,
+                  new HostPort("127.0.0.1", 0),
+                  1 << 16,
+                  LinkShaping.NONE,
+                  exchange -> holder[0].answer(exchange))
+              .address();
+      peers =
+          new PeerDirectory(
+              sync,
+              new HttpClient(eventLoops, LinkShaping.NONE),
+              scheduler,
+              SystemNanoClock.INSTANCE,
+              () -> 0,
+              address,
+              STALE_MS);
+      holder[0] = peers;
+    }
+
+    void start(Vm peer) throws Exception {
+      run(
+          () -> {
+            if (peer != null) {
+              peers.addPeers(List.of(peer.address));
+            }
+            sync.watch(KIND, 60_000, 0);
+            peers.start();
+            return null;
+          });
+    }
+
+    DirectoryCopyState copy() {
+      return sync.copy(KIND);
+    }
+
+    long ageMs() throws Exception {
+      return run(
+          () ->
+              TimeUnit.NANOSECONDS.toMillis(copy().ageNanos(SystemNanoClock.INSTANCE.nanoTime())));
+    }
+  }
+
+  private <T> T run(Callable<T> task) throws Exception {
+    return eventLoops.submit(task).get(5, TimeUnit.SECONDS);
+  }
+
+  private void awaitCopy(Vm vm) throws Exception {
+    long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (!run(() -> vm.copy().isKnown()) && System.nanoTime() - deadline < 0) {
+      Thread.onSpinWait();
+    }
+    assertThat(run(() -> vm.copy().isKnown())).isTrue();
+  }
+
+  @Nested
+  class VmThatThePlatformTurnsAway {
+    // Guards against a VM that knows nothing although its peers do.
+    @Test
+    void takesTheCopyOfAPeer() throws Exception {
+      Vm served = new Vm(true);
+      Vm cut = new Vm(false);
+      served.start(null);
+      awaitCopy(served);
+      cut.start(served);
+      awaitCopy(cut);
+      assertThat(run(() -> cut.copy().revision())).isEqualTo(7);
+      assertThat(run(() -> cut.copy().entries().get(0).name())).isEqualTo("main");
+      assertThat(run(() -> cut.peers.size())).isEqualTo(1);
+    }
+
+    // Guards against a copy that looks younger after each VM that passes it on, so that removed
+    // keys would be trusted for ever.
+    @Test
+    void takesOverTheAgeOfTheCopy() throws Exception {
+      Vm served = new Vm(true);
+      Vm first = new Vm(false);
+      Vm second = new Vm(false);
+      served.start(null);
+      awaitCopy(served);
+      first.start(served);
+      awaitCopy(first);
+      second.start(first);
+      awaitCopy(second);
+      long original = served.ageMs();
+      assertThat(second.ageMs()).isGreaterThanOrEqualTo(original);
+    }
+  }
+
+  /** Answers one listing, and nothing else; or refuses everything. */
+  private record FakePlatform(boolean reachable) implements ObjectDirectory {
+    @Override
+    public CompletableFuture<Listing> list(ObjectKind kind, boolean current) {
+      if (!reachable) {
+        return CompletableFuture.failedFuture(
+            new PlatformException(ErrorKind.UNAVAILABLE, "turned away"));
+      }
+      return CompletableFuture.completedFuture(
+          new Listing(List.of(new StoredEntry("main", 7, new byte[] {1}, false)), 7));
+    }
+
+    @Override
+    public CompletableFuture<Listing> watch(ObjectKind kind, long revision, long waitMs) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<Void> register(String name, String address) {
+      return CompletableFuture.completedFuture(null);
+    }
+  }
+}
