--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -125,7 +125,7 @@
 
   // Guards against a peer's copy that is older than the one held here.
   @Test
-  void aPeersCopyReplacesOnlyAnOlderOne() {
+  void copyOfThePeerReplacesOnlyAnOlderOne() {
     start();
     sync.fromPeer(KIND, 1, List.of(entry("old", 1)), 0);
     assertThat(names()).containsExactly("a", "b");
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/PeerDirectoryTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/PeerDirectoryTest.java
@@ -108,7 +108,7 @@
   class VmThatThePlatformTurnsAway {
     // Guards against a VM that knows nothing although its peers do.
     @Test
-    void takesTheCopyOfAPeer() throws Exception {
+    void takesTheCopyOfItsPeer() throws Exception {
       Vm served = new Vm(true);
       Vm cut = new Vm(false);
       served.start(null);
@@ -126,7 +126,7 @@
     void takesOverTheAgeOfTheCopy() throws Exception {
       Vm served = new Vm(true);
       Vm first = new Vm(false);
-      Vm second = new Vm(false);
+      final Vm second = new Vm(false);
       served.start(null);
       awaitCopy(served);
       first.start(served);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRun.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRun.java
@@ -340,7 +340,7 @@
   }
 
   private void finish(String ending) {
-    EndpointState endpoint = lastEndpoint;
+    final EndpointState endpoint = lastEndpoint;
     if (finished) {
       return;
     }
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
@@ -12,7 +12,7 @@
 
   // Guards against all engines leaving their weights at the same moment.
   @Test
-  void engineTakeTurns() {
+  void enginesTakeTurns() {
     long first = schedule.beginAt(0, 0, 10, true);
     long last = schedule.beginAt(0, 9, 10, true);
     assertThat(last - first).isGreaterThan(TimeUnit.SECONDS.toNanos(2));
@@ -26,21 +26,21 @@
   // Guards against leaving all engines without a version that may answer, when the next version is
   // named while the transfer of the one before is well under way.
   @Test
-  void aTransferIsCompletedIfItsVersionCanStillServe() {
+  void transferIsCompletedIfItsVersionCanStillServe() {
     assertThat(schedule.isWorthCompleting(0.6, seconds(3), seconds(1), seconds(2))).isTrue();
   }
 
   // Guards against completing a transfer, delayed by an outage of the origin, of a version that is
   // too old to serve by then.
   @Test
-  void aTransferIsDroppedIfItsVersionIsTooOldByItsEnd() {
+  void transferIsDroppedIfItsVersionIsTooOldByItsEnd() {
     assertThat(schedule.isWorthCompleting(0.8, seconds(8), seconds(0), seconds(6))).isFalse();
     assertThat(schedule.isWorthCompleting(0.1, seconds(1), seconds(0), seconds(0))).isFalse();
   }
 
   // Guards against an engine that waits for its turn although it can answer nothing.
   @Test
-  void anEngineWithoutWeightsDoesNotWait() {
+  void engineWithoutWeightsDoesNotWait() {
     assertThat(schedule.beginAt(5, 9, 10, false)).isEqualTo(5);
   }
 }
