--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/ClassArchive.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/ClassArchive.java
@@ -15,7 +15,7 @@
 
 /**
  * Runs both programs for a moment on loopback, without a platform, so that the build can write the
- * classes that they load into an archive. A process that starts from it needs a third of the time.
+ * classes that they load into an archive, from which a process starts faster.
  */
 final class ClassArchive {
   private static final long RUN_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
