Count dropped log lines

Cause: the queue of log lines dropped what found no room without a trace, so a missing line could not be told from a decision that was never made. Ruled out: a larger queue, which only moves the moment.

--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/LogConfiguration.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/LogConfiguration.java
@@ -1,20 +1,16 @@
 package org.clementineford.launcher;
 
-import ch.qos.logback.classic.AsyncAppender;
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.encoder.JsonEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.slf4j.LoggerFactory;
 
 /** JSON lines on standard output, written by a thread of their own. */
 final class LogConfiguration {
-
-  /** Lines that wait to be written; further ones are dropped, so that no request waits for them. */
-  private static final int QUEUE_LINES = 2048;
-
   private LogConfiguration() {}
 
   /** Writes the lines that wait; later ones are dropped. */
@@ -44,10 +40,7 @@
     console.setContext(context);
     console.setEncoder(encoder);
     console.start();
-    AsyncAppender queue = new AsyncAppender();
-    queue.setContext(context);
-    queue.setQueueSize(QUEUE_LINES);
-    queue.setNeverBlock(true);
+    LogQueue queue = new LogQueue(context, PrometheusRegistry.defaultRegistry);
     queue.addAppender(console);
     queue.start();
     Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
