Answer HEAD requests without a body

Cause: the decoder of endpoints' answers did not know the method of the request, so it waited for the body that an answer to HEAD announces and does not have; the request ended with 502 or took the next answer for its body. Ruled out: Netty's client codec, whose list of methods no longer fits once an endpoint sends a second answer to one request. GatewayTest.toHeadRequestsHasLengthAndNoBody was seen failing with 502.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -32,6 +32,9 @@
 
 /** A gateway on loopback with routes of each kind. */
 final class GatewayFixture implements AutoCloseable {
+  /** Connections that each endpoint accepts. */
+  static final int MAX_CONNECTIONS = 10;
+
   private static final EngineProfile PROFILE =
       new EngineProfile("m", 4, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119);
 
@@ -97,8 +100,8 @@
             route("/stream/", RequestKind.STREAM, "pool", 2, true),
             route("/keyed/", RequestKind.IDEMPOTENT, "plain", 2, false)),
         List.of(
-            new Service("plain", 10, Optional.empty(), Optional.empty()),
-            new Service("pool", 10, Optional.of(PROFILE), Optional.empty())),
+            new Service("plain", MAX_CONNECTIONS, Optional.empty(), Optional.empty()),
+            new Service("pool", MAX_CONNECTIONS, Optional.of(PROFILE), Optional.empty())),
         Map.of("secret", new ClientAccount("lorient", OptionalInt.empty())),
         true,
         CallerLimits.DEFAULT);
@@ -143,7 +146,7 @@
         HttpRequest.newBuilder(URI.create("http://" + address + path))
             .method(
                 method,
-                method.equals("GET")
+                method.equals("GET") || method.equals("HEAD")
                     ? HttpRequest.BodyPublishers.noBody()
                     : HttpRequest.BodyPublishers.ofString("body"))
             .timeout(Duration.ofSeconds(5))
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
@@ -82,6 +82,26 @@
       }
     }
 
+    // Guards against waiting for the body of an answer that has none.
+    @Test
+    void toHeadRequestsHasLengthAndNoBody() throws Exception {
+      FakeEndpoint.Script script =
+          (request, connection) ->
+              connection.write(
+                  "HTTP/1.1 200 OK\r\nid: "
+                      + request.id()
+                      + "\r\nproof: p\r\nContent-Length: 4\r\n\r\n");
+      try (FakeEndpoint endpoint = new FakeEndpoint(script);
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        for (String id : new String[] {"1", "2"}) {
+          HttpResponse<String> answer = fixture.send("HEAD", "/get/a", id, "timeout", "1000");
+          assertThat(answer.statusCode()).isEqualTo(200);
+          assertThat(answer.headers().firstValue("content-length")).contains("4");
+          assertThat(answer.body()).isEmpty();
+        }
+      }
+    }
+
     // Guards against waiting for an answer after bytes that are none.
     @Test
     void thatIsNoHttpEndsTheAttempt() throws Exception {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
@@ -77,7 +77,9 @@
             HttpResponseStatus.valueOf(status),
             Unpooled.wrappedBuffer(bytes));
     response.headers().add(headers);
-    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+    if (!response.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+    }
     final boolean close = stateConnection(response);
     end(context.writeAndFlush(response), close);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -38,6 +38,7 @@
   private final RequestProtocol protocol;
   private final NanoClock clock;
   private final EndpointPool.Owner owner;
+  private final AnswerDecoder decoder;
   private Channel channel;
   private EndpointCall call;
   private boolean skipping;
@@ -48,10 +49,12 @@
   private long idleLimitMs = UNSTATED_IDLE_MS;
   private long idleSince;
 
-  EndpointConnection(RequestProtocol protocol, NanoClock clock, EndpointPool.Owner owner) {
+  EndpointConnection(
+      RequestProtocol protocol, NanoClock clock, EndpointPool.Owner owner, AnswerDecoder decoder) {
     this.protocol = protocol;
     this.clock = clock;
     this.owner = owner;
+    this.decoder = decoder;
   }
 
   @Override
@@ -64,6 +67,7 @@
     this.skipping = false;
     this.bodyStarted = false;
     if (call.connected(this)) {
+      decoder.expectAnswerTo(request.method());
       channel.writeAndFlush(request);
     } else {
       request.release();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointPool.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -50,7 +49,8 @@
 
   private void connect(
       EndpointState endpoint, Owner owner, FullHttpRequest request, EndpointCall call) {
-    EndpointConnection connection = new EndpointConnection(protocol, clock, owner);
+    AnswerDecoder decoder = new AnswerDecoder();
+    EndpointConnection connection = new EndpointConnection(protocol, clock, owner, decoder);
     new Bootstrap()
         .group(eventLoops)
         .channel(NioSocketChannel.class)
@@ -60,9 +60,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel
-                    .pipeline()
-                    .addLast(new HttpResponseDecoder(), new HttpRequestEncoder(), connection);
+                channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
               }
             })
         .connect(endpoint.endpoint().address().toSocketAddress())
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRun.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRun.java
@@ -177,7 +177,12 @@
   /** Passes on a whole answer. */
   void answer(int status, HttpHeaders headers, byte[] body) {
     firstAnswer();
-    exchange.respond(status, HopHeaders.without(headers), body);
+    HttpHeaders passed = HopHeaders.without(headers);
+    if (exchange.head().method().equals(HttpMethod.HEAD)) {
+      // There is no body whose length could be counted.
+      passed.set(HttpHeaderNames.CONTENT_LENGTH, headers.getAll(HttpHeaderNames.CONTENT_LENGTH));
+    }
+    exchange.respond(status, passed, body);
     finish("ANSWERED_" + status);
   }
 
