Stay below the connections that an endpoint accepts

Cause: requests to plain services were sent at once on as many connections as it took. An endpoint resets connections above its limit, and a request that must run once then ends with 502, although it may not have run. Ruled out: a queue at the entry VM; endpoints queue requests themselves, and what they reject is certain not to have run. GatewayTest.stayBelowTheLimitOfTheEndpoint was seen failing (no request refused in 2 s).

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
@@ -4,6 +4,9 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
@@ -260,6 +263,41 @@
     }
   }
 
+  @Nested
+  class Connections {
+    // Guards against connections above an endpoint's limit, which it resets: a request that must
+    // run once then ends with an unknown outcome.
+    @Test
+    void stayBelowTheLimitOfTheEndpoint() throws Exception {
+      CountDownLatch end = new CountDownLatch(1);
+      FakeEndpoint.Script slow =
+          (request, connection) -> {
+            await(end);
+            connection.whole(200, request.id(), PROOF, "good");
+          };
+      try (FakeEndpoint endpoint = new FakeEndpoint(slow);
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < GatewayFixture.MAX_CONNECTIONS + 2; i++) {
+          answers.add(fixture.sendAsync("POST", "/post/a", "n" + i));
+        }
+        HttpResponse<String> refused =
+            (HttpResponse<String>)
+                CompletableFuture.anyOf(answers.toArray(new CompletableFuture<?>[0]))
+                    .get(2, TimeUnit.SECONDS);
+        assertThat(refused.statusCode()).isEqualTo(503);
+        assertThat(refused.headers().firstValue("retry-after")).isPresent();
+        end.countDown();
+        CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
+            .get(2, TimeUnit.SECONDS);
+        assertThat(endpoint.requests()).hasSizeLessThan(GatewayFixture.MAX_CONNECTIONS);
+        assertThat(endpoint.requests()).hasSizeGreaterThan(GatewayFixture.MAX_CONNECTIONS / 2);
+      } finally {
+        end.countDown();
+      }
+    }
+  }
+
   @Nested
   class Key {
     // Guards against requests with a key that may have been removed.
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
@@ -8,7 +8,9 @@
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.serving.model.RoutingConfiguration;
+import org.clementineford.serving.model.Service;
 import org.clementineford.serving.queueing.Admission;
+import org.clementineford.serving.routing.ConnectionShare;
 import org.clementineford.serving.routing.EndpointTable;
 import org.clementineford.serving.routing.Placement;
 import org.clementineford.serving.routing.RetryBudget;
@@ -79,6 +81,11 @@
     return true;
   }
 
+  /** Returns how many connections this entry VM may have to one endpoint of a service. */
+  int connections(Service service) {
+    return ConnectionShare.connections(service.maxConnections(), entryVms.getAsInt());
+  }
+
   RetryBudget budget(String service) {
     return budgets.computeIfAbsent(
         service,
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -1,6 +1,7 @@
 package org.clementineford.gateway.internal;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import org.clementineford.serving.model.Route;
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
+import org.clementineford.serving.routing.EndpointState;
 
 /** Checks each request against the configuration and hands it to its service. */
 final class RequestRouter {
@@ -125,19 +127,27 @@
       queue(run.service()).submit(run, service.get().engine().get());
       return;
     }
-    var endpoint =
+    placePlain(run, state.connections(service.get()));
+  }
+
+  private void placePlain(RequestRun run, int connections) {
+    List<EndpointState> endpoints = state.endpoints().ofService(run.service());
+    Optional<EndpointState> endpoint =
         state
             .placement()
             .plain(
-                state.endpoints().ofService(run.service()),
+                endpoints,
                 run.tried(),
+                connections,
                 run.route().mayRunAgain(),
                 state.clock().nanoTime());
     if (endpoint.isPresent()) {
       run.send(endpoint.get());
-    } else {
-      run.refuse(Ending.NO_ENDPOINT, state.admission().retryAfterSeconds(0));
+      return;
     }
+    boolean full = endpoints.stream().anyMatch(each -> each.outstanding() >= connections);
+    run.refuse(
+        full ? Ending.OVERLOADED : Ending.NO_ENDPOINT, state.admission().retryAfterSeconds(0));
   }
 
   private EngineQueue queue(String service) {
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/PlacementTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/PlacementTest.java
@@ -105,8 +105,8 @@
     void getsNoTrialFromTheRequestThatMustRunOnce() {
       near.failed(AttemptOutcome.SILENT, now);
       now += TimeUnit.SECONDS.toNanos(1);
-      assertThat(placement.plain(List.of(near, far), Set.of(), false, now)).contains(far);
-      assertThat(placement.plain(List.of(near), Set.of(), false, now)).contains(near);
+      assertThat(placement.plain(List.of(near, far), Set.of(), 5, false, now)).contains(far);
+      assertThat(placement.plain(List.of(near), Set.of(), 5, false, now)).contains(near);
     }
 
     // Guards against setting an endpoint aside because it was full.
@@ -125,7 +125,18 @@
       near.sent(0);
       near.sent(0);
       near.sent(0);
-      assertThat(placement.plain(List.of(near, far), Set.of(), true, now)).contains(far);
+      assertThat(placement.plain(List.of(near, far), Set.of(), 5, true, now)).contains(far);
+    }
+
+    // Guards against connections above an endpoint's limit, which it resets.
+    @Test
+    void withAllItsConnectionsInUseIsNotChosen() {
+      near.sent(0);
+      far.sent(0);
+      far.sent(0);
+      assertThat(placement.plain(List.of(near, far), Set.of(), 2, true, now)).contains(near);
+      near.sent(0);
+      assertThat(placement.plain(List.of(near, far), Set.of(), 2, true, now)).isEmpty();
     }
   }
 }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
@@ -95,15 +95,21 @@
    *
    * @param endpoints endpoints of the service
    * @param tried identities that this request was sent to before
+   * @param connections connections that this entry VM may have to one endpoint; each carries one
+   *     request at a time
    * @param repeatable true if the request may serve as a trial of an endpoint that failed
    * @param now monotonic time in nanoseconds
    * @return the endpoint with the least load; empty if none is usable
    */
   public Optional<EndpointState> plain(
-      List<EndpointState> endpoints, Set<String> tried, boolean repeatable, long now) {
+      List<EndpointState> endpoints,
+      Set<String> tried,
+      int connections,
+      boolean repeatable,
+      long now) {
     return cheapest(
         endpoints,
-        endpoint -> isCandidate(endpoint, tried, now),
+        endpoint -> isCandidate(endpoint, tried, now) && endpoint.outstanding() < connections,
         endpoint -> {
           double near = endpoint.endpoint().dataCentre().equals(dataCentre) ? NEAR_REQUESTS : 0;
           double spread = random.getAsDouble() * NEAR_REQUESTS;
