Log what decided where a request went

Cause: the last line of a request stated the endpoint's load when the request ended, not when it was placed, and a refusal did not state the wait that it rests on, so neither decision could be checked afterwards. The line now holds the wait before the send, the load and the number of the report at the send, the predicted wait and Retry-After. No decision changes.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.serving.model.EngineProfile;
+import org.clementineford.serving.queueing.Admission;
 import org.clementineford.serving.queueing.WaitingQueue;
 import org.clementineford.serving.queueing.WaitingRequest;
 import org.clementineford.serving.routing.EndpointState;
@@ -41,10 +42,9 @@
       }
     }
     WaitingRequest<RequestRun> request = run.waiting(costMs(run, profile));
-    OptionalDouble refusal =
-        state
-            .admission()
-            .refuse(queue.costMs() + request.costMs(), ownEngines(), run.remainingMs());
+    double waitMs = Admission.waitMs(queue.costMs() + request.costMs(), ownEngines());
+    run.predictedWait(waitMs);
+    OptionalDouble refusal = state.admission().refuse(waitMs, run.remainingMs());
     if (refusal.isPresent()) {
       run.refuse(Ending.OVERLOADED, refusal.getAsDouble());
       return;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRun.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRun.java
@@ -54,6 +54,11 @@
   private String lastEvent;
   private Failure failure;
   private long firstAnswerMs = -1;
+  private long sentAfterMs = -1;
+  private int loadBefore = -1;
+  private long reportNumber = -1;
+  private long predictedWaitMs = -1;
+  private double retryAfterSeconds;
   private boolean finished;
 
   RequestRun(RequestRouter router, CallerExchange exchange, CallerRequest request) {
@@ -145,6 +150,9 @@
     }
     attempts++;
     lastEndpoint = endpoint;
+    sentAfterMs = TimeUnit.NANOSECONDS.toMillis(now() - arrivedAt);
+    loadBefore = endpoint.load();
+    reportNumber = endpoint.report().number();
     tried.add(endpoint.endpoint().id());
     attempt = new EndpointAttempt(this, router, endpoint, lastEvent != null);
     attempt.start(endpointRequest(endpoint));
@@ -273,6 +281,11 @@
     }
   }
 
+  /** Notes the wait that was predicted when the request found no free engine, for the log. */
+  void predictedWait(double waitMs) {
+    predictedWaitMs = (long) Math.min(waitMs, Integer.MAX_VALUE);
+  }
+
   /** Ends the request with the statement that it did not run, if that is so. */
   void refuse(Ending ending, double retryAfterSeconds) {
     if (exchange.isStarted()) {
@@ -284,6 +297,7 @@
       end(Ending.OUTCOME_UNKNOWN);
       return;
     }
+    this.retryAfterSeconds = retryAfterSeconds;
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryAfterSeconds));
     exchange.respond(ending.status(), headers, new byte[0]);
@@ -359,7 +373,11 @@
         .addKeyValue("promptTokens", promptTokens())
         .addKeyValue("firstMs", firstAnswerMs)
         .addKeyValue("totalMs", TimeUnit.NANOSECONDS.toMillis(now() - arrivedAt))
-        .addKeyValue("load", endpoint == null ? -1 : endpoint.load())
+        .addKeyValue("sentAfterMs", sentAfterMs)
+        .addKeyValue("load", loadBefore)
+        .addKeyValue("report", reportNumber)
+        .addKeyValue("predictedWaitMs", predictedWaitMs)
+        .addKeyValue("retryAfterSeconds", Math.round(retryAfterSeconds * 100) / 100.0)
         .addKeyValue("weights", endpoint == null ? -1 : endpoint.weightVersion())
         .addKeyValue(
             "configuration",
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/queueing/WaitingQueueTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/queueing/WaitingQueueTest.java
@@ -100,14 +100,14 @@
     // Guards against refusing requests that can be served while their callers wait.
     @Test
     void letsTheRequestWaitIfItIsServedInTime() {
-      assertThat(admission.refuse(10_000, 10, 6_000)).isEmpty();
+      assertThat(admission.refuse(Admission.waitMs(10_000, 10), 6_000)).isEmpty();
     }
 
     // Guards against letting a caller wait in vain.
     @Test
     void refusesAtOnceWhatCannotBeServedInTime() {
-      assertThat(admission.refuse(100_000, 10, 6_000)).hasValue(2.0);
-      assertThat(admission.refuse(1, 0, 6_000)).isPresent();
+      assertThat(admission.refuse(Admission.waitMs(100_000, 10), 6_000)).hasValue(2.0);
+      assertThat(admission.refuse(Admission.waitMs(1, 0), 6_000)).isPresent();
     }
 
     // Guards against callers that return together after a refusal.
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/Admission.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/Admission.java
@@ -31,15 +31,24 @@
   }
 
   /**
-   * Decides on a request that finds no free engine.
+   * Predicts how long a request waits for an engine.
    *
    * @param waitingMs engine time that the requests before it need, in milliseconds
    * @param engines engines that work on them, as this entry VM's part of them
+   * @return milliseconds; {@link Double#MAX_VALUE} without engines
+   */
+  public static double waitMs(double waitingMs, double engines) {
+    return engines <= 0 ? Double.MAX_VALUE : waitingMs / engines;
+  }
+
+  /**
+   * Decides on a request that finds no free engine.
+   *
+   * @param waitMs predicted wait, in milliseconds
    * @param remainingMs time until the caller leaves, in milliseconds
    * @return empty if the request may wait, else the seconds after which the caller should return
    */
-  public OptionalDouble refuse(double waitingMs, double engines, double remainingMs) {
-    double waitMs = engines <= 0 ? Double.MAX_VALUE : waitingMs / engines;
+  public OptionalDouble refuse(double waitMs, double remainingMs) {
     if (waitMs <= remainingMs * WAITING_PART) {
       return OptionalDouble.empty();
     }
