--- a/org.clementineford.client/src/main/java/org/clementineford/client/internal/Main.java
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/internal/Main.java
@@ -23,7 +23,7 @@
 /** Entry point of {@code bin/clementineford}. */
 public final class Main {
   private static final String PROGRAM = "clementineford";
-  private static final Setting<List<HostPort>> ENTRY =
+  static final Setting<List<HostPort>> ENTRY =
       new Setting<>(
           "entry",
           "Admin addresses of entry VMs, HOST:PORT separated by commas.",
@@ -86,7 +86,7 @@
               + settings.arguments()
               + "; --help shows the form");
     }
-    try (EntryConnection connection = new EntryConnection(settings.get(ENTRY))) {
+    try (EntryConnection connection = operation.source().connect(settings)) {
       return operation.body().run(connection, settings);
     }
   }
@@ -105,6 +105,7 @@
   private static List<Operation> operations() {
     List<Operation> operations = new ArrayList<>(DocumentCommands.all());
     operations.addAll(FleetCommands.all());
+    operations.addAll(LogCommands.all());
     return operations;
   }
 
@@ -115,14 +116,13 @@
   }
 
   private static List<Setting<?>> declared(Operation operation) {
-    List<Setting<?>> declared = new ArrayList<>(List.of(ENTRY));
+    List<Setting<?>> declared = new ArrayList<>(operation.source().settings());
     declared.addAll(operation.settings());
     return declared;
   }
 
   private static String overview(List<Operation> operations) {
-    StringBuilder text =
-        new StringBuilder("usage: " + PROGRAM + " COMMAND --entry HOST:PORT [flags]\n\n");
+    StringBuilder text = new StringBuilder("usage: " + PROGRAM + " COMMAND [flags]\n\n");
     for (Operation operation : operations) {
       text.append(String.format("  %-18s %s%n", operation.name(), operation.summary()));
     }
