Compare clocks only by what is learned at once

Cause: the explanation of a request called clocks 5 to 14 s apart that are the same clock. It compared when copies of objects changed, and endpoint VMs poll some kinds only every few seconds. Ruled out: the median of more marks, since most of them are late. Only changes that each process logs when it learns of them are compared, by the smallest difference. Entry VMs now log a named version when they first hear of it, and when older weights stop answering.

--- a/org.clementineford.client/src/main/java/org/clementineford/client/FleetLog.java
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/FleetLog.java
@@ -28,15 +28,14 @@
 public final class FleetLog {
   /**
    * Difference up to which clocks count as equal: processes learn of one change up to this much
-   * apart, as the platform gathers changes for a watch.
+   * apart, as a watch of the platform takes up to a second.
    */
-  private static final Duration MARK_DELAY = Duration.ofMillis(2_800);
+  private static final Duration MARK_DELAY = Duration.ofMillis(1_500);
 
-  /** Messages that several processes write about one change, with the fields that identify it. */
+  /** Messages that processes write at once when they learn of a change, with what identifies it. */
   private static final Map<String, List<String>> MARKS =
       Map.of(
           "configuration in force", List.of("version"),
-          "copy changed", List.of("kind", "revision"),
           "version of weights named", List.of("version"));
 
   private static final ObjectMapper JSON = new ObjectMapper();
@@ -135,21 +134,14 @@
     return marks;
   }
 
-  /** Returns the median difference, as single marks are late when a VM was cut off. */
+  /** Returns the smallest difference, as marks are late when a VM was cut off. */
   private static Duration offset(Map<String, Instant> marks, Map<String, Instant> reference) {
-    List<Duration> differences = new ArrayList<>();
-    marks.forEach(
-        (mark, time) -> {
-          if (reference.containsKey(mark)) {
-            differences.add(Duration.between(reference.get(mark), time));
-          }
-        });
-    if (differences.isEmpty()) {
-      return Duration.ZERO;
-    }
-    Collections.sort(differences);
-    Duration median = differences.get(differences.size() / 2);
-    return median.abs().compareTo(MARK_DELAY) <= 0 ? Duration.ZERO : median;
+    return marks.entrySet().stream()
+        .filter(mark -> reference.containsKey(mark.getKey()))
+        .map(mark -> Duration.between(reference.get(mark.getKey()), mark.getValue()))
+        .min(Comparator.comparing(Duration::abs))
+        .filter(difference -> difference.abs().compareTo(MARK_DELAY) > 0)
+        .orElse(Duration.ZERO);
   }
 
   /** Returns by how much the clock of each VM was ahead; zero where it counts as equal. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -11,9 +11,13 @@
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.serving.routing.EngineModel;
 import org.clementineford.serving.routing.Placement;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Requests of one service that wait at this entry VM until an engine has a free slot. */
 final class EngineQueue {
+  private static final Logger LOG = LoggerFactory.getLogger(EngineQueue.class);
+
   /** Smallest share of the engines that this entry VM counts on. */
   private static final double SMALLEST_SHARE = 0.05;
 
@@ -26,6 +30,7 @@
   private final GatewayState state;
   private final String service;
   private final WaitingQueue<RequestRun> queue = new WaitingQueue<>();
+  private long minimumVersion;
 
   EngineQueue(GatewayState state, String service) {
     this.state = state;
@@ -53,6 +58,18 @@
     pump(profile);
   }
 
+  private long minimumVersion(long now) {
+    long minimum = state.versions(service).minimum(now);
+    if (minimum > minimumVersion) {
+      LOG.atInfo()
+          .addKeyValue("service", service)
+          .addKeyValue("version", minimum)
+          .log("older weights answer no further requests");
+      minimumVersion = minimum;
+    }
+    return minimum;
+  }
+
   private double costMs(RequestRun run, EngineProfile profile) {
     double passes = Math.max(1, run.answerTokens(profile) / profile.stepsPerPass());
     return EngineModel.readMs(profile, run.promptTokens())
@@ -69,7 +86,7 @@
             run.tried(),
             profile,
             run.promptTokens(),
-            state.versions(service).minimum(now),
+            minimumVersion(now),
             run.route().mayRunAgain(),
             now);
   }
@@ -77,7 +94,7 @@
   /** Returns the engines that work for this entry VM, by its share of their requests. */
   private double ownEngines() {
     long now = state.clock().nanoTime();
-    long minimum = state.versions(service).minimum(now);
+    long minimum = minimumVersion(now);
     int engines = 0;
     int load = 0;
     int own = 0;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -200,6 +200,12 @@
     }
     if (report.getTargetVersion() > 0) {
       VersionGate gate = state.versions(engine.endpoint().service());
+      if (!gate.knows(report.getTargetVersion())) {
+        LOG.atInfo()
+            .addKeyValue("version", report.getTargetVersion())
+            .addKeyValue("ageMs", report.getTargetAgeMs())
+            .log("version of weights named");
+      }
       if (report.getTargetAgeMs() < 0) {
         gate.namedBefore(report.getTargetVersion(), now);
       } else {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/VersionGate.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/VersionGate.java
@@ -78,6 +78,16 @@
     }
   }
 
+  /**
+   * Tells whether a version was heard of.
+   *
+   * @param version the version
+   * @return false if it is newer than all that were noted
+   */
+  public boolean knows(long version) {
+    return version <= Math.max(minimum, Math.max(next.version(), later.version()));
+  }
+
   /**
    * Returns the lowest version that may answer requests.
    *
