Add a randomized fault soak

bin/soak runs entry and endpoint VMs as separate processes on loopback, with stand-ins that speak the platform's protocol, a proxy that delays, cuts and resets links, signals, and faults that overlap. Promises are checked while it runs, from what callers and back ends see. HttpClient keeps a Host header that the caller of it states.

--- /dev/null
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/CallerRecord.java
@@ -0,0 +1,33 @@
+package org.clementineford.soak;
+
+import java.util.Map;
+
+/**
+ * One request as its caller saw it.
+ *
+ * @param id identity of the request
+ * @param kind what may be repeated
+ * @param target path that was asked for
+ * @param key the caller's key
+ * @param entry entry VM that it was sent to
+ * @param startedAt when it was sent, in monotonic nanoseconds
+ * @param endedAt when its answer was whole or it failed, in monotonic nanoseconds
+ * @param status status of the answer; 0 if none came
+ * @param headers headers of the answer, names in lower case
+ * @param body body of the answer
+ */
+record CallerRecord(
+    String id,
+    CallKind kind,
+    String target,
+    String key,
+    String entry,
+    long startedAt,
+    long endedAt,
+    int status,
+    Map<String, String> headers,
+    String body) {
+  boolean isServed() {
+    return status / 100 == 2;
+  }
+}
--- /dev/null
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultKind.java
@@ -0,0 +1,206 @@
+package org.clementineford.soak;
+
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.platform.standin.ModelServer;
+import org.clementineford.platform.standin.PlainServer;
+import org.clementineford.platform.standin.StoreFault;
+
+/** Kinds of faults. Each begins at once and returns how to end it. */
+enum FaultKind {
+  /** An entry VM's process is stopped and started again. */
+  ENTRY_STOP(true) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      return stop(any(fleet.entries(), random));
+    }
+  },
+  /** An endpoint VM's process is stopped and started again. */
+  ENDPOINT_STOP(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      return stop(any(fleet.endpoints(), random));
+    }
+  },
+  /** A process is killed. */
+  KILL(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      Program program = any(fleet.programs(), random);
+      program.kill();
+      return new Fault(program.vm(), program::start);
+    }
+  },
+  /** All processes are killed at once. */
+  KILL_ALL(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      fleet.programs().forEach(Program::kill);
+      return new Fault(
+          "all",
+          () -> {
+            for (Program program : fleet.programs()) {
+              program.start();
+            }
+          });
+    }
+  },
+  /** A process is suspended and goes on. */
+  PAUSE(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      Program program = any(fleet.programs(), random);
+      program.pause();
+      return new Fault(program.vm(), program::resume);
+    }
+  },
+  /** The store misbehaves for all. */
+  STORE(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      StoreFault[] faults = StoreFault.values();
+      StoreFault fault = faults[1 + random.nextInt(faults.length - 1)];
+      fleet.store().setFault(fault);
+      return new Fault(fault.name(), () -> fleet.store().setFault(StoreFault.NONE));
+    }
+  },
+  /** The store forgets its history. */
+  STORE_HISTORY(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      fleet.store().forgetHistory();
+      return new Fault("store", () -> {});
+    }
+  },
+  /** The link of one VM to the store misbehaves. */
+  STORE_LINK(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      Program program = any(fleet.programs(), random);
+      return link(fleet.storeLink(program), program.vm(), random);
+    }
+  },
+  /** The link to a server misbehaves. */
+  SERVER_LINK(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      int number = random.nextInt(fleet.serverLinks().size());
+      return link(fleet.serverLinks().get(number), "server " + number, random);
+    }
+  },
+  /** A server crashes and starts again under another identity. */
+  SERVER_CRASH(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      PlainServer server = any(fleet.allServers(), random);
+      server.crash();
+      return new Fault(
+          server.identity(),
+          () -> {
+            server.restart(System.currentTimeMillis());
+            fleet.list(server);
+          });
+    }
+  },
+  /** A server runs requests and loses part of the answers. */
+  ANSWERS_LOST(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      PlainServer server = any(fleet.allServers(), random);
+      server.setLostShare(0.2);
+      return new Fault(server.identity(), () -> server.setLostShare(0));
+    }
+  },
+  /** Staged weights turn bad. */
+  STAGE_CORRUPT(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      ModelServer engine = any(fleet.engines(), random);
+      engine.corruptStage();
+      return new Fault(engine.identity(), () -> {});
+    }
+  },
+  /** The origin sends wrong bytes, or nothing. */
+  ORIGIN(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      if (random.nextBoolean()) {
+        fleet.origin().setAway(true);
+        return new Fault("origin away", () -> fleet.origin().setAway(false));
+      }
+      fleet.origin().setCorruptShare(0.1);
+      return new Fault("origin corrupt", () -> fleet.origin().setCorruptShare(0));
+    }
+  },
+  /** A version of the weights is named. */
+  WEIGHTS(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      fleet.nameNextVersion();
+      return new Fault("version " + fleet.weightVersion(), () -> {});
+    }
+  },
+  /** The configuration changes. */
+  CONFIGURATION(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      fleet.writeConfiguration();
+      return new Fault("configuration", () -> {});
+    }
+  };
+
+  private final boolean planned;
+
+  FaultKind(boolean planned) {
+    this.planned = planned;
+  }
+
+  /** Tells whether it is planned work, during which no request in progress may be lost. */
+  boolean isPlanned() {
+    return planned;
+  }
+
+  /** Begins a fault. */
+  abstract Fault begin(SoakFleet fleet, Random random) throws ClementinefordException;
+
+  /** What ends a fault. */
+  @FunctionalInterface
+  interface Heal {
+    void run() throws ClementinefordException, InterruptedException;
+  }
+
+  /**
+   * A fault in progress.
+   *
+   * @param target what it concerns
+   * @param heal ends it
+   */
+  record Fault(String target, Heal heal) {}
+
+  private static <T> T any(List<T> choices, Random random) {
+    return choices.get(random.nextInt(choices.size()));
+  }
+
+  private static Fault stop(Program program) {
+    program.terminate();
+    return new Fault(
+        program.vm(),
+        () -> {
+          // The platform kills what has not ended by then.
+          if (!program.awaitEnd(SoakFleet.STOP_MS)) {
+            program.kill();
+            program.awaitEnd(TimeUnit.SECONDS.toMillis(1));
+          }
+          program.start();
+        });
+  }
+
+  private static Fault link(LinkProxy link, String target, Random random) {
+    LinkFault[] faults = LinkFault.values();
+    LinkFault fault = faults[1 + random.nextInt(faults.length - 1)];
+    link.setFault(fault);
+    return new Fault(target + " " + fault, () -> link.setFault(LinkFault.NONE));
+  }
+}
--- /dev/null
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultSeries.java
@@ -0,0 +1,109 @@
+package org.clementineford.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A series of faults that overlap, drawn from a seed. */
+final class FaultSeries {
+  private static final Logger LOG = LoggerFactory.getLogger(FaultSeries.class);
+
+  private static final int FEWEST = 6;
+  private static final int MOST = 16;
+
+  /** Shortest and longest time of a fault, in milliseconds. */
+  private static final int SHORTEST_MS = 200;
+
+  private static final int LONGEST_MS = 5_000;
+
+  private final List<Planned> plan = new ArrayList<>();
+  private final List<Period> periods = new ArrayList<>();
+
+  private record Planned(FaultKind kind, long atMs, long forMs, long seed) {}
+
+  /**
+   * A fault that was played.
+   *
+   * @param kind kind of the fault
+   * @param target what it concerned
+   * @param from when it began, in monotonic nanoseconds
+   * @param until when it ended, in monotonic nanoseconds
+   */
+  record Period(FaultKind kind, String target, long from, long until) {
+    boolean overlaps(long begin, long end) {
+      return from - end < 0 && begin - until < 0;
+    }
+  }
+
+  FaultSeries(long seed, long durationMs) {
+    Random random = new Random(seed);
+    int count = FEWEST + random.nextInt(MOST - FEWEST + 1);
+    FaultKind[] kinds = FaultKind.values();
+    for (int i = 0; i < count; i++) {
+      long forMs = SHORTEST_MS + random.nextInt(LONGEST_MS - SHORTEST_MS);
+      long atMs = (long) (random.nextDouble() * (durationMs - forMs));
+      plan.add(new Planned(kinds[random.nextInt(kinds.length)], atMs, forMs, random.nextLong()));
+    }
+    plan.sort(Comparator.comparingLong(Planned::atMs));
+  }
+
+  /** Plays the series and returns when the last fault has ended. */
+  void play(SoakFleet fleet) throws ClementinefordException, InterruptedException {
+    long begun = System.nanoTime();
+    List<Thread> threads = new ArrayList<>();
+    for (Planned planned : plan) {
+      sleepUntil(begun, planned.atMs());
+      long from = System.nanoTime();
+      FaultKind.Fault fault = planned.kind().begin(fleet, new Random(planned.seed()));
+      LOG.atInfo()
+          .addKeyValue("atMs", planned.atMs())
+          .addKeyValue("kind", planned.kind())
+          .addKeyValue("target", fault.target())
+          .addKeyValue("forMs", planned.forMs())
+          .log("fault begins");
+      Thread thread = new Thread(() -> heal(planned, fault, begun, from), "heal");
+      thread.start();
+      threads.add(thread);
+    }
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    for (Program program : fleet.programs()) {
+      program.resume();
+      program.start();
+    }
+  }
+
+  private void heal(Planned planned, FaultKind.Fault fault, long begun, long from) {
+    try {
+      sleepUntil(begun, planned.atMs() + planned.forMs());
+      fault.heal().run();
+    } catch (ClementinefordException e) {
+      LOG.atError().addKeyValue("kind", planned.kind()).log("fault not ended", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    synchronized (periods) {
+      periods.add(new Period(planned.kind(), fault.target(), from, System.nanoTime()));
+    }
+  }
+
+  private static void sleepUntil(long begun, long afterMs) throws InterruptedException {
+    long leftNanos = begun + TimeUnit.MILLISECONDS.toNanos(afterMs) - System.nanoTime();
+    if (leftNanos > 0) {
+      TimeUnit.NANOSECONDS.sleep(leftNanos);
+    }
+  }
+
+  /** Returns the faults that have ended. */
+  List<Period> periods() {
+    synchronized (periods) {
+      return List.copyOf(periods);
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
@@ -0,0 +1,159 @@
+package org.clementineford.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.ErrorKind;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Plays one seed: a fleet, callers, a series of faults, and some time to recover. */
+public final class Soak {
+  private static final Logger LOG = LoggerFactory.getLogger(Soak.class);
+
+  /** Key that is removed during the faults. */
+  private static final String REMOVED_KEY = Callers.KEYS.get(Callers.KEYS.size() - 1);
+
+  private static final long START_MS = 30_000;
+  private static final long FAULTS_MS = 15_000;
+
+  /** Time to recover, as the platform states it for its deployments. */
+  private static final long RECOVERY_MS = 12_000;
+
+  private static final long RECOVERED_MS = 3_000;
+  private static final long CHECK_MS = 1_000;
+
+  private final long seed;
+  private final int block;
+  private final Path directory;
+
+  /**
+   * What came out.
+   *
+   * @param seed the seed
+   * @param requests requests that ended
+   * @param served requests that were served
+   * @param broken one sentence for each broken promise
+   */
+  public record Result(long seed, int requests, int served, List<String> broken) {}
+
+  /**
+   * Creates a run.
+   *
+   * @param seed decides on faults and callers
+   * @param block number from 1 to 250 of the loopback addresses to use, one for each run at a time
+   * @param directory where logs and settings are written
+   */
+  public Soak(long seed, int block, Path directory) {
+    this.seed = seed;
+    this.block = block;
+    this.directory = directory;
+  }
+
+  /**
+   * Plays the seed.
+   *
+   * @return what came out
+   * @throws ClementinefordException if the fleet could not be started
+   * @throws InterruptedException if the thread was interrupted
+   */
+  public Result call() throws ClementinefordException, InterruptedException {
+    try {
+      Files.createDirectories(directory);
+    } catch (IOException e) {
+      throw new ClementinefordException(
+          ErrorKind.LOCAL_RESOURCE, "cannot create " + directory + "; give another one", e);
+    }
+    try (SoakFleet fleet = new SoakFleet(block, directory, seed)) {
+      fleet.start(START_MS);
+      try (Callers callers = new Callers(fleet, seed)) {
+        return play(fleet, callers);
+      }
+    }
+  }
+
+  private Result play(SoakFleet fleet, Callers callers)
+      throws ClementinefordException, InterruptedException {
+    Promises promises = new Promises(fleet, callers);
+    FaultSeries series = new FaultSeries(seed, FAULTS_MS);
+    KeyRemoval removal = new KeyRemoval(fleet);
+    Watch watch = new Watch(promises, removal);
+    watch.start();
+    removal.schedule((long) (new Random(seed).nextDouble() * FAULTS_MS));
+    series.play(fleet);
+    Thread.sleep(RECOVERY_MS);
+    final long recoveredAt = System.nanoTime();
+    Thread.sleep(RECOVERED_MS);
+    callers.stop();
+    Thread.sleep(CHECK_MS);
+    watch.end();
+    List<String> broken = new ArrayList<>(promises.check(REMOVED_KEY, removal.acknowledgedAt));
+    broken.addAll(promises.checkPlannedStops(series.periods()));
+    broken.addAll(promises.checkRecovered(REMOVED_KEY, recoveredAt));
+    watch.broken.stream().filter(text -> !broken.contains(text)).forEach(broken::add);
+    List<CallerRecord> records = callers.records();
+    int served = (int) records.stream().filter(CallerRecord::isServed).count();
+    return new Result(seed, records.size(), served, broken);
+  }
+
+  /** Removes a key at some time. */
+  private static final class KeyRemoval {
+    private final SoakFleet fleet;
+    private volatile long acknowledgedAt;
+
+    KeyRemoval(SoakFleet fleet) {
+      this.fleet = fleet;
+    }
+
+    void schedule(long afterMs) {
+      fleet
+          .eventLoops()
+          .schedule(
+              () -> {
+                acknowledgedAt = fleet.removeKey(REMOVED_KEY);
+              },
+              afterMs,
+              TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Checks the promises while faults go on. */
+  private static final class Watch extends Thread {
+    private final Promises promises;
+    private final KeyRemoval removal;
+    private final List<String> broken = new ArrayList<>();
+
+    Watch(Promises promises, KeyRemoval removal) {
+      super("promises");
+      this.promises = promises;
+      this.removal = removal;
+    }
+
+    @Override
+    public void run() {
+      try {
+        while (true) {
+          Thread.sleep(CHECK_MS);
+          for (String text : promises.check(REMOVED_KEY, removal.acknowledgedAt)) {
+            if (!broken.contains(text)) {
+              LOG.atError().addKeyValue("promise", text).log("promise broken");
+              broken.add(text);
+            }
+          }
+        }
+      } catch (InterruptedException e) {
+        LOG.debug("no further checks");
+      }
+    }
+
+    void end() throws InterruptedException {
+      interrupt();
+      join();
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.soak/src/test/java/org/clementineford/soak/SoakTest.java
@@ -0,0 +1,20 @@
+package org.clementineford.soak;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class SoakTest {
+  /** Loopback addresses that runs by hand do not use. */
+  private static final int BLOCK = 200;
+
+  // Guards against promises that hold for one fault and break when faults overlap.
+  @ParameterizedTest
+  @ValueSource(longs = {1})
+  void keepsAllPromises(long seed) throws Exception {
+    Path logs = Path.of("target", "soak", Long.toString(seed));
+    assertThat(new Soak(seed, BLOCK, logs).call().broken()).isEmpty();
+  }
+}
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
@@ -60,8 +60,8 @@
             HttpMethod.valueOf(request.method()),
             request.target(),
             Unpooled.wrappedBuffer(request.body()));
-    request.headers().forEach(message.headers()::set);
     message.headers().set(HttpHeaderNames.HOST, address.toString());
+    request.headers().forEach(message.headers()::set);
     message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
     connected.writeAndFlush(message);
     noteActivity();
