--- /dev/null
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WatchedOriginTest.java
@@ -0,0 +1,78 @@
+package org.clementineford.replica.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.replica.WeightDigests;
+import org.clementineford.replica.WeightOrigin;
+import org.clementineford.testing.PausedTime;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
+
+class WatchedOriginTest {
+  private final PausedTime time = new PausedTime(0);
+  private final HostPort address = new HostPort("127.0.0.1", 1);
+  private final ListAppender<ILoggingEvent> lines = new ListAppender<>();
+  private final Logger logger = (Logger) LoggerFactory.getLogger(WatchedOrigin.class);
+  private CompletableFuture<byte[]> next;
+  private final WatchedOrigin origin =
+      new WatchedOrigin(
+          new WeightOrigin() {
+            @Override
+            public CompletableFuture<WeightDigests> digests(
+                HostPort origin, String model, OptionalLong version) {
+              return CompletableFuture.failedFuture(new IllegalStateException("reset"));
+            }
+
+            @Override
+            public CompletableFuture<byte[]> chunk(
+                HostPort origin, String model, long version, int chunk) {
+              return next;
+            }
+          },
+          time);
+
+  @BeforeEach
+  void listen() {
+    lines.start();
+    logger.addAppender(lines);
+  }
+
+  @AfterEach
+  void ignore() {
+    logger.detachAppender(lines);
+  }
+
+  // Guards against an outage of the origin that leaves no trace, or one line for each read.
+  @Test
+  void logsOneLineForTheLossAndOneForTheReturn() {
+    origin.digests(address, "m", OptionalLong.empty());
+    origin.digests(address, "m", OptionalLong.empty());
+    time.advance(5, TimeUnit.SECONDS);
+    next = CompletableFuture.completedFuture(new byte[1]);
+    origin.chunk(address, "m", 1, 0);
+    origin.chunk(address, "m", 1, 1);
+    assertThat(lines.list)
+        .extracting(ILoggingEvent::getMessage)
+        .containsExactly("origin not reached", "origin reached again");
+    assertThat(lines.list.get(1).getKeyValuePairs())
+        .extracting(pair -> pair.key + "=" + pair.value)
+        .containsExactly("lostMs=5000", "failures=2");
+  }
+
+  // Guards against taking a read that a faster peer made needless for a loss of the origin.
+  @Test
+  void ignoresCancelledReads() {
+    next = new CompletableFuture<>();
+    origin.chunk(address, "m", 1, 0).cancel(false);
+    assertThat(lines.list).isEmpty();
+  }
+}
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -140,7 +140,7 @@
             scheduler,
             clock,
             client,
-            weights,
+            new WatchedOrigin(weights, clock),
             () -> origin,
             LIMITS);
     this.rollout =
--- /dev/null
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WatchedOrigin.java
@@ -0,0 +1,64 @@
+package org.clementineford.replica.internal;
+
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.replica.WeightDigests;
+import org.clementineford.replica.WeightOrigin;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The origin of weights, which logs when it is lost and when it is back. Used by one thread. */
+final class WatchedOrigin implements WeightOrigin {
+  private static final Logger LOG = LoggerFactory.getLogger(WatchedOrigin.class);
+
+  private final WeightOrigin origin;
+  private final NanoClock clock;
+  private boolean lost;
+  private long lostAt;
+  private int failures;
+
+  WatchedOrigin(WeightOrigin origin, NanoClock clock) {
+    this.origin = origin;
+    this.clock = clock;
+  }
+
+  @Override
+  public CompletableFuture<WeightDigests> digests(
+      HostPort address, String model, OptionalLong version) {
+    CompletableFuture<WeightDigests> read = origin.digests(address, model, version);
+    read.whenComplete((digests, failure) -> note(failure, read.isCancelled()));
+    return read;
+  }
+
+  @Override
+  public CompletableFuture<byte[]> chunk(HostPort address, String model, long version, int chunk) {
+    CompletableFuture<byte[]> read = origin.chunk(address, model, version, chunk);
+    read.whenComplete((bytes, failure) -> note(failure, read.isCancelled()));
+    return read;
+  }
+
+  private void note(Throwable failure, boolean cancelled) {
+    if (cancelled) {
+      return;
+    }
+    if (failure == null) {
+      if (lost) {
+        lost = false;
+        LOG.atInfo()
+            .addKeyValue("lostMs", TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - lostAt))
+            .addKeyValue("failures", failures)
+            .log("origin reached again");
+      }
+      return;
+    }
+    failures = lost ? failures + 1 : 1;
+    if (!lost) {
+      lost = true;
+      lostAt = clock.nanoTime();
+      LOG.atWarn().addKeyValue("reason", failure.getMessage()).log("origin not reached");
+    }
+  }
+}
