Renew watches once the platform is back

A version was named while the store was silent. The watches of all endpoint VMs had just been sent and were forgotten by the store, so they heard of the version when their 15 s were over, 7.3 s after the store was back (15.9 s after the loss), although other calls had found it. Requests then ran on older weights beyond the bound. Ruled out: the store's history (the next watch got the change), and peers, since none of them knew either. When one kind finds the platform again, the watches of all others are sent again, and a late answer to a forgotten watch is dropped.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -101,6 +101,41 @@
     }
   }
 
+  @Nested
+  class SilentPlatform {
+    private final ObjectKind polled = ObjectKind.ENTRY_VMS;
+
+    private void loseAndRegain() {
+      sync.poll(polled, 5_000);
+      directory.failLast(failure(ErrorKind.UNAVAILABLE));
+      time.advance(1, TimeUnit.SECONDS);
+      directory.answerLast(new Listing(List.of(), 3));
+    }
+
+    // Guards against a watch that the platform forgot in an outage: what changed meanwhile would be
+    // learnt only at the end of the watch.
+    @Test
+    void isAskedAgainByEachWatchOnceItIsBack() {
+      start();
+      loseAndRegain();
+      assertThat(directory.asked).endsWith("watch 2");
+      directory.answerLast(new Listing(List.of(entry("c", 3)), 3));
+      assertThat(names()).containsExactly("a", "b", "c");
+    }
+
+    // Guards against an answer to the forgotten watch that takes the copy back.
+    @Test
+    void mayAnswerTheForgottenWatchLate() {
+      start();
+      loseAndRegain();
+      directory.answerLast(new Listing(List.of(entry("c", 3)), 3));
+      final int calls = directory.asked.size();
+      directory.answer(new Listing(List.of(), 2));
+      assertThat(names()).containsExactly("a", "b", "c");
+      assertThat(directory.asked).hasSize(calls);
+    }
+  }
+
   @Nested
   class Age {
     // Guards against trust in keys that a watch has not confirmed for seconds.
@@ -141,6 +176,14 @@
       pending.poll().complete(listing);
     }
 
+    void answerLast(Listing listing) {
+      pending.pollLast().complete(listing);
+    }
+
+    void failLast(Exception failure) {
+      pending.pollLast().completeExceptionally(failure);
+    }
+
     void fail(Exception failure) {
       pending.poll().completeExceptionally(failure);
     }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -170,6 +170,7 @@
     private final DirectoryCopyState copy = new DirectoryCopyState();
     private boolean listNeeded = true;
     private boolean calling;
+    private long calls;
     private Scheduler.Cancellable timer;
     private int failures;
     private boolean returned;
@@ -188,17 +189,29 @@
       }
     }
 
+    /** Calls again if a watch waits; a platform that was away may have forgotten it. */
+    void renew() {
+      if (watching && calling) {
+        next();
+      }
+    }
+
     void next() {
       if (stopped) {
         return;
       }
       calling = true;
+      calls++;
+      final long number = calls;
       final long sentAt = clock.nanoTime();
       boolean list = listNeeded || !watching;
       var call =
           list ? directory.list(kind, watching) : directory.watch(kind, copy.revision(), waitMs);
       call.whenComplete(
           (listing, failure) -> {
+            if (number != calls) {
+              return;
+            }
             calling = false;
             if (failure == null) {
               succeeded(list, listing, sentAt);
@@ -215,6 +228,7 @@
         returned = true;
         returnedAt = now;
         failures = 0;
+        kinds.values().stream().filter(other -> other != this).forEach(KindSync::renew);
       }
       boolean afterOutage = returned && now - returnedAt < RETURN_NANOS;
       boolean changed;
