Judge planned stops of the soak by the process that was stopped

Two planned stops of one entry VM overlapped; the second waited for the process that the first had started, and killed it after 8 s without SIGTERM. The requests that it lost were then counted as lost by a planned stop. A fault of the soak, not of the product. The stop now waits for the process that got the signal. The faults as played are written beside the logs.

--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultKind.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultKind.java
@@ -184,14 +184,14 @@
   }
 
   private static Fault stop(Program program) {
-    program.terminate();
+    Process stopping = program.terminate();
     return new Fault(
         program.vm(),
         () -> {
-          // The platform kills what has not ended by then.
-          if (!program.awaitEnd(SoakFleet.STOP_MS)) {
-            program.kill();
-            program.awaitEnd(TimeUnit.SECONDS.toMillis(1));
+          // The platform kills what has not ended by then. Another fault may have started the
+          // program again meanwhile, so only the process that was stopped counts.
+          if (!stopping.waitFor(SoakFleet.STOP_MS, TimeUnit.MILLISECONDS)) {
+            stopping.destroyForcibly().waitFor();
           }
           program.start();
         });
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultSeries.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultSeries.java
@@ -1,5 +1,6 @@
 package org.clementineford.soak;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -35,6 +36,21 @@
    * @param until when it ended, in monotonic nanoseconds
    */
   record Period(FaultKind kind, String target, long from, long until) {
+    String describe() {
+      return Instant.ofEpochMilli(wallMs(from))
+          + " to "
+          + Instant.ofEpochMilli(wallMs(until))
+          + "  "
+          + kind
+          + "  "
+          + target;
+    }
+
+    private static long wallMs(long nanos) {
+      long agoMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
+      return System.currentTimeMillis() - agoMs;
+    }
+
     boolean overlaps(long begin, long end) {
       return from - end < 0 && begin - until < 0;
     }
@@ -60,12 +76,6 @@
       sleepUntil(begun, planned.atMs());
       long from = System.nanoTime();
       FaultKind.Fault fault = planned.kind().begin(fleet, new Random(planned.seed()));
-      LOG.atInfo()
-          .addKeyValue("atMs", planned.atMs())
-          .addKeyValue("kind", planned.kind())
-          .addKeyValue("target", fault.target())
-          .addKeyValue("forMs", planned.forMs())
-          .log("fault begins");
       Thread thread = new Thread(() -> heal(planned, fault, begun, from), "heal");
       thread.start();
       threads.add(thread);
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Program.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Program.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.platform.standin.PlatformFiles;
@@ -75,9 +74,11 @@
     return process.exitValue();
   }
 
-  synchronized void terminate() {
+  /** Sends SIGTERM and returns the process that should end. */
+  synchronized Process terminate() {
     endExpected = true;
     process.destroy();
+    return process;
   }
 
   synchronized void kill() {
@@ -85,15 +86,6 @@
     process.destroyForcibly();
   }
 
-  /** Waits until the process has ended; returns false if it still runs. */
-  boolean awaitEnd(long timeoutMs) throws InterruptedException {
-    Process ending;
-    synchronized (this) {
-      ending = process;
-    }
-    return ending.waitFor(timeoutMs, TimeUnit.MILLISECONDS);
-  }
-
   void pause() {
     signal("-STOP");
   }
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
@@ -92,6 +92,7 @@
     callers.stop();
     Thread.sleep(CHECK_MS);
     watch.end();
+    writeFaults(series);
     List<String> broken = new ArrayList<>(promises.check(REMOVED_KEY, removal.acknowledgedAt));
     broken.addAll(promises.checkPlannedStops(series.periods()));
     broken.addAll(promises.checkRecovered(REMOVED_KEY, recoveredAt));
@@ -101,6 +102,17 @@
     return new Result(seed, records.size(), served, broken);
   }
 
+  /** Writes what was played beside the logs, which tell what came of it. */
+  private void writeFaults(FaultSeries series) throws ClementinefordException {
+    Path file = directory.resolve("faults.txt");
+    try {
+      Files.write(file, series.periods().stream().map(FaultSeries.Period::describe).toList());
+    } catch (IOException e) {
+      throw new ClementinefordException(
+          ErrorKind.LOCAL_RESOURCE, "cannot write " + file + "; check the directory", e);
+    }
+  }
+
   /** Removes a key at some time. */
   private static final class KeyRemoval {
     private final SoakFleet fleet;
--- a/org.clementineford.soak/src/test/java/org/clementineford/soak/SoakTest.java
+++ b/org.clementineford.soak/src/test/java/org/clementineford/soak/SoakTest.java
@@ -10,9 +10,10 @@
   /** Loopback addresses that runs by hand do not use. */
   private static final int BLOCK = 200;
 
-  // Guards against promises that hold for one fault and break when faults overlap.
+  // Guards against promises that hold for one fault and break when faults overlap. Seed 1041: a
+  // silent store forgot watches, and endpoint VMs learnt of a version 14 s after its return.
   @ParameterizedTest
-  @ValueSource(longs = {1})
+  @ValueSource(longs = {1, 1041})
   void keepsAllPromises(long seed) throws Exception {
     Path logs = Path.of("target", "soak", Long.toString(seed));
     assertThat(new Soak(seed, BLOCK, logs).call().broken()).isEmpty();
