Let engines end their requests before transfers end

Cause: engines load new weights only after the requests that they run, 1.5 to 2 s, and take no new ones meanwhile. From 42 % of the bound on, an engine whose transfer should end within 1.5 s stops taking requests, unless its service has fewer than four engines; it goes on if the transfer has not ended after 2.5 s.

--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
@@ -38,6 +38,14 @@
     assertThat(schedule.isWorthCompleting(0.1, seconds(1), seconds(0), seconds(0))).isFalse();
   }
 
+  // Guards against draining an engine whose transfer takes long.
+  @Test
+  void engineDrainsOnlyShortlyBeforeItsTransferEnds() {
+    assertThat(schedule.endsSoon(0.8, seconds(4))).isTrue();
+    assertThat(schedule.endsSoon(0.6, seconds(4))).isFalse();
+    assertThat(schedule.endsSoon(0.0, seconds(0))).isFalse();
+  }
+
   // Guards against an engine that waits for its turn although it can answer nothing.
   @Test
   void engineWithoutWeightsDoesNotWait() {
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -118,6 +118,56 @@
     }
   }
 
+  @Nested
+  class Drain {
+    private void beginTransferInItsTurn() {
+      time.advance(7, TimeUnit.SECONDS);
+      origin.held = 1;
+      rollout.statusChanged(status(1, 1));
+      rollout.named("m", 2, 0, true);
+      advance(100);
+      rollout.setPeers(List.of(peer("b"), peer("c"), peer("d")));
+    }
+
+    private VmIdentity peer(String name) {
+      return new VmIdentity(name, VmRole.ENDPOINT, "x", "r", 0, address);
+    }
+
+    // Guards against engines that all end their requests at the same time, since transfers end
+    // together and long after the first turns.
+    @Test
+    void beginsBeforeTheTransferEnds() {
+      beginTransferInItsTurn();
+      advance(100);
+      rollout.statusChanged(status(1, 1));
+      assertThat(rollout.isChanging()).isTrue();
+      assertThat(engine.loaded).isEmpty();
+      origin.release();
+      advance(100);
+      assertThat(engine.loaded).containsExactly(2L);
+    }
+
+    // Guards against an engine that serves nothing while its transfer stalls.
+    @Test
+    void endsIfTheTransferStalls() {
+      beginTransferInItsTurn();
+      advance(3_000);
+      rollout.statusChanged(status(1, 1));
+      assertThat(rollout.isChanging()).isFalse();
+      advance(3_000);
+      assertThat(rollout.isChanging()).isFalse();
+    }
+
+    // Guards against the only engine of a service leaving before it can load.
+    @Test
+    void waitsForTheTransferIfFewEnginesAreLeft() {
+      beginTransferInItsTurn();
+      rollout.setPeers(List.of(peer("b")));
+      advance(100);
+      assertThat(rollout.isChanging()).isFalse();
+    }
+  }
+
   // Guards against loading the weights of another service's model.
   @Test
   void versionsOfOtherModelsAreIgnored() {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
@@ -7,8 +7,11 @@
  * named version, so that the service keeps most of its engines while all of them change.
  */
 final class ActivationSchedule {
-  /** Part of the bound before which no engine changes; transfers take about this long. */
-  private static final double FIRST_PART = 0.5;
+  /**
+   * Part of the bound before which no engine changes. Engines end their requests before transfers
+   * end, so that not all of them do so at once afterwards.
+   */
+  private static final double FIRST_PART = 0.42;
 
   /** Part of the bound at which the last engine begins to change. */
   private static final double LAST_PART = 0.8;
@@ -16,6 +19,12 @@
   /** Part of a transfer below which starting the next one loses little. */
   private static final double LEAST_PROGRESS = 0.3;
 
+  /** Time that an engine takes to end its requests, about the length of a stream. */
+  private static final long DRAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  /** Part of a transfer below which its end cannot be predicted. */
+  private static final double PREDICTABLE_PROGRESS = 0.5;
+
   /** Time for which a version must serve, with the time to load it, to be worth its transfer. */
   private static final long USE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
@@ -40,8 +49,23 @@
     if (progress < LEAST_PROGRESS) {
       return false;
     }
-    double remaining = elapsedNanos * (1 - progress) / progress;
-    return now + remaining + USE_NANOS < nextNamedAt + boundNanos;
+    return now + remainingNanos(progress, elapsedNanos) + USE_NANOS < nextNamedAt + boundNanos;
+  }
+
+  private static double remainingNanos(double progress, long elapsedNanos) {
+    return elapsedNanos * (1 - progress) / progress;
+  }
+
+  /**
+   * Tells whether a transfer should end while the engine ends its requests.
+   *
+   * @param progress part of the chunks that is held
+   * @param elapsedNanos time since the transfer began
+   * @return true if the engine may stop taking requests
+   */
+  boolean endsSoon(double progress, long elapsedNanos) {
+    return progress >= PREDICTABLE_PROGRESS
+        && remainingNanos(progress, elapsedNanos) <= DRAIN_NANOS;
   }
 
   /** Returns the bound of a named version in nanoseconds. */
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -36,6 +36,12 @@
 
   private static final long DIGESTS_RETRY_MS = 300;
 
+  /** Engines of a service below which none leaves before it can load. */
+  private static final int FEWEST_TO_DRAIN = 4;
+
+  /** Longest time without requests while a transfer does not end, in milliseconds. */
+  private static final long LONGEST_DRAIN_MS = 2_500;
+
   /** Chunks staged at once. */
   private static final int STAGING_AT_ONCE = 8;
 
@@ -53,6 +59,9 @@
   private boolean digestsPending;
   private boolean activating;
   private boolean changing;
+  private boolean draining;
+  private long drainedVersion;
+  private long drainingSince;
   private long orderedVersion;
   private long orderedAt;
 
@@ -151,7 +160,11 @@
       orderedVersion = 0;
     }
     status = next;
-    if (changing && !activating && status.weightVersion() >= orderedVersion && !status.busy()) {
+    if (changing
+        && !activating
+        && !draining
+        && status.weightVersion() >= orderedVersion
+        && !status.busy()) {
       setChanging(false);
     }
     proceed();
@@ -180,9 +193,46 @@
     if (missing && !completing && !digestsPending) {
       readDigests();
     }
+    drainIfDue(newest);
     activateIfDue();
   }
 
+  /** Lets the engine end its requests while the last chunks of the target arrive. */
+  private void drainIfDue(ChunkTransfer transfer) {
+    boolean serving = status.weightVersion() > 0 && status.weightVersion() < target;
+    if (transfer == null || transfer.digests().version() != target || !serving) {
+      draining = false;
+      return;
+    }
+    if (transfer.isWhole()) {
+      return;
+    }
+    long now = tools.clock().nanoTime();
+    if (draining) {
+      if (now - drainingSince > TimeUnit.MILLISECONDS.toNanos(LONGEST_DRAIN_MS)) {
+        LOG.atInfo().addKeyValue("version", target).log("transfer stalls, engine serves on");
+        draining = false;
+        setChanging(false);
+      }
+      return;
+    }
+    int engines = peers.size() + 1;
+    if (changing || drainedVersion == target || engines < FEWEST_TO_DRAIN) {
+      return;
+    }
+    if (now - schedule.beginAt(targetAt, rank(target), engines, true) >= 0
+        && schedule.endsSoon(transfer.progress(), transfer.elapsedNanos())) {
+      draining = true;
+      drainedVersion = target;
+      drainingSince = now;
+      setChanging(true);
+      LOG.atInfo()
+          .addKeyValue("version", target)
+          .addKeyValue("progress", transfer.progress())
+          .log("engine ends its requests");
+    }
+  }
+
   /** Tells whether the engine runs without weights, which the newest version then ends. */
   private boolean isEmpty() {
     return status != EngineStatus.UNREACHABLE && status.weightVersion() == 0;
@@ -303,7 +353,9 @@
       return;
     }
     activating = true;
-    if (serving) {
+    boolean announced = draining;
+    draining = false;
+    if (serving && !announced) {
       setChanging(true);
       tools.scheduler().schedule(() -> stage(whole), NOTICE_MS, TimeUnit.MILLISECONDS);
     } else {
