Keep no connections to the origin of weights

Ruled out: the number of copies read (1.2 to 2.2 on the small sites), the link. Each VM now reads one chunk at a time and closes the connection after it. PlatformCallsTest.Origin.isLeftWithoutConnectionsAfterEachRead was seen failing.

--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -64,7 +64,7 @@
   private static final TransferLimits LIMITS =
       new TransferLimits(
           4,
-          2,
+          1,
           1,
           1,
           4,
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
@@ -123,7 +124,8 @@
       ended = true;
       connection.config().setAutoRead(true);
     }
-    if (keepAlive) {
+    boolean last = HttpHeaderValues.CLOSE.toString().equalsIgnoreCase(request.header("connection"));
+    if (keepAlive && !last) {
       release.accept(connection);
     } else {
       connection.close();
