--- /dev/null
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EngineStage.java
@@ -0,0 +1,93 @@
+package org.clementineford.replica.internal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.clementineford.replica.LocalEngine;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The chunks that lie at the engine of this VM, read and written some at a time. */
+final class EngineStage {
+  private static final Logger LOG = LoggerFactory.getLogger(EngineStage.class);
+
+  /** Chunks in transit at once. */
+  private static final int AT_ONCE = 8;
+
+  private final LocalEngine engine;
+
+  EngineStage(LocalEngine engine) {
+    this.engine = engine;
+  }
+
+  /**
+   * Reads what is staged, as far as it can be read.
+   *
+   * @param model name of the model
+   * @param chunks chunks of a copy
+   * @param done gets the chunks by number, not verified
+   */
+  void read(String model, int chunks, Consumer<Map<Integer, byte[]>> done) {
+    readFrom(model, chunks, new HashMap<>(), 0, done);
+  }
+
+  private void readFrom(
+      String model,
+      int chunks,
+      Map<Integer, byte[]> staged,
+      int first,
+      Consumer<Map<Integer, byte[]>> done) {
+    int end = Math.min(chunks, first + AT_ONCE);
+    List<CompletableFuture<Optional<byte[]>>> group = new ArrayList<>();
+    for (int i = first; i < end; i++) {
+      group.add(engine.staged(model, i));
+    }
+    CompletableFuture.allOf(group.toArray(new CompletableFuture<?>[0]))
+        .whenComplete(
+            (read, failure) -> {
+              if (failure != null) {
+                LOG.atInfo()
+                    .addKeyValue("reason", failure.getMessage())
+                    .log("staged chunks not read; they are fetched");
+                done.accept(staged);
+                return;
+              }
+              for (int i = first; i < end; i++) {
+                int chunk = i;
+                group.get(i - first).join().ifPresent(bytes -> staged.put(chunk, bytes));
+              }
+              if (end < chunks && staged.size() > first) {
+                readFrom(model, chunks, staged, end, done);
+              } else {
+                done.accept(staged);
+              }
+            });
+  }
+
+  /**
+   * Writes all chunks.
+   *
+   * @param model name of the model
+   * @param chunks the chunks in order
+   * @return completed when all are written; fails with the first failure
+   */
+  CompletableFuture<Void> write(String model, List<byte[]> chunks) {
+    return writeFrom(model, chunks, 0);
+  }
+
+  private CompletableFuture<Void> writeFrom(String model, List<byte[]> chunks, int first) {
+    if (first >= chunks.size()) {
+      return CompletableFuture.completedFuture(null);
+    }
+    List<CompletableFuture<Void>> group = new ArrayList<>();
+    for (int i = first; i < Math.min(chunks.size(), first + AT_ONCE); i++) {
+      group.add(engine.stage(model, i, chunks.get(i)));
+    }
+    return CompletableFuture.allOf(group.toArray(new CompletableFuture<?>[0]))
+        .thenCompose(written -> writeFrom(model, chunks, first + AT_ONCE));
+  }
+}
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -1,14 +1,10 @@
 package org.clementineford.replica.internal;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.replica.EngineStatus;
@@ -42,11 +38,9 @@
   /** Longest time without requests while a transfer does not end, in milliseconds. */
   private static final long LONGEST_DRAIN_MS = 2_500;
 
-  /** Chunks staged at once. */
-  private static final int STAGING_AT_ONCE = 8;
-
   private final ReplicaTools tools;
   private final LocalEngine engine;
+  private final EngineStage stage;
   private final ActivationSchedule schedule;
   private final TreeMap<Long, ChunkTransfer> transfers = new TreeMap<>();
   private final Runnable onChanging;
@@ -69,6 +63,7 @@
       ReplicaTools tools, LocalEngine engine, ActivationSchedule schedule, Runnable onChanging) {
     this.tools = tools;
     this.engine = engine;
+    this.stage = new EngineStage(engine);
     this.schedule = schedule;
     this.onChanging = onChanging;
   }
@@ -277,37 +272,9 @@
   private void readStaged(WeightDigests digests) {
     if (status.weightVersion() != digests.version() && status.weightVersion() != 0) {
       begin(digests, Map.of());
-      return;
+    } else {
+      stage.read(digests.model(), digests.digests().size(), staged -> begin(digests, staged));
     }
-    readStaged(digests, new HashMap<>(), 0);
-  }
-
-  private void readStaged(WeightDigests digests, Map<Integer, byte[]> staged, int first) {
-    int end = Math.min(digests.digests().size(), first + STAGING_AT_ONCE);
-    List<CompletableFuture<Optional<byte[]>>> group = new ArrayList<>();
-    for (int i = first; i < end; i++) {
-      group.add(engine.staged(digests.model(), i));
-    }
-    CompletableFuture.allOf(group.toArray(new CompletableFuture<?>[0]))
-        .whenComplete(
-            (done, failure) -> {
-              if (failure != null) {
-                LOG.atInfo()
-                    .addKeyValue("reason", failure.getMessage())
-                    .log("staged chunks not read; they are fetched");
-                begin(digests, staged);
-                return;
-              }
-              for (int i = first; i < end; i++) {
-                int chunk = i;
-                group.get(i - first).join().ifPresent(bytes -> staged.put(chunk, bytes));
-              }
-              if (end < digests.digests().size() && staged.size() > first) {
-                readStaged(digests, staged, end);
-              } else {
-                begin(digests, staged);
-              }
-            });
   }
 
   private void begin(WeightDigests digests, Map<Integer, byte[]> staged) {
@@ -389,24 +356,12 @@
    * engine does not check them.
    */
   private void stage(ChunkTransfer transfer) {
-    List<byte[]> all = transfer.all();
-    stageFrom(transfer, all, 0);
-  }
-
-  private void stageFrom(ChunkTransfer transfer, List<byte[]> all, int first) {
-    if (first >= all.size()) {
-      order(transfer);
-      return;
-    }
-    List<CompletableFuture<Void>> group = new ArrayList<>();
-    for (int i = first; i < Math.min(all.size(), first + STAGING_AT_ONCE); i++) {
-      group.add(engine.stage(model, i, all.get(i)));
-    }
-    CompletableFuture.allOf(group.toArray(new CompletableFuture<?>[0]))
+    stage
+        .write(model, transfer.all())
         .whenComplete(
             (done, failure) -> {
               if (failure == null) {
-                stageFrom(transfer, all, first + STAGING_AT_ONCE);
+                order(transfer);
               } else {
                 activationFailed("staging", failure);
               }
