Keep the state of a drain in a class of its own

EngineDrain holds them and decides; the rank of this VM is worked out only once the transfer is near its end, as it walks over all peers.

--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -32,16 +32,11 @@
 
   private static final long DIGESTS_RETRY_MS = 300;
 
-  /** Engines of a service below which none leaves before it can load. */
-  private static final int FEWEST_TO_DRAIN = 4;
-
-  /** Longest time without requests while a transfer does not end, in milliseconds. */
-  private static final long LONGEST_DRAIN_MS = 2_500;
-
   private final ReplicaTools tools;
   private final LocalEngine engine;
   private final EngineStage stage;
   private final ActivationSchedule schedule;
+  private final EngineDrain drain;
   private final TreeMap<Long, ChunkTransfer> transfers = new TreeMap<>();
   private final Runnable onChanging;
   private String model;
@@ -53,9 +48,6 @@
   private boolean digestsPending;
   private boolean activating;
   private boolean changing;
-  private boolean draining;
-  private long drainedVersion;
-  private long drainingSince;
   private long orderedVersion;
   private long orderedAt;
 
@@ -65,6 +57,7 @@
     this.engine = engine;
     this.stage = new EngineStage(engine);
     this.schedule = schedule;
+    this.drain = new EngineDrain(schedule);
     this.onChanging = onChanging;
   }
 
@@ -157,7 +150,7 @@
     status = next;
     if (changing
         && !activating
-        && !draining
+        && !drain.isActive()
         && status.weightVersion() >= orderedVersion
         && !status.busy()) {
       setChanging(false);
@@ -192,39 +185,28 @@
     activateIfDue();
   }
 
-  /** Lets the engine end its requests while the last chunks of the target arrive. */
   private void drainIfDue(ChunkTransfer transfer) {
     boolean serving = status.weightVersion() > 0 && status.weightVersion() < target;
     if (transfer == null || transfer.digests().version() != target || !serving) {
-      draining = false;
+      drain.end();
       return;
     }
     if (transfer.isWhole()) {
       return;
     }
     long now = tools.clock().nanoTime();
-    if (draining) {
-      if (now - drainingSince > TimeUnit.MILLISECONDS.toNanos(LONGEST_DRAIN_MS)) {
-        LOG.atInfo().addKeyValue("version", target).log("transfer stalls, engine serves on");
-        draining = false;
+    if (drain.isActive()) {
+      if (drain.endIfStalled(now)) {
         setChanging(false);
       }
       return;
     }
     int engines = peers.size() + 1;
-    if (changing || drainedVersion == target || engines < FEWEST_TO_DRAIN) {
-      return;
-    }
-    if (now - schedule.beginAt(targetAt, rank(target), engines, true) >= 0
-        && schedule.endsSoon(transfer.progress(), transfer.elapsedNanos())) {
-      draining = true;
-      drainedVersion = target;
-      drainingSince = now;
+    if (!changing
+        && drain.mayBegin(transfer, engines)
+        && now - schedule.beginAt(targetAt, rank(target), engines, true) >= 0) {
+      drain.begin(transfer, now);
       setChanging(true);
-      LOG.atInfo()
-          .addKeyValue("version", target)
-          .addKeyValue("progress", transfer.progress())
-          .log("engine ends its requests");
     }
   }
 
@@ -320,8 +302,8 @@
       return;
     }
     activating = true;
-    boolean announced = draining;
-    draining = false;
+    boolean announced = drain.isActive();
+    drain.end();
     if (serving && !announced) {
       setChanging(true);
       tools.scheduler().schedule(() -> stage(whole), NOTICE_MS, TimeUnit.MILLISECONDS);
