Remove a look-up and a struct that nobody uses

Cause: EndpointTable kept an index by address whose only reader is gone, and fleet.thrift had ChunkDigests, which no program sends. Found by searching for methods and structs without a caller. No behaviour changes; the tests of the modules that use them pass as they were.

--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointTable.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointTable.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.clementineford.kernel.HostPort;
 import org.clementineford.serving.model.Endpoint;
 
 /**
@@ -16,7 +15,6 @@
  */
 public final class EndpointTable {
   private final Map<String, EndpointState> byId = new HashMap<>();
-  private final Map<HostPort, EndpointState> byAddress = new HashMap<>();
   private final Map<String, List<EndpointState>> byService = new HashMap<>();
 
   /**
@@ -28,7 +26,6 @@
   public List<EndpointState> update(Collection<Endpoint> listed) {
     Set<String> present = new HashSet<>();
     List<EndpointState> removed = new ArrayList<>();
-    byAddress.clear();
     byService.clear();
     for (Endpoint endpoint : listed) {
       present.add(endpoint.id());
@@ -43,7 +40,6 @@
         byId.put(endpoint.id(), state);
       }
       state.update(endpoint);
-      byAddress.put(endpoint.address(), state);
       byService.computeIfAbsent(endpoint.service(), name -> new ArrayList<>()).add(state);
     }
     byId.values()
@@ -75,16 +71,6 @@
     return byService.getOrDefault(service, List.of());
   }
 
-  /**
-   * Finds the endpoint at an address.
-   *
-   * @param address the address
-   * @return its state, or null
-   */
-  public EndpointState at(HostPort address) {
-    return byAddress.get(address);
-  }
-
   /**
    * Returns all endpoints.
    *
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -53,8 +53,3 @@
   1: list<DirectoryCopy> copies,
   2: list<string> entryVms, // addresses of the entry VMs that the sender knows
 }
-
-struct ChunkDigests {
-  1: i64 version,
-  2: list<string> digests, // SHA-256 in hexadecimal
-}
