Let one piece of code take in listed entry VMs

Cause: EntryVm and Replica decoded the same entries in the same way, and the client of HTTP compared a header with names written out beside the constants. PeerDirectory.addListed serves both programs.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/PeerDirectory.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/PeerDirectory.java
@@ -93,6 +93,18 @@
     }
   }
 
+  /**
+   * Adds the entry VMs that the platform lists.
+   *
+   * @param entries entries of entry VMs
+   * @param decoder decodes them; those that it cannot read are left out
+   */
+  public void addListed(Iterable<StoredEntry> entries, DirectoryDecoder decoder) {
+    List<HostPort> addresses = new ArrayList<>();
+    entries.forEach(entry -> decoder.entryVm(entry).ifPresent(addresses::add));
+    addPeers(addresses);
+  }
+
   /**
    * Returns the number of peers.
    *
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -216,11 +216,7 @@
         gateway.endpointsChanged(endpoints);
         subscribe();
       }
-      case ENTRY_VMS -> {
-        List<HostPort> addresses = new ArrayList<>();
-        copy.entries().forEach(entry -> decoder.entryVm(entry).ifPresent(addresses::add));
-        peers.addPeers(addresses);
-      }
+      case ENTRY_VMS -> peers.addListed(copy.entries(), decoder);
       default -> LOG.debug("{} is not used by entry VMs", kind);
     }
   }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/Replica.java
@@ -1,7 +1,6 @@
 package org.clementineford.replica.internal;
 
 import io.netty.channel.EventLoopGroup;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -220,11 +219,7 @@
       case CONFIGURATION -> entries.forEach(this::readOrigin);
       case ENDPOINTS -> setReplicas(entries);
       case WEIGHT_TARGETS -> readTargets();
-      case ENTRY_VMS -> {
-        List<HostPort> addresses = new ArrayList<>();
-        entries.forEach(entry -> decoder.entryVm(entry).ifPresent(addresses::add));
-        peers.addPeers(addresses);
-      }
+      case ENTRY_VMS -> peers.addListed(entries, decoder);
       default -> throw new IllegalStateException("unhandled kind " + kind);
     }
   }
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientCall.java
@@ -124,8 +124,8 @@
       ended = true;
       connection.config().setAutoRead(true);
     }
-    boolean last = HttpHeaderValues.CLOSE.toString().equalsIgnoreCase(request.header("connection"));
-    if (keepAlive && !last) {
+    String wish = request.header(HttpHeaderNames.CONNECTION.toString());
+    if (keepAlive && !HttpHeaderValues.CLOSE.contentEqualsIgnoreCase(wish)) {
       release.accept(connection);
     } else {
       connection.close();
