Build the platform's stand-ins on those of the project

Cause: the four stand-ins of the soak listened, answered with JSON, kept time and computed digests by code of their own, although HttpStandIn, StandInContext and Digests do so; the soak read the system's clocks wherever it needed a time. They extend HttpStandIn now, and the clocks are passed in from Main. Headers of answers are kept as they come, since their look-up ignores case. StoreFault stays beside the common faults: a watch that waits is cut or forgotten, and no common fault resets connections.

--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/CallerRecord.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/CallerRecord.java
@@ -13,7 +13,7 @@
  * @param startedAt when it was sent, in monotonic nanoseconds
  * @param endedAt when its answer was whole or it failed, in monotonic nanoseconds
  * @param status status of the answer; 0 if none came
- * @param headers headers of the answer, names in lower case
+ * @param headers headers of the answer; look-up ignores case
  * @param body body of the answer
  */
 record CallerRecord(
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Callers.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Callers.java
@@ -2,14 +2,15 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.NanoClock;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.platform.standin.PlatformFiles;
 import org.clementineford.transport.LinkShaping;
@@ -41,17 +42,19 @@
   private static final int MISSES = 2;
 
   private final SoakFleet fleet;
+  private final NanoClock clock;
   private final Random random;
   private final HttpClient client;
   private final Map<String, Integer> misses = new ConcurrentHashMap<>();
   private final List<CallerRecord> records = new ArrayList<>();
-  private final Map<String, Boolean> sent = new ConcurrentHashMap<>();
+  private final Set<String> sent = ConcurrentHashMap.newKeySet();
   private final ScheduledFuture<?> sending;
   private final ScheduledFuture<?> polling;
   private int number;
 
-  Callers(SoakFleet fleet, long seed) {
+  Callers(SoakFleet fleet, long seed, NanoClock clock) {
     this.fleet = fleet;
+    this.clock = clock;
     this.random = new Random(seed);
     this.client = new HttpClient(fleet.eventLoops(), LinkShaping.NONE);
     this.polling =
@@ -89,8 +92,8 @@
     String key = KEYS.get(random.nextInt(KEYS.size()));
     String id = String.format(Locale.ROOT, "%016x", (random.nextLong() << 20) + number++);
     String target = kind.path() + number;
-    sent.put(id, true);
-    long startedAt = System.nanoTime();
+    sent.add(id);
+    long startedAt = clock.nanoTime();
     client
         .call(
             new HostPort(fleet.host(entry), PlatformFiles.CALLER_PORT),
@@ -105,7 +108,7 @@
                 add(record(id, kind, target, key, entry.vm(), startedAt, response)));
   }
 
-  private static CallerRecord record(
+  private CallerRecord record(
       String id,
       CallKind kind,
       String target,
@@ -113,12 +116,6 @@
       String entry,
       long startedAt,
       HttpResponse response) {
-    Map<String, String> headers = new HashMap<>();
-    if (response != null) {
-      response
-          .headers()
-          .forEach((name, value) -> headers.put(name.toLowerCase(Locale.ROOT), value));
-    }
     return new CallerRecord(
         id,
         kind,
@@ -126,9 +123,9 @@
         key,
         entry,
         startedAt,
-        System.nanoTime(),
+        clock.nanoTime(),
         response == null ? 0 : response.status(),
-        headers,
+        response == null ? Map.of() : response.headers(),
         response == null ? "" : new String(response.body(), StandardCharsets.UTF_8));
   }
 
@@ -143,7 +140,7 @@
 
   /** Tells whether a request with this identity was sent. */
   boolean hasSent(String id) {
-    return sent.containsKey(id);
+    return sent.contains(id);
   }
 
   /** Returns the number of requests that were sent. */
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultKind.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultKind.java
@@ -96,12 +96,7 @@
     Fault begin(SoakFleet fleet, Random random) {
       PlainServer server = any(fleet.allServers(), random);
       server.crash();
-      return new Fault(
-          server.identity(),
-          () -> {
-            server.restart(System.currentTimeMillis());
-            fleet.list(server);
-          });
+      return new Fault(server.identity(), () -> fleet.restart(server));
     }
   },
   /** A server runs requests and loses part of the answers. */
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultSeries.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultSeries.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,6 +24,8 @@
 
   private static final int LONGEST_MS = 5_000;
 
+  private final NanoClock clock;
+  private final EpochClock wallClock;
   private final List<Planned> plan = new ArrayList<>();
   private final List<Period> periods = new ArrayList<>();
 
@@ -36,27 +40,14 @@
    * @param until when it ended, in monotonic nanoseconds
    */
   record Period(FaultKind kind, String target, long from, long until) {
-    String describe() {
-      return Instant.ofEpochMilli(wallMs(from))
-          + " to "
-          + Instant.ofEpochMilli(wallMs(until))
-          + "  "
-          + kind
-          + "  "
-          + target;
-    }
-
-    private static long wallMs(long nanos) {
-      long agoMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos);
-      return System.currentTimeMillis() - agoMs;
-    }
-
     boolean overlaps(long begin, long end) {
       return from - end < 0 && begin - until < 0;
     }
   }
 
-  FaultSeries(long seed, long durationMs) {
+  FaultSeries(long seed, long durationMs, NanoClock clock, EpochClock wallClock) {
+    this.clock = clock;
+    this.wallClock = wallClock;
     Random random = new Random(seed);
     int count = FEWEST + random.nextInt(MOST - FEWEST + 1);
     FaultKind[] kinds = FaultKind.values();
@@ -70,11 +61,11 @@
 
   /** Plays the series and returns when the last fault has ended. */
   void play(SoakFleet fleet) throws ClementinefordException, InterruptedException {
-    long begun = System.nanoTime();
+    long begun = clock.nanoTime();
     List<Thread> threads = new ArrayList<>();
     for (Planned planned : plan) {
       sleepUntil(begun, planned.atMs());
-      long from = System.nanoTime();
+      long from = clock.nanoTime();
       FaultKind.Fault fault = planned.kind().begin(fleet, new Random(planned.seed()));
       Thread thread = new Thread(() -> heal(planned, fault, begun, from), "heal");
       thread.start();
@@ -99,17 +90,37 @@
       Thread.currentThread().interrupt();
     }
     synchronized (periods) {
-      periods.add(new Period(planned.kind(), fault.target(), from, System.nanoTime()));
+      periods.add(new Period(planned.kind(), fault.target(), from, clock.nanoTime()));
     }
   }
 
-  private static void sleepUntil(long begun, long afterMs) throws InterruptedException {
-    long leftNanos = begun + TimeUnit.MILLISECONDS.toNanos(afterMs) - System.nanoTime();
+  private void sleepUntil(long begun, long afterMs) throws InterruptedException {
+    long leftNanos = begun + TimeUnit.MILLISECONDS.toNanos(afterMs) - clock.nanoTime();
     if (leftNanos > 0) {
       TimeUnit.NANOSECONDS.sleep(leftNanos);
     }
   }
 
+  /** Returns a line for each fault that has ended, with its time by the wall clock. */
+  List<String> describe() {
+    return periods().stream()
+        .map(
+            period ->
+                wallTime(period.from())
+                    + " to "
+                    + wallTime(period.until())
+                    + "  "
+                    + period.kind()
+                    + "  "
+                    + period.target())
+        .toList();
+  }
+
+  private Instant wallTime(long nanos) {
+    long agoMs = TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - nanos);
+    return Instant.ofEpochMilli(wallClock.time() - agoMs);
+  }
+
   /** Returns the faults that have ended. */
   List<Period> periods() {
     synchronized (periods) {
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Main.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Main.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.agrona.concurrent.SystemEpochClock;
+import org.agrona.concurrent.SystemNanoClock;
 import org.apache.commons.cli.help.HelpFormatter;
 import org.apache.commons.cli.help.TextHelpAppendable;
 import org.clementineford.kernel.errors.ClementinefordException;
@@ -72,7 +74,7 @@
   private static boolean play(Settings settings)
       throws ClementinefordException, InterruptedException {
     long first =
-        settings.get(FIRST_SEED) == 0 ? System.currentTimeMillis() : settings.get(FIRST_SEED);
+        settings.get(FIRST_SEED) == 0 ? SystemEpochClock.INSTANCE.time() : settings.get(FIRST_SEED);
     int parallel = settings.get(PARALLEL).intValue();
     BlockingQueue<Integer> blocks = new ArrayBlockingQueue<>(parallel);
     for (int block = 1; block <= parallel; block++) {
@@ -88,7 +90,13 @@
               () -> {
                 int block = blocks.take();
                 try {
-                  return new Soak(next, block, directory).call();
+                  return new Soak(
+                          next,
+                          block,
+                          directory,
+                          SystemNanoClock.INSTANCE,
+                          SystemEpochClock.INSTANCE)
+                      .call();
                 } finally {
                   blocks.add(block);
                 }
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.slf4j.Logger;
@@ -31,6 +33,8 @@
   private final long seed;
   private final int block;
   private final Path directory;
+  private final NanoClock clock;
+  private final EpochClock wallClock;
 
   /**
    * What came out.
@@ -48,11 +52,15 @@
    * @param seed decides on faults and callers
    * @param block number from 1 to 250 of the loopback addresses to use, one for each run at a time
    * @param directory where logs and settings are written
+   * @param clock monotonic clock
+   * @param wallClock clock of what is written to files
    */
-  public Soak(long seed, int block, Path directory) {
+  public Soak(long seed, int block, Path directory, NanoClock clock, EpochClock wallClock) {
     this.seed = seed;
     this.block = block;
     this.directory = directory;
+    this.clock = clock;
+    this.wallClock = wallClock;
   }
 
   /**
@@ -69,9 +77,9 @@
       throw new ClementinefordException(
           ErrorKind.LOCAL_RESOURCE, "cannot create " + directory + "; give another one", e);
     }
-    try (SoakFleet fleet = new SoakFleet(block, directory, seed)) {
+    try (SoakFleet fleet = new SoakFleet(block, directory, seed, clock, wallClock)) {
       fleet.start(START_MS);
-      try (Callers callers = new Callers(fleet, seed)) {
+      try (Callers callers = new Callers(fleet, seed, clock)) {
         return play(fleet, callers);
       }
     }
@@ -80,14 +88,14 @@
   private Result play(SoakFleet fleet, Callers callers)
       throws ClementinefordException, InterruptedException {
     Promises promises = new Promises(fleet, callers);
-    FaultSeries series = new FaultSeries(seed, FAULTS_MS);
+    FaultSeries series = new FaultSeries(seed, FAULTS_MS, clock, wallClock);
     KeyRemoval removal = new KeyRemoval(fleet);
     Watch watch = new Watch(promises, removal);
     watch.start();
     removal.schedule((long) (new Random(seed).nextDouble() * FAULTS_MS));
     series.play(fleet);
     Thread.sleep(RECOVERY_MS);
-    final long recoveredAt = System.nanoTime();
+    final long recoveredAt = clock.nanoTime();
     Thread.sleep(RECOVERED_MS);
     callers.stop();
     Thread.sleep(CHECK_MS);
@@ -106,7 +114,7 @@
   private void writeFaults(FaultSeries series) throws ClementinefordException {
     Path file = directory.resolve("faults.txt");
     try {
-      Files.write(file, series.periods().stream().map(FaultSeries.Period::describe).toList());
+      Files.write(file, series.describe());
     } catch (IOException e) {
       throw new ClementinefordException(
           ErrorKind.LOCAL_RESOURCE, "cannot write " + file + "; check the directory", e);
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/SoakFleet.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/SoakFleet.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.agrona.concurrent.EpochClock;
+import org.agrona.concurrent.NanoClock;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
@@ -26,6 +28,8 @@
 import org.clementineford.platform.standin.RunLedger;
 import org.clementineford.platform.standin.ServerPlace;
 import org.clementineford.platform.standin.Weights;
+import org.clementineford.standins.StandInContext;
+import org.clementineford.transport.EventLoopScheduler;
 
 /** The programs of a small fleet, and stand-ins for all that surrounds them. */
 final class SoakFleet implements AutoCloseable {
@@ -56,7 +60,11 @@
 
   private final EventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+  private final NanoClock clock;
+  private final EpochClock wallClock;
   private final String network;
+  private final HostPort storeAddress;
+  private final HostPort originAddress;
   private final Path directory;
   private final RunLedger ledger = new RunLedger();
   private final ObjectStore store;
@@ -78,14 +86,19 @@
    * @param block number from 1 to 250 of the loopback addresses to use
    * @param directory where settings and logs are written
    * @param seed seed of what stand-ins do at random
+   * @param clock monotonic clock
+   * @param wallClock clock that servers state their start by
    */
-  SoakFleet(int block, Path directory, long seed) throws ClementinefordException {
+  SoakFleet(int block, Path directory, long seed, NanoClock clock, EpochClock wallClock)
+      throws ClementinefordException {
     this.network = "127." + block + ".";
     this.directory = directory;
-    HostPort storeAddress = new HostPort(network + "0.250", STORE_PORT);
-    HostPort originAddress = new HostPort(network + "0.251", STORE_PORT);
-    store = new ObjectStore(eventLoops, storeAddress);
-    origin = new OriginServer(eventLoops, originAddress, WEIGHTS, seed);
+    this.clock = clock;
+    this.wallClock = wallClock;
+    storeAddress = new HostPort(network + "0.250", STORE_PORT);
+    originAddress = new HostPort(network + "0.251", STORE_PORT);
+    store = new ObjectStore(context(storeAddress, seed));
+    origin = new OriginServer(context(originAddress, seed), WEIGHTS);
     Callers.KEYS.forEach(key -> accounts.put(key, account(key)));
     writeConfiguration();
     List<String> seeds = new ArrayList<>();
@@ -98,24 +111,40 @@
     for (int i = 1; i <= ENDPOINT_VMS; i++) {
       String host = network + "2." + i;
       endpoints.add(program("endpoint-" + i, host, seeds, Optional.of(ENGINES)));
-      ServerPlace place = place("m" + i, ENGINES, host, ModelServer.addressOn(host));
-      long now = System.currentTimeMillis();
+      HostPort address = ModelServer.addressOn(host);
       int index = engines.size();
       engines.add(
           new ModelServer(
-              eventLoops, place, WEIGHTS, ledger, now, seed + i, () -> list(engines.get(index))));
+              context(address, seed + i),
+              place("m" + i, ENGINES, host, address),
+              WEIGHTS,
+              ledger,
+              wallClock.time(),
+              () -> list(engines.get(index))));
     }
     for (int i = 1; i <= PLAIN_SERVERS; i++) {
       String host = network + "3." + i;
-      HostPort address = new HostPort(host, ModelServer.addressOn(host).port());
-      ServerPlace place = place("p" + i, PLAIN, host, address);
-      servers.add(new PlainServer(eventLoops, place, ledger, System.currentTimeMillis(), seed - i));
+      HostPort address = ModelServer.addressOn(host);
+      servers.add(
+          new PlainServer(
+              context(address, seed - i),
+              place("p" + i, PLAIN, host, address),
+              ledger,
+              wallClock.time()));
+    }
+    store.start();
+    origin.start();
+    for (PlainServer server : allServers()) {
+      server.start();
+      list(server);
     }
-    engines.forEach(this::list);
-    servers.forEach(this::list);
     nameNextVersion();
   }
 
+  private StandInContext context(HostPort address, long seed) {
+    return new StandInContext(eventLoops, address, clock, new EventLoopScheduler(eventLoops), seed);
+  }
+
   /** Returns the client account that a key belongs to. */
   static String account(String key) {
     return "account-of-" + key;
@@ -129,8 +158,7 @@
       String vm, String host, List<String> seeds, Optional<String> engineService)
       throws ClementinefordException {
     HostPort link = new HostPort(host, STORE_PORT);
-    storeLinks.put(
-        vm, new LinkProxy(eventLoops, link, new HostPort(network + "0.250", STORE_PORT)));
+    storeLinks.put(vm, new LinkProxy(eventLoops, link, storeAddress));
     Map<String, Double> bounds =
         Map.of(
             "grace_s",
@@ -162,11 +190,11 @@
       throws ClementinefordException {
     HostPort link = new HostPort(host, SERVER_PORT);
     serverLinks.add(new LinkProxy(eventLoops, link, address));
-    return new ServerPlace(name, service, "west", address, link, SLOTS);
+    return new ServerPlace(name, service, "west", link, SLOTS);
   }
 
   /** Writes the entry of a server, and removes that of its earlier incarnation. */
-  void list(PlainServer server) {
+  private void list(PlainServer server) {
     String identity = server.identity();
     String before = listed.put(server, identity);
     if (before != null && !before.equals(identity)) {
@@ -191,20 +219,14 @@
         "config",
         "main",
         PlatformFiles.configuration(
-            configurationVersion,
-            HOST,
-            routes,
-            ENGINES,
-            WEIGHTS,
-            new HostPort(network + "0.251", STORE_PORT),
-            accounts));
+            configurationVersion, HOST, routes, ENGINES, WEIGHTS, originAddress, accounts));
   }
 
   /** Takes a key away; returns the time of the acknowledgement, in monotonic nanoseconds. */
   synchronized long removeKey(String key) {
     accounts.remove(key);
     writeConfiguration();
-    return System.nanoTime();
+    return clock.nanoTime();
   }
 
   /** Names the next version of the weights. */
@@ -223,9 +245,9 @@
     for (Program program : programs()) {
       program.start();
     }
-    long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+    long deadline = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
     while (!engines.stream().allMatch(engine -> hasWeights(engine))) {
-      if (System.nanoTime() > deadline) {
+      if (clock.nanoTime() - deadline > 0) {
         throw new ClementinefordException(
             ErrorKind.UNAVAILABLE, "engines got no weights; see the logs in " + directory);
       }
@@ -262,6 +284,12 @@
     return store;
   }
 
+  /** Starts a crashed server again under another identity. */
+  void restart(PlainServer server) {
+    server.restart(wallClock.time());
+    list(server);
+  }
+
   OriginServer origin() {
     return origin;
   }
--- a/org.clementineford.soak/src/test/java/org/clementineford/soak/SoakTest.java
+++ b/org.clementineford.soak/src/test/java/org/clementineford/soak/SoakTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.nio.file.Path;
+import org.agrona.concurrent.SystemEpochClock;
+import org.agrona.concurrent.SystemNanoClock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -16,6 +18,7 @@
   @ValueSource(longs = {1, 1041})
   void keepsAllPromises(long seed) throws Exception {
     Path logs = Path.of("target", "soak", Long.toString(seed));
-    assertThat(new Soak(seed, BLOCK, logs).call().broken()).isEmpty();
+    Soak soak = new Soak(seed, BLOCK, logs, SystemNanoClock.INSTANCE, SystemEpochClock.INSTANCE);
+    assertThat(soak.call().broken()).isEmpty();
   }
 }
