Open connections only for commands that ask entry VMs

Cause: every command got a connection, so explain, which only reads files, started a thread for a client without addresses, and an enum existed to hide that. Operation.onEntryVms opens the connection for those that need one; the body of explain takes its settings only. FleetLog listed the identifying fields of each mark, which are the same one. No behaviour changes: ExplainRequestTest, GoldenSessionTest and SettingsPageTest pass as they were, and both kinds name their missing flag.

--- a/org.clementineford.client/src/main/java/org/clementineford/client/FleetLog.java
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/FleetLog.java
@@ -16,6 +16,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Stream;
 import org.clementineford.kernel.errors.ClementinefordException;
@@ -32,11 +33,9 @@
    */
   private static final Duration MARK_DELAY = Duration.ofMillis(1_500);
 
-  /** Messages that processes write at once when they learn of a change, with what identifies it. */
-  private static final Map<String, List<String>> MARKS =
-      Map.of(
-          "configuration in force", List.of("version"),
-          "version of weights named", List.of("version"));
+  /** Messages that processes write at once when they learn of a version, with its number. */
+  private static final Set<String> MARKS =
+      Set.of("configuration in force", "version of weights named");
 
   private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -124,11 +123,8 @@
   private static Map<String, Instant> marks(List<LogLine> lines) {
     Map<String, Instant> marks = new HashMap<>();
     for (LogLine line : lines) {
-      List<String> names = MARKS.get(line.message());
-      if (names != null) {
-        StringBuilder mark = new StringBuilder(line.message());
-        names.forEach(name -> mark.append(' ').append(line.field(name)));
-        marks.putIfAbsent(mark.toString(), line.time());
+      if (MARKS.contains(line.message())) {
+        marks.putIfAbsent(line.message() + " " + line.field("version"), line.time());
       }
     }
     return marks;
--- a/org.clementineford.client/src/main/java/org/clementineford/client/internal/DocumentCommands.java
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/internal/DocumentCommands.java
@@ -68,31 +68,31 @@
 
   static List<Operation> all() {
     return List.of(
-        new Operation(
+        Operation.onEntryVms(
             "document get",
             "Prints the document in force, or one section.",
             List.of(ANY_SECTION, STORED),
             List.of(),
             DocumentCommands::get),
-        new Operation(
+        Operation.onEntryVms(
             "document edit",
             "Sets one value in a section. Comments in the section are not kept.",
             List.of(SECTION, TEAM, SET),
             List.of(),
             DocumentCommands::edit),
-        new Operation(
+        Operation.onEntryVms(
             "document diff",
             "Shows the lines in which a file differs from the section in force.",
             List.of(SECTION, FILE, STORED),
             List.of(),
             DocumentCommands::diff),
-        new Operation(
+        Operation.onEntryVms(
             "document apply",
             "Replaces a section by a file, or removes it.",
             List.of(SECTION, TEAM, OPTIONAL_FILE, CHANGE, BASE, REMOVE),
             List.of(),
             DocumentCommands::apply),
-        new Operation(
+        Operation.onEntryVms(
             "document history",
             "Lists the latest changes, newest last.",
             List.of(ANY_SECTION),
--- a/org.clementineford.client/src/main/java/org/clementineford/client/internal/FleetCommands.java
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/internal/FleetCommands.java
@@ -39,13 +39,13 @@
 
   static List<Operation> all() {
     return List.of(
-        new Operation(
+        Operation.onEntryVms(
             "status",
             "Shows what is in force on how many VMs, and transfers.",
             List.of(AS_JSON),
             List.of(),
             FleetCommands::status),
-        new Operation(
+        Operation.onEntryVms(
             "timeline",
             "Merges the events of all processes into one order.",
             List.of(FORMAT, VM, KIND, VERSION, REQUEST),
@@ -63,7 +63,7 @@
   }
 
   private static Operation rollout(String word, String summary, ChangeRollout.Action action) {
-    return new Operation(
+    return Operation.onEntryVms(
         "rollout " + word,
         summary,
         List.of(DocumentCommands.TEAM),
--- a/org.clementineford.client/src/main/java/org/clementineford/client/internal/LogCommands.java
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/internal/LogCommands.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.Collectors;
-import org.clementineford.client.EntryConnection;
 import org.clementineford.client.ExplainRequest;
 import org.clementineford.client.FleetLog;
 import org.clementineford.client.LogLine;
@@ -31,14 +30,12 @@
         new Operation(
             "explain",
             "Tells from collected logs why a request ended as it did.",
-            Operation.Source.FILES,
             List.of(LOGS),
             List.of("ID"),
             LogCommands::explain));
   }
 
-  private static String explain(EntryConnection connection, Settings settings)
-      throws ClementinefordException {
+  private static String explain(Settings settings) throws ClementinefordException {
     List<Path> paths = Arrays.stream(settings.get(LOGS).split(",")).map(Path::of).toList();
     String request = settings.arguments().get(0);
     RequestExplanation explanation = new ExplainRequest(FleetLog.read(paths), request).call();
--- a/org.clementineford.client/src/main/java/org/clementineford/client/internal/Main.java
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/internal/Main.java
@@ -11,24 +11,15 @@
 import java.util.Optional;
 import org.apache.commons.cli.help.HelpFormatter;
 import org.apache.commons.cli.help.TextHelpAppendable;
-import org.clementineford.client.EntryConnection;
-import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.errors.SettingException;
 import org.clementineford.kernel.settings.Setting;
-import org.clementineford.kernel.settings.SettingParser;
 import org.clementineford.kernel.settings.Settings;
 
 /** Entry point of {@code bin/clementineford}. */
 public final class Main {
   private static final String PROGRAM = "clementineford";
-  static final Setting<List<HostPort>> ENTRY =
-      new Setting<>(
-          "entry",
-          "Admin addresses of entry VMs, HOST:PORT separated by commas.",
-          null,
-          SettingParser.hostPorts());
 
   private Main() {}
 
@@ -73,7 +64,7 @@
     Operation operation = found.get();
     int words = operation.name().split(" ").length;
     String[] rest = Arrays.copyOfRange(arguments, words, arguments.length);
-    Settings settings = Settings.read(declared(operation), rest, environment);
+    Settings settings = Settings.read(operation.settings(), rest, environment);
     if (settings.isHelpRequested()) {
       return help(operation);
     }
@@ -86,9 +77,7 @@
               + settings.arguments()
               + "; --help shows the form");
     }
-    try (EntryConnection connection = operation.source().connect(settings)) {
-      return operation.body().run(connection, settings);
-    }
+    return operation.body().run(settings);
   }
 
   /**
@@ -98,7 +87,7 @@
    */
   public static Map<String, List<Setting<?>>> declaredSettings() {
     Map<String, List<Setting<?>>> declared = new java.util.LinkedHashMap<>();
-    operations().forEach(operation -> declared.put(operation.name(), declared(operation)));
+    operations().forEach(operation -> declared.put(operation.name(), operation.settings()));
     return declared;
   }
 
@@ -115,12 +104,6 @@
         && Arrays.asList(arguments).subList(0, words.size()).equals(words);
   }
 
-  private static List<Setting<?>> declared(Operation operation) {
-    List<Setting<?>> declared = new ArrayList<>(operation.source().settings());
-    declared.addAll(operation.settings());
-    return declared;
-  }
-
   private static String overview(List<Operation> operations) {
     StringBuilder text = new StringBuilder("usage: " + PROGRAM + " COMMAND [flags]\n\n");
     for (Operation operation : operations) {
@@ -143,7 +126,7 @@
           .printHelp(
               PROGRAM + " " + operation.name() + " " + String.join(" ", operation.arguments()),
               operation.summary(),
-              Settings.options(declared(operation)),
+              Settings.options(operation.settings()),
               "",
               true);
     } catch (IOException e) {
--- a/org.clementineford.client/src/main/java/org/clementineford/client/internal/Operation.java
+++ b/org.clementineford.client/src/main/java/org/clementineford/client/internal/Operation.java
@@ -1,9 +1,12 @@
 package org.clementineford.client.internal;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.clementineford.client.EntryConnection;
+import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.settings.Setting;
+import org.clementineford.kernel.settings.SettingParser;
 import org.clementineford.kernel.settings.Settings;
 
 /**
@@ -11,57 +14,34 @@
  *
  * @param name words of the command
  * @param summary one sentence for the help text
- * @param source what it works on
- * @param settings flags besides those of the source
+ * @param settings flags
  * @param arguments names of the arguments, for the help text
  * @param body what it does
  */
 record Operation(
-    String name,
-    String summary,
-    Source source,
-    List<Setting<?>> settings,
-    List<String> arguments,
-    Body body) {
-  /** What a command works on. */
-  enum Source {
-    /** Entry VMs that run. */
-    ENTRY_VMS(List.of(Main.ENTRY)) {
-      @Override
-      EntryConnection connect(Settings settings) {
-        return new EntryConnection(settings.get(Main.ENTRY));
-      }
-    },
-    /** Files on this computer. */
-    FILES(List.of()) {
-      @Override
-      EntryConnection connect(Settings settings) {
-        return new EntryConnection(List.of());
-      }
-    };
-
-    private final List<Setting<?>> settings;
-
-    Source(List<Setting<?>> settings) {
-      this.settings = settings;
-    }
-
-    List<Setting<?>> settings() {
-      return settings;
-    }
-
-    abstract EntryConnection connect(Settings settings);
-  }
-
-  /** Creates a command that works on entry VMs. */
-  Operation(
-      String name, String summary, List<Setting<?>> settings, List<String> arguments, Body body) {
-    this(name, summary, Source.ENTRY_VMS, settings, arguments, body);
-  }
+    String name, String summary, List<Setting<?>> settings, List<String> arguments, Body body) {
+  private static final Setting<List<HostPort>> ENTRY =
+      new Setting<>(
+          "entry",
+          "Admin addresses of entry VMs, HOST:PORT separated by commas.",
+          null,
+          SettingParser.hostPorts());
 
   /** What a command does. */
   @FunctionalInterface
   interface Body {
+    /**
+     * Runs the command.
+     *
+     * @param settings checked flags
+     * @return text for standard output, without the last line end
+     */
+    String run(Settings settings) throws ClementinefordException;
+  }
+
+  /** What a command does that asks entry VMs. */
+  @FunctionalInterface
+  interface EntryBody {
     /**
      * Runs the command.
      *
@@ -71,4 +51,34 @@
      */
     String run(EntryConnection connection, Settings settings) throws ClementinefordException;
   }
+
+  /**
+   * Returns a command that asks entry VMs.
+   *
+   * @param name words of the command
+   * @param summary one sentence for the help text
+   * @param settings flags besides {@code --entry}
+   * @param arguments names of the arguments, for the help text
+   * @param body what it does
+   * @return the command
+   */
+  static Operation onEntryVms(
+      String name,
+      String summary,
+      List<Setting<?>> settings,
+      List<String> arguments,
+      EntryBody body) {
+    List<Setting<?>> all = new ArrayList<>(List.of(ENTRY));
+    all.addAll(settings);
+    return new Operation(
+        name,
+        summary,
+        List.copyOf(all),
+        arguments,
+        given -> {
+          try (EntryConnection connection = new EntryConnection(given.get(ENTRY))) {
+            return body.run(connection, given);
+          }
+        });
+  }
 }
