Let the test of the log queue wait for lines

Cause: LogQueueTest slept and looked again until lines were written. It takes them from a queue now, and checks each line and its order, which the search among all lines did not.

--- a/org.clementineford.launcher/src/test/java/org/clementineford/launcher/LogQueueTest.java
+++ b/org.clementineford.launcher/src/test/java/org/clementineford/launcher/LogQueueTest.java
@@ -11,10 +11,9 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.prometheus.metrics.model.snapshots.MetricSnapshot;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,7 +25,7 @@
   private final LoggerContext context = new LoggerContext();
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final CountDownLatch output = new CountDownLatch(1);
-  private final List<ILoggingEvent> written = Collections.synchronizedList(new ArrayList<>());
+  private final BlockingQueue<ILoggingEvent> written = new LinkedBlockingQueue<>();
   private final Logger logger = context.getLogger("test");
 
   @BeforeEach
@@ -80,18 +79,20 @@
     assertThat(lost).isBetween(1.0 * LINES, 3.0 * LINES);
 
     output.countDown();
-    while (written.size() < 3 * LINES - lost) {
-      Thread.sleep(10);
+    for (int i = 0; i < 3 * LINES - lost; i++) {
+      assertThat(next().getMessage()).isEqualTo("line {}");
     }
     logger.info("room again");
-    while (written.stream().noneMatch(event -> event.getMessage().equals("room again"))) {
-      Thread.sleep(10);
-    }
-    assertThat(written)
-        .filteredOn(event -> event.getMessage().equals("log lines dropped"))
-        .singleElement()
-        .satisfies(
-            event -> assertThat(event.getKeyValuePairs().get(0).value).isEqualTo((long) lost));
+    ILoggingEvent report = next();
+    assertThat(report.getMessage()).isEqualTo("log lines dropped");
+    assertThat(report.getKeyValuePairs().get(0).value).isEqualTo((long) lost);
+    assertThat(next().getMessage()).isEqualTo("room again");
+  }
+
+  private ILoggingEvent next() throws InterruptedException {
+    ILoggingEvent event = written.poll(10, TimeUnit.SECONDS);
+    assertThat(event).as("next line").isNotNull();
+    return event;
   }
 
   // Guards against warnings that are lost among many usual lines.
