Log and count how late the event loop of an entry VM is

Callers saw: requests that reached engines after they had left; no line of the log tells a late event loop from a lost notification. Cause: the time between two turns of the event loop was not measured, and the last line of a request did not say how long before its end it was sent. Change: EventLoopMonitor measures the lateness of the 20 ms dispatch task, with the processor time of the thread and the time of garbage collections meanwhile; a histogram counts it, and the log has a line from 250 ms on. The line of a request has sinceSendMs. What a request experienced moves to RequestTrace.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -52,7 +52,7 @@
     WaitingRequest<ProxiedRequest> waiting = request.toWaitingRequest(costMs(request, profile));
     double waitMs =
         QueueAdmissionPolicy.predictWaitMs(queue.costMs() + waiting.costMs(), effectiveEngines());
-    request.recordPredictedWait(waitMs);
+    request.trace().recordPredictedWait(waitMs);
     OptionalDouble refusal = state.admission().retryAfterIfRefused(waitMs, request.remainingMs());
     if (refusal.isPresent()) {
       request.refuse(FailureReason.OVERLOADED, refusal.getAsDouble());
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -40,6 +40,9 @@
   /** Age from which the last load report of an engine is no longer used. */
   private static final long REPORT_EXPIRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+  /** Interval of attempts to send waiting requests, in milliseconds. */
+  private static final long DISPATCH_INTERVAL_MS = 20;
+
   private final GatewayState state;
   private final EventLoopGroup eventLoops;
   private final NanoClock clock;
@@ -47,6 +50,7 @@
   private final EndpointConnectionPool pool;
   private final RequestRouter router;
   private final CallerListener listener;
+  private final EventLoopMonitor eventLoopMonitor;
   private final Map<String, EndpointState> enginesByHost = new HashMap<>();
   private final Map<EndpointState, Long> lastReportAt = new HashMap<>();
   private List<Endpoint> listedEndpoints = List.of();
@@ -82,9 +86,12 @@
     this.clock = clock;
     this.entryVms = entryVms;
     this.pool = new EndpointConnectionPool(eventLoops, protocol, clock);
-    this.router =
-        new RequestRouter(
-            state, protocol, pool, scheduler, configurationAge, new GatewayMetrics(registry));
+    GatewayMetrics metrics = new GatewayMetrics(registry);
+    this.router = new RequestRouter(state, protocol, pool, scheduler, configurationAge, metrics);
+    this.eventLoopMonitor =
+        new EventLoopMonitor(clock, TimeUnit.MILLISECONDS.toNanos(DISPATCH_INTERVAL_MS), metrics);
+    scheduler.scheduleWithFixedDelay(
+        this::dispatchAllWaiting, DISPATCH_INTERVAL_MS, TimeUnit.MILLISECONDS);
     this.listener =
         new CallerListener(
             () ->
@@ -104,6 +111,12 @@
     return listener.start(eventLoops, address, clock, this::accept);
   }
 
+  private void dispatchAllWaiting() {
+    eventLoopMonitor.taskStarted(router.requestsInProgress());
+    router.dispatchAllWaiting();
+    eventLoopMonitor.taskEnded();
+  }
+
   private void accept(CallerExchange exchange) {
     router.accept(exchange);
     requestsInProgress = router.requestsInProgress();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
@@ -12,9 +12,12 @@
     0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8
   };
 
+  private static final double[] LATENESS_BOUNDS_SECONDS = {0.1, 0.25, 0.5, 1, 2, 4};
+
   private final Counter requests;
   private final Counter failedAttempts;
   private final Histogram firstAnswerLatency;
+  private final Histogram eventLoopLateness;
 
   GatewayMetrics(PrometheusRegistry registry) {
     requests =
@@ -36,6 +39,13 @@
             .classicOnly()
             .classicUpperBounds(LATENCY_BOUNDS_SECONDS)
             .register(registry);
+    eventLoopLateness =
+        Histogram.builder()
+            .name("clementineford_entry_event_loop_late_seconds")
+            .help("Time by which a periodic task of the event loop ran too late, if 50 ms or more")
+            .classicOnly()
+            .classicUpperBounds(LATENESS_BOUNDS_SECONDS)
+            .register(registry);
   }
 
   void recordEnd(String ending) {
@@ -46,6 +56,10 @@
     failedAttempts.labelValues(outcome.name()).inc();
   }
 
+  void recordEventLoopLateness(long lateMs) {
+    eventLoopLateness.observe(lateMs / MILLIS_PER_SECOND);
+  }
+
   void recordFirstAnswer(long firstMs) {
     firstAnswerLatency.observe(firstMs / MILLIS_PER_SECOND);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -41,6 +41,7 @@
   private final CallerExchange exchange;
   private final RequestMetadata metadata;
   private final long arrivedAt;
+  private final RequestTrace trace;
   private final Set<String> triedEndpoints = new HashSet<>();
   private Route route;
   private String service = "";
@@ -48,17 +49,10 @@
   private long callerDeadlineAt;
   private Scheduler.Cancellable deadlineTimer;
   private EndpointAttempt attempt;
-  private EndpointState lastEndpoint;
   private int attemptCount;
   private boolean mayHaveRun;
   private String lastEventId;
   private FailureResponse failureResponse;
-  private long firstAnswerMs = -1;
-  private long sentAfterMs = -1;
-  private int loadAtSend = -1;
-  private long reportNumberAtSend = -1;
-  private long predictedWaitMs = -1;
-  private double retryAfterSeconds;
   private boolean finished;
 
   ProxiedRequest(RequestRouter router, CallerExchange exchange, RequestMetadata metadata) {
@@ -66,6 +60,7 @@
     this.exchange = exchange;
     this.metadata = metadata;
     this.arrivedAt = now();
+    this.trace = new RequestTrace(router.state().clock(), arrivedAt);
   }
 
   void start(Route matchedRoute, String chosenService) {
@@ -97,6 +92,10 @@
     return metadata;
   }
 
+  RequestTrace trace() {
+    return trace;
+  }
+
   CallerExchange exchange() {
     return exchange;
   }
@@ -152,10 +151,7 @@
       return;
     }
     attemptCount++;
-    lastEndpoint = endpoint;
-    sentAfterMs = TimeUnit.NANOSECONDS.toMillis(now() - arrivedAt);
-    loadAtSend = endpoint.load();
-    reportNumberAtSend = endpoint.report().number();
+    trace.recordSend(endpoint);
     triedEndpoints.add(endpoint.endpoint().id());
     attempt = new EndpointAttempt(this, router, endpoint, lastEventId != null);
     attempt.start(buildEndpointRequest(endpoint));
@@ -204,8 +200,7 @@
   }
 
   private void recordFirstAnswer() {
-    firstAnswerMs = TimeUnit.NANOSECONDS.toMillis(now() - arrivedAt);
-    router.metrics().recordFirstAnswer(firstAnswerMs);
+    router.metrics().recordFirstAnswer(trace.recordFirstAnswer());
   }
 
   void forwardEvent(byte[] bytes, String id) {
@@ -287,11 +282,6 @@
     }
   }
 
-  /** Records, for the log, the wait predicted when no engine had a free slot for the request. */
-  void recordPredictedWait(double waitMs) {
-    predictedWaitMs = (long) Math.min(waitMs, Integer.MAX_VALUE);
-  }
-
   /**
    * Ends the request with the response that it did not run and may be retried. If an attempt may
    * have run it, the response is that the outcome is unknown. A stream that has started is aborted.
@@ -306,7 +296,7 @@
       fail(FailureReason.OUTCOME_UNKNOWN);
       return;
     }
-    this.retryAfterSeconds = retryAfterSeconds;
+    trace.recordRetryAfter(retryAfterSeconds);
     HttpHeaders headers = new DefaultHttpHeaders();
     headers.set(HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.2f", retryAfterSeconds));
     exchange.respond(reason.status(), headers, new byte[0]);
@@ -362,7 +352,6 @@
   }
 
   private void finish(String ending) {
-    final EndpointState endpoint = lastEndpoint;
     if (finished) {
       return;
     }
@@ -372,22 +361,12 @@
     }
     router.requestEnded();
     router.metrics().recordEnd(ending);
-    LOG.atInfo()
-        .addKeyValue("request", metadata.id())
-        .addKeyValue("ending", ending)
+    trace
+        .addTo(LOG.atInfo().addKeyValue("request", metadata.id()).addKeyValue("ending", ending))
         .addKeyValue("route", route == null ? "" : route.name())
         .addKeyValue("service", service)
-        .addKeyValue("endpoint", endpoint == null ? "" : endpoint.endpoint().id())
         .addKeyValue("attempts", attemptCount)
         .addKeyValue("promptTokens", promptTokens())
-        .addKeyValue("firstMs", firstAnswerMs)
-        .addKeyValue("totalMs", TimeUnit.NANOSECONDS.toMillis(now() - arrivedAt))
-        .addKeyValue("sentAfterMs", sentAfterMs)
-        .addKeyValue("load", loadAtSend)
-        .addKeyValue("report", reportNumberAtSend)
-        .addKeyValue("predictedWaitMs", predictedWaitMs)
-        .addKeyValue("retryAfterSeconds", Math.round(retryAfterSeconds * 100) / 100.0)
-        .addKeyValue("weights", endpoint == null ? -1 : endpoint.weightVersion())
         .addKeyValue(
             "configuration",
             router.state().configuration() == null ? 0 : router.state().configuration().version())
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -18,8 +18,6 @@
 
 /** Authenticates requests against the configuration and routes them to endpoints of services. */
 final class RequestRouter {
-  private static final long DISPATCH_INTERVAL_MS = 20;
-
   private final GatewayState state;
   private final RequestProtocol protocol;
   private final EndpointConnectionPool pool;
@@ -42,8 +40,6 @@
     this.scheduler = scheduler;
     this.configurationAge = configurationAge;
     this.metrics = metrics;
-    scheduler.scheduleWithFixedDelay(
-        this::dispatchAllWaiting, DISPATCH_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
 
   GatewayState state() {
