Show requests that are sent on after their callers have left

Cause: shown for two paths. Timers that became due while the event loop processes input run before it polls again, so a retry goes out although the close lies in the socket; and a request is sent as soon as it is read, before the end of the connection behind it is.

--- /dev/null
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
@@ -0,0 +1,127 @@
+package org.clementineford.gateway.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.testing.VirtualTime;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DepartedCallerTest {
+  private final VirtualTime time = new VirtualTime(0);
+  private final CountDownLatch silence = new CountDownLatch(1);
+
+  /** A caller that closes its connection at a time the test chooses. */
+  private record Caller(Socket socket) {
+    static Caller connect(GatewayFixture fixture) throws IOException {
+      return new Caller(new Socket(fixture.address().host(), fixture.address().port()));
+    }
+
+    void send(String path, String id) throws IOException {
+      String head =
+          "GET " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nid: " + id + "\r\ntimeout: 1000\r\n\r\n";
+      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    void sendAndClose(String path, String id) {
+      try {
+        send(path, id);
+        socket.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    void close() {
+      try {
+        socket.close();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
+  /** Answers all requests except those with the given ID, for which it stays silent. */
+  private ScriptedHttpEndpoint.Script silentFor(String id, CountDownLatch arrived) {
+    return (request, connection) -> {
+      if (request.id().equals(id)) {
+        arrived.countDown();
+        await(silence);
+      } else {
+        connection.respond(200, request.id(), "proof: p\r\n", "good");
+      }
+    };
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      assertThat(latch.await(10, TimeUnit.SECONDS)).isTrue();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static long arrivals(String id, ScriptedHttpEndpoint... endpoints) {
+    return List.of(endpoints).stream()
+        .flatMap(endpoint -> endpoint.requests().stream())
+        .filter(request -> request.id().equals(id))
+        .count();
+  }
+
+  @Nested
+  class Retry {
+    // Guards against a retry by a timer that runs before the event loop reads the caller's close.
+    @Test
+    void isNotSentAfterStallOfTheEventLoop() throws Exception {
+      CountDownLatch arrived = new CountDownLatch(1);
+      try (ScriptedHttpEndpoint first = new ScriptedHttpEndpoint(silentFor("left", arrived));
+          ScriptedHttpEndpoint second = new ScriptedHttpEndpoint(silentFor("left", arrived));
+          GatewayFixture fixture = new GatewayFixture(time, first, second)) {
+        Caller caller = Caller.connect(fixture);
+        caller.send("/get/a", "left");
+        await(arrived);
+        fixture.whileProcessing(
+            "stall",
+            () -> {
+              caller.close();
+              time.advance(600, TimeUnit.MILLISECONDS);
+            });
+        assertThat(fixture.send("GET", "/get/a", "stall").statusCode()).isEqualTo(200);
+        fixture.awaitIdle();
+        fixture.close();
+        silence.countDown();
+        first.awaitConnectionsEnded();
+        second.awaitConnectionsEnded();
+        assertThat(arrivals("left", first, second)).isEqualTo(1);
+      }
+    }
+  }
+
+  @Nested
+  class Request {
+    // Guards against sending a request that was read in one go with the close of its connection.
+    @Test
+    void isNotSentIfItsCloseLiesBehindIt() throws Exception {
+      try (ScriptedHttpEndpoint endpoint =
+              new ScriptedHttpEndpoint(silentFor("left", new CountDownLatch(1)));
+          GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
+        Caller caller = Caller.connect(fixture);
+        caller.send("/get/a", "before");
+        assertThat(caller.socket().getInputStream().read()).isEqualTo('H');
+        fixture.whileProcessing("stall", () -> caller.sendAndClose("/get/a", "left"));
+        assertThat(fixture.send("GET", "/get/a", "stall").statusCode()).isEqualTo(200);
+        fixture.awaitIdle();
+        fixture.close();
+        silence.countDown();
+        endpoint.awaitConnectionsEnded();
+        assertThat(arrivals("left", endpoint)).isZero();
+      }
+    }
+  }
+}
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -1,5 +1,8 @@
 package org.clementineford.gateway.internal;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -16,9 +19,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.agrona.concurrent.NanoClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.Scheduler;
 import org.clementineford.serving.model.CallerLimits;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.model.EngineProfile;
@@ -28,6 +34,7 @@
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.model.ServiceShare;
+import org.clementineford.testing.VirtualTime;
 import org.clementineford.transport.EventLoopScheduler;
 
 /** Runs a gateway on loopback with a route for each kind of request. */
@@ -43,10 +50,24 @@
   private final AtomicLong configurationAge = new AtomicLong();
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final TestProtocol protocol = new TestProtocol();
   private final Gateway gateway;
   private final HostPort address;
 
   GatewayFixture(ScriptedHttpEndpoint... endpoints) throws Exception {
+    this(SystemNanoClock.INSTANCE, EventLoopScheduler::new, endpoints);
+  }
+
+  /** Runs a gateway whose clock and timers follow a virtual time. */
+  GatewayFixture(VirtualTime time, ScriptedHttpEndpoint... endpoints) throws Exception {
+    this(time, eventLoops -> new VirtualEventLoopScheduler(time, eventLoops), endpoints);
+  }
+
+  private GatewayFixture(
+      NanoClock clock,
+      Function<EventLoopGroup, Scheduler> schedulers,
+      ScriptedHttpEndpoint... endpoints)
+      throws Exception {
     HostPort any = new HostPort("127.0.0.1", 0);
     VmSettings settings =
         new VmSettings(
@@ -67,10 +88,10 @@
     gateway =
         new Gateway(
             settings,
-            new TestProtocol(),
+            protocol,
             eventLoops,
-            new EventLoopScheduler(eventLoops),
-            SystemNanoClock.INSTANCE,
+            schedulers.apply(eventLoops),
+            clock,
             () -> 0,
             configurationAge::get,
             () -> 1,
@@ -127,6 +148,20 @@
     configurationAge.set(TimeUnit.MILLISECONDS.toNanos(millis));
   }
 
+  /** Runs an action on the event loop while it processes the head of a request. */
+  void whileProcessing(String requestId, Runnable action) {
+    protocol.whileDecoding(requestId, action);
+  }
+
+  /** Waits until the gateway has no request in progress. */
+  void awaitIdle() throws Exception {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    do {
+      eventLoops.submit(gateway::closeIdle).get();
+    } while (gateway.requestsInProgress() > 0 && System.nanoTime() - giveUpAt < 0);
+    assertThat(gateway.requestsInProgress()).isZero();
+  }
+
   HostPort address() {
     return address;
   }
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ScriptedHttpEndpoint.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ScriptedHttpEndpoint.java
@@ -14,12 +14,15 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
 
 /** An HTTP endpoint on loopback that answers each request with the bytes of a test script. */
 final class ScriptedHttpEndpoint implements AutoCloseable {
   private final ServerSocket server;
   private final Script script;
+  private final Thread accepting = new Thread(this::accept, "endpoint");
+  private final List<Thread> serving = Collections.synchronizedList(new ArrayList<>());
   private final List<Request> requests = Collections.synchronizedList(new ArrayList<>());
 
   /** Handles the requests of an endpoint. */
@@ -76,7 +79,6 @@
   ScriptedHttpEndpoint(Script script) throws IOException {
     this.script = script;
     this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-    Thread accepting = new Thread(this::accept, "endpoint");
     accepting.setDaemon(true);
     accepting.start();
   }
@@ -85,6 +87,13 @@
     return new HostPort("127.0.0.1", server.getLocalPort());
   }
 
+  /** Waits until all connections accepted so far have ended. */
+  void awaitConnectionsEnded() throws InterruptedException {
+    for (Thread connection : List.copyOf(serving)) {
+      connection.join(TimeUnit.SECONDS.toMillis(5));
+    }
+  }
+
   List<Request> requests() {
     return List.copyOf(requests);
   }
@@ -93,9 +102,10 @@
     while (!server.isClosed()) {
       try {
         Socket socket = server.accept();
-        Thread serving = new Thread(() -> serve(socket), "endpoint connection");
-        serving.setDaemon(true);
-        serving.start();
+        Thread connection = new Thread(() -> serve(socket), "endpoint connection");
+        connection.setDaemon(true);
+        serving.add(connection);
+        connection.start();
       } catch (IOException e) {
         return; // The test closed the server socket.
       }
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
@@ -4,9 +4,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.ConcurrentHashMap;
 import org.clementineford.gateway.EndpointRequestContext;
 import org.clementineford.gateway.EndpointResponseHead;
 import org.clementineford.gateway.RequestProtocol;
@@ -14,8 +16,19 @@
 
 /** Maps requests and responses to short header names that only these tests use. */
 final class TestProtocol implements RequestProtocol {
+  private final Map<String, Runnable> actions = new ConcurrentHashMap<>();
+
+  /** Runs an action once, when the head of the request with this ID is decoded. */
+  void whileDecoding(String requestId, Runnable action) {
+    actions.put(requestId, action);
+  }
+
   @Override
   public RequestMetadata decodeRequest(HttpRequest request) {
+    Runnable action = actions.remove(request.headers().get("id", ""));
+    if (action != null) {
+      action.run();
+    }
     String timeout = request.headers().get("timeout");
     return new RequestMetadata(
         request.headers().get("id", ""),
