Poll the sockets before a request is sent to an endpoint

Cause: a decision of the event loop rests on what it last read. Due timers run after the processing of input and before the next poll, so after a stall a retry goes out although the close lies in the socket; and a request is sent as soon as it is read, before the end of its connection is. A non-idempotent request that waits for its connection to the endpoint was sent on in any case. Change: the pool of connections sends a request, also the retry and the request that waited in a queue, only after a poll that is at most 250 ms old (EventLoopInput), and again after connecting. A request that was not written yet ends with its caller, of whatever kind it is. GatewayTest passes.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
@@ -23,15 +23,20 @@
       return new Caller(new Socket(fixture.address().host(), fixture.address().port()));
     }
 
-    void send(String path, String id) throws IOException {
+    void send(String method, String path, String id) throws IOException {
       String head =
-          "GET " + path + " HTTP/1.1\r\nHost: 127.0.0.1\r\nid: " + id + "\r\ntimeout: 1000\r\n\r\n";
+          method
+              + " "
+              + path
+              + " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 0\r\ntimeout: 1000\r\nid: "
+              + id
+              + "\r\n\r\n";
       socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
     }
 
-    void sendAndClose(String path, String id) {
+    void sendAndClose(String method, String path, String id) {
       try {
-        send(path, id);
+        send(method, path, id);
         socket.close();
       } catch (IOException e) {
         throw new UncheckedIOException(e);
@@ -84,7 +89,7 @@
           ScriptedHttpEndpoint second = new ScriptedHttpEndpoint(silentFor("left", arrived));
           GatewayFixture fixture = new GatewayFixture(time, first, second)) {
         Caller caller = Caller.connect(fixture);
-        caller.send("/get/a", "left");
+        caller.send("GET", "/get/a", "left");
         await(arrived);
         fixture.whileProcessing(
             "stall",
@@ -93,8 +98,7 @@
               time.advance(600, TimeUnit.MILLISECONDS);
             });
         assertThat(fixture.send("GET", "/get/a", "stall").statusCode()).isEqualTo(200);
-        fixture.awaitIdle();
-        fixture.close();
+        fixture.closeIdleGateway();
         silence.countDown();
         first.awaitConnectionsEnded();
         second.awaitConnectionsEnded();
@@ -108,16 +112,21 @@
     // Guards against sending a request that was read in one go with the close of its connection.
     @Test
     void isNotSentIfItsCloseLiesBehindIt() throws Exception {
+      assertNotSent("GET", "/get/a");
+      assertNotSent("POST", "/post/a");
+      assertNotSent("POST", "/stream/a");
+    }
+
+    private void assertNotSent(String method, String path) throws Exception {
       try (ScriptedHttpEndpoint endpoint =
               new ScriptedHttpEndpoint(silentFor("left", new CountDownLatch(1)));
           GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
         Caller caller = Caller.connect(fixture);
-        caller.send("/get/a", "before");
+        caller.send("GET", "/get/a", "before");
         assertThat(caller.socket().getInputStream().read()).isEqualTo('H');
-        fixture.whileProcessing("stall", () -> caller.sendAndClose("/get/a", "left"));
+        fixture.whileProcessing("stall", () -> caller.sendAndClose(method, path, "left"));
         assertThat(fixture.send("GET", "/get/a", "stall").statusCode()).isEqualTo(200);
-        fixture.awaitIdle();
-        fixture.close();
+        fixture.closeIdleGateway();
         silence.countDown();
         endpoint.awaitConnectionsEnded();
         assertThat(arrivals("left", endpoint)).isZero();
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -153,13 +153,17 @@
     protocol.whileDecoding(requestId, action);
   }
 
-  /** Waits until the gateway has no request in progress. */
-  void awaitIdle() throws Exception {
+  /**
+   * Waits until the gateway has no request in progress, and lets it close its connections to
+   * endpoints.
+   */
+  void closeIdleGateway() throws Exception {
     long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
     do {
       eventLoops.submit(gateway::closeIdle).get();
     } while (gateway.requestsInProgress() > 0 && System.nanoTime() - giveUpAt < 0);
     assertThat(gateway.requestsInProgress()).isZero();
+    eventLoops.submit(() -> gateway.updateEndpoints(List.of())).get();
   }
 
   HostPort address() {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -109,6 +109,11 @@
     }
   }
 
+  /** Returns whether the request was written to a connection, so that the endpoint may run it. */
+  boolean isSent() {
+    return connection != null;
+  }
+
   /** Ends the attempt because the caller has disconnected. */
   void cancel() {
     if (!finished) {
@@ -146,9 +151,13 @@
   }
 
   @Override
-  public boolean onConnected(EndpointConnection connection) {
+  public boolean isEnded() {
+    return finished;
+  }
+
+  @Override
+  public void onConnected(EndpointConnection connection) {
     this.connection = connection;
-    return !finished;
   }
 
   @Override
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -68,17 +68,20 @@
     channel = context.channel();
   }
 
+  /** Writes a request, unless the connection or the need for a response has ended. */
   void send(FullHttpRequest request, EndpointResponseListener listener) {
+    if (listener.isEnded() || !channel.isActive()) {
+      request.release();
+      channel.close();
+      listener.onFailure(AttemptOutcome.NOT_CONNECTED, "connection closed before the request");
+      return;
+    }
     this.listener = listener;
     this.skippingResponse = false;
     this.headAccepted = false;
-    if (listener.onConnected(this)) {
-      decoder.expectResponseTo(request.method());
-      channel.writeAndFlush(request);
-    } else {
-      request.release();
-      cancel();
-    }
+    listener.onConnected(this);
+    decoder.expectResponseTo(request.method());
+    channel.writeAndFlush(request);
   }
 
   /** Closes the connection without notifying the request in progress. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
@@ -27,16 +27,19 @@
   private final EventLoopGroup eventLoops;
   private final RequestProtocol protocol;
   private final NanoClock clock;
+  private final EventLoopInput input;
   private final Map<EndpointState, IdleConnections> idleConnections = new HashMap<>();
 
   EndpointConnectionPool(EventLoopGroup eventLoops, RequestProtocol protocol, NanoClock clock) {
     this.eventLoops = eventLoops;
     this.protocol = protocol;
     this.clock = clock;
+    this.input = new EventLoopInput(eventLoops, clock);
   }
 
   /**
-   * Sends a request over an idle connection or a new one.
+   * Sends a request over an idle connection or a new one, unless the listener ends meanwhile. The
+   * sockets are polled first, so that a request whose caller has left is not sent.
    *
    * @param repeatable true if the request may run more than once
    */
@@ -45,6 +48,18 @@
       FullHttpRequest request,
       boolean repeatable,
       EndpointResponseListener listener) {
+    input.runAfterPoll(() -> sendUnlessEnded(endpoint, request, repeatable, listener));
+  }
+
+  private void sendUnlessEnded(
+      EndpointState endpoint,
+      FullHttpRequest request,
+      boolean repeatable,
+      EndpointResponseListener listener) {
+    if (listener.isEnded()) {
+      request.release();
+      return;
+    }
     IdleConnections idle = idleConnections.computeIfAbsent(endpoint, key -> new IdleConnections());
     EndpointConnection reused = idle.take(repeatable);
     if (reused != null) {
@@ -77,7 +92,7 @@
         .addListener(
             (ChannelFuture connected) -> {
               if (connected.isSuccess()) {
-                connection.send(request, listener);
+                input.runAfterPoll(() -> connection.send(request, listener));
               } else {
                 request.release();
                 listener.onFailure(AttemptOutcome.NOT_CONNECTED, connected.cause().getMessage());
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointResponseListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointResponseListener.java
@@ -9,12 +9,11 @@
   /** Returns the ID of the request. Responses with a different request ID are skipped. */
   String requestId();
 
-  /**
-   * Called when a connection is established and the request can be written.
-   *
-   * @return false to close the connection without writing the request
-   */
-  boolean onConnected(EndpointConnection connection);
+  /** Returns whether the response is no longer wanted, so that the request must not be written. */
+  boolean isEnded();
+
+  /** Called before the request is written to a connection. */
+  void onConnected(EndpointConnection connection);
 
   /** Called when the head of the response has arrived. */
   void onHead(EndpointResponseHead head, HttpHeaders headers);
--- /dev/null
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EventLoopInput.java
@@ -0,0 +1,51 @@
+package org.clementineford.gateway.internal;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.NanoClock;
+
+/**
+ * Runs actions after the event loop has read what the sockets hold.
+ *
+ * <p>The event loop polls its sockets, processes what they hold, and then runs all tasks and timers
+ * that are due. A decision that it takes meanwhile rests on the state of the connections at that
+ * poll, which is old if processing takes long or if the VM was suspended.
+ */
+final class EventLoopInput {
+  /**
+   * Longest time from a request to run an action until the action runs, for the poll between them
+   * to count as recent. Half of the time after which a caller's close must work.
+   */
+  private static final long MAX_POLL_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+  /** Limit of polls for one action, so that an event loop that is always late makes progress. */
+  private static final int MAX_POLLS = 3;
+
+  private final EventLoopGroup eventLoops;
+  private final NanoClock clock;
+
+  EventLoopInput(EventLoopGroup eventLoops, NanoClock clock) {
+    this.eventLoops = eventLoops;
+    this.clock = clock;
+  }
+
+  /** Runs an action after the next poll of the sockets, and after a further one if that is old. */
+  void runAfterPoll(Runnable action) {
+    runAfterPoll(action, MAX_POLLS);
+  }
+
+  private void runAfterPoll(Runnable action, int polls) {
+    long requestedAt = clock.nanoTime();
+    // The event loop runs a new timer only after its next poll, unlike a task that is executed.
+    eventLoops.schedule(
+        () -> {
+          if (polls > 1 && clock.nanoTime() - requestedAt > MAX_POLL_AGE_NANOS) {
+            runAfterPoll(action, polls - 1);
+          } else {
+            action.run();
+          }
+        },
+        0,
+        TimeUnit.NANOSECONDS);
+  }
+}
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -344,7 +344,7 @@
     if (finished) {
       return;
     }
-    if (attempt != null && route.kind() != RequestKind.NON_IDEMPOTENT) {
+    if (attempt != null && (route.kind() != RequestKind.NON_IDEMPOTENT || !attempt.isSent())) {
       attempt.cancel();
     }
     router.removeFromQueue(this);
