Let timers run after the input that arrived before them

Callers saw: an answer that had arrived replaced by 504, or a second run of their request at another engine. Cause: the same as of sends after a caller's close: timers that become due while the event loop is busy run before it polls its sockets again. The timers for silence and for the deadline then fail an attempt whose answer lies in the socket. Result: UnreadAnswerTest failed before (3 arrivals instead of 2; 502 instead of 200) and passes; all tests of gateway.test pass.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -77,7 +77,7 @@
     }
     silenceTimer =
         router
-            .scheduler()
+            .input()
             .schedule(
                 () -> abort(AttemptOutcome.SILENT, "no response within " + timeoutMs + " ms"),
                 timeoutMs,
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
@@ -30,11 +30,12 @@
   private final EventLoopInput input;
   private final Map<EndpointState, IdleConnections> idleConnections = new HashMap<>();
 
-  EndpointConnectionPool(EventLoopGroup eventLoops, RequestProtocol protocol, NanoClock clock) {
+  EndpointConnectionPool(
+      EventLoopGroup eventLoops, RequestProtocol protocol, NanoClock clock, EventLoopInput input) {
     this.eventLoops = eventLoops;
     this.protocol = protocol;
     this.clock = clock;
-    this.input = new EventLoopInput(eventLoops, clock);
+    this.input = input;
   }
 
   /**
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EventLoopInput.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EventLoopInput.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.Scheduler;
 
 /**
  * Runs actions after the event loop has read what the sockets hold.
@@ -22,10 +23,12 @@
   private static final int MAX_POLLS = 3;
 
   private final EventLoopGroup eventLoops;
+  private final Scheduler scheduler;
   private final NanoClock clock;
 
-  EventLoopInput(EventLoopGroup eventLoops, NanoClock clock) {
+  EventLoopInput(EventLoopGroup eventLoops, Scheduler scheduler, NanoClock clock) {
     this.eventLoops = eventLoops;
+    this.scheduler = scheduler;
     this.clock = clock;
   }
 
@@ -48,4 +51,38 @@
         0,
         TimeUnit.NANOSECONDS);
   }
+
+  /**
+   * Runs an action after a delay and a poll, so that input which arrived in time can cancel it.
+   *
+   * @return a handle that cancels the action until it runs
+   */
+  Scheduler.Cancellable schedule(Runnable action, long delay, TimeUnit unit) {
+    Timeout timeout = new Timeout(action);
+    timeout.timer = scheduler.schedule(() -> runAfterPoll(timeout), delay, unit);
+    return timeout;
+  }
+
+  private static final class Timeout implements Runnable, Scheduler.Cancellable {
+    private final Runnable action;
+    private Scheduler.Cancellable timer;
+    private boolean cancelled;
+
+    Timeout(Runnable action) {
+      this.action = action;
+    }
+
+    @Override
+    public void run() {
+      if (!cancelled) {
+        action.run();
+      }
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+      timer.cancel();
+    }
+  }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -85,9 +85,10 @@
     this.eventLoops = eventLoops;
     this.clock = clock;
     this.entryVms = entryVms;
-    this.pool = new EndpointConnectionPool(eventLoops, protocol, clock);
+    EventLoopInput input = new EventLoopInput(eventLoops, scheduler, clock);
+    this.pool = new EndpointConnectionPool(eventLoops, protocol, clock, input);
     GatewayMetrics metrics = new GatewayMetrics(registry);
-    this.router = new RequestRouter(state, protocol, pool, scheduler, configurationAge, metrics);
+    this.router = new RequestRouter(state, protocol, pool, input, configurationAge, metrics);
     this.eventLoopMonitor =
         new EventLoopMonitor(clock, TimeUnit.MILLISECONDS.toNanos(DISPATCH_INTERVAL_MS), metrics);
     scheduler.scheduleWithFixedDelay(
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -79,7 +79,7 @@
       return;
     }
     deadlineTimer =
-        router.scheduler().schedule(this::onDeadline, deadlineAt - now(), TimeUnit.NANOSECONDS);
+        router.input().schedule(this::onDeadline, deadlineAt - now(), TimeUnit.NANOSECONDS);
     router.state().retryBudget(service).countRequest(now());
     router.place(this);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.clementineford.gateway.RequestProtocol;
-import org.clementineford.kernel.Scheduler;
 import org.clementineford.serving.model.EngineProfile;
 import org.clementineford.serving.model.RequestMetadata;
 import org.clementineford.serving.model.Route;
@@ -21,7 +20,7 @@
   private final GatewayState state;
   private final RequestProtocol protocol;
   private final EndpointConnectionPool pool;
-  private final Scheduler scheduler;
+  private final EventLoopInput input;
   private final LongSupplier configurationAge;
   private final GatewayMetrics metrics;
   private final Map<String, EngineQueue> queues = new HashMap<>();
@@ -31,13 +30,13 @@
       GatewayState state,
       RequestProtocol protocol,
       EndpointConnectionPool pool,
-      Scheduler scheduler,
+      EventLoopInput input,
       LongSupplier configurationAge,
       GatewayMetrics metrics) {
     this.state = state;
     this.protocol = protocol;
     this.pool = pool;
-    this.scheduler = scheduler;
+    this.input = input;
     this.configurationAge = configurationAge;
     this.metrics = metrics;
   }
@@ -54,8 +53,8 @@
     return pool;
   }
 
-  Scheduler scheduler() {
-    return scheduler;
+  EventLoopInput input() {
+    return input;
   }
 
   GatewayMetrics metrics() {
