Reset the connection of a request that is abandoned

Cause: the entry VM closed the connection to the endpoint. Bytes that the network or a suspended VM holds back are still delivered after a close. Change: a connection whose response is no longer wanted is reset, which discards them. Result: DepartedCallerTest.AbandonedRequest failed before (the endpoint read the end of the stream) and passes (it reads a reset); all tests of gateway.test pass.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
@@ -7,6 +7,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.testing.VirtualTime;
@@ -107,6 +108,39 @@
     }
   }
 
+  @Nested
+  class AbandonedRequest {
+    // Guards against delivery of a request that the network holds back until its caller has left.
+    @Test
+    void isDiscardedByResetOfItsConnection() throws Exception {
+      for (String path : List.of("/get/a", "/stream/a")) {
+        CompletableFuture<String> end = new CompletableFuture<>();
+        CountDownLatch arrived = new CountDownLatch(1);
+        ScriptedHttpEndpoint.Script script =
+            (request, connection) -> {
+              arrived.countDown();
+              end.complete(endOf(connection.socket()));
+            };
+        try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
+            GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
+          Caller caller = Caller.connect(fixture);
+          caller.send("GET", path, "left");
+          await(arrived);
+          caller.close();
+          assertThat(end.get(5, TimeUnit.SECONDS)).isEqualTo("Connection reset");
+        }
+      }
+    }
+
+    private String endOf(Socket socket) {
+      try {
+        return "read " + socket.getInputStream().read();
+      } catch (IOException e) {
+        return e.getMessage();
+      }
+    }
+  }
+
   @Nested
   class Request {
     // Guards against sending a request that was read in one go with the close of its connection.
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -84,9 +85,20 @@
     channel.writeAndFlush(request);
   }
 
-  /** Closes the connection without notifying the request in progress. */
+  /** Resets the connection without notifying the request in progress. */
   void cancel() {
     listener = null;
+    reset();
+  }
+
+  /**
+   * Discards bytes that have not arrived yet. A connection that is only closed delivers them later,
+   * and the endpoint runs a request whose answer has no reader.
+   */
+  private void reset() {
+    if (channel.isActive()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    }
     channel.close();
   }
 
@@ -208,7 +220,7 @@
     final EndpointResponseListener failedListener = listener;
     listener = null;
     idleConnections.remove(this);
-    channel.close();
+    reset();
     if (failedListener != null) {
       failedListener.onFailure(outcome, cause);
     }
