Count the timeout of a request from its read

Callers saw: a request that was read while another one of its connection was in progress was held beyond its timeout, and its endpoint was given more time than was left. Cause: the time of arrival was taken when the request was dispatched, which for pipelined requests is after the answers before it. Change: the connection of the caller notes the time at which it read the request.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
@@ -3,9 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
@@ -18,41 +16,6 @@
   private final VirtualTime time = new VirtualTime(0);
   private final CountDownLatch silence = new CountDownLatch(1);
 
-  /** A caller that closes its connection at a time the test chooses. */
-  private record Caller(Socket socket) {
-    static Caller connect(GatewayFixture fixture) throws IOException {
-      return new Caller(new Socket(fixture.address().host(), fixture.address().port()));
-    }
-
-    void send(String method, String path, String id) throws IOException {
-      String head =
-          method
-              + " "
-              + path
-              + " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 0\r\ntimeout: 1000\r\nid: "
-              + id
-              + "\r\n\r\n";
-      socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-    }
-
-    void sendAndClose(String method, String path, String id) {
-      try {
-        send(method, path, id);
-        socket.close();
-      } catch (IOException e) {
-        throw new UncheckedIOException(e);
-      }
-    }
-
-    void close() {
-      try {
-        socket.close();
-      } catch (IOException e) {
-        throw new UncheckedIOException(e);
-      }
-    }
-  }
-
   /** Answers all requests except those with the given ID, for which it stays silent. */
   private ScriptedHttpEndpoint.Script silentFor(String id, CountDownLatch arrived) {
     return (request, connection) -> {
@@ -89,7 +52,7 @@
       try (ScriptedHttpEndpoint first = new ScriptedHttpEndpoint(silentFor("left", arrived));
           ScriptedHttpEndpoint second = new ScriptedHttpEndpoint(silentFor("left", arrived));
           GatewayFixture fixture = new GatewayFixture(time, first, second)) {
-        Caller caller = Caller.connect(fixture);
+        RawCaller caller = RawCaller.connect(fixture);
         caller.send("GET", "/get/a", "left");
         await(arrived);
         fixture.whileProcessing(
@@ -123,7 +86,7 @@
             };
         try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
             GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
-          Caller caller = Caller.connect(fixture);
+          RawCaller caller = RawCaller.connect(fixture);
           caller.send("GET", path, "left");
           await(arrived);
           caller.close();
@@ -155,7 +118,7 @@
       try (ScriptedHttpEndpoint endpoint =
               new ScriptedHttpEndpoint(silentFor("left", new CountDownLatch(1)));
           GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
-        Caller caller = Caller.connect(fixture);
+        RawCaller caller = RawCaller.connect(fixture);
         caller.send("GET", "/get/a", "before");
         assertThat(caller.socket().getInputStream().read()).isEqualTo('H');
         fixture.whileProcessing("stall", () -> caller.sendAndClose(method, path, "left"));
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -56,7 +56,8 @@
             context,
             request,
             ByteBufUtil.getBytes(request.content()),
-            !malformed && HttpUtil.isKeepAlive(request));
+            !malformed && HttpUtil.isKeepAlive(request),
+            lastActivityAt);
     if (malformed) {
       exchange.respond(BAD_REQUEST, EmptyHttpHeaders.INSTANCE, new byte[0]);
       return;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
@@ -23,6 +23,7 @@
   private final HttpRequest head;
   private final byte[] body;
   private final boolean keepAlive;
+  private final long receivedAt;
   private boolean responseStarted;
   private boolean ended;
   private Runnable onDisconnect = () -> {};
@@ -33,12 +34,14 @@
       ChannelHandlerContext context,
       HttpRequest head,
       byte[] body,
-      boolean keepAlive) {
+      boolean keepAlive,
+      long receivedAt) {
     this.connection = connection;
     this.context = context;
     this.head = head;
     this.body = body;
     this.keepAlive = keepAlive;
+    this.receivedAt = receivedAt;
   }
 
   HttpRequest head() {
@@ -49,6 +52,11 @@
     return body;
   }
 
+  /** Returns the time at which the request was read, on the monotonic clock in nanoseconds. */
+  long receivedAt() {
+    return receivedAt;
+  }
+
   void onDisconnect(Runnable action) {
     onDisconnect = action;
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -59,7 +59,7 @@
     this.router = router;
     this.exchange = exchange;
     this.metadata = metadata;
-    this.arrivedAt = now();
+    this.arrivedAt = exchange.receivedAt();
     this.trace = new RequestTrace(router.state().clock(), arrivedAt);
   }
 
