Wait for loopback to deliver in tests of late events

Change: the tests wait until the kernel's table of connections shows the close, or the unread answer, at the gateway's end. What they assert is unchanged.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RawCaller.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RawCaller.java
@@ -24,15 +24,18 @@
   void sendAndClose(String method, String path, String id) {
     try {
       send(method, path, id);
-      socket.close();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
+    close();
   }
 
+  /** Closes the connection, and returns when the close has reached its other end. */
   void close() {
+    LoopbackDelivery delivery = new LoopbackDelivery(socket);
     try {
       socket.close();
+      delivery.awaitClose();
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnreadAnswerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnreadAnswerTest.java
@@ -27,6 +27,7 @@
     }
     connection.respond(200, request.id(), "proof: p\r\n", "good");
     if (request.id().equals("slow")) {
+      new LoopbackDelivery(connection.socket()).awaitUnreadBytes();
       answered.countDown();
     }
   }
