Bound what an endpoint may send without a complete response

Cause: interim responses, responses to other requests, bodies and events were read as long as they came. A non-idempotent request was held until its deadline, and the memory of the entry VM grew. Change: ResponseLimit counts the bytes of a connection that were not passed on, and fails the attempt at 4 MiB, or when all connections of the VM hold 32 MiB.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -192,6 +192,7 @@
         proxiedRequest.startStream(head.status(), headers);
       }
       proxiedRequest.forwardEvent(event.bytes(), event.id());
+      connection.passedOn();
     }
   }
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -43,6 +43,7 @@
   private final NanoClock clock;
   private final EndpointConnectionPool.IdleConnections idleConnections;
   private final EndpointResponseDecoder decoder;
+  private final ResponseLimit limit;
   private Channel channel;
   private EndpointResponseListener listener;
   private boolean skippingResponse;
@@ -57,11 +58,13 @@
       RequestProtocol protocol,
       NanoClock clock,
       EndpointConnectionPool.IdleConnections idleConnections,
-      EndpointResponseDecoder decoder) {
+      EndpointResponseDecoder decoder,
+      ResponseLimit limit) {
     this.protocol = protocol;
     this.clock = clock;
     this.idleConnections = idleConnections;
     this.decoder = decoder;
+    this.limit = limit;
   }
 
   @Override
@@ -102,6 +105,11 @@
     channel.close();
   }
 
+  /** Called when the part of a stream that was received has been passed on. */
+  void passedOn() {
+    limit.passedOn();
+  }
+
   void setReadingPaused(boolean paused) {
     channel.config().setAutoRead(!paused);
   }
@@ -207,6 +215,7 @@
   private void finish() {
     final EndpointResponseListener finishedListener = listener;
     listener = null;
+    limit.passedOn();
     idleSince = clock.nanoTime();
     if (reusable && channel.isActive()) {
       idleConnections.add(this);
@@ -231,7 +240,7 @@
     // The end of the connection completes a body without a length, but not after a reset.
     broken = true;
     failureCause = String.valueOf(cause.getMessage());
-    context.close();
+    reset();
   }
 
   @Override
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
@@ -28,6 +28,7 @@
   private final RequestProtocol protocol;
   private final NanoClock clock;
   private final EventLoopInput input;
+  private final ResponseLimit.Total receivedBytes = new ResponseLimit.Total();
   private final Map<EndpointState, IdleConnections> idleConnections = new HashMap<>();
 
   EndpointConnectionPool(
@@ -76,7 +77,8 @@
       FullHttpRequest request,
       EndpointResponseListener listener) {
     EndpointResponseDecoder decoder = new EndpointResponseDecoder();
-    EndpointConnection connection = new EndpointConnection(protocol, clock, idle, decoder);
+    ResponseLimit limit = new ResponseLimit(receivedBytes);
+    EndpointConnection connection = new EndpointConnection(protocol, clock, idle, decoder, limit);
     new Bootstrap()
         .group(eventLoops)
         .channel(NioSocketChannel.class)
@@ -86,7 +88,7 @@
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
+                channel.pipeline().addLast(limit, decoder, new HttpRequestEncoder(), connection);
               }
             })
         .connect(endpoint.endpoint().address().toSocketAddress())
