Bound collected responses in size and in time

Cause: bodies were collected as long as they came, in the client of the platform, the origin, peers and the engine on the same VM; a call with an idle timeout had no end if single bytes arrived. Change: each call has ResponseBounds: idle time, total time and size of the body.

--- a/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpModelEngine.java
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpModelEngine.java
@@ -15,6 +15,7 @@
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpRequest;
 import org.clementineford.transport.http.HttpResponse;
+import org.clementineford.transport.http.ResponseBounds;
 
 /**
  * HTTP client of a model engine. Reading the load fails after 2 s without a response. A load order
@@ -22,6 +23,9 @@
  * with {@code OUTCOME_UNKNOWN} if nothing arrives for 2 s.
  */
 public final class HttpModelEngine implements ModelEngine {
+  /** Longest time of a load that reports progress, in milliseconds. */
+  private static final long MAX_LOAD_MS = 600_000;
+
   private static final String LOAD_REPORT = "the load report";
   private static final ObjectMapper JSON =
       new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
@@ -54,7 +58,8 @@
     CompletableFuture<LoadedVersion> loaded = new CompletableFuture<>();
     calls
         .client()
-        .callWithIdleTimeout(calls.address(), request, HttpCalls.TIMEOUT_MS)
+        .call(
+            calls.address(), request, ResponseBounds.whileActive(HttpCalls.TIMEOUT_MS, MAX_LOAD_MS))
         .whenComplete(
             (response, failure) -> {
               try {
--- a/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpWeightSource.java
+++ b/org.clementineford.platform/src/main/java/org/clementineford/platform/HttpWeightSource.java
@@ -13,6 +13,7 @@
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpRequest;
 import org.clementineford.transport.http.HttpResponse;
+import org.clementineford.transport.http.ResponseBounds;
 
 /**
  * HTTP client of an origin or weight store. Reading a manifest fails after 2 s without a response;
@@ -26,6 +27,12 @@
   // reads that were only queued; they were repeated, which filled the link with repeated bytes.
   private static final long RANGE_IDLE_TIMEOUT_MS = 8000;
 
+  /** Longest time of a read that receives bytes, in milliseconds. */
+  private static final long MAX_RANGE_MS = 600_000;
+
+  /** Largest body of a response that reports an error, in bytes. */
+  private static final int MAX_ERROR_BYTES = 65_536;
+
   private final HttpCalls calls;
 
   /**
@@ -57,7 +64,13 @@
         new HttpRequest("GET", path(model, version, "data"), Map.of("Range", range), new byte[0]);
     CompletableFuture<byte[]> bytes = new CompletableFuture<>();
     CompletableFuture<HttpResponse> transfer =
-        calls.client().callWithIdleTimeout(calls.address(), request, RANGE_IDLE_TIMEOUT_MS);
+        calls
+            .client()
+            .call(
+                calls.address(),
+                request,
+                new ResponseBounds(
+                    RANGE_IDLE_TIMEOUT_MS, MAX_RANGE_MS, Math.max(length, MAX_ERROR_BYTES)));
     bytes.whenComplete(
         (read, failure) -> {
           if (bytes.isCancelled()) {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
@@ -14,6 +14,7 @@
 import org.clementineford.replica.WeightDigests;
 import org.clementineford.transport.http.HttpRequest;
 import org.clementineford.transport.http.HttpResponse;
+import org.clementineford.transport.http.ResponseBounds;
 import org.clementineford.weights.ChunkBitmap;
 import org.clementineford.weights.Digests;
 import org.clementineford.weights.Fetch;
@@ -30,6 +31,9 @@
   /** Time without a byte after which a fetch from a peer is abandoned, in milliseconds. */
   private static final long IDLE_TIMEOUT_MS = 2_000;
 
+  /** Longest time of a fetch from a peer, in milliseconds. */
+  private static final long MAX_FETCH_MS = 30_000;
+
   private static final int BUSY_STATUS = 503;
   private static final int NOT_FOUND_STATUS = 404;
   private static final long BUSY_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
@@ -199,10 +203,10 @@
     CompletableFuture<HttpResponse> read =
         context
             .client()
-            .callWithIdleTimeout(
+            .call(
                 fetch.peer().address(),
                 new HttpRequest("GET", target, Map.of(), new byte[0]),
-                IDLE_TIMEOUT_MS);
+                ResponseBounds.whileActive(IDLE_TIMEOUT_MS, MAX_FETCH_MS));
     reads.put(fetch.id(), read);
     read.whenComplete(
         (response, failure) -> {
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
@@ -104,45 +104,37 @@
    */
   public CompletableFuture<HttpResponse> call(
       HostPort address, HttpRequest request, long timeoutMs) {
-    ResponseCollector collector = new ResponseCollector(address);
-    sendWithCollector(address, request, timeoutMs, collector);
-    var deadline =
-        eventLoops.schedule(
-            () ->
-                collector.onFailure(
-                    ExchangeFailure.UNKNOWN, "timed out after " + timeoutMs + " ms"),
-            timeoutMs,
-            TimeUnit.MILLISECONDS);
-    collector.future.whenComplete((response, failure) -> deadline.cancel(false));
-    return collector.future;
+    return call(address, request, ResponseBounds.within(timeoutMs));
   }
 
   /**
-   * Sends a request and collects the complete response. The call has an idle timeout but no limit
-   * on its total duration, for responses that take long.
+   * Sends a request and collects the complete response.
    *
    * @param address address of the server
    * @param request the request
-   * @param idleTimeoutMs time without received data after which the call fails, in milliseconds
-   * @return future of the response; fails like that of {@link #call}. Cancelling the future closes
-   *     the connection.
+   * @param bounds bounds beyond which the call fails
+   * @return future of the response; fails like that of {@link #call(HostPort, HttpRequest, long)}.
+   *     Cancelling the future closes the connection.
    */
-  public CompletableFuture<HttpResponse> callWithIdleTimeout(
-      HostPort address, HttpRequest request, long idleTimeoutMs) {
-    ResponseCollector collector = new ResponseCollector(address);
-    sendWithCollector(address, request, idleTimeoutMs, collector);
-    return collector.future;
-  }
-
-  private void sendWithCollector(
-      HostPort address, HttpRequest request, long idleTimeoutMs, ResponseCollector collector) {
-    HttpCall call = send(address, request, idleTimeoutMs, collector);
+  public CompletableFuture<HttpResponse> call(
+      HostPort address, HttpRequest request, ResponseBounds bounds) {
+    ResponseCollector collector = new ResponseCollector(address, bounds.bodyBytes());
+    HttpCall call = send(address, request, bounds.idleMs(), collector);
+    var deadline =
+        eventLoops.schedule(
+            () ->
+                collector.onFailure(
+                    ExchangeFailure.UNKNOWN, "timed out after " + bounds.totalMs() + " ms"),
+            bounds.totalMs(),
+            TimeUnit.MILLISECONDS);
     collector.future.whenComplete(
         (response, failure) -> {
+          deadline.cancel(false);
           if (failure != null) {
             call.cancel();
           }
         });
+    return collector.future;
   }
 
   private Channel pollIdleConnection(HostPort address) {
@@ -184,13 +176,15 @@
 
   private static final class ResponseCollector implements HttpResponseListener {
     private final HostPort address;
+    private final int maxBodyBytes;
     private final CompletableFuture<HttpResponse> future = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
     private Map<String, String> headers = Map.of();
 
-    ResponseCollector(HostPort address) {
+    ResponseCollector(HostPort address, int maxBodyBytes) {
       this.address = address;
+      this.maxBodyBytes = maxBodyBytes;
     }
 
     @Override
@@ -201,6 +195,10 @@
 
     @Override
     public void onBody(byte[] bytes) {
+      if (body.size() + bytes.length > maxBodyBytes) {
+        onFailure(ExchangeFailure.UNKNOWN, "more than " + maxBodyBytes + " bytes");
+        return;
+      }
       body.writeBytes(bytes);
     }
 
