Let the writer of the log block before the test fills its queue

The worker of Logback's AsyncAppender takes one line and then drains all queued ones (take and drainTo in its byte code). If it started late, it emptied the queue while the test still logged, and the count of dropped lines was due between the lines. Change: the test logs a first line and waits until the writer blocks on it. What it asserts is unchanged, for one more line.

--- a/org.clementineford.launcher/src/test/java/org/clementineford/launcher/LogQueueTest.java
+++ b/org.clementineford.launcher/src/test/java/org/clementineford/launcher/LogQueueTest.java
@@ -25,16 +25,18 @@
   private final LoggerContext context = new LoggerContext();
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final CountDownLatch outputUnblocked = new CountDownLatch(1);
+  private final CountDownLatch outputBlocked = new CountDownLatch(1);
   private final BlockingQueue<ILoggingEvent> written = new LinkedBlockingQueue<>();
   private final Logger logger = context.getLogger("test");
 
   @BeforeEach
-  void setUp() {
+  void setUp() throws InterruptedException {
     context.setMDCAdapter(new LogbackMDCAdapter());
     AppenderBase<ILoggingEvent> blockedAppender =
         new AppenderBase<>() {
           @Override
           protected void append(ILoggingEvent event) {
+            outputBlocked.countDown();
             try {
               outputUnblocked.await(10, TimeUnit.SECONDS);
             } catch (InterruptedException e) {
@@ -50,6 +52,9 @@
     queue.start();
     logger.setLevel(Level.INFO);
     logger.addAppender(queue);
+    // The writer takes all queued lines at once, so it must not start while the test logs.
+    logger.info("first line");
+    assertThat(outputBlocked.await(10, TimeUnit.SECONDS)).isTrue();
   }
 
   @AfterEach
@@ -80,6 +85,7 @@
     assertThat(droppedLines).isBetween(1.0 * CAPACITY, 3.0 * CAPACITY);
 
     outputUnblocked.countDown();
+    assertThat(next().getMessage()).isEqualTo("first line");
     for (int i = 0; i < 3 * CAPACITY - droppedLines; i++) {
       assertThat(next().getMessage()).isEqualTo("line {}");
     }
