Wait until the address of a closed listener is free

Cause: a socket that is registered with a selector is closed when the selector polls again, which may be after the close of the channel is complete. Change: closing a listener waits for the next poll of its event loop, in PeerNetwork and, for the same cause, in HttpServer.

--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
@@ -65,6 +65,20 @@
     return Payload.statusFetch(new StatusFetch());
   }
 
+  @Nested
+  class Address {
+    // Guards against a close that returns while the socket still listens.
+    @Test
+    void isFreeAfterClose() throws Exception {
+      HostPort freed = FreePorts.find();
+      for (int i = 0; i < 200; i++) {
+        PeerNetwork restarted = network("restarted");
+        restarted.listen(freed);
+        restarted.close();
+      }
+    }
+  }
+
   @Nested
   class Replies {
     // Guards against replies that are delivered to the caller of another exchange.
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
@@ -24,6 +24,7 @@
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.kernel.timeline.HybridLogicalClock;
 import org.clementineford.transport.internal.ConnectionHandler;
+import org.clementineford.transport.internal.ListeningSocket;
 import org.clementineford.transport.internal.PeerChannelInitializer;
 import org.clementineford.transport.internal.PeerConnection;
 import org.clementineford.wire.Payload;
@@ -261,7 +262,7 @@
   @Override
   public void close() {
     if (serverChannel != null) {
-      serverChannel.close().awaitUninterruptibly();
+      ListeningSocket.close(serverChannel);
     }
     acceptedChannels.close();
     connections.values().forEach(PeerConnection::close);
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
@@ -21,6 +21,7 @@
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.PeerNetwork;
+import org.clementineford.transport.internal.ListeningSocket;
 
 /** HTTP/1.1 server based on Netty. */
 public final class HttpServer implements AutoCloseable {
@@ -99,7 +100,7 @@
 
   /** Stops accepting connections; requests in progress continue. */
   public void stopAccepting() {
-    serverChannel.close().awaitUninterruptibly();
+    ListeningSocket.close(serverChannel);
   }
 
   /**
