Count the connections of a test before their answers free them

The test let the endpoint answer as soon as one request was refused; requests that the client sent after that reused connections that were free again, which is allowed. Change: the test waits until each of the 12 requests has arrived or was refused, and only then lets the endpoint answer. The bound is unchanged.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
@@ -290,6 +290,8 @@
                     .get(2, TimeUnit.SECONDS);
         assertThat(refused.statusCode()).isEqualTo(503);
         assertThat(refused.headers().firstValue("retry-after")).isPresent();
+        // A request that comes after the answers may reuse a connection that is free again.
+        awaitArrivedOrRefused(endpoint, answers);
         end.countDown();
         CompletableFuture.allOf(answers.toArray(new CompletableFuture<?>[0]))
             .get(2, TimeUnit.SECONDS);
@@ -301,6 +303,17 @@
     }
   }
 
+  private static void awaitArrivedOrRefused(
+      ScriptedHttpEndpoint endpoint, List<CompletableFuture<HttpResponse<String>>> answers) {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
+    long refused = 0;
+    while (endpoint.requests().size() + refused < answers.size()) {
+      assertThat(System.nanoTime() - giveUpAt).as("time over").isNegative();
+      Thread.onSpinWait();
+      refused = answers.stream().filter(CompletableFuture::isDone).count();
+    }
+  }
+
   @Nested
   class Key {
     // Guards against accepting a key that may have been removed since the last proof of it.
