Do not send a stream whose caller is about to leave

Callers saw: engines worked for callers that had left (GONE); streams were sent up to 2.1 s after their arrival, and sent again up to 6 s, though callers leave after 2.4 s without an event. Cause: the wait in the queue and retries were judged by the deadline of the request. Change: a route has the patience of its callers. A waiting stream is refused, and a stream is not sent again, when its caller leaves within the 500 ms that an answer needs. Result: WaitingQueueTest, DepartedCallerTest.StreamWithoutEvent and DecodingTest; the first two failed without the change.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
@@ -52,7 +52,7 @@
       try (ScriptedHttpEndpoint first = new ScriptedHttpEndpoint(silentFor("left", arrived));
           ScriptedHttpEndpoint second = new ScriptedHttpEndpoint(silentFor("left", arrived));
           GatewayFixture fixture = new GatewayFixture(time, first, second)) {
-        RawCaller caller = RawCaller.connect(fixture);
+        RawCaller caller = RawCaller.connect(fixture, 1_000);
         caller.send("GET", "/get/a", "left");
         await(arrived);
         fixture.whileProcessing(
@@ -71,6 +71,45 @@
     }
   }
 
+  @Nested
+  class StreamWithoutEvent {
+    // Guards against a retry that reaches an engine when the caller is about to leave.
+    @Test
+    void isNotRetriedShortlyBeforeItsCallerLeaves() throws Exception {
+      CountDownLatch firstArrived = new CountDownLatch(1);
+      CountDownLatch secondArrived = new CountDownLatch(1);
+      CountDownLatch firstEnds = new CountDownLatch(1);
+      ScriptedHttpEndpoint.Script script =
+          (request, connection) -> {
+            if (request.id().equals("first")) {
+              firstArrived.countDown();
+              await(firstEnds);
+              connection.startEventStream(request.id());
+              connection.writeChunk("id: 1\ndata: a\n\n");
+              connection.write("0\r\n\r\n");
+            } else {
+              secondArrived.countDown();
+              await(silence);
+            }
+          };
+      try (ScriptedHttpEndpoint one = new ScriptedHttpEndpoint(script);
+          ScriptedHttpEndpoint other = new ScriptedHttpEndpoint(script);
+          GatewayFixture fixture = new GatewayFixture(time, one, other)) {
+        RawCaller.connect(fixture, 6_000).send("POST", "/stream/a", "first", "second");
+        await(firstArrived);
+        time.advance(300, TimeUnit.MILLISECONDS);
+        firstEnds.countDown();
+        await(secondArrived);
+        time.advance(1_500, TimeUnit.MILLISECONDS);
+        fixture.closeIdleGateway();
+        silence.countDown();
+        one.awaitConnectionsEnded();
+        other.awaitConnectionsEnded();
+        assertThat(arrivals("second", one, other)).isEqualTo(1);
+      }
+    }
+  }
+
   @Nested
   class AbandonedRequest {
     // Guards against delivery of a request that the network holds back until its caller has left.
@@ -86,7 +125,7 @@
             };
         try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
             GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
-          RawCaller caller = RawCaller.connect(fixture);
+          RawCaller caller = RawCaller.connect(fixture, 1_000);
           caller.send("GET", path, "left");
           await(arrived);
           caller.close();
@@ -118,7 +157,7 @@
       try (ScriptedHttpEndpoint endpoint =
               new ScriptedHttpEndpoint(silentFor("left", new CountDownLatch(1)));
           GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
-        RawCaller caller = RawCaller.connect(fixture);
+        RawCaller caller = RawCaller.connect(fixture, 1_000);
         caller.send("GET", "/get/a", "before");
         assertThat(caller.socket().getInputStream().read()).isEqualTo('H');
         fixture.whileProcessing("stall", () -> caller.sendAndClose(method, path, "left"));
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -141,7 +141,8 @@
         List.of(new ServiceShare(service, 1)),
         attempts,
         anonymous,
-        true);
+        true,
+        2_000);
   }
 
   void setConfigurationAge(long millis) {
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
@@ -35,7 +35,7 @@
           };
       try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
           GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
-        RawCaller caller = RawCaller.connect(fixture);
+        RawCaller caller = RawCaller.connect(fixture, 1_000);
         caller.send("POST", "/post/a", "first", "second");
         await(firstArrived);
         time.advance(600, TimeUnit.MILLISECONDS);
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RawCaller.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RawCaller.java
@@ -6,9 +6,10 @@
 import java.nio.charset.StandardCharsets;
 
 /** A caller on a plain socket, which pipelines requests and closes when the test chooses. */
-record RawCaller(Socket socket) {
-  static RawCaller connect(GatewayFixture fixture) throws IOException {
-    return new RawCaller(new Socket(fixture.address().host(), fixture.address().port()));
+record RawCaller(Socket socket, int timeoutMs) {
+  static RawCaller connect(GatewayFixture fixture, int timeoutMs) throws IOException {
+    Socket socket = new Socket(fixture.address().host(), fixture.address().port());
+    return new RawCaller(socket, timeoutMs);
   }
 
   /** Sends a request for each ID, all in one write. */
@@ -16,7 +17,12 @@
     StringBuilder heads = new StringBuilder();
     for (String id : ids) {
       heads.append(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: 127.0.0.1\r\n");
-      heads.append("Content-Length: 0\r\ntimeout: 1000\r\nid: ").append(id).append("\r\n\r\n");
+      heads
+          .append("Content-Length: 0\r\ntimeout: ")
+          .append(timeoutMs)
+          .append("\r\nid: ")
+          .append(id)
+          .append("\r\n\r\n");
     }
     socket.getOutputStream().write(heads.toString().getBytes(StandardCharsets.US_ASCII));
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EventLoopInput.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EventLoopInput.java
@@ -39,7 +39,7 @@
 
   private void runAfterPoll(Runnable action, int polls) {
     long requestedAt = clock.nanoTime();
-    // The event loop runs a new timer only after its next poll, unlike a task that is executed.
+    // The event loop runs a timer that it sets itself only after its next poll, unlike a task.
     eventLoops.schedule(
         () -> {
           if (polls > 1 && clock.nanoTime() - requestedAt > MAX_POLL_AGE_NANOS) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -21,6 +21,7 @@
 import org.clementineford.serving.model.RequestMetadata;
 import org.clementineford.serving.model.Route;
 import org.clementineford.serving.model.RoutingClientAccount;
+import org.clementineford.serving.queueing.WaitingQueue;
 import org.clementineford.serving.queueing.WaitingRequest;
 import org.clementineford.serving.routing.AttemptOutcome;
 import org.clementineford.serving.routing.EndpointState;
@@ -127,6 +128,14 @@
     return (deadlineAt - now()) / (double) TimeUnit.MILLISECONDS.toNanos(1);
   }
 
+  /** Returns the time at which the caller leaves if it receives nothing until then. */
+  private long leavesAt() {
+    long patienceNanos = TimeUnit.MILLISECONDS.toNanos(route.callerPatienceMs());
+    return exchange.isResponseStarted()
+        ? deadlineAt
+        : Math.min(deadlineAt, arrivedAt + patienceNanos);
+  }
+
   WaitingRequest<ProxiedRequest> toWaitingRequest(double costMs) {
     Optional<RoutingClientAccount> account = router.clientAccount(this);
     int priority = route.priority();
@@ -138,6 +147,7 @@
         arrivedAt,
         arrivedAt + TimeUnit.MILLISECONDS.toNanos(route.targetLatencyMs()),
         deadlineAt,
+        leavesAt(),
         priority,
         account.map(RoutingClientAccount::name).orElse(""),
         costMs);
@@ -247,6 +257,7 @@
     boolean repeatable = outcome.provesNotRun() || route.mayRunAgain();
     if (repeatable
         && canContinueStream()
+        && callerWaitsForAnswer()
         && attemptCount < route.maxAttempts()
         && hasRetryBudget(outcome)) {
       router.place(this);
@@ -260,6 +271,12 @@
     }
   }
 
+  /** Returns whether a stream sent now can bring an event before its caller leaves. */
+  private boolean callerWaitsForAnswer() {
+    return route.kind() != RequestKind.STREAM
+        || leavesAt() - now() >= WaitingQueue.MIN_ANSWER_NANOS;
+  }
+
   private boolean canContinueStream() {
     return !exchange.isResponseStarted() || lastEventId != null;
   }
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/model/RoutingConfigurationTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/model/RoutingConfigurationTest.java
@@ -28,7 +28,7 @@
   private static Route route(
       String name, String prefix, List<ServiceShare> shares, boolean anonymous) {
     return new Route(
-        name, "h.example", prefix, RequestKind.STREAM, 1, 1, 1, shares, 1, anonymous, true);
+        name, "h.example", prefix, RequestKind.STREAM, 1, 1, 1, shares, 1, anonymous, true, 1);
   }
 
   @Nested
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/queueing/WaitingQueueTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/queueing/WaitingQueueTest.java
@@ -18,7 +18,14 @@
   private void add(String name, long arrivedMs, int priority) {
     queue.add(
         new WaitingRequest<>(
-            name, ms(arrivedMs), ms(arrivedMs + 400), ms(arrivedMs + 6_000), priority, "", 50));
+            name,
+            ms(arrivedMs),
+            ms(arrivedMs + 400),
+            ms(arrivedMs + 6_000),
+            ms(arrivedMs + 2_400),
+            priority,
+            "",
+            50));
   }
 
   private String poll(long nowMs) {
@@ -73,6 +80,17 @@
     assertThat(queue.size()).isEqualTo(1);
   }
 
+  // Guards against sending a stream so late that its caller leaves before the first event.
+  @Test
+  void removesRequestsWhoseCallersLeaveSoon() {
+    add("leaving", 0, 1);
+    add("new", 1_000, 1);
+    assertThat(queue.removeUnanswerable(ms(1_900))).isEmpty();
+    assertThat(queue.removeUnanswerable(ms(1_901)))
+        .extracting(WaitingRequest::item)
+        .containsExactly("leaving");
+  }
+
   // Guards against keeping a late request until its deadline while newer ones are served before it.
   // If it is refused earlier, its caller has time to retry.
   @Test
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/model/Route.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/model/Route.java
@@ -16,6 +16,8 @@
  * @param maxAttempts largest number of endpoints to which one attempt of a caller may be sent
  * @param anonymous true if callers need no API key
  * @param resumable true if another endpoint can continue a stream that broke off
+ * @param callerPatienceMs time after which callers leave if they have received nothing, in
+ *     milliseconds
  */
 public record Route(
     String name,
@@ -28,7 +30,8 @@
     List<ServiceShare> shares,
     int maxAttempts,
     boolean anonymous,
-    boolean resumable) {
+    boolean resumable,
+    int callerPatienceMs) {
   /** Creates a route with an unmodifiable copy of the list of services. */
   public Route {
     shares = List.copyOf(shares);
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/WaitingQueue.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/WaitingQueue.java
@@ -19,8 +19,8 @@
  * @param <T> type of the object that is attached to a request
  */
 public final class WaitingQueue<T> {
-  /** Shortest time until the deadline in which a request can still be answered, in nanoseconds. */
-  private static final long MIN_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  /** Shortest time until its caller leaves in which a request can be answered, in nanoseconds. */
+  public static final long MIN_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   /**
    * Largest wait of a request that has missed its goal, as a fraction of the time from its arrival
@@ -97,8 +97,8 @@
     Iterator<WaitingRequest<T>> requests = waiting.iterator();
     while (requests.hasNext()) {
       WaitingRequest<T> request = requests.next();
-      boolean deadlineTooNear = request.deadlineAt() - now < MIN_ANSWER_NANOS;
-      if (deadlineTooNear || hasWaitedTooLong(request, now)) {
+      boolean leavesTooSoon = request.leavesAt() - now < MIN_ANSWER_NANOS;
+      if (leavesTooSoon || hasWaitedTooLong(request, now)) {
         requests.remove();
         unanswerable.add(request);
       }
