--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
@@ -14,14 +14,6 @@
   private final CountDownLatch secondArrived = new CountDownLatch(1);
   private final CountDownLatch end = new CountDownLatch(1);
 
-  private static void await(CountDownLatch latch) {
-    try {
-      assertThat(latch.await(10, TimeUnit.SECONDS)).isTrue();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   @Nested
   class Timeout {
     // Guards against a deadline that leaves out the wait for the requests before it.
@@ -30,17 +22,17 @@
       ScriptedHttpEndpoint.Script script =
           (request, connection) -> {
             (request.id().equals("first") ? firstArrived : secondArrived).countDown();
-            await(end);
+            Latches.await(end);
             connection.respond(200, request.id(), "proof: p\r\n", "good");
           };
       try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
           GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
         RawCaller caller = RawCaller.connect(fixture, 1_000);
         caller.send("POST", "/post/a", "first", "second");
-        await(firstArrived);
+        Latches.await(firstArrived);
         time.advance(600, TimeUnit.MILLISECONDS);
         end.countDown();
-        await(secondArrived);
+        Latches.await(secondArrived);
         String remaining = endpoint.requests().get(1).headers().get("remaining");
         assertThat(Long.parseLong(remaining)).isLessThanOrEqualTo(400);
       }
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnreadAnswerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnreadAnswerTest.java
@@ -23,7 +23,7 @@
       throws IOException {
     if (request.id().equals("slow")) {
       arrived.countDown();
-      await(stalled);
+      Latches.await(stalled);
     }
     connection.respond(200, request.id(), "proof: p\r\n", "good");
     if (request.id().equals("slow")) {
@@ -32,24 +32,16 @@
     }
   }
 
-  private static void await(CountDownLatch latch) {
-    try {
-      assertThat(latch.await(10, TimeUnit.SECONDS)).isTrue();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private HttpResponse<String> answerAfterStall(GatewayFixture fixture, long stallMs)
       throws Exception {
     CompletableFuture<HttpResponse<String>> answer =
         fixture.sendAsync("GET", "/get/a", "slow", "timeout", "1000");
-    await(arrived);
+    Latches.await(arrived);
     fixture.whileProcessing(
         "stall",
         () -> {
           stalled.countDown();
-          await(answered);
+          Latches.await(answered);
           time.advance(stallMs, TimeUnit.MILLISECONDS);
         });
     assertThat(fixture.send("GET", "/get/a", "stall").statusCode()).isEqualTo(200);
