--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnreadAnswerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnreadAnswerTest.java
@@ -34,7 +34,7 @@
 
   private HttpResponse<String> answerAfterStall(GatewayFixture fixture, long stallMs)
       throws Exception {
-    CompletableFuture<HttpResponse<String>> answer =
+    final CompletableFuture<HttpResponse<String>> answer =
         fixture.sendAsync("GET", "/get/a", "slow", "timeout", "1000");
     Latches.await(arrived);
     fixture.whileProcessing(
