Log the prompt parts of requests whose attempts fail

The log does not tell what broken requests have in common. Change: the line "attempt failed" has the parts of the prompt that other requests may share, and the time for which the engine had been writing. Decisions are unchanged.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -30,6 +31,7 @@
       action.run();
     }
     String timeout = request.headers().get("timeout");
+    String parts = request.headers().get("parts");
     return new RequestMetadata(
         request.headers().get("id", ""),
         request.headers().get(HttpHeaderNames.HOST, ""),
@@ -39,7 +41,8 @@
         100,
         100,
         OptionalInt.empty(),
-        Optional.ofNullable(request.headers().get("resume")));
+        Optional.ofNullable(request.headers().get("resume")),
+        parts == null ? List.of() : List.of(parts.split(",")));
   }
 
   @Override
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -40,6 +40,8 @@
   private boolean streaming;
   private boolean prefillEnded;
   private boolean finished;
+  private boolean writing;
+  private long firstEventAt;
   private Scheduler.Cancellable silenceTimer;
 
   EndpointAttempt(
@@ -145,6 +147,20 @@
     }
   }
 
+  private void recordEvent() {
+    if (!writing) {
+      writing = true;
+      firstEventAt = router.state().clock().nanoTime();
+    }
+  }
+
+  /** Returns the time since the first event of this attempt, in milliseconds; -1 without events. */
+  long writingMs() {
+    return writing
+        ? TimeUnit.NANOSECONDS.toMillis(router.state().clock().nanoTime() - firstEventAt)
+        : -1;
+  }
+
   @Override
   public String requestId() {
     return proxiedRequest.metadata().id();
@@ -187,6 +203,7 @@
         return;
       }
       markPromptRead();
+      recordEvent();
       restartSilenceTimer(NEXT_EVENT_TIMEOUT_MS);
       if (!proxiedRequest.exchange().isResponseStarted()) {
         proxiedRequest.startStream(head.status(), headers);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -236,6 +236,7 @@
 
   /** Retries the request or ends it, after an attempt without a complete response. */
   void attemptFailed(EndpointState endpoint, AttemptOutcome outcome, String cause) {
+    final long writingMs = attempt.writingMs();
     attempt = null;
     router.metrics().recordFailedAttempt(outcome);
     LOG.atInfo()
@@ -245,6 +246,8 @@
         .addKeyValue("cause", cause)
         .addKeyValue("attempt", attemptCount)
         .addKeyValue("failureScore", Math.round(endpoint.failureScore(now()) * 100) / 100.0)
+        .addKeyValue("writingMs", writingMs)
+        .addKeyValue("promptParts", String.join(",", metadata.sharedPromptParts()))
         .log("attempt failed");
     if (finished) {
       return;
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/model/RequestMetadata.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/model/RequestMetadata.java
@@ -1,5 +1,6 @@
 package org.clementineford.serving.model;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -17,6 +18,8 @@
  * @param maxAnswerTokens largest number of answer tokens; 0 if not sent
  * @param expectedTokens caller's estimate of the number of answer tokens; empty if not sent
  * @param resumeAfter ID of the last stream event that the caller received; empty if not sent
+ * @param sharedPromptParts IDs of the parts of the prompt that other requests may share, in the
+ *     order of the prompt; the last part belongs to this request alone and is left out
  */
 public record RequestMetadata(
     String id,
@@ -27,4 +30,10 @@
     int promptTokens,
     int maxAnswerTokens,
     OptionalInt expectedTokens,
-    Optional<String> resumeAfter) {}
+    Optional<String> resumeAfter,
+    List<String> sharedPromptParts) {
+  /** Creates metadata with an unmodifiable copy of the list of parts. */
+  public RequestMetadata {
+    sharedPromptParts = List.copyOf(sharedPromptParts);
+  }
+}
