--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ScriptedHttpEndpoint.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ScriptedHttpEndpoint.java
@@ -23,6 +23,7 @@
   private final Script script;
   private final Thread accepting = new Thread(this::accept, "endpoint");
   private final List<Thread> serving = Collections.synchronizedList(new ArrayList<>());
+  private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
   private final List<Request> requests = Collections.synchronizedList(new ArrayList<>());
 
   /** Handles the requests of an endpoint. */
@@ -87,6 +88,14 @@
     return new HostPort("127.0.0.1", server.getLocalPort());
   }
 
+  /** Ends the endpoint as a crash does: it accepts no connections, and the open ones close. */
+  void crash() throws IOException {
+    server.close();
+    for (Socket socket : List.copyOf(sockets)) {
+      socket.close();
+    }
+  }
+
   /** Waits until all connections accepted so far have ended. */
   void awaitConnectionsEnded() throws InterruptedException {
     for (Thread connection : List.copyOf(serving)) {
@@ -102,6 +111,7 @@
     while (!server.isClosed()) {
       try {
         Socket socket = server.accept();
+        sockets.add(socket);
         Thread connection = new Thread(() -> serve(socket), "endpoint connection");
         connection.setDaemon(true);
         serving.add(connection);
