--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -117,6 +117,15 @@
     return peers.size();
   }
 
+  /**
+   * Returns the addresses of the peers.
+   *
+   * @return addresses of the entry VMs known since the start, without this one
+   */
+  public List<HostPort> peers() {
+    return List.copyOf(peers);
+  }
+
   /** Requests the copies that are stale from up to two peers, beginning at a random one. */
   private void requestStaleCopies() {
     long now = clock.nanoTime();
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -34,6 +34,7 @@
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.model.ServiceShare;
+import org.clementineford.serving.quarantine.PromptQuarantine;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.transport.EventLoopScheduler;
 
@@ -95,6 +96,7 @@
             () -> 0,
             configurationAge::get,
             () -> 1,
+            new PromptQuarantine(clock),
             new PrometheusRegistry());
     address = gateway.start(any);
     List<Endpoint> listed = new ArrayList<>();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -3,8 +3,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.DoubleSupplier;
@@ -13,6 +15,7 @@
 import org.clementineford.fleet.DirectoryDecoder;
 import org.clementineford.fleet.DirectoryExchange;
 import org.clementineford.fleet.DirectorySync;
+import org.clementineford.fleet.QuarantineExchange;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.gateway.internal.Gateway;
 import org.clementineford.kernel.HostPort;
@@ -23,6 +26,7 @@
 import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.serving.model.Endpoint;
+import org.clementineford.serving.quarantine.PromptQuarantine;
 import org.clementineford.transport.EventLoopScheduler;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
@@ -93,6 +97,7 @@
   private final DirectorySync directorySync;
   private final DirectoryExchange directoryExchange;
   private final Gateway gateway;
+  private final QuarantineExchange quarantineExchange;
   private DatagramLink datagrams;
 
   /**
@@ -137,6 +142,7 @@
             random,
             settings.peerAddress(),
             STALE_COPY_MS);
+    PromptQuarantine quarantine = new PromptQuarantine(stalenessClock);
     this.gateway =
         new Gateway(
             settings,
@@ -147,7 +153,16 @@
             random,
             this::configurationAgeNanos,
             this::estimateEntryVms,
+            quarantine,
             registry);
+    this.quarantineExchange =
+        new QuarantineExchange(
+            quarantine,
+            this::datagramMembers,
+            (member, datagram) -> datagrams.send(member, datagram),
+            stalenessClock,
+            random,
+            gateway::quarantineChanged);
   }
 
   /**
@@ -196,6 +211,7 @@
     directorySync.watch(ObjectKind.ENDPOINTS, ENDPOINTS_WATCH_TIMEOUT_MS, ENDPOINTS_WATCH_PAUSE_MS);
     directorySync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_INTERVAL_MS);
     directoryExchange.start();
+    quarantineExchange.start(new EventLoopScheduler(eventLoops));
     directory
         .register(settings.vm(), settings.peerAddress().toString())
         .whenComplete(
@@ -210,6 +226,16 @@
             });
   }
 
+  /** Returns the datagram addresses of the other entry VMs and of the endpoint VMs. */
+  private List<HostPort> datagramMembers() {
+    Set<String> hosts = new LinkedHashSet<>();
+    directoryExchange.peers().forEach(peer -> hosts.add(peer.host()));
+    gateway.engines().forEach(engine -> hosts.add(engine.address().host()));
+    return hosts.stream()
+        .map(host -> new HostPort(host, settings.datagramAddress().port()))
+        .toList();
+  }
+
   /** Returns an upper estimate of the number of entry VMs, since some may not be known yet. */
   private int estimateEntryVms() {
     return Math.max(
@@ -262,6 +288,8 @@
     if (datagram.isSetReport()) {
       EngineReport report = datagram.getReport();
       gateway.onReport(sender.host(), report);
+    } else if (datagram.isSetPromptParts()) {
+      quarantineExchange.onMessage(sender, datagram.getPromptParts());
     }
   }
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -1,6 +1,7 @@
 package org.clementineford.gateway.internal;
 
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +27,13 @@
   /** Part of the remaining time after which an idempotent request is retried elsewhere. */
   private static final double IDEMPOTENT_TIMEOUT_FRACTION = 0.45;
 
+  /**
+   * Time of writing after which an engine is not expected to crash on the prompt, in milliseconds.
+   * A prompt that crashes it does so when the first tokens are generated, within a pass or two of
+   * about 100 ms under full load.
+   */
+  private static final long SOUND_WRITING_MS = 400;
+
   private static final int MIN_SERVER_ERROR_STATUS = 500;
 
   private final ProxiedRequest proxiedRequest;
@@ -41,6 +49,8 @@
   private boolean prefillEnded;
   private boolean finished;
   private boolean writing;
+  private boolean sound;
+  private boolean complete;
   private long firstEventAt;
   private Scheduler.Cancellable silenceTimer;
 
@@ -151,9 +161,21 @@
     if (!writing) {
       writing = true;
       firstEventAt = router.state().clock().nanoTime();
+    } else if (!sound && writingMs() >= SOUND_WRITING_MS) {
+      recordSound();
     }
   }
 
+  private void recordSound() {
+    sound = true;
+    router.prompts().answered(proxiedRequest);
+  }
+
+  /** Returns whether the engine has answered, or has been writing for a while. */
+  boolean isSound() {
+    return sound;
+  }
+
   /** Returns the time since the first event of this attempt, in milliseconds; -1 without events. */
   long writingMs() {
     return writing
@@ -218,6 +240,8 @@
     if (finished) {
       return;
     }
+    // The end of the connection may be a crash; only a length or a last chunk shows completeness.
+    complete = hasDeclaredEnd();
     if (streaming) {
       endStream();
     } else if (head.notRun() || head.misdirected()) {
@@ -231,6 +255,11 @@
     }
   }
 
+  private boolean hasDeclaredEnd() {
+    return headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        || headers.contains(HttpHeaderNames.TRANSFER_ENCODING);
+  }
+
   private void endBuffered() {
     boolean failure = head.status() >= MIN_SERVER_ERROR_STATUS;
     if (continuesStream || (failure && proxiedRequest.mayRetryFailureResponse())) {
@@ -242,6 +271,9 @@
     }
     finish();
     endpoint.answered(router.state().clock().nanoTime());
+    if (complete && !failure) {
+      recordSound();
+    }
     proxiedRequest.forwardResponse(head.status(), headers, bufferedBody.toByteArray());
   }
 
@@ -255,9 +287,20 @@
     }
     finish();
     endpoint.answered(router.state().clock().nanoTime());
+    if (complete) {
+      recordSound();
+    }
     proxiedRequest.endStream();
   }
 
+  @Override
+  public void onConnectionFailure(boolean refused, String cause) {
+    if (refused) {
+      router.prompts().refusedConnection(endpoint);
+    }
+    onFailure(AttemptOutcome.NOT_CONNECTED, cause);
+  }
+
   @Override
   public void onFailure(AttemptOutcome outcome, String cause) {
     if (finished) {
@@ -268,6 +311,9 @@
       router.pool().closeIdle(endpoint);
     }
     endpoint.failed(outcome, router.state().clock().nanoTime());
+    if (outcome == AttemptOutcome.BROKEN && !complete && !sound) {
+      router.prompts().interrupted(proxiedRequest, endpoint);
+    }
     proxiedRequest.attemptFailed(endpoint, outcome, cause);
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -88,6 +88,14 @@
     channel.writeAndFlush(request);
   }
 
+  /** Keeps a new connection for a request to come. */
+  void becomeIdle() {
+    idleSince = clock.nanoTime();
+    if (channel.isActive()) {
+      idleConnections.add(this);
+    }
+  }
+
   /** Resets the connection without notifying the request in progress. */
   void cancel() {
     listener = null;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
@@ -5,18 +5,21 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.gateway.RequestProtocol;
-import org.clementineford.serving.routing.AttemptOutcome;
 import org.clementineford.serving.routing.EndpointState;
 
 /** Pool of connections to endpoints that are reused between requests. Not thread-safe. */
@@ -76,6 +79,48 @@
       IdleConnections idle,
       FullHttpRequest request,
       EndpointResponseListener listener) {
+    open(
+        endpoint,
+        idle,
+        (connection, failure) -> {
+          if (connection != null) {
+            input.runAfterPoll(() -> connection.send(request, listener));
+          } else {
+            request.release();
+            listener.onConnectionFailure(isRefused(failure), failure.getMessage());
+          }
+        });
+  }
+
+  /**
+   * Opens a connection without a request, to find out whether an endpoint still runs. The
+   * connection is kept for the next request.
+   *
+   * @param onResult receives true if the endpoint's host refused the connection, so that no process
+   *     listens there; false if it was accepted or there was no response
+   */
+  void probe(EndpointState endpoint, Consumer<Boolean> onResult) {
+    IdleConnections idle = idleConnections.computeIfAbsent(endpoint, key -> new IdleConnections());
+    open(
+        endpoint,
+        idle,
+        (connection, failure) -> {
+          if (connection != null) {
+            connection.becomeIdle();
+          }
+          onResult.accept(connection == null && isRefused(failure));
+        });
+  }
+
+  private static boolean isRefused(Throwable failure) {
+    return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+  }
+
+  /** Opens a connection, and passes it or the cause of the failure on; the other one is null. */
+  private void open(
+      EndpointState endpoint,
+      IdleConnections idle,
+      BiConsumer<EndpointConnection, Throwable> onResult) {
     EndpointResponseDecoder decoder = new EndpointResponseDecoder();
     ResponseLimit limit = new ResponseLimit(receivedBytes);
     EndpointConnection connection = new EndpointConnection(protocol, clock, idle, decoder, limit);
@@ -95,10 +140,9 @@
         .addListener(
             (ChannelFuture connected) -> {
               if (connected.isSuccess()) {
-                input.runAfterPoll(() -> connection.send(request, listener));
+                onResult.accept(connection, null);
               } else {
-                request.release();
-                listener.onFailure(AttemptOutcome.NOT_CONNECTED, connected.cause().getMessage());
+                onResult.accept(null, connected.cause());
               }
             });
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointResponseListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointResponseListener.java
@@ -24,6 +24,13 @@
   /** Called when the response is complete. No other method is called afterwards. */
   void onEnd();
 
+  /**
+   * Called when no connection could be opened. No other method is called afterwards.
+   *
+   * @param refused true if no process listens at the address of the endpoint
+   */
+  void onConnectionFailure(boolean refused, String cause);
+
   /** Called when the response cannot be completed. No other method is called afterwards. */
   void onFailure(AttemptOutcome outcome, String cause);
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
@@ -20,6 +20,8 @@
    * connections to an endpoint is reached.
    */
   OVERLOADED(503),
+  /** Engines crash on a part of the prompt. */
+  PROMPT_QUARANTINED(503),
   /** Every attempt failed without running the request, and no further attempt is made. */
   REJECTED(503),
   /**
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -22,6 +22,7 @@
 import org.clementineford.serving.model.EngineProfile;
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
+import org.clementineford.serving.quarantine.PromptQuarantine;
 import org.clementineford.serving.routing.EndpointLoad;
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.serving.routing.MinimumWeightVersion;
@@ -49,6 +50,7 @@
   private final IntSupplier entryVms;
   private final EndpointConnectionPool pool;
   private final RequestRouter router;
+  private final PromptGuard prompts;
   private final CallerListener listener;
   private final EventLoopMonitor eventLoopMonitor;
   private final Map<String, EndpointState> enginesByHost = new HashMap<>();
@@ -69,6 +71,7 @@
    * @param configurationAge time since the configuration was last confirmed to be current, in
    *     nanoseconds
    * @param entryVms number of entry VMs that share limits such as the connections to an endpoint
+   * @param quarantine prompt parts that crash engines
    * @param registry registry of metrics
    */
   public Gateway(
@@ -80,6 +83,7 @@
       DoubleSupplier random,
       LongSupplier configurationAge,
       IntSupplier entryVms,
+      PromptQuarantine quarantine,
       PrometheusRegistry registry) {
     this.state = new GatewayState(settings, clock, random, entryVms);
     this.eventLoops = eventLoops;
@@ -88,7 +92,9 @@
     EventLoopInput input = new EventLoopInput(eventLoops, scheduler, clock);
     this.pool = new EndpointConnectionPool(eventLoops, protocol, clock, input);
     GatewayMetrics metrics = new GatewayMetrics(registry);
-    this.router = new RequestRouter(state, protocol, pool, input, configurationAge, metrics);
+    this.prompts = new PromptGuard(quarantine, pool, metrics);
+    this.router =
+        new RequestRouter(state, protocol, pool, input, configurationAge, metrics, prompts);
     this.eventLoopMonitor =
         new EventLoopMonitor(clock, TimeUnit.MILLISECONDS.toNanos(DISPATCH_INTERVAL_MS), metrics);
     scheduler.scheduleWithFixedDelay(
@@ -262,6 +268,11 @@
     router.dispatchWaiting(engine.endpoint().service());
   }
 
+  /** Applies the quarantine to requests in progress, after records of other VMs were added. */
+  public void quarantineChanged() {
+    prompts.update();
+  }
+
   /** Closes the connections of callers that have exceeded the idle timeout. */
   public void closeIdle() {
     requestsInProgress = router.requestsInProgress();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
@@ -1,6 +1,7 @@
 package org.clementineford.gateway.internal;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import org.clementineford.serving.routing.AttemptOutcome;
@@ -16,6 +17,7 @@
 
   private final Counter requests;
   private final Counter failedAttempts;
+  private final Gauge quarantinedParts;
   private final Histogram firstAnswerLatency;
   private final Histogram eventLoopLateness;
 
@@ -32,6 +34,11 @@
             .help("Sends to endpoints that brought no answer, by outcome")
             .labelNames("outcome")
             .register(registry);
+    quarantinedParts =
+        Gauge.builder()
+            .name("clementineford_entry_quarantined_prompt_parts")
+            .help("Parts of prompts that no engine receives, since engines crash on them")
+            .register(registry);
     firstAnswerLatency =
         Histogram.builder()
             .name("clementineford_entry_first_answer_seconds")
@@ -56,6 +63,10 @@
     failedAttempts.labelValues(outcome.name()).inc();
   }
 
+  void recordQuarantinedParts(int parts) {
+    quarantinedParts.set(parts);
+  }
+
   void recordEventLoopLateness(long lateMs) {
     eventLoopLateness.observe(lateMs / MILLIS_PER_SECOND);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -79,6 +79,12 @@
       failOrRefuse(rejected.get());
       return;
     }
+    Optional<String> quarantinedPart = router.prompts().quarantinedPart(this);
+    if (quarantinedPart.isPresent()) {
+      refuseQuarantined(quarantinedPart.get());
+      return;
+    }
+    router.prompts().started(this);
     deadlineTimer =
         router.input().schedule(this::onDeadline, deadlineAt - now(), TimeUnit.NANOSECONDS);
     router.state().retryBudget(service).countRequest(now());
@@ -261,6 +267,7 @@
     if (repeatable
         && canContinueStream()
         && callerWaitsForAnswer()
+        && router.prompts().mayRetry(this)
         && attemptCount < route.maxAttempts()
         && hasRetryBudget(outcome)) {
       router.place(this);
@@ -274,6 +281,25 @@
     }
   }
 
+  /** Ends the request, unless an engine has shown that its prompt is sound. */
+  void partQuarantined(String part) {
+    if (finished || (attempt != null && attempt.isSound())) {
+      return;
+    }
+    if (attempt != null) {
+      mayHaveRun |= attempt.isSent();
+      attempt.cancel();
+      attempt = null;
+    }
+    router.removeFromQueue(this);
+    refuseQuarantined(part);
+  }
+
+  private void refuseQuarantined(String part) {
+    trace.recordQuarantinedPart(part);
+    refuse(FailureReason.PROMPT_QUARANTINED, router.prompts().retryAfterSeconds(this, part));
+  }
+
   /** Returns whether a stream sent now can bring an event before its caller leaves. */
   private boolean callerWaitsForAnswer() {
     return route.kind() != RequestKind.STREAM
@@ -379,7 +405,7 @@
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
-    router.requestEnded();
+    router.requestEnded(this);
     router.metrics().recordEnd(ending);
     trace
         .addTo(LOG.atInfo().addKeyValue("request", metadata.id()).addKeyValue("ending", ending))
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -23,6 +23,7 @@
   private final EventLoopInput input;
   private final LongSupplier configurationAge;
   private final GatewayMetrics metrics;
+  private final PromptGuard prompts;
   private final Map<String, EngineQueue> queues = new HashMap<>();
   private int requestsInProgress;
 
@@ -32,13 +33,15 @@
       EndpointConnectionPool pool,
       EventLoopInput input,
       LongSupplier configurationAge,
-      GatewayMetrics metrics) {
+      GatewayMetrics metrics,
+      PromptGuard prompts) {
     this.state = state;
     this.protocol = protocol;
     this.pool = pool;
     this.input = input;
     this.configurationAge = configurationAge;
     this.metrics = metrics;
+    this.prompts = prompts;
   }
 
   GatewayState state() {
@@ -61,13 +64,18 @@
     return metrics;
   }
 
+  PromptGuard prompts() {
+    return prompts;
+  }
+
   /** Returns the number of requests without a final response. */
   int requestsInProgress() {
     return requestsInProgress;
   }
 
-  void requestEnded() {
+  void requestEnded(ProxiedRequest request) {
     requestsInProgress--;
+    prompts.ended(request);
   }
 
   /** Accepts a request that was read completely. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestTrace.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestTrace.java
@@ -16,6 +16,7 @@
   private long reportNumberAtSend = -1;
   private long predictedWaitMs = -1;
   private double retryAfterSeconds;
+  private String quarantinedPart = "";
 
   RequestTrace(NanoClock clock, long arrivedAt) {
     this.clock = clock;
@@ -49,6 +50,10 @@
     retryAfterSeconds = seconds;
   }
 
+  void recordQuarantinedPart(String part) {
+    quarantinedPart = part;
+  }
+
   /** Adds the recorded values to a log line. */
   LoggingEventBuilder addTo(LoggingEventBuilder line) {
     long totalMs = ageMs();
@@ -61,6 +66,7 @@
         .addKeyValue("report", reportNumberAtSend)
         .addKeyValue("predictedWaitMs", predictedWaitMs)
         .addKeyValue("retryAfterSeconds", Math.round(retryAfterSeconds * 100) / 100.0)
+        .addKeyValue("quarantinedPart", quarantinedPart)
         .addKeyValue("weights", lastEndpoint == null ? -1 : lastEndpoint.weightVersion());
   }
 }
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
@@ -160,6 +160,7 @@
             new HttpOrigin(client(eventLoops)),
             eventLoops,
             SystemNanoClock.INSTANCE,
+            new SuspensionAwareClock(SystemNanoClock.INSTANCE, SystemEpochClock.INSTANCE),
             SystemEpochClock.INSTANCE.time());
     vm.start();
     Runtime.getRuntime().addShutdownHook(shutdownThread(vm::stop));
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/EndpointVm.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/EndpointVm.java
@@ -25,6 +25,7 @@
    * @param weights client of the weight origin
    * @param eventLoops event loop group with one thread
    * @param clock monotonic clock
+   * @param stalenessClock monotonic clock that also counts the time for which the VM was suspended
    * @param incarnation number that increases with each start of this process
    */
   public EndpointVm(
@@ -35,10 +36,19 @@
       WeightOrigin weights,
       EventLoopGroup eventLoops,
       NanoClock clock,
+      NanoClock stalenessClock,
       long incarnation) {
     this.process =
         new EndpointVmProcess(
-            settings, directory, decoder, engine, weights, eventLoops, clock, incarnation);
+            settings,
+            directory,
+            decoder,
+            engine,
+            weights,
+            eventLoops,
+            clock,
+            stalenessClock,
+            incarnation);
   }
 
   /**
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -11,6 +11,7 @@
 import org.clementineford.fleet.DirectoryDecoder;
 import org.clementineford.fleet.DirectoryExchange;
 import org.clementineford.fleet.DirectorySync;
+import org.clementineford.fleet.QuarantineExchange;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
@@ -26,6 +27,7 @@
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.model.WeightTarget;
+import org.clementineford.serving.quarantine.PromptQuarantine;
 import org.clementineford.transport.EventLoopScheduler;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
@@ -90,6 +92,7 @@
   private final ChunkServer chunkServer;
   private final EngineReports reports;
   private final HoldingsAnnouncer holdingsAnnouncer;
+  private final QuarantineExchange quarantineExchange;
   private final Map<String, VmIdentity> replicas = new HashMap<>();
   private HostPort origin;
   private long refreshedAt;
@@ -107,6 +110,7 @@
    * @param weights client of the weight origin
    * @param eventLoops event loop group with one thread
    * @param clock monotonic clock
+   * @param stalenessClock monotonic clock that also counts the time for which the VM was suspended
    * @param incarnation number that increases with each start of this process
    */
   public EndpointVmProcess(
@@ -117,6 +121,7 @@
       WeightOrigin weights,
       EventLoopGroup eventLoops,
       NanoClock clock,
+      NanoClock stalenessClock,
       long incarnation) {
     this.settings = settings;
     this.decoder = decoder;
@@ -157,6 +162,14 @@
     this.holdingsAnnouncer =
         new HoldingsAnnouncer(
             rollout, clock, context.self(), settings.datagramAddress().port(), this::send);
+    this.quarantineExchange =
+        new QuarantineExchange(
+            new PromptQuarantine(stalenessClock),
+            List::of,
+            this::send,
+            stalenessClock,
+            () -> 0,
+            () -> {});
   }
 
   /** Returns the identity of an endpoint VM, whose host is its name since no list names it. */
@@ -282,6 +295,8 @@
       rollout.updateTarget(
           holdings.getModel(), holdings.getVersion(), clock.nanoTime(), targetsListed);
       holdingsReceived(sender, holdings);
+    } else if (datagram.isSetPromptParts()) {
+      quarantineExchange.onMessage(sender, datagram.getPromptParts());
     }
   }
 
--- /dev/null
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/quarantine/PromptQuarantineTest.java
@@ -0,0 +1,191 @@
+package org.clementineford.serving.quarantine;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.testing.VirtualTime;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PromptQuarantineTest {
+  private static final String SERVICE = "pool";
+
+  private final VirtualTime time = new VirtualTime(0);
+  private final PromptQuarantine quarantine = new PromptQuarantine(time);
+
+  private void answered(String... parts) {
+    quarantine.answered(SERVICE, List.of(parts));
+  }
+
+  private void interrupted(String engine, String request, String... parts) {
+    quarantine.interrupted(engine, request, SERVICE, List.of(parts));
+  }
+
+  private void crash(String engine, String request, String... parts) {
+    interrupted(engine, request, parts);
+    quarantine.crashed(engine);
+    time.advance(10, TimeUnit.MILLISECONDS);
+  }
+
+  private boolean isQuarantined(String part) {
+    return quarantine.quarantinedPart(SERVICE, List.of(part)).isPresent();
+  }
+
+  @Nested
+  class QueryOfDeath {
+    // Guards against sending a prompt on while its part has ended three engines.
+    @Test
+    void isQuarantinedAfterThreeCrashes() {
+      crash("e1", "r1", "shared", "bad");
+      crash("e2", "r1", "shared", "bad");
+      assertThat(isQuarantined("bad")).isFalse();
+      answered("shared", "x");
+      crash("e3", "r2", "shared", "bad");
+      assertThat(quarantine.quarantinedPart(SERVICE, List.of("shared", "bad"))).contains("bad");
+      assertThat(quarantine.quarantinedPart(SERVICE, List.of("shared", "x"))).isEmpty();
+      assertThat(quarantine.quarantinedPart("other", List.of("bad"))).isEmpty();
+    }
+
+    // Guards against a third engine for a request that has lost two, before crashes are confirmed.
+    @Test
+    void isNotRetriedAfterTwoLostEngines() {
+      interrupted("e1", "r1", "bad");
+      assertThat(quarantine.isSuspect(SERVICE, List.of("bad"))).isFalse();
+      interrupted("e2", "r1", "bad");
+      assertThat(quarantine.isSuspect(SERVICE, List.of("bad"))).isTrue();
+      answered("bad");
+      assertThat(quarantine.isSuspect(SERVICE, List.of("bad"))).isFalse();
+    }
+
+    // Guards against a quarantine that ends while crashes go on, or that never ends.
+    @Test
+    void leavesQuarantineInTimeAndReturnsWithTheNextCrash() {
+      crash("e1", "r1", "bad");
+      crash("e2", "r2", "bad");
+      crash("e3", "r3", "bad");
+      assertThat(quarantine.remainingNanos(SERVICE, "bad")).isPositive();
+      time.advance(9, TimeUnit.MINUTES);
+      assertThat(isQuarantined("bad")).isTrue();
+      time.advance(2, TimeUnit.MINUTES);
+      assertThat(isQuarantined("bad")).isFalse();
+      assertThat(quarantine.quarantined()).isEmpty();
+      crash("e4", "r4", "bad");
+      assertThat(isQuarantined("bad")).isTrue();
+    }
+  }
+
+  @Nested
+  class SoundPart {
+    // Guards against blaming broken answers of engines that go on running.
+    @Test
+    void isNotBlamedForInterruptionsWithoutCrash() {
+      for (int i = 0; i < 10; i++) {
+        interrupted("e" + i, "r" + i, "part");
+        time.advance(3, TimeUnit.SECONDS);
+        quarantine.crashed("e" + i);
+      }
+      assertThat(quarantine.records()).isEmpty();
+    }
+
+    // Guards against refusing the requests of a route because many engines crash at once.
+    @Test
+    void isNotBlamedIfItWasAnsweredShortlyBeforeManyCrashes() {
+      answered("shared");
+      for (int i = 0; i < 10; i++) {
+        crash("e" + i, "r" + i, "shared", "own" + i);
+      }
+      assertThat(quarantine.quarantined()).isEmpty();
+    }
+
+    // Guards against blaming a part that another VM has seen answered since the crashes.
+    @Test
+    void isClearedByAnAnswerThatAnotherVmSaw() {
+      crash("e1", "r1", "part");
+      crash("e2", "r2", "part");
+      crash("e3", "r3", "part");
+      assertThat(isQuarantined("part")).isTrue();
+      quarantine.merge(
+          List.of(
+              new PromptPartRecord(
+                  new PromptPart(SERVICE, "part"), List.of(), OptionalLong.of(time.nanoTime()))));
+      assertThat(isQuarantined("part")).isFalse();
+    }
+
+    // Guards against blaming the neighbours of a query of death, which break with it and are sent
+    // to further engines that it ends.
+    @Test
+    void isNotBlamedForCrashesThatAnotherPartExplains() {
+      crash("e0", "r0", "bad");
+      for (int i = 1; i < 5; i++) {
+        interrupted("e" + i, "s" + (i % 2), "neighbour");
+        crash("e" + i, "r" + i, "bad");
+      }
+      assertThat(isQuarantined("bad")).isTrue();
+      assertThat(isQuarantined("neighbour")).isFalse();
+    }
+
+    // Guards against blaming one request that lost several engines for other reasons.
+    @Test
+    void isNotBlamedForCrashesUnderOneRequest() {
+      crash("e1", "r1", "part");
+      crash("e2", "r1", "part");
+      crash("e3", "r1", "part");
+      assertThat(isQuarantined("part")).isFalse();
+    }
+  }
+
+  @Nested
+  class Records {
+    // Guards against VMs that disagree after they have exchanged their records in any order.
+    @Test
+    void leadToEqualDecisionsWhateverTheirOrder() {
+      for (int seed = 0; seed < 50; seed++) {
+        Random random = new Random(seed);
+        PromptQuarantine one = new PromptQuarantine(time);
+        PromptQuarantine two = new PromptQuarantine(time);
+        for (int i = 0; i < 40; i++) {
+          PromptQuarantine observer = random.nextBoolean() ? one : two;
+          String engine = "e" + random.nextInt(12);
+          observer.interrupted(
+              engine, "r" + random.nextInt(20), SERVICE, List.of("p" + random.nextInt(5)));
+          observer.crashed(engine);
+        }
+        two.merge(one.records());
+        one.merge(two.records());
+        assertThat(one.digest()).as("seed %d", seed).isEqualTo(two.digest());
+        assertThat(one.quarantined()).as("seed %d", seed).isEqualTo(two.quarantined());
+      }
+    }
+
+    // Guards against memory that callers can fill with parts of their own choice.
+    @Test
+    void areBounded() {
+      for (int i = 0; i < 2_000; i++) {
+        crash("e" + i, "r" + i, "p" + i + "x".repeat(1_000));
+        answered("q" + i);
+      }
+      assertThat(quarantine.records()).hasSizeLessThanOrEqualTo(256);
+      assertThat(quarantine.records())
+          .allMatch(each -> each.part().id().length() <= 64 && each.crashes().size() <= 8);
+      for (int i = 0; i < 20; i++) {
+        crash("f" + i, "r" + i, "bad");
+      }
+      assertThat(isQuarantined("bad")).isTrue();
+    }
+
+    // Guards against repeating to other VMs for ever that a part is sound.
+    @Test
+    void ofSoundPartsAreForgotten() {
+      crash("e1", "r1", "part");
+      answered("part");
+      assertThat(quarantine.records()).hasSize(1);
+      time.advance(11, TimeUnit.SECONDS);
+      crash("e2", "r2", "other");
+      assertThat(quarantine.records()).hasSize(1);
+      assertThat(quarantine.recordsChangedSince(0)).hasSize(1);
+    }
+  }
+}
--- /dev/null
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptQuarantine.java
@@ -0,0 +1,419 @@
+package org.clementineford.serving.quarantine;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.NanoClock;
+
+/**
+ * Decides which prompt parts no engine receives, since engines crash when they begin to answer a
+ * prompt with them. Such a request is known as a query of death.
+ *
+ * <p>Every part of a request that an engine held when it crashed is a suspect, unless the engine
+ * had been writing the answer for a while. A part that an engine answers is sound, and crashes
+ * before that no longer count against it. Times are monotonic nanoseconds. Not thread-safe.
+ */
+public final class PromptQuarantine {
+  /** Time after the last crash for which a part stays in quarantine. */
+  private static final long QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(10);
+
+  /**
+   * Time after the last crash for which a part is remembered. A part that leaves quarantine returns
+   * to it with its next crash.
+   */
+  private static final long MEMORY_NANOS = TimeUnit.MINUTES.toNanos(60);
+
+  /**
+   * Time for which a sound answer clears a part of a crash. A part that many requests share is
+   * answered more often than that, so that it is not a suspect when several engines crash at once.
+   */
+  private static final long SOUND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
+
+  /**
+   * Longest time between the end of a connection and the confirmation that its engine crashed. A
+   * new connection is refused at once, or the attempt times out after 500 ms.
+   */
+  private static final long CONFIRMATION_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
+
+  /** Time for which it is remembered, for other VMs, that a part was cleared of its crashes. */
+  private static final long CLEARED_NANOS = TimeUnit.SECONDS.toNanos(10);
+
+  /** Largest number of parts for which crashes are remembered. */
+  private static final int MAX_RECORDS = 256;
+
+  /** Largest number of sound parts that are remembered. */
+  private static final int MAX_SOUND_PARTS = 4_096;
+
+  private static final int MAX_ENGINES = 256;
+
+  /** Largest number of crashes that are remembered of a part. */
+  private static final int MAX_CRASHES = 8;
+
+  private final NanoClock clock;
+  private final Map<PromptPart, TreeMap<Long, EngineCrash>> crashes = new LinkedHashMap<>();
+  private final Map<PromptPart, Long> changedAt = new HashMap<>();
+  private final Map<PromptPart, Long> soundAt = boundedMap(MAX_SOUND_PARTS);
+  private final Map<Long, List<Interruption>> interruptions = boundedMap(MAX_ENGINES);
+  private final Map<Long, Long> crashedAt = boundedMap(MAX_ENGINES);
+  private Set<PromptPart> blamed = Set.of();
+
+  private record Interruption(long request, List<PromptPart> parts, long at) {}
+
+  /**
+   * Creates a quarantine without parts.
+   *
+   * @param clock monotonic clock that counts the time for which this VM was suspended, since other
+   *     VMs learn the ages of crashes
+   */
+  public PromptQuarantine(NanoClock clock) {
+    this.clock = clock;
+  }
+
+  private static <K, V> Map<K, V> boundedMap(int maxEntries) {
+    return new LinkedHashMap<>(16, 0.75f, true) {
+      @Override
+      protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
+        return size() > maxEntries;
+      }
+    };
+  }
+
+  private static List<PromptPart> partsOf(String service, List<String> ids) {
+    return ids.stream().distinct().map(id -> new PromptPart(service, id)).toList();
+  }
+
+  /**
+   * Records that an engine has answered a prompt, or has been writing the answer for long enough to
+   * show that the prompt does not crash it.
+   *
+   * @param service service of the engine
+   * @param partIds IDs of the shared parts of the prompt
+   */
+  public void answered(String service, List<String> partIds) {
+    long now = clock.nanoTime();
+    boolean cleared = false;
+    for (PromptPart part : partsOf(service, partIds)) {
+      cleared |= soundSince(part, now, now);
+    }
+    if (cleared) {
+      updateBlamed(now);
+    }
+  }
+
+  /** Clears a part of the crashes up to a time, and returns whether there were any. */
+  private boolean soundSince(PromptPart part, long at, long now) {
+    soundAt.merge(part, at, Math::max);
+    TreeMap<Long, EngineCrash> known = crashes.get(part);
+    if (known == null || !known.values().removeIf(crash -> crash.at() - at <= 0)) {
+      return false;
+    }
+    changedAt.put(part, now);
+    return true;
+  }
+
+  /**
+   * Records that a connection ended while an engine held a request. The parts of the prompt become
+   * suspects if the engine turns out to have crashed.
+   *
+   * @param engineName ID and incarnation of the engine
+   * @param requestId ID of the request
+   * @param service service of the engine
+   * @param partIds IDs of the shared parts of the prompt
+   */
+  public void interrupted(
+      String engineName, String requestId, String service, List<String> partIds) {
+    long now = clock.nanoTime();
+    List<PromptPart> suspects =
+        partsOf(service, partIds).stream().filter(part -> !isSound(part, now)).toList();
+    if (suspects.isEmpty()) {
+      return;
+    }
+    long engine = Fingerprint.of(engineName);
+    Interruption interruption = new Interruption(Fingerprint.of(requestId), suspects, now);
+    Long crashed = crashedAt.get(engine);
+    if (crashed != null && now - crashed <= CONFIRMATION_NANOS) {
+      addCrash(engine, interruption, now);
+      updateBlamed(now);
+    } else {
+      interruptions.computeIfAbsent(engine, key -> new ArrayList<>()).add(interruption);
+    }
+  }
+
+  private boolean isSound(PromptPart part, long now) {
+    Long at = soundAt.get(part);
+    return at != null && now - at <= SOUND_NANOS;
+  }
+
+  /**
+   * Records that an engine has crashed or stopped.
+   *
+   * @param engineName ID and incarnation of the engine
+   */
+  public void crashed(String engineName) {
+    long now = clock.nanoTime();
+    if (crashed(Fingerprint.of(engineName), now)) {
+      updateBlamed(now);
+    }
+  }
+
+  private boolean crashed(long engine, long now) {
+    crashedAt.putIfAbsent(engine, now);
+    List<Interruption> interrupted = interruptions.remove(engine);
+    if (interrupted == null) {
+      return false;
+    }
+    for (Interruption interruption : interrupted) {
+      if (now - interruption.at() <= CONFIRMATION_NANOS) {
+        addCrash(engine, interruption, now);
+      }
+    }
+    return true;
+  }
+
+  private void addCrash(long engine, Interruption interruption, long now) {
+    for (PromptPart part : interruption.parts()) {
+      addCrash(part, new EngineCrash(engine, interruption.request(), interruption.at()), now);
+    }
+  }
+
+  /** Adds a crash in a way that leads to the same records on all VMs, whatever the order. */
+  private void addCrash(PromptPart part, EngineCrash crash, long now) {
+    Long sound = soundAt.get(part);
+    if (sound != null && crash.at() - sound <= 0) {
+      // Peers that lack the sound answer learn of it with the changed record.
+      changedAt.put(part, now);
+      return;
+    }
+    if (!crashes.containsKey(part) && crashes.size() >= MAX_RECORDS && !removeWeakest()) {
+      return;
+    }
+    TreeMap<Long, EngineCrash> known = crashes.computeIfAbsent(part, key -> new TreeMap<>());
+    EngineCrash previous = known.get(crash.engine());
+    if (previous != null && previous.request() <= crash.request()) {
+      return;
+    }
+    known.put(crash.engine(), crash);
+    if (known.size() > MAX_CRASHES) {
+      long dropped = known.lastKey();
+      known.remove(dropped);
+      if (dropped == crash.engine()) {
+        return;
+      }
+    }
+    changedAt.put(part, now);
+  }
+
+  /** Forgets the oldest part that was in a single crash, and returns whether there was one. */
+  private boolean removeWeakest() {
+    for (Map.Entry<PromptPart, TreeMap<Long, EngineCrash>> entry : crashes.entrySet()) {
+      if (entry.getValue().size() <= 1) {
+        forget(entry.getKey());
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void forget(PromptPart part) {
+    crashes.remove(part);
+    changedAt.remove(part);
+  }
+
+  private void updateBlamed(long now) {
+    Set<PromptPart> outdated = new HashSet<>();
+    changedAt.forEach(
+        (part, at) -> {
+          TreeMap<Long, EngineCrash> known = crashes.getOrDefault(part, new TreeMap<>());
+          boolean cleared = known.isEmpty() && now - at > CLEARED_NANOS;
+          if (cleared || (!known.isEmpty() && now - lastCrashAt(part) > MEMORY_NANOS)) {
+            outdated.add(part);
+          }
+        });
+    outdated.forEach(this::forget);
+    blamed = CrashSuspects.blamed(records());
+  }
+
+  private long lastCrashAt(PromptPart part) {
+    return crashes.get(part).values().stream().mapToLong(EngineCrash::at).max().orElseThrow();
+  }
+
+  /**
+   * Returns the first part of a prompt that is in quarantine.
+   *
+   * @param service service that the request is meant for
+   * @param partIds IDs of the shared parts of the prompt
+   * @return ID of the part; empty if the prompt may be sent to engines
+   */
+  public Optional<String> quarantinedPart(String service, List<String> partIds) {
+    if (blamed.isEmpty()) {
+      return Optional.empty();
+    }
+    long now = clock.nanoTime();
+    return partsOf(service, partIds).stream()
+        .filter(blamed::contains)
+        .filter(part -> remainingNanos(part, now) > 0)
+        .map(PromptPart::id)
+        .findFirst();
+  }
+
+  private long remainingNanos(PromptPart part, long now) {
+    return QUARANTINE_NANOS - (now - lastCrashAt(part));
+  }
+
+  /**
+   * Returns the time until a part may leave quarantine.
+   *
+   * @param service service that the request is meant for
+   * @param partId ID of a part in quarantine
+   * @return time in nanoseconds
+   */
+  public long remainingNanos(String service, String partId) {
+    return Math.max(0, remainingNanos(new PromptPart(service, partId), clock.nanoTime()));
+  }
+
+  /**
+   * Returns the parts in quarantine.
+   *
+   * @return the parts, in no particular order
+   */
+  public Set<PromptPart> quarantined() {
+    long now = clock.nanoTime();
+    Set<PromptPart> parts = new HashSet<>(blamed);
+    parts.removeIf(part -> remainingNanos(part, now) <= 0);
+    return parts;
+  }
+
+  /**
+   * Returns the crashes that count against a part.
+   *
+   * @param part the part
+   * @return crashes of different engines
+   */
+  public List<EngineCrash> crashes(PromptPart part) {
+    return List.copyOf(crashes.getOrDefault(part, new TreeMap<>()).values());
+  }
+
+  /**
+   * Returns the times since the crashes that count against a part.
+   *
+   * @param part the part
+   * @return times in milliseconds
+   */
+  public List<Long> crashAgesMs(PromptPart part) {
+    long now = clock.nanoTime();
+    return crashes(part).stream()
+        .map(crash -> TimeUnit.NANOSECONDS.toMillis(now - crash.at()))
+        .toList();
+  }
+
+  /**
+   * Returns whether a request that lost its engine should not be sent to another one, since a part
+   * of its prompt was in the requests of two engines that crashed or lost their connections.
+   *
+   * @param service service that the request is meant for
+   * @param partIds IDs of the shared parts of the prompt
+   * @return true if another attempt may well crash another engine
+   */
+  public boolean isSuspect(String service, List<String> partIds) {
+    long now = clock.nanoTime();
+    return partsOf(service, partIds).stream()
+        .anyMatch(part -> !isSound(part, now) && lostEngines(part, now) >= 2);
+  }
+
+  private int lostEngines(PromptPart part, long now) {
+    Set<Long> engines = new HashSet<>();
+    TreeMap<Long, EngineCrash> known = crashes.get(part);
+    if (known != null) {
+      engines.addAll(known.keySet());
+    }
+    interruptions.forEach(
+        (engine, interrupted) -> {
+          for (Interruption interruption : interrupted) {
+            if (now - interruption.at() <= CONFIRMATION_NANOS
+                && interruption.parts().contains(part)) {
+              engines.add(engine);
+            }
+          }
+        });
+    return engines.size();
+  }
+
+  /**
+   * Returns all records, to exchange them with other VMs.
+   *
+   * @return records of parts that were in requests of crashed engines
+   */
+  public List<PromptPartRecord> records() {
+    List<PromptPartRecord> records = new ArrayList<>();
+    crashes.keySet().forEach(part -> records.add(record(part)));
+    return records;
+  }
+
+  /**
+   * Returns the records that changed recently.
+   *
+   * @param since time in monotonic nanoseconds
+   * @return records that changed since then; those without crashes tell that a part is sound
+   */
+  public List<PromptPartRecord> recordsChangedSince(long since) {
+    List<PromptPartRecord> records = new ArrayList<>();
+    changedAt.forEach(
+        (part, at) -> {
+          if (at - since >= 0) {
+            records.add(record(part));
+          }
+        });
+    return records;
+  }
+
+  private PromptPartRecord record(PromptPart part) {
+    Collection<EngineCrash> known = crashes.getOrDefault(part, new TreeMap<>()).values();
+    Long sound = soundAt.get(part);
+    return new PromptPartRecord(
+        part, List.copyOf(known), sound == null ? OptionalLong.empty() : OptionalLong.of(sound));
+  }
+
+  /**
+   * Adds records of another VM.
+   *
+   * @param records the records, with times of this VM's clock
+   */
+  public void merge(List<PromptPartRecord> records) {
+    long now = clock.nanoTime();
+    for (PromptPartRecord record : records) {
+      if (record.soundAt().isPresent()) {
+        soundSince(record.part(), record.soundAt().getAsLong(), now);
+      }
+      for (EngineCrash crash : record.crashes()) {
+        addCrash(record.part(), crash, now);
+        crashed(crash.engine(), now);
+      }
+    }
+    updateBlamed(now);
+  }
+
+  /**
+   * Returns a number that differs between VMs, except by chance, if their records do.
+   *
+   * @return the number; 0 without records
+   */
+  public long digest() {
+    long digest = 0;
+    for (Map.Entry<PromptPart, TreeMap<Long, EngineCrash>> entry : crashes.entrySet()) {
+      long part = 31L * entry.getKey().hashCode();
+      for (EngineCrash crash : entry.getValue().values()) {
+        digest += (part ^ crash.engine()) * 0x9E3779B97F4A7C15L + crash.request();
+      }
+    }
+    return digest;
+  }
+}
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
@@ -436,14 +436,14 @@
           case 1: // COPIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list8.size);
-                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem9;
-                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list24.size);
+                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem9 = new DirectoryCopy();
-                  _elem9.read(iprot);
-                  struct.copies.add(_elem9);
+                  _elem25 = new DirectoryCopy();
+                  _elem25.read(iprot);
+                  struct.copies.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -455,13 +455,13 @@
           case 2: // ENTRY_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list11 = iprot.readListBegin();
-                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list11.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem12;
-                for (int _i13 = 0; _i13 < _list11.size; ++_i13)
+                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
+                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list27.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem28;
+                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
                 {
-                  _elem12 = iprot.readString();
-                  struct.entryVms.add(_elem12);
+                  _elem28 = iprot.readString();
+                  struct.entryVms.add(_elem28);
                 }
                 iprot.readListEnd();
               }
@@ -490,9 +490,9 @@
         oprot.writeFieldBegin(COPIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.copies.size()));
-          for (DirectoryCopy _iter14 : struct.copies)
+          for (DirectoryCopy _iter30 : struct.copies)
           {
-            _iter14.write(oprot);
+            _iter30.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -502,9 +502,9 @@
         oprot.writeFieldBegin(ENTRY_VMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.entryVms.size()));
-          for (java.lang.String _iter15 : struct.entryVms)
+          for (java.lang.String _iter31 : struct.entryVms)
           {
-            oprot.writeString(_iter15);
+            oprot.writeString(_iter31);
           }
           oprot.writeListEnd();
         }
@@ -539,18 +539,18 @@
       if (struct.isSetCopies()) {
         {
           oprot.writeI32(struct.copies.size());
-          for (DirectoryCopy _iter16 : struct.copies)
+          for (DirectoryCopy _iter32 : struct.copies)
           {
-            _iter16.write(oprot);
+            _iter32.write(oprot);
           }
         }
       }
       if (struct.isSetEntryVms()) {
         {
           oprot.writeI32(struct.entryVms.size());
-          for (java.lang.String _iter17 : struct.entryVms)
+          for (java.lang.String _iter33 : struct.entryVms)
           {
-            oprot.writeString(_iter17);
+            oprot.writeString(_iter33);
           }
         }
       }
@@ -562,27 +562,27 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list18 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list18.size);
-          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem19;
-          for (int _i20 = 0; _i20 < _list18.size; ++_i20)
+          org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list34.size);
+          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem35;
+          for (int _i36 = 0; _i36 < _list34.size; ++_i36)
           {
-            _elem19 = new DirectoryCopy();
-            _elem19.read(iprot);
-            struct.copies.add(_elem19);
+            _elem35 = new DirectoryCopy();
+            _elem35.read(iprot);
+            struct.copies.add(_elem35);
           }
         }
         struct.setCopiesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list21.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem22;
-          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list37.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem38;
+          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
           {
-            _elem22 = iprot.readString();
-            struct.entryVms.add(_elem22);
+            _elem38 = iprot.readString();
+            struct.entryVms.add(_elem38);
           }
         }
         struct.setEntryVmsIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
@@ -596,14 +596,14 @@
           case 4: // OBJECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                struct.objects = new java.util.ArrayList<DirectoryObject>(_list0.size);
-                @org.apache.thrift.annotation.Nullable DirectoryObject _elem1;
-                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.objects = new java.util.ArrayList<DirectoryObject>(_list16.size);
+                @org.apache.thrift.annotation.Nullable DirectoryObject _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
                 {
-                  _elem1 = new DirectoryObject();
-                  _elem1.read(iprot);
-                  struct.objects.add(_elem1);
+                  _elem17 = new DirectoryObject();
+                  _elem17.read(iprot);
+                  struct.objects.add(_elem17);
                 }
                 iprot.readListEnd();
               }
@@ -643,9 +643,9 @@
         oprot.writeFieldBegin(OBJECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.objects.size()));
-          for (DirectoryObject _iter3 : struct.objects)
+          for (DirectoryObject _iter19 : struct.objects)
           {
-            _iter3.write(oprot);
+            _iter19.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -695,9 +695,9 @@
       if (struct.isSetObjects()) {
         {
           oprot.writeI32(struct.objects.size());
-          for (DirectoryObject _iter4 : struct.objects)
+          for (DirectoryObject _iter20 : struct.objects)
           {
-            _iter4.write(oprot);
+            _iter20.write(oprot);
           }
         }
       }
@@ -721,14 +721,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.objects = new java.util.ArrayList<DirectoryObject>(_list5.size);
-          @org.apache.thrift.annotation.Nullable DirectoryObject _elem6;
-          for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.objects = new java.util.ArrayList<DirectoryObject>(_list21.size);
+          @org.apache.thrift.annotation.Nullable DirectoryObject _elem22;
+          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
           {
-            _elem6 = new DirectoryObject();
-            _elem6.read(iprot);
-            struct.objects.add(_elem6);
+            _elem22 = new DirectoryObject();
+            _elem22.read(iprot);
+            struct.objects.add(_elem22);
           }
         }
         struct.setObjectsIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/FleetDatagram.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/FleetDatagram.java
@@ -12,12 +12,14 @@
   private static final org.apache.thrift.protocol.TField SUBSCRIPTION_FIELD_DESC = new org.apache.thrift.protocol.TField("subscription", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("report", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField HOLDINGS_FIELD_DESC = new org.apache.thrift.protocol.TField("holdings", org.apache.thrift.protocol.TType.STRUCT, (short)3);
+  private static final org.apache.thrift.protocol.TField PROMPT_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("promptParts", org.apache.thrift.protocol.TType.STRUCT, (short)4);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SUBSCRIPTION((short)1, "subscription"),
     REPORT((short)2, "report"),
-    HOLDINGS((short)3, "holdings");
+    HOLDINGS((short)3, "holdings"),
+    PROMPT_PARTS((short)4, "promptParts");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -39,6 +41,8 @@
           return REPORT;
         case 3: // HOLDINGS
           return HOLDINGS;
+        case 4: // PROMPT_PARTS
+          return PROMPT_PARTS;
         default:
           return null;
       }
@@ -90,6 +94,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EngineReport.class)));
     tmpMap.put(_Fields.HOLDINGS, new org.apache.thrift.meta_data.FieldMetaData("holdings", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ChunkHoldings.class)));
+    tmpMap.put(_Fields.PROMPT_PARTS, new org.apache.thrift.meta_data.FieldMetaData("promptParts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PromptPartRecords.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetDatagram.class, metaDataMap);
   }
@@ -128,6 +134,12 @@
     return x;
   }
 
+  public static FleetDatagram promptParts(PromptPartRecords value) {
+    FleetDatagram x = new FleetDatagram();
+    x.setPromptParts(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -147,6 +159,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type ChunkHoldings for field 'holdings', but got " + value.getClass().getSimpleName());
+      case PROMPT_PARTS:
+        if (value instanceof PromptPartRecords) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type PromptPartRecords for field 'promptParts', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -187,6 +204,16 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case PROMPT_PARTS:
+          if (field.type == PROMPT_PARTS_FIELD_DESC.type) {
+            PromptPartRecords promptParts;
+            promptParts = new PromptPartRecords();
+            promptParts.read(iprot);
+            return promptParts;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -211,6 +238,10 @@
         ChunkHoldings holdings = (ChunkHoldings)value_;
         holdings.write(oprot);
         return;
+      case PROMPT_PARTS:
+        PromptPartRecords promptParts = (PromptPartRecords)value_;
+        promptParts.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -236,6 +267,11 @@
           holdings = new ChunkHoldings();
           holdings.read(iprot);
           return holdings;
+        case PROMPT_PARTS:
+          PromptPartRecords promptParts;
+          promptParts = new PromptPartRecords();
+          promptParts.read(iprot);
+          return promptParts;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -259,6 +295,10 @@
         ChunkHoldings holdings = (ChunkHoldings)value_;
         holdings.write(oprot);
         return;
+      case PROMPT_PARTS:
+        PromptPartRecords promptParts = (PromptPartRecords)value_;
+        promptParts.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -273,6 +313,8 @@
         return REPORT_FIELD_DESC;
       case HOLDINGS:
         return HOLDINGS_FIELD_DESC;
+      case PROMPT_PARTS:
+        return PROMPT_PARTS_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -334,6 +376,19 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.HOLDINGS");
   }
 
+  public PromptPartRecords getPromptParts() {
+    if (getSetField() == _Fields.PROMPT_PARTS) {
+      return (PromptPartRecords)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'promptParts' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setPromptParts(PromptPartRecords value) {
+    setField_ = _Fields.PROMPT_PARTS;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.PROMPT_PARTS");
+  }
+
   public boolean isSetSubscription() {
     return setField_ == _Fields.SUBSCRIPTION;
   }
@@ -349,6 +404,11 @@
   }
 
 
+  public boolean isSetPromptParts() {
+    return setField_ == _Fields.PROMPT_PARTS;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof FleetDatagram) {
       return equals((FleetDatagram)other);
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -29,10 +29,32 @@
   4: binary bitmap,
 }
 
+// A crash of an engine while it held a request with a certain part of a prompt.
+struct PromptCrash {
+  1: i64 engine, // fingerprint of the engine's ID and incarnation
+  2: i64 request, // fingerprint of the ID of the request
+  3: i64 ageMs,
+}
+
+// What is known of a part of prompts that was in requests of crashed engines.
+struct PromptPartRecord {
+  1: string serviceName,
+  2: string part,
+  3: list<PromptCrash> crashes,
+  4: optional i64 soundAgeMs, // since an engine last answered a prompt with it; absent if never
+}
+
+struct PromptPartRecords {
+  1: i64 digest, // of all records of the sender
+  2: list<PromptPartRecord> records, // some of them
+  3: bool replyRequested, // the receiver should send its records if its digest differs
+}
+
 union FleetDatagram {
   1: ReportSubscription subscription,
   2: EngineReport report,
   3: ChunkHoldings holdings,
+  4: PromptPartRecords promptParts,
 }
 
 struct DirectoryObject {
