Send a stream elsewhere if its connection ends before an event

Callers saw: an empty stream that looked complete, when an engine stopped after the head of a response without length or chunks. Cause: such a response ends with its connection, and the end of the connection between two events counts as its end. Before the first event this is an engine that stopped. Change: a stream whose end is not declared and that has brought no event fails its attempt; it is sent to another engine as after any broken attempt. Result: ConnectionDelimitedResponseTest.Stream#withoutAnyEventIsSentElsewhere failed before (an empty body instead of two events) and passes. Its other tests, of responses that end with their connection, passed before: whole bodies, a stream that ends after an event, and one that ends inside an event and is continued elsewhere.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -282,6 +282,10 @@
       onFailure(AttemptOutcome.BROKEN, "stream ended inside an event");
       return;
     }
+    if (!complete && !writing) {
+      onFailure(AttemptOutcome.BROKEN, "connection ended before the first event");
+      return;
+    }
     if (!proxiedRequest.exchange().isResponseStarted()) {
       proxiedRequest.startStream(head.status(), headers);
     }
