--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptQuarantine.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptQuarantine.java
@@ -409,7 +409,7 @@
   public long digest() {
     long digest = 0;
     for (Map.Entry<PromptPart, TreeMap<Long, EngineCrash>> entry : crashes.entrySet()) {
-      long part = 31L * entry.getKey().hashCode();
+      long part = 31L * entry.getKey().service().hashCode() + entry.getKey().id().hashCode();
       for (EngineCrash crash : entry.getValue().values()) {
         digest += (part ^ crash.engine()) * 0x9E3779B97F4A7C15L + crash.request();
       }
