Keep the limit of requests that an endpoint names

Cause: no code read the limit. A limit of all entry VMs together has to be divided among them, and the retry budget and the connection share, which are divided, do not count requests. Change: each entry VM sends an endpoint that names a limit one request per interval, its equal share of 90 % of the limit. The times of the VMs are spread over the interval in the order of their addresses, and one that passes unused lapses. What is left over goes to other endpoints or waits; the predicted wait counts such an engine by what it accepts. Plain services refuse with the time of the next request as Retry-After. The limit ends with the first response that names none. A limit of 0 or below leaves one request in 10 s, and what is no number is no limit.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -35,6 +35,7 @@
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.model.ServiceShare;
 import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.transport.EventLoopScheduler;
 
@@ -93,9 +94,10 @@
             eventLoops,
             schedulers.apply(eventLoops),
             clock,
+            () -> TimeUnit.NANOSECONDS.toMillis(clock.nanoTime()),
             () -> 0,
             configurationAge::get,
-            () -> 1,
+            () -> new EntryVmPosition(1, 0),
             new PromptQuarantine(clock),
             new PrometheusRegistry());
     address = gateway.start(any);
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
@@ -57,6 +58,7 @@
   @Override
   public EndpointResponseHead decodeResponse(HttpResponse response) {
     HttpHeaders headers = response.headers();
+    String limit = headers.get("limit");
     return new EndpointResponseHead(
         response.status().code(),
         Optional.ofNullable(headers.get("id")),
@@ -64,6 +66,7 @@
         headers.contains("not-run"),
         response.status().code() == 421,
         headers.contains(HttpHeaderNames.CONTENT_ENCODING),
-        Optional.empty());
+        Optional.empty(),
+        limit == null ? OptionalDouble.empty() : OptionalDouble.of(Double.parseDouble(limit)));
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EndpointResponseHead.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EndpointResponseHead.java
@@ -1,6 +1,7 @@
 package org.clementineford.gateway;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * Decoded head of an endpoint's response.
@@ -13,6 +14,8 @@
  * @param contentEncoded true if the body has a content encoding, so that it differs from the body
  *     that the endpoint generated
  * @param load load of the endpoint; empty if the header is missing
+ * @param requestLimit requests per second, at least 0, that the endpoint accepts from all entry VMs
+ *     together for as long as its responses say so; empty if it names no limit
  */
 public record EndpointResponseHead(
     int status,
@@ -21,7 +24,8 @@
     boolean notRun,
     boolean misdirected,
     boolean contentEncoded,
-    Optional<Load> load) {
+    Optional<Load> load,
+    OptionalDouble requestLimit) {
   /**
    * Load of an endpoint, as its response reports it.
    *
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.DoubleSupplier;
+import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.fleet.DatagramLink;
 import org.clementineford.fleet.DirectoryDecoder;
@@ -27,6 +28,7 @@
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.transport.EventLoopScheduler;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
@@ -99,6 +101,8 @@
   private final Gateway gateway;
   private final QuarantineExchange quarantineExchange;
   private DatagramLink datagrams;
+  private EntryVmPosition position;
+  private int positionedPeers = -1;
 
   /**
    * Creates a process that does not listen yet.
@@ -109,6 +113,7 @@
    * @param protocol reads and writes the headers of requests and responses
    * @param eventLoops event loop group with one thread
    * @param clock monotonic clock
+   * @param epochClock time of day
    * @param stalenessClock clock that measures the age of copies of the platform's objects; unlike
    *     the monotonic clock, it counts the time for which the VM was suspended
    * @param random random numbers of at least 0 and below 1
@@ -121,6 +126,7 @@
       RequestProtocol protocol,
       EventLoopGroup eventLoops,
       NanoClock clock,
+      EpochClock epochClock,
       NanoClock stalenessClock,
       DoubleSupplier random,
       PrometheusRegistry registry) {
@@ -150,9 +156,10 @@
             eventLoops,
             scheduler,
             clock,
+            epochClock,
             random,
             this::configurationAgeNanos,
-            this::estimateEntryVms,
+            this::position,
             quarantine,
             registry);
     this.quarantineExchange =
@@ -236,11 +243,23 @@
         .toList();
   }
 
-  /** Returns an upper estimate of the number of entry VMs, since some may not be known yet. */
-  private int estimateEntryVms() {
-    return Math.max(
-        MIN_ENTRY_VMS,
-        (int) Math.ceil(UNKNOWN_ENTRY_VMS_FACTOR * (directoryExchange.peerCount() + 1)));
+  /** Returns the position among the entry VMs, with an upper estimate of their number. */
+  private EntryVmPosition position() {
+    if (directoryExchange.peerCount() != positionedPeers) {
+      positionedPeers = directoryExchange.peerCount();
+      position = computePosition();
+    }
+    return position;
+  }
+
+  private EntryVmPosition computePosition() {
+    String self = settings.peerAddress().toString();
+    List<HostPort> peers = directoryExchange.peers();
+    long before = peers.stream().filter(peer -> peer.toString().compareTo(self) < 0).count();
+    int known = peers.size() + 1;
+    return new EntryVmPosition(
+        Math.max(MIN_ENTRY_VMS, (int) Math.ceil(UNKNOWN_ENTRY_VMS_FACTOR * known)),
+        (double) before / known);
   }
 
   private long configurationAgeNanos() {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -67,6 +67,7 @@
 
   void start(FullHttpRequest request) {
     endpoint.sent(proxiedRequest.promptTokens());
+    endpoint.requestLimit().sent(router.state().clock().nanoTime());
     boolean repeatable = proxiedRequest.route().mayRunAgain();
     if (proxiedRequest.route().kind() == RequestKind.STREAM) {
       restartSilenceTimer(FIRST_EVENT_TIMEOUT_MS);
@@ -202,6 +203,9 @@
   public void onHead(EndpointResponseHead head, HttpHeaders headers) {
     this.head = head;
     this.headers = headers;
+    if (!head.misdirected()) {
+      router.state().updateRequestLimit(endpoint, head.requestLimit());
+    }
     if (proxiedRequest.route().kind() != RequestKind.STREAM) {
       // The load of engines comes from the reports of their VMs, which are more recent.
       head.load().ifPresent(load -> endpoint.updateLoad(load.running(), load.waiting()));
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -1,5 +1,6 @@
 package org.clementineford.gateway.internal;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -11,6 +12,7 @@
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.serving.routing.EngineLatencyModel;
 import org.clementineford.serving.routing.Placement;
+import org.clementineford.serving.routing.RequestRateLimit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,6 +32,8 @@
    */
   private static final double FIRST_EVENT_PASSES = 3.5;
 
+  private static final double MS_PER_SECOND = 1_000;
+
   private final GatewayState state;
   private final String service;
   private final WaitingQueue<ProxiedRequest> queue = new WaitingQueue<>();
@@ -51,7 +55,9 @@
     }
     WaitingRequest<ProxiedRequest> waiting = request.toWaitingRequest(costMs(request, profile));
     double waitMs =
-        QueueAdmissionPolicy.predictWaitMs(queue.costMs() + waiting.costMs(), effectiveEngines());
+        QueueAdmissionPolicy.predictWaitMs(
+            queue.costMs() + waiting.costMs(),
+            effectiveEngines((queue.costMs() + waiting.costMs()) / (queue.size() + 1)));
     request.trace().recordPredictedWait(waitMs);
     OptionalDouble refusal = state.admission().retryAfterIfRefused(waitMs, request.remainingMs());
     if (refusal.isPresent()) {
@@ -97,23 +103,35 @@
 
   /**
    * Returns the number of engines that work for this entry VM: the serving engines times this VM's
-   * share of their requests.
+   * share of their requests. One that limits its requests counts as no more than the engine time of
+   * those that this VM may send.
+   *
+   * @param requestCostMs mean engine time that a request needs, in milliseconds
    */
-  private double effectiveEngines() {
+  private double effectiveEngines(double requestCostMs) {
     long now = state.clock().nanoTime();
     long minimum = minimumVersion(now);
-    int engines = 0;
+    int unlimited = 0;
+    List<RequestRateLimit> limits = new ArrayList<>();
     int load = 0;
     int own = 0;
     for (EndpointState engine : state.endpoints().ofService(service)) {
       if (engine.acceptsRequests() && Placement.isServing(engine, minimum)) {
-        engines++;
+        if (engine.requestLimit().isLimited()) {
+          limits.add(engine.requestLimit());
+        } else {
+          unlimited++;
+        }
         load += engine.load();
         own += engine.outstanding();
       }
     }
     double share = load == 0 ? 1 : Math.max(MIN_ENGINE_SHARE, (double) own / load);
-    return engines * share;
+    double effective = unlimited * share;
+    for (RequestRateLimit limit : limits) {
+      effective += Math.min(share, limit.requestsPerSecond() * requestCostMs / MS_PER_SECOND);
+    }
+    return effective;
   }
 
   /** Sends waiting requests while engines have free slots, and refuses those that are too late. */
@@ -138,7 +156,8 @@
   }
 
   private boolean isOverloaded() {
-    return queue.costMs() > OVERLOAD_WAIT_MS * effectiveEngines();
+    double costMs = queue.costMs();
+    return costMs > OVERLOAD_WAIT_MS * effectiveEngines(costMs / Math.max(1, queue.size()));
   }
 
   void remove(ProxiedRequest request) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -9,8 +9,9 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
-import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.gateway.RequestProtocol;
@@ -25,6 +26,7 @@
 import org.clementineford.serving.quarantine.PromptQuarantine;
 import org.clementineford.serving.routing.EndpointLoad;
 import org.clementineford.serving.routing.EndpointState;
+import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.serving.routing.MinimumWeightVersion;
 import org.clementineford.serving.routing.SlotShare;
 import org.clementineford.wire.EngineReport;
@@ -47,7 +49,6 @@
   private final GatewayState state;
   private final EventLoopGroup eventLoops;
   private final NanoClock clock;
-  private final IntSupplier entryVms;
   private final EndpointConnectionPool pool;
   private final RequestRouter router;
   private final PromptGuard prompts;
@@ -67,10 +68,12 @@
    * @param eventLoops event loop group with one thread
    * @param scheduler runs timers on that thread
    * @param clock monotonic clock
+   * @param epochClock time of day
    * @param random random numbers of at least 0 and below 1
    * @param configurationAge time since the configuration was last confirmed to be current, in
    *     nanoseconds
-   * @param entryVms number of entry VMs that share limits such as the connections to an endpoint
+   * @param position position of this VM among the entry VMs that share limits, such as that of the
+   *     connections to an endpoint
    * @param quarantine prompt parts that crash engines
    * @param registry registry of metrics
    */
@@ -80,15 +83,15 @@
       EventLoopGroup eventLoops,
       Scheduler scheduler,
       NanoClock clock,
+      EpochClock epochClock,
       DoubleSupplier random,
       LongSupplier configurationAge,
-      IntSupplier entryVms,
+      Supplier<EntryVmPosition> position,
       PromptQuarantine quarantine,
       PrometheusRegistry registry) {
-    this.state = new GatewayState(settings, clock, random, entryVms);
+    this.state = new GatewayState(settings, clock, epochClock, random, position);
     this.eventLoops = eventLoops;
     this.clock = clock;
-    this.entryVms = entryVms;
     EventLoopInput input = new EventLoopInput(eventLoops, scheduler, clock);
     this.pool = new EndpointConnectionPool(eventLoops, protocol, clock, input);
     GatewayMetrics metrics = new GatewayMetrics(registry);
@@ -264,7 +267,7 @@
             report.getRunning(),
             report.getWaiting(),
             report.getPace()),
-        SlotShare.requestsUntilNextReport(freeSlots, slots, entryVms.getAsInt(), state::random));
+        SlotShare.requestsUntilNextReport(freeSlots, slots, state.entryVms(), state::random));
     router.dispatchWaiting(engine.endpoint().service());
   }
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
@@ -2,32 +2,42 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
-import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.queueing.QueueAdmissionPolicy;
 import org.clementineford.serving.routing.ConnectionShare;
+import org.clementineford.serving.routing.EndpointState;
+import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.serving.routing.ListedEndpointTable;
 import org.clementineford.serving.routing.MinimumWeightVersion;
 import org.clementineford.serving.routing.Placement;
+import org.clementineford.serving.routing.RequestRateLimit;
 import org.clementineford.serving.routing.SharedRetryBudget;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * State that all requests of an entry VM share: the configuration, the endpoints and the limits.
  * Not thread-safe.
  */
 final class GatewayState {
+  private static final Logger LOG = LoggerFactory.getLogger(GatewayState.class);
+
   /** Longest time from the check of a request's key to its start at an endpoint. */
   private static final long KEY_MARGIN_MS = 400;
 
   private final VmSettings settings;
   private final NanoClock clock;
   private final DoubleSupplier random;
-  private final IntSupplier entryVms;
+  private final EpochClock epochClock;
+  private final Supplier<EntryVmPosition> position;
   private final ListedEndpointTable endpoints = new ListedEndpointTable();
   private final Placement placement;
   private final QueueAdmissionPolicy admission;
@@ -35,11 +45,17 @@
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
   private RoutingConfiguration configuration;
 
-  GatewayState(VmSettings settings, NanoClock clock, DoubleSupplier random, IntSupplier entryVms) {
+  GatewayState(
+      VmSettings settings,
+      NanoClock clock,
+      EpochClock epochClock,
+      DoubleSupplier random,
+      Supplier<EntryVmPosition> position) {
     this.settings = settings;
     this.clock = clock;
     this.random = random;
-    this.entryVms = entryVms;
+    this.epochClock = epochClock;
+    this.position = position;
     this.placement = new Placement(settings.dataCentre(), random);
     this.admission = new QueueAdmissionPolicy(random);
   }
@@ -88,9 +104,14 @@
     return true;
   }
 
+  /** Returns the number of entry VMs that share limits. */
+  int entryVms() {
+    return position.get().entryVms();
+  }
+
   /** Returns the number of connections that this entry VM may open to one endpoint of a service. */
   int connectionLimit(Service service) {
-    return ConnectionShare.connections(service.maxConnections(), entryVms.getAsInt());
+    return ConnectionShare.connections(service.maxConnections(), entryVms());
   }
 
   SharedRetryBudget retryBudget(String service) {
@@ -101,7 +122,27 @@
                 settings.bounds().retryRatio(),
                 settings.bounds().fixedRetriesPerWindow(),
                 settings.bounds().retryWindowSeconds(),
-                entryVms));
+                this::entryVms));
+  }
+
+  /** Records the limit of requests per second that a response of an endpoint names. */
+  void updateRequestLimit(EndpointState endpoint, OptionalDouble requestsPerSecond) {
+    RequestRateLimit limit = endpoint.requestLimit();
+    final boolean limitedBefore = limit.isLimited();
+    if (!limitedBefore && requestsPerSecond.isEmpty()) {
+      return;
+    }
+    limit.update(requestsPerSecond, position.get(), epochClock.time(), clock.nanoTime());
+    if (limit.isLimited() != limitedBefore) {
+      LOG.atInfo()
+          .addKeyValue("endpoint", endpoint.endpoint().id())
+          .addKeyValue("requestsPerSecond", requestsPerSecond.orElse(-1))
+          .addKeyValue("share", limit.isLimited() ? limit.requestsPerSecond() : -1)
+          .log(
+              limit.isLimited()
+                  ? "endpoint limits its requests"
+                  : "endpoint no longer limits its requests");
+    }
   }
 
   /**
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.clementineford.gateway.RequestProtocol;
@@ -17,6 +18,8 @@
 
 /** Authenticates requests against the configuration and routes them to endpoints of services. */
 final class RequestRouter {
+  private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
+
   private final GatewayState state;
   private final RequestProtocol protocol;
   private final EndpointConnectionPool pool;
@@ -152,12 +155,29 @@
       request.send(endpoint.get());
       return;
     }
+    OptionalLong limitWaitNanos = requestLimitWaitNanos(endpoints);
+    if (limitWaitNanos.isPresent()) {
+      request.refuse(
+          FailureReason.OVERLOADED,
+          limitWaitNanos.getAsLong() / NANOS_PER_SECOND * (1 + state.random() / 4));
+      return;
+    }
     boolean full = endpoints.stream().anyMatch(each -> each.outstanding() >= connectionLimit);
     request.refuse(
         full ? FailureReason.OVERLOADED : FailureReason.NO_ENDPOINT,
         state.admission().retryAfterSeconds(0));
   }
 
+  /** Returns the time until an endpoint that limits its requests accepts the next one. */
+  private OptionalLong requestLimitWaitNanos(List<EndpointState> endpoints) {
+    long now = state.clock().nanoTime();
+    return endpoints.stream()
+        .filter(EndpointState::acceptsRequests)
+        .mapToLong(endpoint -> endpoint.requestLimit().waitNanos(now))
+        .filter(waitNanos -> waitNanos > 0)
+        .min();
+  }
+
   private EngineQueue queue(String service) {
     return queues.computeIfAbsent(service, name -> new EngineQueue(state, name));
   }
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
@@ -142,6 +142,7 @@
             new RequestHeaders(),
             eventLoops,
             clock,
+            SystemEpochClock.INSTANCE,
             new SuspensionAwareClock(clock, SystemEpochClock.INSTANCE),
             () -> ThreadLocalRandom.current().nextDouble(),
             PrometheusRegistry.defaultRegistry);
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
@@ -8,6 +8,7 @@
  */
 public final class EndpointState {
   private final EndpointHealth health = new EndpointHealth();
+  private final RequestRateLimit requestLimit = new RequestRateLimit();
   private Endpoint endpoint;
   private boolean removed;
   private int outstanding;
@@ -197,6 +198,15 @@
     return endpoint.weightVersion();
   }
 
+  /**
+   * Returns the limit of requests per second that the endpoint named in its last response.
+   *
+   * @return the limit, which ends with this incarnation of the endpoint
+   */
+  public RequestRateLimit requestLimit() {
+    return requestLimit;
+  }
+
   /**
    * Returns whether the endpoint's health allows another request.
    *
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
@@ -75,7 +75,8 @@
             isCandidate(engine, tried, now)
                 && isServing(engine, minimumVersion)
                 && engine.load() < profile.slots()
-                && engine.hasAllowance(),
+                && engine.hasAllowance()
+                && engine.requestLimit().allows(now),
         engine -> {
           double ms = EngineLatencyModel.firstTokenMs(profile, engine, promptTokens);
           return (ms * (1 + JITTER * random.getAsDouble()) + remotePenaltyMs(engine))
@@ -117,7 +118,10 @@
       long now) {
     return cheapest(
         endpoints,
-        endpoint -> isCandidate(endpoint, tried, now) && endpoint.outstanding() < connections,
+        endpoint ->
+            isCandidate(endpoint, tried, now)
+                && endpoint.outstanding() < connections
+                && endpoint.requestLimit().allows(now),
         endpoint -> {
           double localAdvantage =
               endpoint.endpoint().dataCentre().equals(dataCentre) ? LOCAL_ADVANTAGE_REQUESTS : 0;
