Test what a limit of an endpoint leaves over, and its end

Callers saw: nothing; tests only. Cause: refusals of plain services under a limit, and the end of a limit, had tests of the decision only. Change: EndpointRequestLimitTest sends requests to a plain service of one endpoint with a limit, and to an engine that names a limit once. Result: both pass. They were not seen failing.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/EndpointRequestLimitTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/EndpointRequestLimitTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.net.http.HttpResponse;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 class EndpointRequestLimitTest {
@@ -23,4 +25,39 @@
       assertThat(limited.requests()).hasSizeLessThanOrEqualTo(11);
     }
   }
+
+  // Guards against a wait for an endpoint that accepts no request soon, or an early return.
+  @Test
+  void leavesRequestsRefusedAtOnceWithTheTimeOfTheNextOne() throws Exception {
+    try (ScriptedHttpEndpoint limited = new ScriptedHttpEndpoint(answerNaming("limit: 0.2\r\n"));
+        GatewayFixture fixture = new GatewayFixture(limited)) {
+      assertThat(fixture.send("GET", "/get/a", "first").statusCode()).isEqualTo(200);
+      int refused = 0;
+      for (int i = 0; i < 10; i++) {
+        long sentAt = System.nanoTime();
+        HttpResponse<String> response = fixture.send("GET", "/get/a", "r" + i);
+        if (response.statusCode() == 503) {
+          refused++;
+          assertThat(System.nanoTime() - sentAt).isLessThan(TimeUnit.SECONDS.toNanos(1));
+          assertThat(Double.parseDouble(response.headers().firstValue("retry-after").get()))
+              .isBetween(0.0, 7.0);
+        }
+      }
+      assertThat(refused).isGreaterThanOrEqualTo(9);
+    }
+  }
+
+  // Guards against a limit that stays in force when the endpoint no longer names it.
+  @Test
+  void endsWithTheFirstResponseWithoutIt() throws Exception {
+    ScriptedHttpEndpoint.Script once =
+        (request, connection) ->
+            answerNaming(request.number() == 0 ? "limit: 5\r\n" : "").answer(request, connection);
+    try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(once);
+        GatewayFixture fixture = new GatewayFixture(endpoint)) {
+      for (int i = 0; i < 20; i++) {
+        assertThat(fixture.send("POST", "/stream/a", "r" + i).statusCode()).isEqualTo(200);
+      }
+    }
+  }
 }
