Keep a limit of an endpoint whose value changes with each response

Cause: another value of the limit moved the next request of an entry VM to the next time of its new interval, even right after a request. With a value that changes with each response a VM sent twice its share. Change: a changed limit does not move the next request closer to the last one than the new interval. Result: RequestRateLimitTest.Share#isKeptWhenEachResponseNamesAnotherLimit failed before (215 requests in 100 s where 107 are allowed) and passes.

--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/RequestRateLimitTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/RequestRateLimitTest.java
@@ -62,6 +62,21 @@
       assertThat(sentWithin(SECOND, 11 * SECOND)).isBetween(85, 95);
     }
 
+    // Guards against requests that follow too soon because each response names another limit.
+    @Test
+    void isKeptWhenEachResponseNamesAnotherLimit() {
+      int sent = 0;
+      update(1, 1, 0);
+      for (long now = 0; now < 100 * SECOND; now += MS) {
+        if (limit.allows(now)) {
+          limit.sent(now);
+          sent++;
+          update(1 + sent % 7 / 100.0, 1, now + MS / 2);
+        }
+      }
+      assertThat(sent).isBetween(70, 107);
+    }
+
     // Guards against an endpoint that accepts no requests and cannot say that it does again.
     @Test
     void ofZeroLeavesSingleRequests() {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/RequestRateLimit.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/RequestRateLimit.java
@@ -29,6 +29,7 @@
   private boolean limited;
   private double intervalNanos;
   private long nextAt;
+  private long sentAt;
 
   /** Creates a limit that allows all requests. */
   public RequestRateLimit() {}
@@ -53,6 +54,13 @@
     if (!limited || interval != intervalNanos) {
       double sincePhase = epochMs * NANOS_PER_MS - position.phase() * interval;
       nextAt = now + (long) (interval - sincePhase % interval);
+      if (limited) {
+        // Another limit moves the times of this VM, but not closer to its last request.
+        nextAt = Math.max(nextAt, sentAt + (long) interval);
+      }
+    }
+    if (!limited) {
+      sentAt = now - (long) interval;
     }
     intervalNanos = interval;
     limited = true;
@@ -100,6 +108,7 @@
     if (limited) {
       dropLapsed(now);
       nextAt += (long) intervalNanos;
+      sentAt = now;
     }
   }
 
