Keep one function for fingerprints of names

Callers saw: nothing; behaviour is unchanged. Change: Fingerprint moves to the kernel, and the other three call it.

--- a/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/MemberStatement.java
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/membership/MemberStatement.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import java.util.TreeSet;
+import org.clementineford.kernel.Fingerprint;
 import org.clementineford.kernel.VmIdentity;
 
 /**
@@ -88,7 +89,7 @@
    * @return a hash that is equal for equal statements; it does not cover the accusers
    */
   long fingerprint() {
-    return RendezvousRanking.hash(
+    return Fingerprint.of(
         identity.vm() + '/' + identity.incarnation() + '/' + number + '/' + phase.name());
   }
 }
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/EvictedAttempts.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/EvictedAttempts.java
@@ -1,11 +1,8 @@
 package org.clementineford.requests.admission;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.concurrent.TimeUnit;
 import org.agrona.collections.LongHashSet;
+import org.clementineford.kernel.Fingerprint;
 
 /**
  * Fingerprints of attempts that may have run and whose registry entries were evicted. Such an
@@ -30,7 +27,7 @@
   void add(String attemptId, long nowNanos) {
     rotate(nowNanos);
     if (current.size() < capacity) {
-      current.add(fingerprint(attemptId));
+      current.add(Fingerprint.of(attemptId));
     } else {
       currentOverflowed = true;
     }
@@ -51,7 +48,7 @@
     if (current.isEmpty() && previous.isEmpty()) {
       return false;
     }
-    long fingerprint = fingerprint(attemptId);
+    long fingerprint = Fingerprint.of(attemptId);
     return current.contains(fingerprint) || previous.contains(fingerprint);
   }
 
@@ -68,15 +65,4 @@
       generationStart += GENERATION_NANOS;
     }
   }
-
-  private static long fingerprint(String attemptId) {
-    try {
-      byte[] digest =
-          MessageDigest.getInstance("SHA-256").digest(attemptId.getBytes(StandardCharsets.UTF_8));
-      return ByteBuffer.wrap(digest).getLong();
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException(
-          "the Java runtime does not provide SHA-256; use a complete Java runtime", e);
-    }
-  }
 }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptQuarantine.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptQuarantine.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.NanoClock;
+import org.clementineford.kernel.Fingerprint;
 
 /**
  * Decides which prompt parts no engine receives, since engines crash when they begin to answer a
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/RendezvousHash.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/RendezvousHash.java
@@ -1,11 +1,10 @@
 package org.clementineford.weights;
 
-import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.SplittableRandom;
+import org.clementineford.kernel.Fingerprint;
 
 /**
  * Ranking of names for a key by rendezvous hashing: removing a name does not change the order of
@@ -24,8 +23,7 @@
    * @return first 64 bits of the name's SHA-256 digest
    */
   public static long seed(String name) {
-    byte[] digest = Digests.sha256().digest(name.getBytes(StandardCharsets.UTF_8));
-    return ByteBuffer.wrap(digest).getLong();
+    return Fingerprint.of(name);
   }
 
   /**
