Split the pending interruptions from the quarantine of prompt parts

Callers saw: nothing; behaviour is unchanged. A method that only the log used is gone. Result: PromptQuarantineTest, QuarantineExchangeTest, QueryOfDeathLoadTest and PromptPartCrashesEnginesTest pass.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/PromptGuard.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/PromptGuard.java
@@ -120,11 +120,12 @@
     }
     for (PromptPart part : quarantined) {
       if (!before.contains(part)) {
+        List<Long> crashAgesMs = quarantine.crashAgesMs(part);
         LOG.atWarn()
             .addKeyValue("service", part.service())
             .addKeyValue("part", part.id())
-            .addKeyValue("crashes", quarantine.crashes(part).size())
-            .addKeyValue("crashAgesMs", quarantine.crashAgesMs(part))
+            .addKeyValue("crashes", crashAgesMs.size())
+            .addKeyValue("crashAgesMs", crashAgesMs)
             .log(
                 "prompt part quarantined, since engines crash on it; requests with it are refused");
       }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/CrashSuspects.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/CrashSuspects.java
@@ -17,7 +17,7 @@
    * Crashes of different engines from which on a part is blamed. Two may coincide, since a request
    * that loses its engine is sent to a second one.
    */
-  static final int MIN_CRASHES = 3;
+  private static final int MIN_CRASHES = 3;
 
   /** Different requests that these crashes must have in common with the part. */
   private static final int MIN_REQUESTS = 2;
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptQuarantine.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptQuarantine.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.kernel.Fingerprint;
+import org.clementineford.serving.quarantine.Interruptions.Interruption;
 
 /**
  * Decides which prompt parts no engine receives, since engines crash when they begin to answer a
@@ -39,12 +40,6 @@
    */
   private static final long SOUND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  /**
-   * Longest time between the end of a connection and the confirmation that its engine crashed. A
-   * new connection is refused at once, or the attempt times out after 500 ms.
-   */
-  private static final long CONFIRMATION_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
-
   /** Time for which it is remembered, for other VMs, that a part was cleared of its crashes. */
   private static final long CLEARED_NANOS = TimeUnit.SECONDS.toNanos(10);
 
@@ -54,21 +49,16 @@
   /** Largest number of sound parts that are remembered. */
   private static final int MAX_SOUND_PARTS = 4_096;
 
-  private static final int MAX_ENGINES = 256;
-
   /** Largest number of crashes that are remembered of a part. */
   private static final int MAX_CRASHES = 8;
 
   private final NanoClock clock;
   private final Map<PromptPart, TreeMap<Long, EngineCrash>> crashes = new LinkedHashMap<>();
   private final Map<PromptPart, Long> changedAt = new HashMap<>();
-  private final Map<PromptPart, Long> soundAt = boundedMap(MAX_SOUND_PARTS);
-  private final Map<Long, List<Interruption>> interruptions = boundedMap(MAX_ENGINES);
-  private final Map<Long, Long> crashedAt = boundedMap(MAX_ENGINES);
+  private final Map<PromptPart, Long> soundAt = new BoundedMap<>(MAX_SOUND_PARTS);
+  private final Interruptions interruptions = new Interruptions();
   private Set<PromptPart> blamed = Set.of();
 
-  private record Interruption(long request, List<PromptPart> parts, long at) {}
-
   /**
    * Creates a quarantine without parts.
    *
@@ -79,15 +69,6 @@
     this.clock = clock;
   }
 
-  private static <K, V> Map<K, V> boundedMap(int maxEntries) {
-    return new LinkedHashMap<>(16, 0.75f, true) {
-      @Override
-      protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
-        return size() > maxEntries;
-      }
-    };
-  }
-
   private static List<PromptPart> partsOf(String service, List<String> ids) {
     return ids.stream().distinct().map(id -> new PromptPart(service, id)).toList();
   }
@@ -140,12 +121,9 @@
     }
     long engine = Fingerprint.of(engineName);
     Interruption interruption = new Interruption(Fingerprint.of(requestId), suspects, now);
-    Long crashed = crashedAt.get(engine);
-    if (crashed != null && now - crashed <= CONFIRMATION_NANOS) {
+    if (!interruptions.addUnlessCrashed(engine, interruption)) {
       addCrash(engine, interruption, now);
       updateBlamed(now);
-    } else {
-      interruptions.computeIfAbsent(engine, key -> new ArrayList<>()).add(interruption);
     }
   }
 
@@ -166,18 +144,11 @@
     }
   }
 
+  /** Counts the crash of an engine against what it held, and returns whether it held anything. */
   private boolean crashed(long engine, long now) {
-    crashedAt.putIfAbsent(engine, now);
-    List<Interruption> interrupted = interruptions.remove(engine);
-    if (interrupted == null) {
-      return false;
-    }
-    for (Interruption interruption : interrupted) {
-      if (now - interruption.at() <= CONFIRMATION_NANOS) {
-        addCrash(engine, interruption, now);
-      }
-    }
-    return true;
+    List<Interruption> interrupted = interruptions.confirm(engine, now);
+    interrupted.forEach(interruption -> addCrash(engine, interruption, now));
+    return !interrupted.isEmpty();
   }
 
   private void addCrash(long engine, Interruption interruption, long now) {
@@ -233,9 +204,8 @@
     Set<PromptPart> outdated = new HashSet<>();
     changedAt.forEach(
         (part, at) -> {
-          TreeMap<Long, EngineCrash> known = crashes.getOrDefault(part, new TreeMap<>());
-          boolean cleared = known.isEmpty() && now - at > CLEARED_NANOS;
-          if (cleared || (!known.isEmpty() && now - lastCrashAt(part) > MEMORY_NANOS)) {
+          boolean isCleared = crashes(part).isEmpty();
+          if (isCleared ? now - at > CLEARED_NANOS : now - lastCrashAt(part) > MEMORY_NANOS) {
             outdated.add(part);
           }
         });
@@ -244,7 +214,12 @@
   }
 
   private long lastCrashAt(PromptPart part) {
-    return crashes.get(part).values().stream().mapToLong(EngineCrash::at).max().orElseThrow();
+    return crashes(part).stream().mapToLong(EngineCrash::at).max().orElseThrow();
+  }
+
+  private Collection<EngineCrash> crashes(PromptPart part) {
+    TreeMap<Long, EngineCrash> known = crashes.get(part);
+    return known == null ? List.of() : known.values();
   }
 
   /**
@@ -293,16 +268,6 @@
     return parts;
   }
 
-  /**
-   * Returns the crashes that count against a part.
-   *
-   * @param part the part
-   * @return crashes of different engines
-   */
-  public List<EngineCrash> crashes(PromptPart part) {
-    return List.copyOf(crashes.getOrDefault(part, new TreeMap<>()).values());
-  }
-
   /**
    * Returns the times since the crashes that count against a part.
    *
@@ -331,20 +296,8 @@
   }
 
   private int lostEngines(PromptPart part, long now) {
-    Set<Long> engines = new HashSet<>();
-    TreeMap<Long, EngineCrash> known = crashes.get(part);
-    if (known != null) {
-      engines.addAll(known.keySet());
-    }
-    interruptions.forEach(
-        (engine, interrupted) -> {
-          for (Interruption interruption : interrupted) {
-            if (now - interruption.at() <= CONFIRMATION_NANOS
-                && interruption.parts().contains(part)) {
-              engines.add(engine);
-            }
-          }
-        });
+    Set<Long> engines = interruptions.engines(part, now);
+    crashes(part).forEach(crash -> engines.add(crash.engine()));
     return engines.size();
   }
 
@@ -377,10 +330,11 @@
   }
 
   private PromptPartRecord record(PromptPart part) {
-    Collection<EngineCrash> known = crashes.getOrDefault(part, new TreeMap<>()).values();
     Long sound = soundAt.get(part);
     return new PromptPartRecord(
-        part, List.copyOf(known), sound == null ? OptionalLong.empty() : OptionalLong.of(sound));
+        part,
+        List.copyOf(crashes(part)),
+        sound == null ? OptionalLong.empty() : OptionalLong.of(sound));
   }
 
   /**
