Forget interruptions of engines that go on running

Callers saw: nothing yet. Cause: a request whose connection to an engine ended was kept until the engine crashed. Of an engine that breaks answers off and runs on, all of them were kept for as long as it runs. Change: those that no crash can confirm any more are dropped when the next one is added. Result: InterruptionsTest failed before (1,000 kept of which 3 matter) and passes.

--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/Interruptions.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/Interruptions.java
@@ -42,10 +42,17 @@
     if (crashed != null && interruption.at() - crashed <= CONFIRMATION_NANOS) {
       return false;
     }
-    byEngine.computeIfAbsent(engine, key -> new ArrayList<>()).add(interruption);
+    List<Interruption> interrupted = byEngine.computeIfAbsent(engine, key -> new ArrayList<>());
+    interrupted.removeIf(each -> !each.isConfirmable(interruption.at()));
+    interrupted.add(interruption);
     return true;
   }
 
+  /** Returns the number of interruptions that are kept. */
+  int size() {
+    return byEngine.values().stream().mapToInt(List::size).sum();
+  }
+
   /** Records a crash, and removes and returns the interruptions that it explains. */
   List<Interruption> confirm(long engine, long now) {
     crashedAt.putIfAbsent(engine, now);
