Tell callers of a partly limited service to return soon

Callers saw: Retry-After of several seconds, when one endpoint of a plain service named a low limit and the others were only full. Cause: the refusal took the wait of the limited endpoints, also when others had no limit. Change: the wait of the limit is told only if all endpoints that accept requests have one.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/EndpointRequestLimitTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/EndpointRequestLimitTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.http.HttpResponse;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -60,4 +61,32 @@
       }
     }
   }
+
+  // Guards against sending callers away for the time of a limit while another endpoint is only
+  // full.
+  @Test
+  void doesNotDelayTheReturnToEndpointsThatAreOnlyFull() throws Exception {
+    CountDownLatch received = new CountDownLatch(GatewayFixture.MAX_CONNECTIONS * 8 / 10);
+    CountDownLatch release = new CountDownLatch(1);
+    ScriptedHttpEndpoint.Script busy =
+        (request, connection) -> {
+          received.countDown();
+          Latches.await(release);
+          answerNaming("").answer(request, connection);
+        };
+    try (ScriptedHttpEndpoint limited = new ScriptedHttpEndpoint(answerNaming("limit: 0.01\r\n"));
+        ScriptedHttpEndpoint full = new ScriptedHttpEndpoint(busy);
+        GatewayFixture fixture = new GatewayFixture(limited, full)) {
+      assertThat(fixture.send("GET", "/get/a", "first").statusCode()).isEqualTo(200);
+      for (int i = 0; i < GatewayFixture.MAX_CONNECTIONS; i++) {
+        fixture.sendAsync("POST", "/post/a", "busy" + i);
+      }
+      assertThat(received.await(5, TimeUnit.SECONDS)).isTrue();
+      HttpResponse<String> refused = fixture.send("GET", "/get/a", "r");
+      assertThat(refused.statusCode()).isEqualTo(503);
+      assertThat(Double.parseDouble(refused.headers().firstValue("retry-after").get()))
+          .isLessThan(2);
+      release.countDown();
+    }
+  }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.clementineford.gateway.RequestProtocol;
@@ -155,11 +154,10 @@
       request.send(endpoint.get());
       return;
     }
-    OptionalLong limitWaitNanos = requestLimitWaitNanos(endpoints);
-    if (limitWaitNanos.isPresent()) {
+    long limitWaitNanos = requestLimitWaitNanos(endpoints);
+    if (limitWaitNanos > 0) {
       request.refuse(
-          FailureReason.OVERLOADED,
-          limitWaitNanos.getAsLong() / NANOS_PER_SECOND * (1 + state.random() / 4));
+          FailureReason.OVERLOADED, limitWaitNanos / NANOS_PER_SECOND * (1 + state.random() / 4));
       return;
     }
     boolean full = endpoints.stream().anyMatch(each -> each.outstanding() >= connectionLimit);
@@ -168,14 +166,14 @@
         state.admission().retryAfterSeconds(0));
   }
 
-  /** Returns the time until an endpoint that limits its requests accepts the next one. */
-  private OptionalLong requestLimitWaitNanos(List<EndpointState> endpoints) {
+  /** Returns the time until the first endpoint accepts a request; 0 if not all have a limit. */
+  private long requestLimitWaitNanos(List<EndpointState> endpoints) {
     long now = state.clock().nanoTime();
     return endpoints.stream()
         .filter(EndpointState::acceptsRequests)
         .mapToLong(endpoint -> endpoint.requestLimit().waitNanos(now))
-        .filter(waitNanos -> waitNanos > 0)
-        .min();
+        .min()
+        .orElse(0);
   }
 
   private EngineQueue queue(String service) {
