Record the last request to an endpoint without regard to its limit

Callers saw: nothing. Cause: the time of the last request was kept only under a limit, and had to be made up when a limit began. Change: it is recorded with each request. Result: RequestRateLimitTest and EndpointRequestLimitTest pass. When a second response changes a limit, a VM now counts from its real last request, not from the time at which the limit began.

--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/RequestRateLimit.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/RequestRateLimit.java
@@ -59,9 +59,6 @@
         nextAt = Math.max(nextAt, sentAt + (long) interval);
       }
     }
-    if (!limited) {
-      sentAt = now - (long) interval;
-    }
     intervalNanos = interval;
     limited = true;
   }
@@ -105,10 +102,10 @@
    * @param now monotonic time in nanoseconds
    */
   public void sent(long now) {
+    sentAt = now;
     if (limited) {
       dropLapsed(now);
       nextAt += (long) intervalNanos;
-      sentAt = now;
     }
   }
 
