--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -101,7 +101,10 @@
   private final Gateway gateway;
   private final QuarantineExchange quarantineExchange;
   private DatagramLink datagrams;
+
+  /** The last position, since each load report and response asks for it. */
   private EntryVmPosition position;
+
   private int positionedPeers = -1;
 
   /**
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -1,14 +1,10 @@
 package org.clementineford.gateway.internal;
 
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -170,31 +166,17 @@
     trace.recordSend(endpoint);
     triedEndpoints.add(endpoint.endpoint().id());
     attempt = new EndpointAttempt(this, router, endpoint, lastEventId != null);
-    attempt.start(buildEndpointRequest(endpoint));
-  }
-
-  private FullHttpRequest buildEndpointRequest(EndpointState endpoint) {
-    FullHttpRequest message =
-        new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            exchange.head().method(),
-            exchange.head().uri(),
-            Unpooled.wrappedBuffer(exchange.body()));
-    HttpHeaders headers = HopByHopHeaders.copyWithout(exchange.head().headers());
-    router
-        .protocol()
-        .rewriteHeaders(
-            headers,
-            new EndpointRequestContext(
-                Math.max(1, TimeUnit.NANOSECONDS.toMillis(callerDeadlineAt - now())),
-                endpoint.endpoint().id(),
-                router.clientAccount(this).map(RoutingClientAccount::name),
-                Optional.ofNullable(lastEventId)));
-    message.headers().add(headers);
-    if (exchange.body().length > 0 || !exchange.head().method().equals(HttpMethod.GET)) {
-      message.headers().set(HttpHeaderNames.CONTENT_LENGTH, exchange.body().length);
-    }
-    return message;
+    attempt.start(
+        EndpointRequestEncoder.encode(
+            exchange, router.protocol(), endpointRequestContext(endpoint)));
+  }
+
+  private EndpointRequestContext endpointRequestContext(EndpointState endpoint) {
+    return new EndpointRequestContext(
+        Math.max(1, TimeUnit.NANOSECONDS.toMillis(callerDeadlineAt - now())),
+        endpoint.endpoint().id(),
+        router.clientAccount(this).map(RoutingClientAccount::name),
+        Optional.ofNullable(lastEventId));
   }
 
   /** Forwards a complete response to the caller. */
