Log the era of the platform's history and listings that are ignored

Callers saw: nothing; behaviour is unchanged. Cause: the logs did not tell to which history of the store an answer belongs, nor that a listing was dropped because its revision is below that of the copy, which the hypotheses of the incident differ in. A copy logs each change of era with both revisions, and each listing that it ignores.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
@@ -185,6 +186,7 @@
     private int failures;
     private boolean outageEnded;
     private long outageEndedAt;
+    private OptionalLong era = OptionalLong.empty();
 
     KindSync(ObjectKind kind, long waitMs, long batchDelayMs, boolean watching) {
       this.batchDelayMs = batchDelayMs;
@@ -244,6 +246,23 @@
       }
       boolean afterOutage = outageEnded && now - outageEndedAt < REREGISTRATION_NANOS;
       boolean changed;
+      if (listing.era().isPresent() && !listing.era().equals(era)) {
+        LOG.atInfo()
+            .addKeyValue("kind", kind)
+            .addKeyValue("eraBefore", era.orElse(-1))
+            .addKeyValue("era", listing.era().getAsLong())
+            .addKeyValue("revisionBefore", copy.revision())
+            .addKeyValue("revision", listing.revision())
+            .log("the platform answers from another era of its history");
+        era = listing.era();
+      }
+      if (list && listing.revision() < copy.revision()) {
+        LOG.atWarn()
+            .addKeyValue("kind", kind)
+            .addKeyValue("revision", listing.revision())
+            .addKeyValue("copyRevision", copy.revision())
+            .log("ignored a listing below the revision of the copy");
+      }
       if (list) {
         changed = copy.replace(listing.entries(), listing.revision(), sentAt, afterOutage, now);
         listNeeded = false;
