Compare revisions of the platform only within one era

Callers saw: after the platform's store was restored from a copy, routes of configurations that were confirmed later got 404, and requests with a key were refused for seconds. Cause: revisions were taken for positions in one history. A restored store gives them out again, so listings below the copy's revision were ignored, watches from it got 410 in a loop of 32 calls a second, and once the store's revision had passed the copy's, watches went on and missed what lay below. Change: a position is an era and a revision. PlatformHistory decides for a process which answers belong to the present era; a higher one makes all watched kinds list again, late and old answers of a lower one are ignored, and a lower one in a current answer to a later call replaces a wrong higher one. Peers name era and revision of their copies, and prove a copy current only within its era. In another era, entries that are missing get the time to register again, also on VMs that saw no outage. Listings after lost history back off.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
@@ -115,7 +115,7 @@
       awaitCopy(connected);
       disconnected.start(connected);
       awaitCopy(disconnected);
-      assertThat(run(() -> disconnected.copy().revision())).isEqualTo(7);
+      assertThat(run(() -> disconnected.copy().position().revision())).isEqualTo(7);
       assertThat(run(() -> disconnected.copy().entries().get(0).name())).isEqualTo("main");
       assertThat(run(() -> disconnected.peers.peerCount())).isEqualTo(1);
     }
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -12,6 +12,7 @@
 import org.clementineford.kernel.errors.PlatformException;
 import org.clementineford.serving.directory.DirectoryEntries;
 import org.clementineford.serving.directory.DirectoryEntry;
+import org.clementineford.serving.directory.HistoryPosition;
 import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.testing.VirtualTime;
@@ -165,9 +166,9 @@
   @Test
   void peerCopyReplacesOnlyAnOlderCopy() {
     start();
-    sync.applyPeerCopy(KIND, 1, List.of(entry("old", 1)), 0);
+    sync.applyPeerCopy(KIND, new HistoryPosition(0, 1), List.of(entry("old", 1)), 0);
     assertThat(names()).containsExactly("a", "b");
-    sync.applyPeerCopy(KIND, 9, List.of(entry("new", 9)), 0);
+    sync.applyPeerCopy(KIND, new HistoryPosition(0, 9), List.of(entry("new", 9)), 0);
     assertThat(names()).containsExactly("new");
   }
 
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
@@ -2,9 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.clementineford.serving.directory.DirectoryEntry;
+import org.clementineford.serving.directory.HistoryPosition;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.testing.VirtualTime;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -70,6 +74,15 @@
   // Guards against listing and watching in a loop while the platform's revision is below the copy.
   @Test
   void callsDoNotMultiplyAfterTheRestoration() {
+    restoreWithoutTheLastVersion();
+    int before = platform.calls();
+    advanceMs(5_000);
+    // One listing, and one watch a second.
+    assertThat(platform.calls() - before).isLessThanOrEqualTo(8);
+  }
+
+  /** Writes versions 1 and 2, and restores the platform from a copy without version 2. */
+  private void restoreWithoutTheLastVersion() {
     startWith(1);
     final SimulatedPlatform.Copy copy = platform.copy();
     write(2);
@@ -77,9 +90,85 @@
     platform.goDown();
     advanceMs(2_000);
     platform.restore(copy);
-    int before = platform.calls();
-    advanceMs(5_000);
-    // One listing, and one watch a second.
-    assertThat(platform.calls() - before).isLessThanOrEqualTo(8);
+  }
+
+  // Guards against changes that are missed after the second of two restorations.
+  @Test
+  void secondRestorationIsNoticedLikeTheFirst() {
+    startWith(1);
+    final SimulatedPlatform.Copy copy = platform.copy();
+    for (int version = 2; version <= 4; version++) {
+      write(version);
+      advanceMs(200);
+      platform.goDown();
+      advanceMs(300);
+      platform.restore(copy);
+      advanceMs(300);
+    }
+    write(9);
+    advanceMs(APPLY_MS);
+    assertThat(version()).isEqualTo(9);
+  }
+
+  // Guards against a VM that misses changes because its watch survived the restoration.
+  @Test
+  void vmWithoutOutageLearnsOfTheRestorationFromItsWatch() {
+    startWith(1);
+    final SimulatedPlatform.Copy copy = platform.copy();
+    write(2);
+    advanceMs(500);
+    platform.restore(copy);
+    write(5);
+    advanceMs(APPLY_MS);
+    assertThat(version()).isEqualTo(5);
+  }
+
+  // Guards against a slow answer of the era before that replaces what was read since.
+  @Test
+  void lateAnswerOfTheEraBeforeIsIgnored() {
+    startWith(1);
+    sync.poll(ObjectKind.ENDPOINTS, 300);
+    advanceMs(100);
+    final SimulatedPlatform.Copy copy = platform.copy();
+    platform.put(ObjectKind.ENDPOINTS, "lost", new byte[0]);
+    client.setAnswerMs(1_500);
+    advanceMs(400);
+    client.setAnswerMs(4);
+    platform.restore(copy);
+    write(5);
+    advanceMs(1_000);
+    assertThat(version()).isEqualTo(5);
+    advanceMs(APPLY_MS);
+    assertThat(version()).isEqualTo(5);
+    assertThat(sync.copy(ObjectKind.ENDPOINTS).entries()).isEmpty();
+  }
+
+  @Nested
+  class PeerCopy {
+    private final List<DirectoryEntry> entries =
+        List.of(new DirectoryEntry(NAME, 1, new byte[] {7}, false));
+
+    // Guards against a copy of a VM that has not noticed the restoration, whose revision is higher.
+    @Test
+    void ofTheEraBeforeIsIgnored() {
+      restoreWithoutTheLastVersion();
+      advanceMs(1_000);
+      sync.applyPeerCopy(KIND, new HistoryPosition(1, 99), entries, time.nanoTime());
+      assertThat(version()).isNotEqualTo(7);
+      final long age = sync.copy(KIND).ageNanos(time.nanoTime());
+      sync.applyPeerCopy(KIND, new HistoryPosition(1, 0), null, time.nanoTime());
+      assertThat(sync.copy(KIND).ageNanos(time.nanoTime())).isEqualTo(age);
+    }
+
+    // Guards against a VM that is cut off from the platform and keeps to the history before.
+    @Test
+    void ofTheNextEraReplacesOneOfHigherRevision() {
+      startWith(1);
+      write(2);
+      advanceMs(500);
+      client.setCutOff(true);
+      sync.applyPeerCopy(KIND, new HistoryPosition(2, 1), entries, time.nanoTime());
+      assertThat(version()).isEqualTo(7);
+    }
   }
 }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -13,6 +13,7 @@
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.serving.directory.DirectoryCopyState;
 import org.clementineford.serving.directory.DirectoryEntry;
+import org.clementineford.serving.directory.HistoryPosition;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpExchange;
@@ -149,7 +150,7 @@
     final long sentAt = clock.nanoTime();
     StringBuilder query = new StringBuilder(PATH).append("?vm=").append(self);
     for (ObjectKind kind : kinds) {
-      query.append('&').append(kind).append('=').append(sync.copy(kind).revision());
+      query.append('&').append(kind).append('=').append(sync.copy(kind).position().toText());
     }
     client
         .call(peer, new HttpRequest("GET", query.toString(), Map.of(), new byte[0]), TIMEOUT_MS)
@@ -184,7 +185,11 @@
         }
       }
       long provenAt = sentAt - TimeUnit.MILLISECONDS.toNanos(copy.getProvenAgeMs() + 1);
-      sync.applyPeerCopy(ObjectKind.valueOf(copy.getKind()), copy.getRevision(), entries, provenAt);
+      sync.applyPeerCopy(
+          ObjectKind.valueOf(copy.getKind()),
+          new HistoryPosition(copy.getEra(), copy.getRevision()),
+          entries,
+          provenAt);
     }
   }
 
@@ -198,10 +203,10 @@
     copies.setCopies(new ArrayList<>());
     HttpRequest request = exchange.request();
     for (ObjectKind kind : sync.kinds()) {
-      String peerRevision = request.queryParameter(kind.name(), "");
+      String peerPosition = request.queryParameter(kind.name(), "");
       DirectoryCopyState copy = sync.copy(kind);
-      if (!peerRevision.isEmpty() && copy.isLoaded()) {
-        copies.addToCopies(encode(kind, copy, Long.parseLong(peerRevision)));
+      if (!peerPosition.isEmpty() && copy.isLoaded()) {
+        copies.addToCopies(encode(kind, copy, HistoryPosition.parse(peerPosition)));
       }
     }
     peers.forEach(peer -> copies.addToEntryVms(peer.toString()));
@@ -210,13 +215,15 @@
   }
 
   /** Encodes a copy, with its objects only if it is newer than that of the peer. */
-  private DirectoryCopy encode(ObjectKind kind, DirectoryCopyState copy, long peerRevision) {
+  private DirectoryCopy encode(
+      ObjectKind kind, DirectoryCopyState copy, HistoryPosition peerPosition) {
     DirectoryCopy encoded =
         new DirectoryCopy()
             .setKind(kind.name())
-            .setRevision(copy.revision())
+            .setEra(copy.position().era())
+            .setRevision(copy.position().revision())
             .setProvenAgeMs(TimeUnit.NANOSECONDS.toMillis(copy.ageNanos(clock.nanoTime())) + 1);
-    if (copy.revision() > peerRevision) {
+    if (copy.position().compareTo(peerPosition) > 0) {
       encoded.setObjects(new ArrayList<>());
       for (DirectoryEntry entry : copy.entries()) {
         encoded.addToObjects(
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -14,8 +14,10 @@
 import org.clementineford.serving.directory.DirectoryCopyState;
 import org.clementineford.serving.directory.DirectoryEntries;
 import org.clementineford.serving.directory.DirectoryEntry;
+import org.clementineford.serving.directory.HistoryPosition;
 import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
+import org.clementineford.serving.directory.PlatformHistory;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,7 +32,10 @@
   /** Delay before the retry after the first failed call, in milliseconds; doubles per failure. */
   private static final long FIRST_RETRY_DELAY_MS = 100;
 
-  /** Delay before a full listing when the platform no longer has the history, in milliseconds. */
+  /**
+   * Delay before a full listing when the platform no longer has the history, in milliseconds;
+   * doubles until a watch succeeds.
+   */
   private static final long RELIST_DELAY_MS = 50;
 
   /** Longest delay before a retry, in milliseconds. */
@@ -55,6 +60,7 @@
   private final NanoClock clock;
   private final Consumer<ObjectKind> onChange;
   private final Map<ObjectKind, KindSync> kinds = new EnumMap<>(ObjectKind.class);
+  private final PlatformHistory history = new PlatformHistory();
   private boolean stopped;
 
   /**
@@ -150,28 +156,51 @@
    * the local one current.
    *
    * @param kind the kind
-   * @param revision revision of the peer's copy
+   * @param position position of the peer's copy
    * @param entries the entries; null if the peer's copy is not newer than the local one
    * @param provenAt time at which the peer's copy was last known to be current
    */
   public void applyPeerCopy(
-      ObjectKind kind, long revision, List<DirectoryEntry> entries, long provenAt) {
+      ObjectKind kind, HistoryPosition position, List<DirectoryEntry> entries, long provenAt) {
     KindSync sync = kinds.get(kind);
-    if (sync == null) {
+    if (sync == null || !isOfCurrentEra(sync, position)) {
       return;
     }
     if (entries == null) {
-      sync.copy.confirmCurrent(revision, provenAt);
-    } else if (sync.copy.replace(entries, revision, provenAt, false, clock.nanoTime())) {
+      sync.copy.confirmCurrent(position, provenAt);
+    } else if (sync.copy.replace(entries, position, provenAt, false, clock.nanoTime())) {
       LOG.atInfo()
           .addKeyValue("kind", kind)
-          .addKeyValue("revision", revision)
+          .addKeyValue("position", position.toText())
           .addKeyValue("ageMs", TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - provenAt))
           .log("replaced the copy of platform objects with a newer one from a peer");
       onChange.accept(kind);
     }
   }
 
+  /** Reads the era of a peer's copy, and returns whether the copy may be used. */
+  private boolean isOfCurrentEra(KindSync sync, HistoryPosition position) {
+    long now = clock.nanoTime();
+    OptionalLong era = position.era() == 0 ? OptionalLong.empty() : OptionalLong.of(position.era());
+    PlatformHistory.Reading reading = history.read(era, false, now, now);
+    if (reading == PlatformHistory.Reading.RESTORED) {
+      restored(sync, position.revision());
+    }
+    return reading != PlatformHistory.Reading.OUTDATED;
+  }
+
+  /** Reads all watched kinds again, since the platform was restored from a copy. */
+  private void restored(KindSync source, long revision) {
+    LOG.atWarn()
+        .addKeyValue("kind", source.kind)
+        .addKeyValue("eraBefore", source.copy.position().era())
+        .addKeyValue("era", history.era())
+        .addKeyValue("revisionBefore", source.copy.position().revision())
+        .addKeyValue("revision", revision)
+        .log("the platform was restored from a copy; listing all objects");
+    kinds.values().stream().filter(other -> other != source).forEach(KindSync::restartListing);
+  }
+
   /** Copy of one kind, with the state of the calls that keep it current. */
   private final class KindSync {
     private final ObjectKind kind;
@@ -184,9 +213,9 @@
     private long callCount;
     private Scheduler.Cancellable timer;
     private int failures;
+    private int relists;
     private boolean outageEnded;
     private long outageEndedAt;
-    private OptionalLong era = OptionalLong.empty();
 
     KindSync(ObjectKind kind, long waitMs, long batchDelayMs, boolean watching) {
       this.batchDelayMs = batchDelayMs;
@@ -209,6 +238,14 @@
       }
     }
 
+    /** Lists a watched kind, and ignores the answer to a pending call. */
+    void restartListing() {
+      if (watching) {
+        listNeeded = true;
+        sendCall();
+      }
+    }
+
     void sendCall() {
       if (stopped) {
         return;
@@ -219,7 +256,9 @@
       final long sentAt = clock.nanoTime();
       boolean list = listNeeded || !watching;
       var result =
-          list ? directory.list(kind, watching) : directory.watch(kind, copy.revision(), waitMs);
+          list
+              ? directory.list(kind, watching)
+              : directory.watch(kind, copy.position().revision(), waitMs);
       result.whenComplete(
           (listing, failure) -> {
             if (call != callCount) {
@@ -244,36 +283,41 @@
         failures = 0;
         kinds.values().stream().filter(other -> other != this).forEach(KindSync::restartWatch);
       }
-      boolean afterOutage = outageEnded && now - outageEndedAt < REREGISTRATION_NANOS;
-      boolean changed;
-      if (listing.era().isPresent() && !listing.era().equals(era)) {
-        LOG.atInfo()
-            .addKeyValue("kind", kind)
-            .addKeyValue("eraBefore", era.orElse(-1))
-            .addKeyValue("era", listing.era().getAsLong())
-            .addKeyValue("revisionBefore", copy.revision())
-            .addKeyValue("revision", listing.revision())
-            .log("the platform answers from another era of its history");
-        era = listing.era();
+      switch (history.read(listing.era(), watching, sentAt, now)) {
+        case OUTDATED -> {
+          LOG.atInfo()
+              .addKeyValue("kind", kind)
+              .addKeyValue("era", listing.era().orElse(0))
+              .addKeyValue("revision", listing.revision())
+              .log("ignored an answer from before the platform was restored");
+          listNeeded = true;
+          scheduleCall(MAX_RETRY_DELAY_MS);
+          return;
+        }
+        case RESTORED -> restored(this, listing.revision());
+        default -> {}
       }
-      if (list && listing.revision() < copy.revision()) {
-        LOG.atWarn()
-            .addKeyValue("kind", kind)
-            .addKeyValue("revision", listing.revision())
-            .addKeyValue("copyRevision", copy.revision())
-            .log("ignored a listing below the revision of the copy");
+      if (!list && copy.position().era() != history.era()) {
+        // The watch continued from a revision of the era before.
+        listNeeded = true;
+        sendCall();
+        return;
       }
+      boolean afterOutage = outageEnded && now - outageEndedAt < REREGISTRATION_NANOS;
+      boolean changed;
       if (list) {
-        changed = copy.replace(listing.entries(), listing.revision(), sentAt, afterOutage, now);
+        HistoryPosition position = new HistoryPosition(history.era(), listing.revision());
+        changed = copy.replace(listing.entries(), position, sentAt, afterOutage, now);
         listNeeded = false;
       } else {
+        relists = 0;
         long provenAt = sentAt - WATCH_LAG_NANOS;
         changed = copy.apply(listing.entries(), listing.revision(), provenAt, afterOutage, now);
       }
       if (changed) {
         LOG.atInfo()
             .addKeyValue("kind", kind)
-            .addKeyValue("revision", copy.revision())
+            .addKeyValue("position", copy.position().toText())
             .log("copy of platform objects changed");
         onChange.accept(kind);
       }
@@ -298,7 +342,8 @@
             .addKeyValue("kind", kind)
             .log("the platform dropped the history that the watch needs; listing all objects");
         listNeeded = true;
-        scheduleCall(RELIST_DELAY_MS);
+        scheduleCall(Math.min(MAX_RETRY_DELAY_MS, RELIST_DELAY_MS << Math.min(relists, 4)));
+        relists++;
         return;
       }
       if (failures == 0) {
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -17,6 +17,10 @@
     return new DirectoryEntry(name, revision, new byte[0], true);
   }
 
+  private static HistoryPosition at(long revision) {
+    return new HistoryPosition(1, revision);
+  }
+
   private List<String> names() {
     return copy.entries().stream().map(DirectoryEntry::name).sorted().toList();
   }
@@ -26,15 +30,15 @@
     // Guards against an older copy from a peer that replaces a newer one.
     @Test
     void neverDecreases() {
-      copy.replace(List.of(entry("a", 5)), 5, 0, false, 0);
-      assertThat(copy.replace(List.of(entry("a", 3)), 4, 0, false, 0)).isFalse();
-      assertThat(copy.revision()).isEqualTo(5);
+      copy.replace(List.of(entry("a", 5)), at(5), 0, false, 0);
+      assertThat(copy.replace(List.of(entry("a", 3)), at(4), 0, false, 0)).isFalse();
+      assertThat(copy.position()).isEqualTo(at(5));
     }
 
     // Guards against an older change that arrives after a newer one.
     @Test
     void ofAnEntryNeverDecreases() {
-      copy.replace(List.of(entry("a", 5)), 5, 0, false, 0);
+      copy.replace(List.of(entry("a", 5)), at(5), 0, false, 0);
       assertThat(copy.apply(List.of(entry("a", 4)), 6, 0, false, 0)).isFalse();
       assertThat(copy.entries().get(0).revision()).isEqualTo(5);
     }
@@ -45,8 +49,8 @@
     // Guards against removing endpoints that had no time yet to register again.
     @Test
     void missingEntriesAreKeptUntilTheyCanRegisterAgain() {
-      copy.replace(List.of(entry("a", 1), entry("b", 2)), 2, 0, false, 0);
-      copy.replace(List.of(entry("a", 1)), 9, 0, true, 0);
+      copy.replace(List.of(entry("a", 1), entry("b", 2)), at(2), 0, false, 0);
+      copy.replace(List.of(entry("a", 1)), at(9), 0, true, 0);
       assertThat(names()).containsExactly("a", "b");
       assertThat(copy.expire(DirectoryCopyState.REREGISTRATION_NANOS - 1)).isFalse();
       assertThat(copy.expire(DirectoryCopyState.REREGISTRATION_NANOS)).isTrue();
@@ -56,7 +60,7 @@
     // Guards against removing endpoints that a watch reports as removed because of the outage.
     @Test
     void removedEntriesAreKeptIfTheyRegisterAgain() {
-      copy.replace(List.of(entry("a", 1)), 1, 0, false, 0);
+      copy.replace(List.of(entry("a", 1)), at(1), 0, false, 0);
       copy.apply(List.of(removed("a", 2)), 2, 0, true, 0);
       assertThat(names()).containsExactly("a");
       copy.apply(List.of(entry("a", 3)), 3, 0, true, 0);
@@ -68,7 +72,7 @@
   // Guards against endpoints that stay in use after their removal.
   @Test
   void removedEntriesAreDroppedAtOnceWithoutOutage() {
-    copy.replace(List.of(entry("a", 1)), 1, 0, false, 0);
+    copy.replace(List.of(entry("a", 1)), at(1), 0, false, 0);
     assertThat(copy.apply(List.of(removed("a", 2)), 2, 0, false, 0)).isTrue();
     assertThat(names()).isEmpty();
   }
@@ -79,17 +83,17 @@
     @Test
     void countsFromTheLastConfirmation() {
       assertThat(copy.ageNanos(10)).isEqualTo(Long.MAX_VALUE);
-      copy.replace(List.of(), 1, 5, false, 5);
+      copy.replace(List.of(), at(1), 5, false, 5);
       assertThat(copy.ageNanos(15)).isEqualTo(10);
     }
 
     // Guards against a confirmation of a newer revision that is applied to this older copy.
     @Test
     void isNotResetByConfirmationOfNewerRevision() {
-      copy.replace(List.of(), 1, 5, false, 5);
-      copy.confirmCurrent(2, 12);
+      copy.replace(List.of(), at(1), 5, false, 5);
+      copy.confirmCurrent(at(2), 12);
       assertThat(copy.ageNanos(15)).isEqualTo(10);
-      copy.confirmCurrent(1, 12);
+      copy.confirmCurrent(at(1), 12);
       assertThat(copy.ageNanos(15)).isEqualTo(3);
     }
   }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -8,9 +8,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Local copy of all platform objects of one kind, with its revision and the last time at which it
- * was confirmed to be current. The revision never decreases. Times are nanoseconds of one monotonic
- * clock.
+ * Local copy of all platform objects of one kind, with its position in the platform's history and
+ * the last time at which it was confirmed to be current. The revision never decreases within an
+ * era. Times are nanoseconds of one monotonic clock.
  */
 public final class DirectoryCopyState {
   /**
@@ -21,16 +21,17 @@
 
   private final Map<String, DirectoryEntry> entries = new HashMap<>();
   private final Map<String, Long> keepMissingUntil = new HashMap<>();
-  private long revision;
+  private HistoryPosition position = HistoryPosition.START;
   private long currentAt;
   private boolean loaded;
 
   /**
-   * Replaces the copy by a full listing. A listing that is older than the copy is ignored. After an
-   * outage, entries that the listing lacks are kept for {@link #REREGISTRATION_NANOS}.
+   * Replaces the copy by a full listing. A listing of the same era that is older than the copy is
+   * ignored. After an outage, and in another era, entries that the listing lacks are kept for
+   * {@link #REREGISTRATION_NANOS}.
    *
    * @param listed all objects of the kind
-   * @param listedRevision revision of the platform at the listing
+   * @param listedPosition position of the platform's history at the listing
    * @param currentAt time at which the listing was current
    * @param afterOutage true if entries may be missing only because of an outage of the platform
    * @param now present time
@@ -38,13 +39,15 @@
    */
   public boolean replace(
       Collection<DirectoryEntry> listed,
-      long listedRevision,
+      HistoryPosition listedPosition,
       long currentAt,
       boolean afterOutage,
       long now) {
-    if (listedRevision < revision) {
+    boolean otherEra = loaded && listedPosition.era() != position.era();
+    if (!otherEra && listedPosition.revision() < position.revision()) {
       return false;
     }
+    boolean keepsMissing = afterOutage || otherEra;
     Map<String, DirectoryEntry> previous = new HashMap<>(entries);
     entries.clear();
     for (DirectoryEntry entry : listed) {
@@ -53,7 +56,7 @@
     }
     for (DirectoryEntry old : previous.values()) {
       if (!entries.containsKey(old.name())) {
-        if (afterOutage) {
+        if (keepsMissing) {
           keepMissingUntil.putIfAbsent(old.name(), now + REREGISTRATION_NANOS);
         }
         if (keepMissingUntil.containsKey(old.name())) {
@@ -61,9 +64,9 @@
         }
       }
     }
-    revision = listedRevision;
+    position = listedPosition;
     confirm(currentAt);
-    return !hasSameRevisions(previous);
+    return otherEra || !hasSameRevisions(previous);
   }
 
   private boolean hasSameRevisions(Map<String, DirectoryEntry> previous) {
@@ -80,7 +83,7 @@
   }
 
   /**
-   * Applies changes since the copy's revision.
+   * Applies changes since the copy's position, in the same era.
    *
    * @param changes changed and removed objects, oldest first
    * @param changedRevision revision of the platform after the changes
@@ -113,7 +116,7 @@
         changed = true;
       }
     }
-    revision = Math.max(revision, changedRevision);
+    position = new HistoryPosition(position.era(), Math.max(position.revision(), changedRevision));
     confirm(currentAt);
     return changed;
   }
@@ -145,14 +148,16 @@
   }
 
   /**
-   * Records that the platform had a given revision at a given time. If the copy has that revision
-   * or a newer one, it was current at that time.
+   * Records that the platform was at a given position at a given time. If the copy has that
+   * revision or a newer one of the same era, it was current at that time.
    *
-   * @param confirmedRevision revision of the platform; ignored if the copy is older
-   * @param time time at which the platform had that revision
+   * @param confirmed position of the platform; ignored if the copy is older or of another era
+   * @param time time at which the platform was at that position
    */
-  public void confirmCurrent(long confirmedRevision, long time) {
-    if (loaded && confirmedRevision <= revision) {
+  public void confirmCurrent(HistoryPosition confirmed, long time) {
+    if (loaded
+        && confirmed.era() == position.era()
+        && confirmed.revision() <= position.revision()) {
       confirm(time);
     }
   }
@@ -177,12 +182,13 @@
   }
 
   /**
-   * Returns the revision of the copy.
+   * Returns the position of the copy.
    *
-   * @return revision of the platform up to which the copy contains all changes; 0 if not loaded
+   * @return position in the platform's history up to which the copy contains all changes; {@link
+   *     HistoryPosition#START} if not loaded
    */
-  public long revision() {
-    return revision;
+  public HistoryPosition position() {
+    return position;
   }
 
   /**
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField PROVEN_AGE_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("provenAgeMs", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField OBJECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("objects", org.apache.thrift.protocol.TType.LIST, (short)4);
+  private static final org.apache.thrift.protocol.TField ERA_FIELD_DESC = new org.apache.thrift.protocol.TField("era", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DirectoryCopyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DirectoryCopyTupleSchemeFactory();
@@ -22,13 +23,15 @@
   public long revision; // required
   public long provenAgeMs; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<DirectoryObject> objects; // required
+  public long era; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     KIND((short)1, "kind"),
     REVISION((short)2, "revision"),
     PROVEN_AGE_MS((short)3, "provenAgeMs"),
-    OBJECTS((short)4, "objects");
+    OBJECTS((short)4, "objects"),
+    ERA((short)5, "era");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return PROVEN_AGE_MS;
         case 4: // OBJECTS
           return OBJECTS;
+        case 5: // ERA
+          return ERA;
         default:
           return null;
       }
@@ -97,6 +102,7 @@
   // isset id assignments
   private static final int __REVISION_ISSET_ID = 0;
   private static final int __PROVENAGEMS_ISSET_ID = 1;
+  private static final int __ERA_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -110,6 +116,8 @@
     tmpMap.put(_Fields.OBJECTS, new org.apache.thrift.meta_data.FieldMetaData("objects", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DirectoryObject.class))));
+    tmpMap.put(_Fields.ERA, new org.apache.thrift.meta_data.FieldMetaData("era", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DirectoryCopy.class, metaDataMap);
   }
@@ -121,7 +129,8 @@
     java.lang.String kind,
     long revision,
     long provenAgeMs,
-    java.util.List<DirectoryObject> objects)
+    java.util.List<DirectoryObject> objects,
+    long era)
   {
     this();
     this.kind = kind;
@@ -130,6 +139,8 @@
     this.provenAgeMs = provenAgeMs;
     setProvenAgeMsIsSet(true);
     this.objects = objects;
+    this.era = era;
+    setEraIsSet(true);
   }
 
   /**
@@ -149,6 +160,7 @@
       }
       this.objects = __this__objects;
     }
+    this.era = other.era;
   }
 
   @Override
@@ -164,6 +176,8 @@
     setProvenAgeMsIsSet(false);
     this.provenAgeMs = 0;
     this.objects = null;
+    setEraIsSet(false);
+    this.era = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -278,6 +292,29 @@
     }
   }
 
+  public long getEra() {
+    return this.era;
+  }
+
+  public DirectoryCopy setEra(long era) {
+    this.era = era;
+    setEraIsSet(true);
+    return this;
+  }
+
+  public void unsetEra() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __ERA_ISSET_ID);
+  }
+
+  /** Returns true if field era is set (has been assigned a value) and false otherwise */
+  public boolean isSetEra() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __ERA_ISSET_ID);
+  }
+
+  public void setEraIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ERA_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -313,6 +350,14 @@
       }
       break;
 
+    case ERA:
+      if (value == null) {
+        unsetEra();
+      } else {
+        setEra((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -332,6 +377,9 @@
     case OBJECTS:
       return getObjects();
 
+    case ERA:
+      return getEra();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -352,6 +400,8 @@
       return isSetProvenAgeMs();
     case OBJECTS:
       return isSetObjects();
+    case ERA:
+      return isSetEra();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -405,6 +455,15 @@
         return false;
     }
 
+    boolean this_present_era = true;
+    boolean that_present_era = true;
+    if (this_present_era || that_present_era) {
+      if (!(this_present_era && that_present_era))
+        return false;
+      if (this.era != that.era)
+        return false;
+    }
+
     return true;
   }
 
@@ -424,6 +483,8 @@
     if (isSetObjects())
       hashCode = hashCode * 8191 + objects.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(era);
+
     return hashCode;
   }
 
@@ -475,6 +536,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetEra(), other.isSetEra());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEra()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.era, other.era);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -522,6 +593,10 @@
       sb.append(this.objects);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("era:");
+    sb.append(this.era);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -612,6 +687,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // ERA
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.era = iprot.readI64();
+              struct.setEraIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -651,6 +734,9 @@
         }
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(ERA_FIELD_DESC);
+      oprot.writeI64(struct.era);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -682,7 +768,10 @@
       if (struct.isSetObjects()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetEra()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetKind()) {
         oprot.writeString(struct.kind);
       }
@@ -701,12 +790,15 @@
           }
         }
       }
+      if (struct.isSetEra()) {
+        oprot.writeI64(struct.era);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, DirectoryCopy struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.kind = iprot.readString();
         struct.setKindIsSet(true);
@@ -733,6 +825,10 @@
         }
         struct.setObjectsIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.era = iprot.readI64();
+        struct.setEraIsSet(true);
+      }
     }
   }
 
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -69,6 +69,7 @@
   2: i64 revision, // of the platform when this copy was current
   3: i64 provenAgeMs, // the copy was current this long ago
   4: list<DirectoryObject> objects, // absent if the copy is not newer than the receiver's
+  5: i64 era, // of the platform's history in which the revision counts; 0 if not known
 }
 
 struct DirectoryCopies {
