Accept entries that register again at lower revisions in the next era

Callers saw: nothing yet; endpoints that were kept after a restoration would have been dropped 1.9 s later, although they had registered again. Cause: a change was compared with the revision of the kept entry, which is of the era before. Change: the revision of an entry that is kept is not compared. Result: DirectoryCopyStateTest$AnotherEra#entriesThatRegisterAgainAtLowerRevisionsStay failed before and passes.

--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -69,6 +69,34 @@
     }
   }
 
+  @Nested
+  class AnotherEra {
+    private HistoryPosition next(long revision) {
+      return new HistoryPosition(2, revision);
+    }
+
+    // Guards against endpoints that are dropped although they registered again, at a revision that
+    // is below that of their entry in the era before.
+    @Test
+    void entriesThatRegisterAgainAtLowerRevisionsStay() {
+      copy.replace(List.of(entry("a", 30)), at(30), 0, false, 0);
+      copy.replace(List.of(), next(20), 0, false, 0);
+      assertThat(names()).containsExactly("a");
+      copy.apply(List.of(entry("a", 21)), 21, 0, false, 0);
+      assertThat(copy.expire(DirectoryCopyState.REREGISTRATION_NANOS)).isFalse();
+      assertThat(names()).containsExactly("a");
+    }
+
+    // Guards against endpoints that stay in use although they did not register again.
+    @Test
+    void missingEntriesAreDroppedAfterTheRegistrationTime() {
+      copy.replace(List.of(entry("a", 30)), at(30), 0, false, 0);
+      copy.replace(List.of(), next(20), 0, false, 0);
+      assertThat(copy.expire(DirectoryCopyState.REREGISTRATION_NANOS)).isTrue();
+      assertThat(names()).isEmpty();
+    }
+  }
+
   // Guards against endpoints that stay in use after their removal.
   @Test
   void removedEntriesAreDroppedAtOnceWithoutOutage() {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -101,7 +101,12 @@
     boolean changed = false;
     for (DirectoryEntry change : changes) {
       DirectoryEntry old = entries.get(change.name());
-      if (old != null && !change.removed() && old.revision() >= change.revision()) {
+      // The revision of an entry that is kept may be of another era.
+      boolean isOlder =
+          old != null
+              && !keepMissingUntil.containsKey(change.name())
+              && old.revision() >= change.revision();
+      if (isOlder && !change.removed()) {
         continue;
       }
       if (change.removed() && afterOutage && old != null) {
