--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
@@ -44,10 +44,12 @@
     private final HostPort address;
 
     Vm(boolean reachesPlatform) throws Exception {
+      this(new FakePlatform(reachesPlatform, 7, 0));
+    }
+
+    Vm(FakePlatform platform) throws Exception {
       EventLoopScheduler scheduler = new EventLoopScheduler(eventLoops);
-      sync =
-          new DirectorySync(
-              new FakePlatform(reachesPlatform), scheduler, SystemNanoClock.INSTANCE, kind -> {});
+      sync = new DirectorySync(platform, scheduler, SystemNanoClock.INSTANCE, kind -> {});
       DirectoryExchange[] holder = new DirectoryExchange[1];
       address =
           HttpServer.start(
@@ -138,8 +140,30 @@
     }
   }
 
+  @Nested
+  class VmThatStartsAfterRestoration {
+    // Guards against a VM that follows a restored platform, although its peer knows that a higher
+    // version of the configuration was confirmed.
+    @Test
+    void takesHigherVersionsFromItsPeer() throws Exception {
+      Vm running = new Vm(new FakePlatform(true, 9, 13));
+      Vm started = new Vm(new FakePlatform(true, 25, 6));
+      running.start(null);
+      awaitCopy(running);
+      started.start(running);
+      awaitCopy(started);
+      long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+      while (run(() -> started.copy().entries().get(0).operatorVersion()) != 13
+          && System.nanoTime() - deadline < 0) {
+        Thread.onSpinWait();
+      }
+      assertThat(run(() -> started.copy().entries().get(0).operatorVersion())).isEqualTo(13);
+    }
+  }
+
   /** Answers listings and leaves watches pending; fails listings if not reachable. */
-  private record FakePlatform(boolean reachable) implements ObjectDirectory {
+  private record FakePlatform(boolean reachable, long revision, long operatorVersion)
+      implements ObjectDirectory {
     @Override
     public CompletableFuture<DirectoryEntries> list(ObjectKind kind, boolean current) {
       if (!reachable) {
@@ -147,7 +171,9 @@
             new PlatformException(ErrorKind.UNAVAILABLE, "connection refused"));
       }
       return CompletableFuture.completedFuture(
-          new DirectoryEntries(List.of(new DirectoryEntry("main", 7, new byte[] {1}, false)), 7));
+          new DirectoryEntries(
+              List.of(new DirectoryEntry("main", revision, new byte[] {1}, false, operatorVersion)),
+              revision));
     }
 
     @Override
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
@@ -30,11 +30,11 @@
   }
 
   private void write(int version) {
-    platform.put(KIND, NAME, new byte[] {(byte) version});
+    platform.put(KIND, NAME, version);
   }
 
-  private int version() {
-    return sync.copy(KIND).entries().get(0).content()[0];
+  private long version() {
+    return sync.copy(KIND).entries().get(0).operatorVersion();
   }
 
   private void startWith(int version) {
@@ -60,7 +60,7 @@
     advanceMs(2_000);
     platform.restore(copy);
     for (int i = 0; i < others; i++) {
-      platform.put(ObjectKind.ENDPOINTS, "e" + i, new byte[0]);
+      platform.put(ObjectKind.ENDPOINTS, "e" + i);
       advanceMs(300);
     }
     for (int i = 0; i < written; i++) {
@@ -92,6 +92,20 @@
     platform.restore(copy);
   }
 
+  // Guards against a confirmed configuration that is given up for the one of the copy.
+  @Test
+  void confirmedConfigurationStaysInForceUntilItIsWrittenAgain() {
+    restoreWithoutTheLastVersion();
+    advanceMs(60_000);
+    assertThat(version()).isEqualTo(2);
+    write(2);
+    advanceMs(APPLY_MS);
+    assertThat(sync.copy(KIND).kept()).isEmpty();
+    write(3);
+    advanceMs(APPLY_MS);
+    assertThat(version()).isEqualTo(3);
+  }
+
   // Guards against changes that are missed after the second of two restorations.
   @Test
   void secondRestorationIsNoticedLikeTheFirst() {
@@ -130,7 +144,7 @@
     sync.poll(ObjectKind.ENDPOINTS, 300);
     advanceMs(100);
     final SimulatedPlatform.Copy copy = platform.copy();
-    platform.put(ObjectKind.ENDPOINTS, "lost", new byte[0]);
+    platform.put(ObjectKind.ENDPOINTS, "lost");
     client.setAnswerMs(1_500);
     advanceMs(400);
     client.setAnswerMs(4);
@@ -146,7 +160,7 @@
   @Nested
   class PeerCopy {
     private final List<DirectoryEntry> entries =
-        List.of(new DirectoryEntry(NAME, 1, new byte[] {7}, false));
+        List.of(new DirectoryEntry(NAME, 1, new byte[0], false, 7));
 
     // Guards against a copy of a VM that has not noticed the restoration, whose revision is higher.
     @Test
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/SimulatedPlatform.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/SimulatedPlatform.java
@@ -42,10 +42,15 @@
     this.time = time;
   }
 
+  /** Writes an object that operators do not version. */
+  void put(ObjectKind kind, String name) {
+    put(kind, name, 0);
+  }
+
   /** Writes an object. */
-  void put(ObjectKind kind, String name, byte[] content) {
+  void put(ObjectKind kind, String name, long operatorVersion) {
     revision++;
-    change(kind, new DirectoryEntry(name, revision, content, false));
+    change(kind, new DirectoryEntry(name, revision, new byte[0], false, operatorVersion));
   }
 
   /** Removes an object. */
@@ -204,7 +209,7 @@
         fail(future, ErrorKind.UNAVAILABLE);
       } else {
         registrations.add(name);
-        put(ObjectKind.ENTRY_VMS, name, new byte[0]);
+        put(ObjectKind.ENTRY_VMS, name);
         future.complete(null);
       }
       return future;
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -1,5 +1,7 @@
 package org.clementineford.fleet;
 
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,7 +22,6 @@
 import org.clementineford.transport.http.HttpRequest;
 import org.clementineford.wire.DirectoryCopies;
 import org.clementineford.wire.DirectoryCopy;
-import org.clementineford.wire.DirectoryObject;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,6 +34,9 @@
   /** HTTP path at which peers request copies. */
   public static final String PATH = "/directory";
 
+  /** Suffix of the query parameter with the operators' versions of a kind's objects. */
+  private static final String VERSIONS_SUFFIX = ".versions";
+
   private static final Logger LOG = LoggerFactory.getLogger(DirectoryExchange.class);
 
   /** Interval at which the age of the copies is checked, in milliseconds. */
@@ -150,7 +154,12 @@
     final long sentAt = clock.nanoTime();
     StringBuilder query = new StringBuilder(PATH).append("?vm=").append(self);
     for (ObjectKind kind : kinds) {
-      query.append('&').append(kind).append('=').append(sync.copy(kind).position().toText());
+      DirectoryCopyState copy = sync.copy(kind);
+      query.append('&').append(kind).append('=').append(copy.position().toText());
+      if (kind.isVersionedByOperators()) {
+        query.append('&').append(kind).append(VERSIONS_SUFFIX).append('=');
+        query.append(URLEncoder.encode(DirectoryCopyCodec.versions(copy), StandardCharsets.UTF_8));
+      }
     }
     client
         .call(peer, new HttpRequest("GET", query.toString(), Map.of(), new byte[0]), TIMEOUT_MS)
@@ -175,20 +184,15 @@
       addPeers(List.of(HostPort.parse(address)));
     }
     for (DirectoryCopy copy : copies.getCopies()) {
-      List<DirectoryEntry> entries = null;
-      if (copy.isSetObjects()) {
-        entries = new ArrayList<>();
-        for (DirectoryObject object : copy.getObjects()) {
-          entries.add(
-              new DirectoryEntry(
-                  object.getName(), object.getRevision(), object.getContent(), false));
-        }
-      }
+      ObjectKind kind = ObjectKind.valueOf(copy.getKind());
       long provenAt = sentAt - TimeUnit.MILLISECONDS.toNanos(copy.getProvenAgeMs() + 1);
+      if (copy.isSetHigherVersions()) {
+        sync.addHigherVersions(kind, DirectoryCopyCodec.decode(copy.getHigherVersions()));
+      }
       sync.applyPeerCopy(
-          ObjectKind.valueOf(copy.getKind()),
+          kind,
           new HistoryPosition(copy.getEra(), copy.getRevision()),
-          entries,
+          copy.isSetObjects() ? DirectoryCopyCodec.decode(copy.getObjects()) : null,
           provenAt);
     }
   }
@@ -206,33 +210,17 @@
       String peerPosition = request.queryParameter(kind.name(), "");
       DirectoryCopyState copy = sync.copy(kind);
       if (!peerPosition.isEmpty() && copy.isLoaded()) {
-        copies.addToCopies(encode(kind, copy, HistoryPosition.parse(peerPosition)));
+        copies.addToCopies(
+            DirectoryCopyCodec.encode(
+                kind,
+                copy,
+                HistoryPosition.parse(peerPosition),
+                request.queryParameter(kind + VERSIONS_SUFFIX, ""),
+                clock.nanoTime()));
       }
     }
     peers.forEach(peer -> copies.addToEntryVms(peer.toString()));
     copies.addToEntryVms(self.toString());
     exchange.respond(200, Map.of(), ThriftCodec.encode(copies));
   }
-
-  /** Encodes a copy, with its objects only if it is newer than that of the peer. */
-  private DirectoryCopy encode(
-      ObjectKind kind, DirectoryCopyState copy, HistoryPosition peerPosition) {
-    DirectoryCopy encoded =
-        new DirectoryCopy()
-            .setKind(kind.name())
-            .setEra(copy.position().era())
-            .setRevision(copy.position().revision())
-            .setProvenAgeMs(TimeUnit.NANOSECONDS.toMillis(copy.ageNanos(clock.nanoTime())) + 1);
-    if (copy.position().compareTo(peerPosition) > 0) {
-      encoded.setObjects(new ArrayList<>());
-      for (DirectoryEntry entry : copy.entries()) {
-        encoded.addToObjects(
-            new DirectoryObject()
-                .setName(entry.name())
-                .setRevision(entry.revision())
-                .setContent(entry.content()));
-      }
-    }
-    return encoded;
-  }
 }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -15,6 +15,7 @@
 import org.clementineford.serving.directory.DirectoryEntries;
 import org.clementineford.serving.directory.DirectoryEntry;
 import org.clementineford.serving.directory.HistoryPosition;
+import org.clementineford.serving.directory.KeptEntry;
 import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.serving.directory.PlatformHistory;
@@ -151,6 +152,20 @@
     return List.copyOf(kinds.keySet());
   }
 
+  /**
+   * Adds objects of a peer that operators versioned higher than those of the local copy.
+   *
+   * @param kind the kind
+   * @param newer the objects, also of another era
+   */
+  public void addHigherVersions(ObjectKind kind, List<DirectoryEntry> newer) {
+    KindSync sync = kinds.get(kind);
+    if (sync != null && sync.copy.addHigherVersions(newer)) {
+      sync.logKept();
+      onChange.accept(kind);
+    }
+  }
+
   /**
    * Replaces the local copy with a newer one from a peer, or records that the peer's copy proves
    * the local one current.
@@ -207,7 +222,7 @@
     private final long waitMs;
     private final long batchDelayMs;
     private final boolean watching;
-    private final DirectoryCopyState copy = new DirectoryCopyState();
+    private final DirectoryCopyState copy;
     private boolean listNeeded = true;
     private boolean callPending;
     private long callCount;
@@ -220,6 +235,7 @@
     KindSync(ObjectKind kind, long waitMs, long batchDelayMs, boolean watching) {
       this.batchDelayMs = batchDelayMs;
       this.kind = kind;
+      this.copy = new DirectoryCopyState(kind);
       this.waitMs = waitMs;
       this.watching = watching;
     }
@@ -309,6 +325,7 @@
         HistoryPosition position = new HistoryPosition(history.era(), listing.revision());
         changed = copy.replace(listing.entries(), position, sentAt, afterOutage, now);
         listNeeded = false;
+        logKept();
       } else {
         relists = 0;
         long provenAt = sentAt - WATCH_LAG_NANOS;
@@ -357,6 +374,23 @@
       scheduleCall(delay);
     }
 
+    private void logKept() {
+      for (KeptEntry entry : copy.kept()) {
+        OptionalLong until = entry.until();
+        LOG.atInfo()
+            .addKeyValue("kind", kind)
+            .addKeyValue("name", entry.entry().name())
+            .addKeyValue("version", entry.entry().operatorVersion())
+            .addKeyValue("shownVersion", entry.shown().map(e -> e.operatorVersion()).orElse(-1L))
+            .addKeyValue(
+                "remainingMs",
+                until.isPresent()
+                    ? TimeUnit.NANOSECONDS.toMillis(until.getAsLong() - clock.nanoTime())
+                    : -1)
+            .log("kept an entry that the platform does not show in this state");
+      }
+    }
+
     void expire() {
       if (copy.expire(clock.nanoTime())) {
         LOG.atInfo()
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -3,11 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class DirectoryCopyStateTest {
-  private final DirectoryCopyState copy = new DirectoryCopyState();
+  private final DirectoryCopyState copy = new DirectoryCopyState(ObjectKind.ENDPOINTS);
 
   private static DirectoryEntry entry(String name, long revision) {
     return new DirectoryEntry(name, revision, new byte[0], false);
@@ -97,6 +98,85 @@
     }
   }
 
+  @Nested
+  class OperatorVersions {
+    private final DirectoryCopyState configuration =
+        new DirectoryCopyState(ObjectKind.CONFIGURATION);
+
+    private static DirectoryEntry version(long revision, long version) {
+      return new DirectoryEntry("main", revision, new byte[0], false, version);
+    }
+
+    private static HistoryPosition next(long revision) {
+      return new HistoryPosition(2, revision);
+    }
+
+    private long versionInUse() {
+      return configuration.entries().get(0).operatorVersion();
+    }
+
+    @BeforeEach
+    void load() {
+      configuration.replace(List.of(version(30, 13)), at(30), 0, false, 0);
+    }
+
+    // Guards against a confirmed configuration that is given up for one of a restored platform.
+    @Test
+    void areNotLoweredByTheListingOfTheNextEra() {
+      configuration.replace(List.of(version(24, 6)), next(25), 0, false, 0);
+      assertThat(versionInUse()).isEqualTo(13);
+      assertThat(configuration.kept().get(0).shown().get().operatorVersion()).isEqualTo(6);
+      configuration.expire(Long.MAX_VALUE / 2);
+      assertThat(versionInUse()).isEqualTo(13);
+    }
+
+    // Guards against a configuration that ends because a restored platform does not have it yet.
+    @Test
+    void areKeptWithoutTimeLimitIfTheNextEraLacksThem() {
+      configuration.replace(List.of(), next(3), 0, false, 0);
+      configuration.replace(List.of(), next(4), 0, false, 0);
+      configuration.expire(Long.MAX_VALUE / 2);
+      assertThat(versionInUse()).isEqualTo(13);
+    }
+
+    // Guards against a kept configuration that hides what is written again.
+    @Test
+    void areReplacedWhenTheyAreWrittenAgain() {
+      configuration.replace(List.of(version(24, 6)), next(25), 0, false, 0);
+      configuration.apply(List.of(version(26, 13)), 26, 0, false, 0);
+      assertThat(configuration.kept()).isEmpty();
+      configuration.apply(List.of(version(27, 16)), 27, 0, false, 0);
+      assertThat(versionInUse()).isEqualTo(16);
+    }
+
+    // Guards against steps back while operators write several versions again, one after the other.
+    @Test
+    void areNotLoweredByChangesOfTheNextEra() {
+      configuration.replace(List.of(version(24, 6)), next(25), 0, false, 0);
+      assertThat(configuration.apply(List.of(version(26, 10)), 26, 0, false, 0)).isFalse();
+      assertThat(versionInUse()).isEqualTo(13);
+      assertThat(configuration.kept()).hasSize(1);
+    }
+
+    // Guards against a second restoration that lets the kept version go.
+    @Test
+    void areKeptOverTwoRestorations() {
+      configuration.replace(List.of(version(24, 6)), next(25), 0, false, 0);
+      configuration.replace(List.of(), new HistoryPosition(3, 2), 0, false, 0);
+      assertThat(versionInUse()).isEqualTo(13);
+    }
+
+    // Guards against a VM that keeps the version of a restored platform although a peer knows that
+    // a higher one was confirmed.
+    @Test
+    void areRaisedByPeers() {
+      assertThat(configuration.addHigherVersions(List.of(version(9, 12)))).isFalse();
+      assertThat(configuration.addHigherVersions(List.of(version(9, 16)))).isTrue();
+      configuration.replace(List.of(version(30, 13)), at(31), 0, false, 0);
+      assertThat(versionInUse()).isEqualTo(16);
+    }
+  }
+
   // Guards against endpoints that stay in use after their removal.
   @Test
   void removedEntriesAreDroppedAtOnceWithoutOutage() {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -5,6 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -19,16 +21,27 @@
    */
   static final long REREGISTRATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
 
+  private final ObjectKind kind;
   private final Map<String, DirectoryEntry> entries = new HashMap<>();
-  private final Map<String, Long> keepMissingUntil = new HashMap<>();
+  private final Map<String, KeptEntry> kept = new HashMap<>();
   private HistoryPosition position = HistoryPosition.START;
   private long currentAt;
   private boolean loaded;
 
+  /**
+   * Creates a copy that is not loaded.
+   *
+   * @param kind kind of the objects
+   */
+  public DirectoryCopyState(ObjectKind kind) {
+    this.kind = kind;
+  }
+
   /**
    * Replaces the copy by a full listing. A listing of the same era that is older than the copy is
    * ignored. After an outage, and in another era, entries that the listing lacks are kept for
-   * {@link #REREGISTRATION_NANOS}.
+   * {@link #REREGISTRATION_NANOS}, and objects that operators version until they are written again.
+   * A lower version of such an object never replaces a higher one.
    *
    * @param listed all objects of the kind
    * @param listedPosition position of the platform's history at the listing
@@ -47,21 +60,23 @@
     if (!otherEra && listedPosition.revision() < position.revision()) {
       return false;
     }
-    boolean keepsMissing = afterOutage || otherEra;
-    Map<String, DirectoryEntry> previous = new HashMap<>(entries);
+    final boolean keepsMissing = afterOutage || otherEra;
+    final Map<String, DirectoryEntry> previous = new HashMap<>(entries);
+    final Map<String, KeptEntry> keptBefore = new HashMap<>(kept);
     entries.clear();
-    for (DirectoryEntry entry : listed) {
-      entries.put(entry.name(), entry);
-      keepMissingUntil.remove(entry.name());
-    }
+    kept.clear();
+    listed.forEach(entry -> entries.put(entry.name(), entry));
     for (DirectoryEntry old : previous.values()) {
-      if (!entries.containsKey(old.name())) {
-        if (keepsMissing) {
-          keepMissingUntil.putIfAbsent(old.name(), now + REREGISTRATION_NANOS);
-        }
-        if (keepMissingUntil.containsKey(old.name())) {
-          entries.put(old.name(), old);
+      DirectoryEntry shown = entries.get(old.name());
+      KeptEntry keptOld = keptBefore.get(old.name());
+      if (shown != null) {
+        if (isLowerVersion(shown, old)) {
+          keep(old, shown);
         }
+      } else if (keptOld != null) {
+        keepMissing(old, keptOld.until());
+      } else if (keepsMissing) {
+        keepMissing(old, registrationEnd(otherEra, now));
       }
     }
     position = listedPosition;
@@ -69,6 +84,27 @@
     return otherEra || !hasSameRevisions(previous);
   }
 
+  /** Returns the time until which an entry that the platform lacks may be written again. */
+  private OptionalLong registrationEnd(boolean otherEra, long now) {
+    return otherEra && kind.isVersionedByOperators()
+        ? OptionalLong.empty()
+        : OptionalLong.of(now + REREGISTRATION_NANOS);
+  }
+
+  private static boolean isLowerVersion(DirectoryEntry entry, DirectoryEntry than) {
+    return entry.operatorVersion() < than.operatorVersion();
+  }
+
+  private void keep(DirectoryEntry entry, DirectoryEntry shown) {
+    entries.put(entry.name(), entry);
+    kept.put(entry.name(), new KeptEntry(entry, Optional.of(shown), OptionalLong.empty()));
+  }
+
+  private void keepMissing(DirectoryEntry entry, OptionalLong until) {
+    entries.put(entry.name(), entry);
+    kept.put(entry.name(), new KeptEntry(entry, Optional.empty(), until));
+  }
+
   private boolean hasSameRevisions(Map<String, DirectoryEntry> previous) {
     if (previous.size() != entries.size()) {
       return false;
@@ -103,17 +139,21 @@
       DirectoryEntry old = entries.get(change.name());
       // The revision of an entry that is kept may be of another era.
       boolean isOlder =
-          old != null
-              && !keepMissingUntil.containsKey(change.name())
-              && old.revision() >= change.revision();
+          old != null && !kept.containsKey(change.name()) && old.revision() >= change.revision();
       if (isOlder && !change.removed()) {
         continue;
       }
+      if (old != null && !change.removed() && isLowerVersion(change, old)) {
+        keep(old, change);
+        continue;
+      }
       if (change.removed() && afterOutage && old != null) {
-        keepMissingUntil.putIfAbsent(change.name(), now + REREGISTRATION_NANOS);
+        if (!kept.containsKey(change.name())) {
+          keepMissing(old, registrationEnd(false, now));
+        }
         continue;
       }
-      keepMissingUntil.remove(change.name());
+      kept.remove(change.name());
       if (change.removed()) {
         changed |= entries.remove(change.name()) != null;
       } else {
@@ -134,17 +174,49 @@
    */
   public boolean expire(long now) {
     List<String> expired = new ArrayList<>();
-    keepMissingUntil.forEach(
-        (name, until) -> {
-          if (now - until >= 0) {
+    kept.forEach(
+        (name, keptEntry) -> {
+          if (keptEntry.until().isPresent() && now - keptEntry.until().getAsLong() >= 0) {
             expired.add(name);
           }
         });
-    expired.forEach(keepMissingUntil::remove);
+    expired.forEach(kept::remove);
     expired.forEach(entries::remove);
     return !expired.isEmpty();
   }
 
+  /**
+   * Adds objects of a peer that operators versioned higher than the entries in use. They are kept
+   * until the platform shows that version or a higher one.
+   *
+   * @param newer objects of the peer
+   * @return true if an entry changed
+   */
+  public boolean addHigherVersions(Collection<DirectoryEntry> newer) {
+    boolean changed = false;
+    for (DirectoryEntry entry : newer) {
+      DirectoryEntry old = entries.get(entry.name());
+      if (old == null || isLowerVersion(old, entry)) {
+        KeptEntry keptBefore = kept.get(entry.name());
+        Optional<DirectoryEntry> shown =
+            keptBefore == null ? Optional.ofNullable(old) : keptBefore.shown();
+        entries.put(entry.name(), entry);
+        kept.put(entry.name(), new KeptEntry(entry, shown, OptionalLong.empty()));
+        changed = true;
+      }
+    }
+    return changed;
+  }
+
+  /**
+   * Returns the entries that stay in use although the platform shows another state.
+   *
+   * @return an unmodifiable list, in no particular order
+   */
+  public List<KeptEntry> kept() {
+    return List.copyOf(kept.values());
+  }
+
   private void confirm(long time) {
     if (!loaded || time - currentAt > 0) {
       currentAt = time;
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
@@ -436,14 +436,14 @@
           case 1: // COPIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list24.size);
-                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list32.size);
+                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
                 {
-                  _elem25 = new DirectoryCopy();
-                  _elem25.read(iprot);
-                  struct.copies.add(_elem25);
+                  _elem33 = new DirectoryCopy();
+                  _elem33.read(iprot);
+                  struct.copies.add(_elem33);
                 }
                 iprot.readListEnd();
               }
@@ -455,13 +455,13 @@
           case 2: // ENTRY_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
-                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list27.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem28;
-                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
+                org.apache.thrift.protocol.TList _list35 = iprot.readListBegin();
+                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list35.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem36;
+                for (int _i37 = 0; _i37 < _list35.size; ++_i37)
                 {
-                  _elem28 = iprot.readString();
-                  struct.entryVms.add(_elem28);
+                  _elem36 = iprot.readString();
+                  struct.entryVms.add(_elem36);
                 }
                 iprot.readListEnd();
               }
@@ -490,9 +490,9 @@
         oprot.writeFieldBegin(COPIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.copies.size()));
-          for (DirectoryCopy _iter30 : struct.copies)
+          for (DirectoryCopy _iter38 : struct.copies)
           {
-            _iter30.write(oprot);
+            _iter38.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -502,9 +502,9 @@
         oprot.writeFieldBegin(ENTRY_VMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.entryVms.size()));
-          for (java.lang.String _iter31 : struct.entryVms)
+          for (java.lang.String _iter39 : struct.entryVms)
           {
-            oprot.writeString(_iter31);
+            oprot.writeString(_iter39);
           }
           oprot.writeListEnd();
         }
@@ -539,18 +539,18 @@
       if (struct.isSetCopies()) {
         {
           oprot.writeI32(struct.copies.size());
-          for (DirectoryCopy _iter32 : struct.copies)
+          for (DirectoryCopy _iter40 : struct.copies)
           {
-            _iter32.write(oprot);
+            _iter40.write(oprot);
           }
         }
       }
       if (struct.isSetEntryVms()) {
         {
           oprot.writeI32(struct.entryVms.size());
-          for (java.lang.String _iter33 : struct.entryVms)
+          for (java.lang.String _iter41 : struct.entryVms)
           {
-            oprot.writeString(_iter33);
+            oprot.writeString(_iter41);
           }
         }
       }
@@ -562,27 +562,27 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list34.size);
-          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem35;
-          for (int _i36 = 0; _i36 < _list34.size; ++_i36)
+          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list42.size);
+          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem43;
+          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
           {
-            _elem35 = new DirectoryCopy();
-            _elem35.read(iprot);
-            struct.copies.add(_elem35);
+            _elem43 = new DirectoryCopy();
+            _elem43.read(iprot);
+            struct.copies.add(_elem43);
           }
         }
         struct.setCopiesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list37.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem38;
-          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list45.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
           {
-            _elem38 = iprot.readString();
-            struct.entryVms.add(_elem38);
+            _elem46 = iprot.readString();
+            struct.entryVms.add(_elem46);
           }
         }
         struct.setEntryVmsIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
@@ -15,6 +15,7 @@
   private static final org.apache.thrift.protocol.TField PROVEN_AGE_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("provenAgeMs", org.apache.thrift.protocol.TType.I64, (short)3);
   private static final org.apache.thrift.protocol.TField OBJECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("objects", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField ERA_FIELD_DESC = new org.apache.thrift.protocol.TField("era", org.apache.thrift.protocol.TType.I64, (short)5);
+  private static final org.apache.thrift.protocol.TField HIGHER_VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("higherVersions", org.apache.thrift.protocol.TType.LIST, (short)6);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DirectoryCopyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DirectoryCopyTupleSchemeFactory();
@@ -24,6 +25,7 @@
   public long provenAgeMs; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<DirectoryObject> objects; // required
   public long era; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<DirectoryObject> higherVersions; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -31,7 +33,8 @@
     REVISION((short)2, "revision"),
     PROVEN_AGE_MS((short)3, "provenAgeMs"),
     OBJECTS((short)4, "objects"),
-    ERA((short)5, "era");
+    ERA((short)5, "era"),
+    HIGHER_VERSIONS((short)6, "higherVersions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -57,6 +60,8 @@
           return OBJECTS;
         case 5: // ERA
           return ERA;
+        case 6: // HIGHER_VERSIONS
+          return HIGHER_VERSIONS;
         default:
           return null;
       }
@@ -118,6 +123,9 @@
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DirectoryObject.class))));
     tmpMap.put(_Fields.ERA, new org.apache.thrift.meta_data.FieldMetaData("era", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.HIGHER_VERSIONS, new org.apache.thrift.meta_data.FieldMetaData("higherVersions", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DirectoryObject.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DirectoryCopy.class, metaDataMap);
   }
@@ -130,7 +138,8 @@
     long revision,
     long provenAgeMs,
     java.util.List<DirectoryObject> objects,
-    long era)
+    long era,
+    java.util.List<DirectoryObject> higherVersions)
   {
     this();
     this.kind = kind;
@@ -141,6 +150,7 @@
     this.objects = objects;
     this.era = era;
     setEraIsSet(true);
+    this.higherVersions = higherVersions;
   }
 
   /**
@@ -161,6 +171,13 @@
       this.objects = __this__objects;
     }
     this.era = other.era;
+    if (other.isSetHigherVersions()) {
+      java.util.List<DirectoryObject> __this__higherVersions = new java.util.ArrayList<DirectoryObject>(other.higherVersions.size());
+      for (DirectoryObject other_element : other.higherVersions) {
+        __this__higherVersions.add(new DirectoryObject(other_element));
+      }
+      this.higherVersions = __this__higherVersions;
+    }
   }
 
   @Override
@@ -178,6 +195,7 @@
     this.objects = null;
     setEraIsSet(false);
     this.era = 0;
+    this.higherVersions = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -315,6 +333,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __ERA_ISSET_ID, value);
   }
 
+  public int getHigherVersionsSize() {
+    return (this.higherVersions == null) ? 0 : this.higherVersions.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<DirectoryObject> getHigherVersionsIterator() {
+    return (this.higherVersions == null) ? null : this.higherVersions.iterator();
+  }
+
+  public void addToHigherVersions(DirectoryObject elem) {
+    if (this.higherVersions == null) {
+      this.higherVersions = new java.util.ArrayList<DirectoryObject>();
+    }
+    this.higherVersions.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<DirectoryObject> getHigherVersions() {
+    return this.higherVersions;
+  }
+
+  public DirectoryCopy setHigherVersions(@org.apache.thrift.annotation.Nullable java.util.List<DirectoryObject> higherVersions) {
+    this.higherVersions = higherVersions;
+    return this;
+  }
+
+  public void unsetHigherVersions() {
+    this.higherVersions = null;
+  }
+
+  /** Returns true if field higherVersions is set (has been assigned a value) and false otherwise */
+  public boolean isSetHigherVersions() {
+    return this.higherVersions != null;
+  }
+
+  public void setHigherVersionsIsSet(boolean value) {
+    if (!value) {
+      this.higherVersions = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -358,6 +417,14 @@
       }
       break;
 
+    case HIGHER_VERSIONS:
+      if (value == null) {
+        unsetHigherVersions();
+      } else {
+        setHigherVersions((java.util.List<DirectoryObject>)value);
+      }
+      break;
+
     }
   }
 
@@ -380,6 +447,9 @@
     case ERA:
       return getEra();
 
+    case HIGHER_VERSIONS:
+      return getHigherVersions();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -402,6 +472,8 @@
       return isSetObjects();
     case ERA:
       return isSetEra();
+    case HIGHER_VERSIONS:
+      return isSetHigherVersions();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -464,6 +536,15 @@
         return false;
     }
 
+    boolean this_present_higherVersions = true && this.isSetHigherVersions();
+    boolean that_present_higherVersions = true && that.isSetHigherVersions();
+    if (this_present_higherVersions || that_present_higherVersions) {
+      if (!(this_present_higherVersions && that_present_higherVersions))
+        return false;
+      if (!this.higherVersions.equals(that.higherVersions))
+        return false;
+    }
+
     return true;
   }
 
@@ -485,6 +566,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(era);
 
+    hashCode = hashCode * 8191 + ((isSetHigherVersions()) ? 131071 : 524287);
+    if (isSetHigherVersions())
+      hashCode = hashCode * 8191 + higherVersions.hashCode();
+
     return hashCode;
   }
 
@@ -546,6 +631,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetHigherVersions(), other.isSetHigherVersions());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetHigherVersions()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.higherVersions, other.higherVersions);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -597,6 +692,14 @@
     sb.append("era:");
     sb.append(this.era);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("higherVersions:");
+    if (this.higherVersions == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.higherVersions);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -695,6 +798,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 6: // HIGHER_VERSIONS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
+                struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list19.size);
+                @org.apache.thrift.annotation.Nullable DirectoryObject _elem20;
+                for (int _i21 = 0; _i21 < _list19.size; ++_i21)
+                {
+                  _elem20 = new DirectoryObject();
+                  _elem20.read(iprot);
+                  struct.higherVersions.add(_elem20);
+                }
+                iprot.readListEnd();
+              }
+              struct.setHigherVersionsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -726,9 +848,9 @@
         oprot.writeFieldBegin(OBJECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.objects.size()));
-          for (DirectoryObject _iter19 : struct.objects)
+          for (DirectoryObject _iter22 : struct.objects)
           {
-            _iter19.write(oprot);
+            _iter22.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -737,6 +859,18 @@
       oprot.writeFieldBegin(ERA_FIELD_DESC);
       oprot.writeI64(struct.era);
       oprot.writeFieldEnd();
+      if (struct.higherVersions != null) {
+        oprot.writeFieldBegin(HIGHER_VERSIONS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.higherVersions.size()));
+          for (DirectoryObject _iter23 : struct.higherVersions)
+          {
+            _iter23.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -771,7 +905,10 @@
       if (struct.isSetEra()) {
         optionals.set(4);
       }
-      oprot.writeBitSet(optionals, 5);
+      if (struct.isSetHigherVersions()) {
+        optionals.set(5);
+      }
+      oprot.writeBitSet(optionals, 6);
       if (struct.isSetKind()) {
         oprot.writeString(struct.kind);
       }
@@ -784,21 +921,30 @@
       if (struct.isSetObjects()) {
         {
           oprot.writeI32(struct.objects.size());
-          for (DirectoryObject _iter20 : struct.objects)
+          for (DirectoryObject _iter24 : struct.objects)
           {
-            _iter20.write(oprot);
+            _iter24.write(oprot);
           }
         }
       }
       if (struct.isSetEra()) {
         oprot.writeI64(struct.era);
       }
+      if (struct.isSetHigherVersions()) {
+        {
+          oprot.writeI32(struct.higherVersions.size());
+          for (DirectoryObject _iter25 : struct.higherVersions)
+          {
+            _iter25.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, DirectoryCopy struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(5);
+      java.util.BitSet incoming = iprot.readBitSet(6);
       if (incoming.get(0)) {
         struct.kind = iprot.readString();
         struct.setKindIsSet(true);
@@ -813,14 +959,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.objects = new java.util.ArrayList<DirectoryObject>(_list21.size);
-          @org.apache.thrift.annotation.Nullable DirectoryObject _elem22;
-          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.objects = new java.util.ArrayList<DirectoryObject>(_list26.size);
+          @org.apache.thrift.annotation.Nullable DirectoryObject _elem27;
+          for (int _i28 = 0; _i28 < _list26.size; ++_i28)
           {
-            _elem22 = new DirectoryObject();
-            _elem22.read(iprot);
-            struct.objects.add(_elem22);
+            _elem27 = new DirectoryObject();
+            _elem27.read(iprot);
+            struct.objects.add(_elem27);
           }
         }
         struct.setObjectsIsSet(true);
@@ -829,6 +975,20 @@
         struct.era = iprot.readI64();
         struct.setEraIsSet(true);
       }
+      if (incoming.get(5)) {
+        {
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list29.size);
+          @org.apache.thrift.annotation.Nullable DirectoryObject _elem30;
+          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          {
+            _elem30 = new DirectoryObject();
+            _elem30.read(iprot);
+            struct.higherVersions.add(_elem30);
+          }
+        }
+        struct.setHigherVersionsIsSet(true);
+      }
     }
   }
 
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryObject.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryObject.java
@@ -13,6 +13,7 @@
   private static final org.apache.thrift.protocol.TField NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("name", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField CONTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("content", org.apache.thrift.protocol.TType.STRING, (short)3);
+  private static final org.apache.thrift.protocol.TField OPERATOR_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("operatorVersion", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DirectoryObjectStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DirectoryObjectTupleSchemeFactory();
@@ -20,12 +21,14 @@
   public @org.apache.thrift.annotation.Nullable java.lang.String name; // required
   public long revision; // required
   public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer content; // required
+  public long operatorVersion; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     NAME((short)1, "name"),
     REVISION((short)2, "revision"),
-    CONTENT((short)3, "content");
+    CONTENT((short)3, "content"),
+    OPERATOR_VERSION((short)4, "operatorVersion");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -47,6 +50,8 @@
           return REVISION;
         case 3: // CONTENT
           return CONTENT;
+        case 4: // OPERATOR_VERSION
+          return OPERATOR_VERSION;
         default:
           return null;
       }
@@ -91,6 +96,7 @@
 
   // isset id assignments
   private static final int __REVISION_ISSET_ID = 0;
+  private static final int __OPERATORVERSION_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -101,6 +107,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.CONTENT, new org.apache.thrift.meta_data.FieldMetaData("content", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
+    tmpMap.put(_Fields.OPERATOR_VERSION, new org.apache.thrift.meta_data.FieldMetaData("operatorVersion", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DirectoryObject.class, metaDataMap);
   }
@@ -111,13 +119,16 @@
   public DirectoryObject(
     java.lang.String name,
     long revision,
-    java.nio.ByteBuffer content)
+    java.nio.ByteBuffer content,
+    long operatorVersion)
   {
     this();
     this.name = name;
     this.revision = revision;
     setRevisionIsSet(true);
     this.content = org.apache.thrift.TBaseHelper.copyBinary(content);
+    this.operatorVersion = operatorVersion;
+    setOperatorVersionIsSet(true);
   }
 
   /**
@@ -132,6 +143,7 @@
     if (other.isSetContent()) {
       this.content = org.apache.thrift.TBaseHelper.copyBinary(other.content);
     }
+    this.operatorVersion = other.operatorVersion;
   }
 
   @Override
@@ -145,6 +157,8 @@
     setRevisionIsSet(false);
     this.revision = 0;
     this.content = null;
+    setOperatorVersionIsSet(false);
+    this.operatorVersion = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -229,6 +243,29 @@
     }
   }
 
+  public long getOperatorVersion() {
+    return this.operatorVersion;
+  }
+
+  public DirectoryObject setOperatorVersion(long operatorVersion) {
+    this.operatorVersion = operatorVersion;
+    setOperatorVersionIsSet(true);
+    return this;
+  }
+
+  public void unsetOperatorVersion() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OPERATORVERSION_ISSET_ID);
+  }
+
+  /** Returns true if field operatorVersion is set (has been assigned a value) and false otherwise */
+  public boolean isSetOperatorVersion() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OPERATORVERSION_ISSET_ID);
+  }
+
+  public void setOperatorVersionIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OPERATORVERSION_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -260,6 +297,14 @@
       }
       break;
 
+    case OPERATOR_VERSION:
+      if (value == null) {
+        unsetOperatorVersion();
+      } else {
+        setOperatorVersion((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -276,6 +321,9 @@
     case CONTENT:
       return getContent();
 
+    case OPERATOR_VERSION:
+      return getOperatorVersion();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -294,6 +342,8 @@
       return isSetRevision();
     case CONTENT:
       return isSetContent();
+    case OPERATOR_VERSION:
+      return isSetOperatorVersion();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -338,6 +388,15 @@
         return false;
     }
 
+    boolean this_present_operatorVersion = true;
+    boolean that_present_operatorVersion = true;
+    if (this_present_operatorVersion || that_present_operatorVersion) {
+      if (!(this_present_operatorVersion && that_present_operatorVersion))
+        return false;
+      if (this.operatorVersion != that.operatorVersion)
+        return false;
+    }
+
     return true;
   }
 
@@ -355,6 +414,8 @@
     if (isSetContent())
       hashCode = hashCode * 8191 + content.hashCode();
 
+    hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(operatorVersion);
+
     return hashCode;
   }
 
@@ -396,6 +457,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetOperatorVersion(), other.isSetOperatorVersion());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetOperatorVersion()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.operatorVersion, other.operatorVersion);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -439,6 +510,10 @@
       org.apache.thrift.TBaseHelper.toString(this.content, sb);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("operatorVersion:");
+    sb.append(this.operatorVersion);
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -510,6 +585,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 4: // OPERATOR_VERSION
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.operatorVersion = iprot.readI64();
+              struct.setOperatorVersionIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -539,6 +622,9 @@
         oprot.writeBinary(struct.content);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(OPERATOR_VERSION_FIELD_DESC);
+      oprot.writeI64(struct.operatorVersion);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -567,7 +653,10 @@
       if (struct.isSetContent()) {
         optionals.set(2);
       }
-      oprot.writeBitSet(optionals, 3);
+      if (struct.isSetOperatorVersion()) {
+        optionals.set(3);
+      }
+      oprot.writeBitSet(optionals, 4);
       if (struct.isSetName()) {
         oprot.writeString(struct.name);
       }
@@ -577,12 +666,15 @@
       if (struct.isSetContent()) {
         oprot.writeBinary(struct.content);
       }
+      if (struct.isSetOperatorVersion()) {
+        oprot.writeI64(struct.operatorVersion);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, DirectoryObject struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(3);
+      java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
         struct.name = iprot.readString();
         struct.setNameIsSet(true);
@@ -595,6 +687,10 @@
         struct.content = iprot.readBinary();
         struct.setContentIsSet(true);
       }
+      if (incoming.get(3)) {
+        struct.operatorVersion = iprot.readI64();
+        struct.setOperatorVersionIsSet(true);
+      }
     }
   }
 
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -61,6 +61,7 @@
   1: string name,
   2: i64 revision,
   3: binary content, // as the platform encodes it
+  4: i64 operatorVersion, // 0 if operators do not version it
 }
 
 // The sender's copy of one kind of platform objects.
@@ -70,6 +71,8 @@
   3: i64 provenAgeMs, // the copy was current this long ago
   4: list<DirectoryObject> objects, // absent if the copy is not newer than the receiver's
   5: i64 era, // of the platform's history in which the revision counts; 0 if not known
+  // Objects that operators versioned higher than those of the receiver; absent if objects is set.
+  6: list<DirectoryObject> higherVersions,
 }
 
 struct DirectoryCopies {
