Let a restored platform prove a configuration only once it was written again

A VM that had missed a configuration, because it was cut off or had not started, would accept a key that was removed by it: the restored store has lost that configuration too, and its listing counted as proof that the copy is current. Cause: an answer of the platform proves what the store holds, not what was confirmed. Change: in a new era, the platform's answers prove an operators' object only when it was written in that era (no lower version, another revision), or after 1.9 s, in which it is written again. A VM that starts asks two peers at once, and counts the platform's answers after 1 s if none has a proven copy; until then it is not ready, and answers 503 also where its configuration has no route. Copies that were never proven are not passed on.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
@@ -106,6 +106,32 @@
     assertThat(version()).isEqualTo(3);
   }
 
+  // Guards against a VM that missed a configuration while it was cut off, and accepts a key that
+  // was removed by it, since the restored platform has lost it too.
+  @Test
+  void listingOfTheNextEraDoesNotProveTheConfigurationOfVmThatWasCutOff() {
+    startWith(1);
+    advanceMs(3_000);
+    final SimulatedPlatform.Copy copy = platform.copy();
+    client.setCutOff(true);
+    advanceMs(1_000);
+    write(2);
+    platform.goDown();
+    advanceMs(2_000);
+    platform.restore(copy);
+    client.setCutOff(false);
+    advanceMs(2_500);
+    assertThat(version()).isEqualTo(1);
+    assertThat(sync.copy(KIND).ageNanos(time.nanoTime()))
+        .isGreaterThan(TimeUnit.MILLISECONDS.toNanos(4_000));
+    write(2);
+    advanceMs(100);
+    assertThat(version()).isEqualTo(2);
+    advanceMs(2_000);
+    assertThat(sync.copy(KIND).ageNanos(time.nanoTime()))
+        .isLessThan(TimeUnit.MILLISECONDS.toNanos(3_000));
+  }
+
   // Guards against changes that are missed after the second of two restorations.
   @Test
   void secondRestorationIsNoticedLikeTheFirst() {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -131,12 +131,17 @@
     return List.copyOf(peers);
   }
 
-  /** Requests the copies that are stale from up to two peers, beginning at a random one. */
-  private void requestStaleCopies() {
+  /**
+   * Requests the copies that are stale, or that the platform's answers do not prove current yet,
+   * from up to two peers, beginning at a random one.
+   */
+  public void requestStaleCopies() {
     long now = clock.nanoTime();
     List<ObjectKind> stale = new ArrayList<>();
     for (ObjectKind kind : sync.kinds()) {
-      if (kind != ObjectKind.ENTRY_VMS && sync.copy(kind).ageNanos(now) > staleNanos) {
+      DirectoryCopyState copy = sync.copy(kind);
+      boolean isStale = copy.ageNanos(now) > staleNanos || copy.settlingNanos(now) > 0;
+      if (kind != ObjectKind.ENTRY_VMS && isStale) {
         stale.add(kind);
       }
     }
@@ -209,7 +214,7 @@
     for (ObjectKind kind : sync.kinds()) {
       String peerPosition = request.queryParameter(kind.name(), "");
       DirectoryCopyState copy = sync.copy(kind);
-      if (!peerPosition.isEmpty() && copy.isLoaded()) {
+      if (!peerPosition.isEmpty() && copy.isProven()) {
         copies.addToCopies(
             DirectoryCopyCodec.encode(
                 kind,
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -181,9 +181,11 @@
     if (sync == null || !isOfCurrentEra(sync, position)) {
       return;
     }
-    if (entries == null) {
-      sync.copy.confirmCurrent(position, provenAt);
-    } else if (sync.copy.replace(entries, position, provenAt, false, clock.nanoTime())) {
+    boolean changed =
+        entries != null && sync.copy.replace(entries, position, provenAt, false, clock.nanoTime());
+    sync.copy.confirmCurrent(position, provenAt);
+    sync.listWhenSettled();
+    if (changed) {
       LOG.atInfo()
           .addKeyValue("kind", kind)
           .addKeyValue("position", position.toText())
@@ -227,6 +229,7 @@
     private boolean callPending;
     private long callCount;
     private Scheduler.Cancellable timer;
+    private Scheduler.Cancellable settledTimer;
     private int failures;
     private int relists;
     private boolean outageEnded;
@@ -326,6 +329,7 @@
         changed = copy.replace(listing.entries(), position, sentAt, afterOutage, now);
         listNeeded = false;
         logKept();
+        listWhenSettled();
       } else {
         relists = 0;
         long provenAt = sentAt - WATCH_LAG_NANOS;
@@ -345,6 +349,18 @@
       }
     }
 
+    /** Lists again as soon as the answer proves the copy current. */
+    private void listWhenSettled() {
+      long settlingNanos = copy.settlingNanos(clock.nanoTime());
+      if (watching && settlingNanos > 0) {
+        if (settledTimer != null) {
+          settledTimer.cancel();
+        }
+        settledTimer =
+            scheduler.schedule(this::restartListing, settlingNanos, TimeUnit.NANOSECONDS);
+      }
+    }
+
     private void scheduleCall(long delayMs) {
       if (timer != null) {
         timer.cancel();
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
@@ -329,6 +329,21 @@
       }
     }
 
+    // Guards against a VM that starts after a restoration of the platform and answers from its old
+    // configuration: with 404 where a route was added, or at all where a key was removed.
+    @Test
+    void andRouteAreUnknownUntilTheConfigurationWasProvenOnce() throws Exception {
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(good());
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        fixture.setConfigurationAge(Long.MAX_VALUE);
+        assertThat(fixture.send("GET", "/nowhere", "1").statusCode()).isEqualTo(503);
+        assertThat(fixture.send("GET", "/keyed/a", "2", "key", "secret").statusCode())
+            .isEqualTo(503);
+        fixture.setConfigurationAge(0);
+        assertThat(fixture.send("GET", "/nowhere", "3").statusCode()).isEqualTo(404);
+      }
+    }
+
     // Guards against accepting an unknown key, and against a 404 where a route exists.
     @Test
     void mustBelongToTheClientAccount() throws Exception {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -221,6 +221,7 @@
     directorySync.watch(ObjectKind.ENDPOINTS, ENDPOINTS_WATCH_TIMEOUT_MS, ENDPOINTS_WATCH_PAUSE_MS);
     directorySync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_INTERVAL_MS);
     directoryExchange.start();
+    directoryExchange.requestStaleCopies();
     quarantineExchange.start(new EventLoopScheduler(eventLoops));
     directory
         .register(settings.vm(), settings.peerAddress().toString())
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -135,10 +135,11 @@
   /**
    * Returns whether callers should be routed to this VM.
    *
-   * @return false until a configuration and at least one endpoint are known, and while stopping
+   * @return false until a configuration that was current and at least one endpoint are known, and
+   *     while stopping
    */
   public boolean isReady() {
-    return !stopping && state.configuration() != null && !listedEndpoints.isEmpty();
+    return !stopping && router.hasConfiguration() && !listedEndpoints.isEmpty();
   }
 
   /**
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -80,17 +80,21 @@
     prompts.ended(request);
   }
 
+  /** Returns whether there is a configuration that was confirmed to be current at some time. */
+  boolean hasConfiguration() {
+    return state.configuration() != null && configurationAge.getAsLong() < Long.MAX_VALUE;
+  }
+
   /** Accepts a request that was read completely. */
   void accept(CallerExchange exchange) {
     requestsInProgress++;
     RequestMetadata metadata = protocol.decodeRequest(exchange.head());
     ProxiedRequest proxiedRequest = new ProxiedRequest(this, exchange, metadata);
-    RoutingConfiguration configuration = state.configuration();
-    if (configuration == null) {
+    if (!hasConfiguration()) {
       proxiedRequest.refuse(FailureReason.NO_CONFIGURATION, state.admission().retryAfterSeconds(0));
       return;
     }
-    Optional<Route> route = configuration.route(metadata.host(), metadata.path());
+    Optional<Route> route = state.configuration().route(metadata.host(), metadata.path());
     if (route.isEmpty()) {
       proxiedRequest.fail(FailureReason.NO_ROUTE);
       return;
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -177,6 +177,68 @@
     }
   }
 
+  @Nested
+  class Proof {
+    private static final long SETTLED = DirectoryCopyState.REREGISTRATION_NANOS;
+
+    private final DirectoryCopyState configuration =
+        new DirectoryCopyState(ObjectKind.CONFIGURATION);
+
+    private static List<DirectoryEntry> version(long revision, long version) {
+      return List.of(new DirectoryEntry("main", revision, new byte[0], false, version));
+    }
+
+    private static HistoryPosition next(long revision) {
+      return new HistoryPosition(2, revision);
+    }
+
+    /** Loads the configuration, which counts as current at time 0. */
+    @BeforeEach
+    void load() {
+      long startedAt = -DirectoryCopyState.START_SETTLING_NANOS;
+      configuration.replace(version(30, 13), at(30), startedAt, false, startedAt);
+      assertThat(configuration.ageNanos(-1)).isEqualTo(Long.MAX_VALUE);
+      configuration.replace(version(30, 13), at(30), 0, false, 0);
+      assertThat(configuration.ageNanos(0)).isZero();
+    }
+
+    // Guards against accepting a key that was removed by a configuration which this VM missed and
+    // the restored platform has lost.
+    @Test
+    void isNotGivenByTheNextEraUntilOperatorsHadTimeToWriteAgain() {
+      configuration.replace(version(30, 13), next(30), 5, false, 5);
+      configuration.apply(List.of(), 30, 100, false, 100);
+      assertThat(configuration.ageNanos(200)).isEqualTo(200);
+      assertThat(configuration.settlingNanos(100)).isEqualTo(SETTLED - 95);
+      configuration.apply(List.of(), 30, SETTLED + 1, false, SETTLED + 5);
+      assertThat(configuration.ageNanos(SETTLED + 5)).isEqualTo(4);
+    }
+
+    // Guards against refusing keys for longer than needed.
+    @Test
+    void isGivenAtOnceByAnEraInWhichTheObjectWasWrittenAgain() {
+      configuration.replace(version(25, 13), next(25), 5, false, 5);
+      assertThat(configuration.ageNanos(7)).isEqualTo(2);
+    }
+
+    // Guards against refusing keys for longer than needed.
+    @Test
+    void isGivenWhenTheKeptObjectIsWrittenAgain() {
+      configuration.replace(version(24, 6), next(25), 5, false, 5);
+      assertThat(configuration.ageNanos(7)).isEqualTo(7);
+      configuration.apply(version(26, 13), 26, 8, false, 9);
+      assertThat(configuration.ageNanos(9)).isEqualTo(1);
+    }
+
+    // Guards against waiting at a start although a peer has a copy that was proven current.
+    @Test
+    void isGivenByPeersOfTheSameEra() {
+      configuration.replace(version(24, 6), next(25), 5, false, 5);
+      configuration.confirmCurrent(next(25), 6);
+      assertThat(configuration.ageNanos(7)).isEqualTo(1);
+    }
+  }
+
   // Guards against endpoints that stay in use after their removal.
   @Test
   void removedEntriesAreDroppedAtOnceWithoutOutage() {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -21,12 +21,20 @@
    */
   static final long REREGISTRATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
 
+  /**
+   * Time after the first listing in which it does not prove an operators' object current: the
+   * platform may just have been restored, and only peers know what is lost.
+   */
+  static final long START_SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
   private final ObjectKind kind;
   private final Map<String, DirectoryEntry> entries = new HashMap<>();
   private final Map<String, KeptEntry> kept = new HashMap<>();
   private HistoryPosition position = HistoryPosition.START;
   private long currentAt;
+  private boolean proven;
   private boolean loaded;
+  private long settledAt;
 
   /**
    * Creates a copy that is not loaded.
@@ -56,6 +64,7 @@
       long currentAt,
       boolean afterOutage,
       long now) {
+    final boolean first = !loaded;
     boolean otherEra = loaded && listedPosition.era() != position.era();
     if (!otherEra && listedPosition.revision() < position.revision()) {
       return false;
@@ -80,10 +89,27 @@
       }
     }
     position = listedPosition;
-    confirm(currentAt);
+    loaded = true;
+    if (first) {
+      settledAt = now + START_SETTLING_NANOS;
+    } else if (otherEra) {
+      settledAt = isWrittenAgain(previous) ? now : now + REREGISTRATION_NANOS;
+    }
+    confirmIfSettled(currentAt, now);
     return otherEra || !hasSameRevisions(previous);
   }
 
+  /**
+   * Returns whether the platform shows all operators' objects of the era before as written in this
+   * era: no lower version, and at other revisions.
+   */
+  private boolean isWrittenAgain(Map<String, DirectoryEntry> previous) {
+    return kept.isEmpty()
+        && !previous.isEmpty()
+        && previous.values().stream()
+            .noneMatch(old -> entries.get(old.name()).revision() == old.revision());
+  }
+
   /** Returns the time until which an entry that the platform lacks may be written again. */
   private OptionalLong registrationEnd(boolean otherEra, long now) {
     return otherEra && kind.isVersionedByOperators()
@@ -135,6 +161,7 @@
       boolean afterOutage,
       long now) {
     boolean changed = false;
+    final boolean keptBefore = !kept.isEmpty();
     for (DirectoryEntry change : changes) {
       DirectoryEntry old = entries.get(change.name());
       // The revision of an entry that is kept may be of another era.
@@ -162,7 +189,10 @@
       }
     }
     position = new HistoryPosition(position.era(), Math.max(position.revision(), changedRevision));
-    confirm(currentAt);
+    if (keptBefore && kept.isEmpty() && proven) {
+      settledAt = Math.min(settledAt, now);
+    }
+    confirmIfSettled(currentAt, now);
     return changed;
   }
 
@@ -218,12 +248,29 @@
   }
 
   private void confirm(long time) {
-    if (!loaded || time - currentAt > 0) {
+    if (!proven || time - currentAt > 0) {
       currentAt = time;
-      loaded = true;
+      proven = true;
+    }
+  }
+
+  private void confirmIfSettled(long time, long now) {
+    if (settlingNanos(now) == 0) {
+      confirm(time);
     }
   }
 
+  /**
+   * Returns the time in which the platform's answers do not prove the copy current, since operators
+   * may have yet to write again what a restored platform has lost.
+   *
+   * @param now present time
+   * @return nanoseconds; 0 if its answers count
+   */
+  public long settlingNanos(long now) {
+    return loaded && kind.isVersionedByOperators() ? Math.max(0, settledAt - now) : 0;
+  }
+
   /**
    * Records that the platform was at a given position at a given time. If the copy has that
    * revision or a newer one of the same era, it was current at that time.
@@ -246,7 +293,7 @@
    * @return nanoseconds; {@link Long#MAX_VALUE} if it never was
    */
   public long ageNanos(long now) {
-    return loaded ? now - currentAt : Long.MAX_VALUE;
+    return proven ? now - currentAt : Long.MAX_VALUE;
   }
 
   /**
@@ -258,6 +305,15 @@
     return loaded;
   }
 
+  /**
+   * Returns whether the copy was ever confirmed to be current.
+   *
+   * @return false until the first confirmation
+   */
+  public boolean isProven() {
+    return proven;
+  }
+
   /**
    * Returns the position of the copy.
    *
