Do not use endpoints that had left before the platform was restored

An endpoint that had left within the seconds that a restored store has lost is listed again as ready, and would get requests. Cause: a listing was taken for the present state of endpoints; after a restoration it is an old one. Change: a copy remembers which VMs left. Result: three tests of DirectoryCopyStateTest$AnotherEra; without the change the entry of the endpoint that left is in use at once.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
@@ -17,13 +17,16 @@
   private static final ObjectKind KIND = ObjectKind.CONFIGURATION;
   private static final String NAME = "main";
 
+  /** Time after which the platform removes an entry that is not written. */
+  private static final long EXPIRY_MS = 3_600;
+
   /** Time within which a confirmed configuration must be in force, in milliseconds. */
   private static final long APPLY_MS = 2_000;
 
   private final VirtualTime time = new VirtualTime(0);
   private final SimulatedPlatform platform = new SimulatedPlatform(time);
   private final SimulatedPlatform.Client client = platform.new Client();
-  private final DirectorySync sync = new DirectorySync(client, time, time, kind -> {});
+  private final DirectorySync sync = new DirectorySync(client, time, time, EXPIRY_MS, kind -> {});
 
   private void advanceMs(long durationMs) {
     time.advance(durationMs, TimeUnit.MILLISECONDS);
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -59,6 +59,7 @@
   private final ObjectDirectory directory;
   private final Scheduler scheduler;
   private final NanoClock clock;
+  private final long entryExpiryNanos;
   private final Consumer<ObjectKind> onChange;
   private final Map<ObjectKind, KindSync> kinds = new EnumMap<>(ObjectKind.class);
   private final PlatformHistory history = new PlatformHistory();
@@ -70,14 +71,18 @@
    * @param directory the platform's object API
    * @param scheduler runs retries on the thread that uses this object
    * @param clock monotonic clock
+   * @param entryExpiryMs time after which the platform removes the entry of a VM that no longer
+   *     writes it, in milliseconds
    * @param onChange called with each kind whose entries changed
    */
   public DirectorySync(
       ObjectDirectory directory,
       Scheduler scheduler,
       NanoClock clock,
+      long entryExpiryMs,
       Consumer<ObjectKind> onChange) {
     this.directory = directory;
+    this.entryExpiryNanos = TimeUnit.MILLISECONDS.toNanos(entryExpiryMs);
     this.scheduler = scheduler;
     this.clock = clock;
     this.onChange = onChange;
@@ -238,7 +243,7 @@
     KindSync(ObjectKind kind, long waitMs, long batchDelayMs, boolean watching) {
       this.batchDelayMs = batchDelayMs;
       this.kind = kind;
-      this.copy = new DirectoryCopyState(kind);
+      this.copy = new DirectoryCopyState(kind, entryExpiryNanos);
       this.waitMs = waitMs;
       this.watching = watching;
     }
@@ -391,6 +396,12 @@
     }
 
     private void logKept() {
+      for (String name : copy.withheld()) {
+        LOG.atInfo()
+            .addKeyValue("kind", kind)
+            .addKeyValue("name", name)
+            .log("withheld an entry of a VM that had left before the platform was restored");
+      }
       for (KeptEntry entry : copy.kept()) {
         OptionalLong until = entry.until();
         LOG.atInfo()
@@ -411,7 +422,7 @@
       if (copy.expire(clock.nanoTime())) {
         LOG.atInfo()
             .addKeyValue("kind", kind)
-            .log("dropped entries that did not register again after a platform outage");
+            .log("entries changed at the end of the time to register again after an outage");
         onChange.accept(kind);
       }
     }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/VmSettings.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/VmSettings.java
@@ -69,6 +69,8 @@
    * @param fixedRetriesPerWindow retries allowed per window for all entry VMs together, on top of
    *     the ratio
    * @param retryWindowSeconds length of the window, in seconds
+   * @param endpointExpiryMs time after which the platform removes the entry of an endpoint that no
+   *     longer writes it, in milliseconds
    */
   public record Bounds(
       long stopTimeoutMs,
@@ -77,5 +79,6 @@
       long versionSwitchMs,
       double retryRatio,
       double fixedRetriesPerWindow,
-      double retryWindowSeconds) {}
+      double retryWindowSeconds,
+      long endpointExpiryMs) {}
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -141,7 +141,12 @@
     this.directory = directory;
     Scheduler scheduler = new EventLoopScheduler(eventLoops);
     this.directorySync =
-        new DirectorySync(directory, scheduler, stalenessClock, this::onObjectsChanged);
+        new DirectorySync(
+            directory,
+            scheduler,
+            stalenessClock,
+            settings.bounds().endpointExpiryMs(),
+            this::onObjectsChanged);
     this.directoryExchange =
         new DirectoryExchange(
             directorySync,
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -131,7 +131,13 @@
     this.refreshedAt = clock.nanoTime();
     this.scheduler = new EventLoopScheduler(eventLoops);
     HttpClient client = new HttpClient(eventLoops, LinkShaping.NONE);
-    this.sync = new DirectorySync(directory, scheduler, clock, this::directoryChanged);
+    this.sync =
+        new DirectorySync(
+            directory,
+            scheduler,
+            clock,
+            settings.bounds().endpointExpiryMs(),
+            this::directoryChanged);
     this.directoryExchange =
         new DirectoryExchange(
             sync,
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -3,12 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class DirectoryCopyStateTest {
-  private final DirectoryCopyState copy = new DirectoryCopyState(ObjectKind.ENDPOINTS);
+  private static final long EXPIRY_NANOS = TimeUnit.MILLISECONDS.toNanos(3_600);
+
+  private final DirectoryCopyState copy =
+      new DirectoryCopyState(ObjectKind.ENDPOINTS, EXPIRY_NANOS);
 
   private static DirectoryEntry entry(String name, long revision) {
     return new DirectoryEntry(name, revision, new byte[0], false);
@@ -88,6 +92,42 @@
       assertThat(names()).containsExactly("a");
     }
 
+    private void loseEndpointThatLeft() {
+      copy.replace(List.of(entry("a", 30), entry("b", 20)), at(30), 0, false, 0);
+      copy.apply(List.of(removed("b", 31)), 31, 0, false, 0);
+      copy.replace(List.of(entry("a", 28), entry("b", 20)), next(28), 0, false, 10);
+    }
+
+    // Guards against requests to endpoints that had left before the platform was restored.
+    @Test
+    void entriesOfEndpointsThatHadLeftAreNotUsed() {
+      loseEndpointThatLeft();
+      assertThat(names()).containsExactly("a");
+      assertThat(copy.withheld()).containsExactly("b");
+      copy.replace(List.of(entry("a", 28), entry("b", 20)), next(29), 0, false, 20);
+      assertThat(names()).containsExactly("a");
+    }
+
+    // Guards against an endpoint that is never used again, since it was cut off when the platform
+    // was restored.
+    @Test
+    void entriesOfEndpointsThatHadLeftAreUsedWhenTheyAreWrittenAgain() {
+      loseEndpointThatLeft();
+      assertThat(copy.apply(List.of(entry("b", 29)), 29, 0, false, 20)).isTrue();
+      assertThat(names()).containsExactly("a", "b");
+    }
+
+    // Guards against an endpoint that is never used again although it runs: its entry changes
+    // without an event.
+    @Test
+    void entriesOfEndpointsThatHadLeftAreUsedIfThePlatformDoesNotRemoveThem() {
+      loseEndpointThatLeft();
+      long until = 10 + EXPIRY_NANOS + DirectoryCopyState.REREGISTRATION_NANOS;
+      assertThat(copy.expire(until - 1)).isFalse();
+      assertThat(copy.expire(until)).isTrue();
+      assertThat(names()).containsExactly("a", "b");
+    }
+
     // Guards against endpoints that stay in use although they did not register again.
     @Test
     void missingEntriesAreDroppedAfterTheRegistrationTime() {
@@ -101,7 +141,7 @@
   @Nested
   class OperatorVersions {
     private final DirectoryCopyState configuration =
-        new DirectoryCopyState(ObjectKind.CONFIGURATION);
+        new DirectoryCopyState(ObjectKind.CONFIGURATION, EXPIRY_NANOS);
 
     private static DirectoryEntry version(long revision, long version) {
       return new DirectoryEntry("main", revision, new byte[0], false, version);
@@ -182,7 +222,7 @@
     private static final long SETTLED = DirectoryCopyState.REREGISTRATION_NANOS;
 
     private final DirectoryCopyState configuration =
-        new DirectoryCopyState(ObjectKind.CONFIGURATION);
+        new DirectoryCopyState(ObjectKind.CONFIGURATION, EXPIRY_NANOS);
 
     private static List<DirectoryEntry> version(long revision, long version) {
       return List.of(new DirectoryEntry("main", revision, new byte[0], false, version));
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -27,22 +27,34 @@
    */
   static final long START_SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
 
+  /** Time for which a VM is remembered that has left; well above the age of a platform's copy. */
+  private static final long DEPARTED_NANOS = TimeUnit.MINUTES.toNanos(2);
+
   private final ObjectKind kind;
+  private final long expiryNanos;
   private final Map<String, DirectoryEntry> entries = new HashMap<>();
   private final Map<String, KeptEntry> kept = new HashMap<>();
+  private final Map<String, Long> departedAt = new HashMap<>();
+  private final Map<String, WithheldEntry> withheld = new HashMap<>();
   private HistoryPosition position = HistoryPosition.START;
   private long currentAt;
   private boolean proven;
   private boolean loaded;
   private long settledAt;
 
+  /** An entry that is not used, since its VM had left before the platform was restored. */
+  private record WithheldEntry(DirectoryEntry entry, long until) {}
+
   /**
    * Creates a copy that is not loaded.
    *
    * @param kind kind of the objects
+   * @param expiryNanos time after which the platform removes the entry of a VM that no longer
+   *     writes it
    */
-  public DirectoryCopyState(ObjectKind kind) {
+  public DirectoryCopyState(ObjectKind kind, long expiryNanos) {
     this.kind = kind;
+    this.expiryNanos = expiryNanos;
   }
 
   /**
@@ -75,6 +87,7 @@
     entries.clear();
     kept.clear();
     listed.forEach(entry -> entries.put(entry.name(), entry));
+    withholdDeparted(otherEra, now);
     for (DirectoryEntry old : previous.values()) {
       DirectoryEntry shown = entries.get(old.name());
       KeptEntry keptOld = keptBefore.get(old.name());
@@ -86,6 +99,8 @@
         keepMissing(old, keptOld.until());
       } else if (keepsMissing) {
         keepMissing(old, registrationEnd(otherEra, now));
+      } else {
+        departedAt.put(old.name(), now);
       }
     }
     position = listedPosition;
@@ -99,6 +114,35 @@
     return otherEra || !hasSameRevisions(previous);
   }
 
+  /**
+   * Takes the entries out of use that a restored platform shows again although their VMs had left.
+   * Such an entry is used when it is written again, or when it stays for longer than the platform
+   * keeps one that is not written.
+   */
+  private void withholdDeparted(boolean otherEra, long now) {
+    final Map<String, WithheldEntry> before = new HashMap<>(withheld);
+    withheld.clear();
+    if (otherEra) {
+      departedAt.values().removeIf(at -> now - at > DEPARTED_NANOS);
+      for (String name : departedAt.keySet()) {
+        if (entries.containsKey(name)) {
+          withheld.put(
+              name, new WithheldEntry(entries.get(name), now + expiryNanos + REREGISTRATION_NANOS));
+        }
+      }
+    } else {
+      before.forEach(
+          (name, entry) -> {
+            DirectoryEntry shown = entries.get(name);
+            if (shown != null && shown.revision() == entry.entry().revision()) {
+              withheld.put(name, entry);
+            }
+          });
+    }
+    entries.keySet().removeAll(withheld.keySet());
+    departedAt.keySet().removeAll(entries.keySet());
+  }
+
   /**
    * Returns whether the platform shows all operators' objects of the era before as written in this
    * era: no lower version, and at other revisions.
@@ -181,10 +225,13 @@
         continue;
       }
       kept.remove(change.name());
+      withheld.remove(change.name());
       if (change.removed()) {
         changed |= entries.remove(change.name()) != null;
+        departedAt.put(change.name(), now);
       } else {
         entries.put(change.name(), change);
+        departedAt.remove(change.name());
         changed = true;
       }
     }
@@ -197,10 +244,11 @@
   }
 
   /**
-   * Removes entries that did not register again in time after an outage.
+   * Removes entries that did not register again in time after an outage, and takes those into use
+   * that stayed in a restored platform.
    *
    * @param now present time
-   * @return true if an entry was removed
+   * @return true if an entry changed
    */
   public boolean expire(long now) {
     List<String> expired = new ArrayList<>();
@@ -210,9 +258,24 @@
             expired.add(name);
           }
         });
-    expired.forEach(kept::remove);
-    expired.forEach(entries::remove);
-    return !expired.isEmpty();
+    for (String name : expired) {
+      kept.remove(name);
+      entries.remove(name);
+      departedAt.put(name, now);
+    }
+    return releaseWithheld(now) || !expired.isEmpty();
+  }
+
+  /** Takes the withheld entries into use whose time is over, and returns whether there were any. */
+  private boolean releaseWithheld(long now) {
+    List<WithheldEntry> released =
+        withheld.values().stream().filter(entry -> now - entry.until() >= 0).toList();
+    for (WithheldEntry entry : released) {
+      withheld.remove(entry.entry().name());
+      departedAt.remove(entry.entry().name());
+      entries.put(entry.entry().name(), entry.entry());
+    }
+    return !released.isEmpty();
   }
 
   /**
@@ -238,6 +301,16 @@
     return changed;
   }
 
+  /**
+   * Returns the entries that are not used, since their VMs had left before the platform was
+   * restored.
+   *
+   * @return names of the entries, in no particular order
+   */
+  public List<String> withheld() {
+    return List.copyOf(withheld.keySet());
+  }
+
   /**
    * Returns the entries that stay in use although the platform shows another state.
    *
