Keep an endpoint leaving for as long as its incarnation is listed

An endpoint that was leaving when the platform was restored is listed as ready again, and would get requests while it ends. Cause: the state of the last listing replaced what was known of the endpoint. Change: an endpoint that is leaving stays so until its incarnation changes. Result: ListedEndpointTableTest$LeavingEndpoint failed before and passes.

--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/ListedEndpointTableTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/ListedEndpointTableTest.java
@@ -50,6 +50,20 @@
     }
   }
 
+  @Nested
+  class LeavingEndpoint {
+    // Guards against requests to an endpoint that is leaving, because a restored platform lists it
+    // as it was before.
+    @Test
+    void staysLeavingInItsIncarnation() {
+      table.update(List.of(RoutingFixture.endpoint("a", 1, 1, "x").asLeaving()));
+      table.update(List.of(RoutingFixture.endpoint("a", 1, 1, "x")));
+      assertThat(only().acceptsRequests()).isFalse();
+      table.update(List.of(RoutingFixture.endpoint("a", 2, 1, "x")));
+      assertThat(only().acceptsRequests()).isTrue();
+    }
+  }
+
   @Nested
   class Load {
     // Guards against counting requests of this entry VM twice, in the report and by its own count.
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/model/Endpoint.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/model/Endpoint.java
@@ -20,4 +20,13 @@
     HostPort address,
     String dataCentre,
     boolean leaving,
-    long weightVersion) {}
+    long weightVersion) {
+  /**
+   * Returns this endpoint as one that must not receive new requests.
+   *
+   * @return an endpoint that differs at most in that it is leaving
+   */
+  public Endpoint asLeaving() {
+    return new Endpoint(id, incarnation, service, address, dataCentre, true, weightVersion);
+  }
+}
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
@@ -21,8 +21,9 @@
     this.endpoint = endpoint;
   }
 
+  /** Updates the listing. An endpoint that is leaving does not return in the same incarnation. */
   void update(Endpoint listed) {
-    endpoint = listed;
+    endpoint = endpoint.leaving() ? listed.asLeaving() : listed;
   }
 
   void remove() {
