Register entry VMs again after the platform was restored

An entry VM whose entry a restored store has lost is not found by VMs that start later, so that they share limits and copies without it. Cause: an entry VM registered once, at its start, without a second attempt, and took the write for lasting. The entry is all that the product writes to the platform.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
@@ -49,7 +49,9 @@
 
     Vm(FakePlatform platform) throws Exception {
       EventLoopScheduler scheduler = new EventLoopScheduler(eventLoops);
-      sync = new DirectorySync(platform, scheduler, SystemNanoClock.INSTANCE, 3_600, kind -> {});
+      sync =
+          new DirectorySync(
+              platform, scheduler, SystemNanoClock.INSTANCE, 3_600, kind -> {}, () -> {});
       DirectoryExchange[] holder = new DirectoryExchange[1];
       address =
           HttpServer.start(
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -26,7 +26,8 @@
   private final VirtualTime time = new VirtualTime(0);
   private final FakeDirectory directory = new FakeDirectory();
   private final List<ObjectKind> changes = new ArrayList<>();
-  private final DirectorySync sync = new DirectorySync(directory, time, time, 3_600, changes::add);
+  private final DirectorySync sync =
+      new DirectorySync(directory, time, time, 3_600, changes::add, () -> {});
 
   private static DirectoryEntry entry(String name, long revision) {
     return new DirectoryEntry(name, revision, new byte[0], false);
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
@@ -26,7 +26,8 @@
   private final VirtualTime time = new VirtualTime(0);
   private final SimulatedPlatform platform = new SimulatedPlatform(time);
   private final SimulatedPlatform.Client client = platform.new Client();
-  private final DirectorySync sync = new DirectorySync(client, time, time, EXPIRY_MS, kind -> {});
+  private final DirectorySync sync =
+      new DirectorySync(client, time, time, EXPIRY_MS, kind -> {}, () -> {});
 
   private void advanceMs(long durationMs) {
     time.advance(durationMs, TimeUnit.MILLISECONDS);
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -61,6 +61,7 @@
   private final NanoClock clock;
   private final long entryExpiryNanos;
   private final Consumer<ObjectKind> onChange;
+  private final Runnable onRestored;
   private final Map<ObjectKind, KindSync> kinds = new EnumMap<>(ObjectKind.class);
   private final PlatformHistory history = new PlatformHistory();
   private boolean stopped;
@@ -74,18 +75,22 @@
    * @param entryExpiryMs time after which the platform removes the entry of a VM that no longer
    *     writes it, in milliseconds
    * @param onChange called with each kind whose entries changed
+   * @param onRestored called when the platform was restored from a copy, and so may have lost what
+   *     this VM wrote
    */
   public DirectorySync(
       ObjectDirectory directory,
       Scheduler scheduler,
       NanoClock clock,
       long entryExpiryMs,
-      Consumer<ObjectKind> onChange) {
+      Consumer<ObjectKind> onChange,
+      Runnable onRestored) {
     this.directory = directory;
     this.entryExpiryNanos = TimeUnit.MILLISECONDS.toNanos(entryExpiryMs);
     this.scheduler = scheduler;
     this.clock = clock;
     this.onChange = onChange;
+    this.onRestored = onRestored;
   }
 
   /**
@@ -221,6 +226,7 @@
         .addKeyValue("revision", revision)
         .log("the platform was restored from a copy; listing all objects");
     kinds.values().stream().filter(other -> other != source).forEach(KindSync::restartListing);
+    onRestored.run();
   }
 
   /** Copy of one kind, with the state of the calls that keep it current. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -16,6 +16,7 @@
 import org.clementineford.fleet.DirectoryDecoder;
 import org.clementineford.fleet.DirectoryExchange;
 import org.clementineford.fleet.DirectorySync;
+import org.clementineford.fleet.EntryVmRegistration;
 import org.clementineford.fleet.QuarantineExchange;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.gateway.internal.Gateway;
@@ -95,7 +96,7 @@
   private final EventLoopGroup eventLoops;
   private final NanoClock clock;
   private final NanoClock stalenessClock;
-  private final ObjectDirectory directory;
+  private final EntryVmRegistration registration;
   private final DirectorySync directorySync;
   private final DirectoryExchange directoryExchange;
   private final Gateway gateway;
@@ -138,15 +139,18 @@
     this.eventLoops = eventLoops;
     this.clock = clock;
     this.stalenessClock = stalenessClock;
-    this.directory = directory;
     Scheduler scheduler = new EventLoopScheduler(eventLoops);
+    this.registration =
+        new EntryVmRegistration(
+            directory, scheduler, random, settings.vm(), settings.peerAddress().toString());
     this.directorySync =
         new DirectorySync(
             directory,
             scheduler,
             stalenessClock,
             settings.bounds().endpointExpiryMs(),
-            this::onObjectsChanged);
+            this::onObjectsChanged,
+            registration::repeat);
     this.directoryExchange =
         new DirectoryExchange(
             directorySync,
@@ -228,18 +232,7 @@
     directoryExchange.start();
     directoryExchange.requestStaleCopies();
     quarantineExchange.start(new EventLoopScheduler(eventLoops));
-    directory
-        .register(settings.vm(), settings.peerAddress().toString())
-        .whenComplete(
-            (done, failure) -> {
-              if (failure != null) {
-                LOG.atWarn()
-                    .addKeyValue("reason", failure.getMessage())
-                    .log(
-                        "registration at the platform failed;"
-                            + " peers learn of this VM only from its own requests to them");
-              }
-            });
+    registration.start();
   }
 
   /** Returns the datagram addresses of the other entry VMs and of the endpoint VMs. */
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -137,7 +137,8 @@
             scheduler,
             clock,
             settings.bounds().endpointExpiryMs(),
-            this::directoryChanged);
+            this::directoryChanged,
+            () -> {});
     this.directoryExchange =
         new DirectoryExchange(
             sync,
