Restore the store from copies in the soak

Callers saw: nothing. Cause: no test of the real programs had a store that loses acknowledged writes; the incident came from such a store. The soak adds up to two restorations to each seed, of up to 12 changes that are written again within 1.5 s; they are drawn apart, so that the other faults of a seed stay.

--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultKind.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultKind.java
@@ -144,8 +144,30 @@
       fleet.writeConfiguration();
       return new Fault("configuration", () -> {});
     }
+  },
+  /** The store is away and comes back from a copy; what is lost is written again. */
+  STORE_RESTORED(false) {
+    @Override
+    Fault begin(SoakFleet fleet, Random random) {
+      int changes = 1 + random.nextInt(MAX_LOST_CHANGES);
+      long writtenAgainMs = random.nextInt(MAX_WRITTEN_AGAIN_MS);
+      fleet.store().setFault(StoreFault.RESET);
+      return new Fault(
+          changes + " changes lost",
+          () -> {
+            fleet.store().restore(changes);
+            Thread.sleep(writtenAgainMs);
+            fleet.writeAgain();
+          });
+    }
   };
 
+  /** Largest number of changes of the store that a restoration loses. */
+  private static final int MAX_LOST_CHANGES = 12;
+
+  /** Longest time until what is lost is written again, in milliseconds. */
+  private static final int MAX_WRITTEN_AGAIN_MS = 1_500;
+
   private final boolean planned;
 
   FaultKind(boolean planned) {
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultSeries.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/FaultSeries.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.kernel.errors.ClementinefordException;
@@ -24,6 +25,11 @@
 
   private static final int LONGEST_MS = 5_000;
 
+  private static final int MOST_RESTORATIONS = 2;
+
+  /** Longest time for which the store is away before it is restored, in milliseconds. */
+  private static final int LONGEST_OUTAGE_MS = 2_500;
+
   private final NanoClock clock;
   private final EpochClock wallClock;
   private final List<Planned> plan = new ArrayList<>();
@@ -50,15 +56,25 @@
     this.wallClock = wallClock;
     Random random = new Random(seed);
     int count = FEWEST + random.nextInt(MOST - FEWEST + 1);
-    FaultKind[] kinds = FaultKind.values();
+    List<FaultKind> kinds = new ArrayList<>(List.of(FaultKind.values()));
+    kinds.remove(FaultKind.STORE_RESTORED);
     for (int i = 0; i < count; i++) {
-      long forMs = SHORTEST_MS + random.nextInt(LONGEST_MS - SHORTEST_MS);
-      long atMs = (long) (random.nextDouble() * (durationMs - forMs));
-      plan.add(new Planned(kinds[random.nextInt(kinds.length)], atMs, forMs, random.nextLong()));
+      add(random, durationMs, LONGEST_MS, () -> kinds.get(random.nextInt(kinds.size())));
+    }
+    // Drawn apart, so that the other faults of a seed stay the same.
+    Random restorations = new Random(~seed);
+    for (int i = restorations.nextInt(MOST_RESTORATIONS + 1); i > 0; i--) {
+      add(restorations, durationMs, LONGEST_OUTAGE_MS, () -> FaultKind.STORE_RESTORED);
     }
     plan.sort(Comparator.comparingLong(Planned::atMs));
   }
 
+  private void add(Random random, long durationMs, int longestMs, Supplier<FaultKind> kind) {
+    long forMs = SHORTEST_MS + random.nextInt(longestMs - SHORTEST_MS);
+    long atMs = (long) (random.nextDouble() * (durationMs - forMs));
+    plan.add(new Planned(kind.get(), atMs, forMs, random.nextLong()));
+  }
+
   /** Plays the series and returns when the last fault has ended. */
   void play(SoakFleet fleet) throws ClementinefordException, InterruptedException {
     long begun = clock.nanoTime();
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/SoakFleet.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/SoakFleet.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
@@ -76,6 +77,7 @@
   private final Map<String, LinkProxy> storeLinks = new LinkedHashMap<>();
   private final List<LinkProxy> serverLinks = new ArrayList<>();
   private final Map<PlainServer, String> listed = new ConcurrentHashMap<>();
+  private final Set<String> ended = ConcurrentHashMap.newKeySet();
   private final Map<String, String> accounts = new ConcurrentHashMap<>();
   private long configurationVersion;
   private volatile long weightVersion;
@@ -198,6 +200,7 @@
     String identity = server.identity();
     String before = listed.put(server, identity);
     if (before != null && !before.equals(identity)) {
+      ended.add(before);
       store.remove("servers", before);
     }
     store.put("servers", identity, server.registration());
@@ -206,6 +209,10 @@
   /** Writes the next version of the configuration. */
   synchronized void writeConfiguration() {
     configurationVersion += 3;
+    storeConfiguration();
+  }
+
+  private void storeConfiguration() {
     List<PlatformFiles.RouteSpec> routes =
         Arrays.stream(CallKind.values())
             .map(
@@ -222,6 +229,14 @@
             configurationVersion, HOST, routes, ENGINES, WEIGHTS, originAddress, accounts));
   }
 
+  /** Writes what a restored store has lost. */
+  synchronized void writeAgain() {
+    storeConfiguration();
+    store.put("versions", WEIGHTS.model(), PlatformFiles.version(WEIGHTS, weightVersion));
+    allServers().forEach(this::list);
+    ended.forEach(identity -> store.remove("servers", identity));
+  }
+
   /** Takes a key away; returns the time of the acknowledgement, in monotonic nanoseconds. */
   synchronized long removeKey(String key) {
     accounts.remove(key);
--- a/org.clementineford.standins/src/main/java/org/clementineford/standins/HttpStandIn.java
+++ b/org.clementineford.standins/src/main/java/org/clementineford/standins/HttpStandIn.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -155,8 +156,23 @@
    * @param value the value
    */
   protected static void respondJson(HttpExchange exchange, int status, Object value) {
+    respondJson(exchange, status, value, Map.of());
+  }
+
+  /**
+   * Answers with a value as JSON.
+   *
+   * @param exchange the call
+   * @param status HTTP status
+   * @param value the value
+   * @param headers headers in addition to the content type
+   */
+  protected static void respondJson(
+      HttpExchange exchange, int status, Object value, Map<String, String> headers) {
     try {
-      exchange.respond(status, JSON_TYPE, JSON.writeValueAsBytes(value));
+      Map<String, String> all = new HashMap<>(headers);
+      all.putAll(JSON_TYPE);
+      exchange.respond(status, all, JSON.writeValueAsBytes(value));
     } catch (JsonProcessingException e) {
       exchange.respond(500, Map.of(), e.getMessage().getBytes(StandardCharsets.UTF_8));
     }
