List again after a peer's copy replaced one of the era before

Callers saw: nothing yet. A VM that had taken the copy of a peer in the next era, while its own watch was pending, would miss the changes between the revision of that copy and the one that its watch began at. Cause: the answer to a watch was taken for a continuation of the copy, although the copy had moved to another era since the call. Change: an answer counts only if the copy's era at the call is the present one; if not, the kind is listed.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -284,7 +284,8 @@
       callCount++;
       final long call = callCount;
       final long sentAt = clock.nanoTime();
-      boolean list = listNeeded || !watching;
+      final boolean list = listNeeded || !watching;
+      final long copyEra = copy.position().era();
       var result =
           list
               ? directory.list(kind, watching)
@@ -297,14 +298,14 @@
             }
             callPending = false;
             if (failure == null) {
-              succeeded(list, listing, sentAt);
+              succeeded(list, listing, sentAt, copyEra);
             } else {
               failed(failure);
             }
           });
     }
 
-    private void succeeded(boolean list, DirectoryEntries listing, long sentAt) {
+    private void succeeded(boolean list, DirectoryEntries listing, long sentAt, long copyEra) {
       long now = clock.nanoTime();
       if (failures > 0) {
         LOG.atInfo().addKeyValue("kind", kind).log("platform reached again");
@@ -327,7 +328,7 @@
         case RESTORED -> restored(this, listing.revision());
         default -> {}
       }
-      if (!list && copy.position().era() != history.era()) {
+      if (!list && copyEra != history.era()) {
         // The watch continued from a revision of the era before.
         listNeeded = true;
         sendCall();
