Do not take a version of an older copy for one that was written again

Callers saw: nothing yet. A VM that was behind, or that saw two restorations, would have accepted removed keys: it took a version in a restored store for one that operators had written since, although it was of the copy and the newest one was lost. VMs also waited 1 s at each start on platforms that were never restored. Cause: a higher version, or another revision of the same, shows a write in the new era only if the copy's era followed directly, and is older than the copy from which the platform was restored. Change: only the same versions at other revisions, in the era that follows one that this VM knew for 20 s, count as written again. A VM that starts waits 1.9 s if the platform is in a later era than its first, and not at all in the first.

--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -235,9 +235,6 @@
     /** Loads the configuration, which counts as current at time 0. */
     @BeforeEach
     void load() {
-      long startedAt = -DirectoryCopyState.START_SETTLING_NANOS;
-      configuration.replace(version(30, 13), at(30), startedAt, false, startedAt);
-      assertThat(configuration.ageNanos(-1)).isEqualTo(Long.MAX_VALUE);
       configuration.replace(version(30, 13), at(30), 0, false, 0);
       assertThat(configuration.ageNanos(0)).isZero();
     }
@@ -254,11 +251,34 @@
       assertThat(configuration.ageNanos(SETTLED + 5)).isEqualTo(4);
     }
 
+    // Guards against a VM that starts after a restoration and accepts keys that were removed; and
+    // against one that starts slowly although the platform was never restored.
+    @Test
+    void isNotGivenAtTheStartIfThePlatformWasEverRestored() {
+      DirectoryCopyState started = new DirectoryCopyState(ObjectKind.CONFIGURATION, EXPIRY_NANOS);
+      started.replace(version(24, 6), next(25), 0, false, 0);
+      assertThat(started.ageNanos(SETTLED - 1)).isEqualTo(Long.MAX_VALUE);
+      started.replace(version(24, 6), next(25), SETTLED, false, SETTLED);
+      assertThat(started.ageNanos(SETTLED)).isZero();
+    }
+
     // Guards against refusing keys for longer than needed.
     @Test
     void isGivenAtOnceByAnEraInWhichTheObjectWasWrittenAgain() {
+      long now = DirectoryCopyState.MAX_COPY_AGE_NANOS;
+      configuration.replace(version(25, 13), next(25), now, false, now);
+      assertThat(configuration.ageNanos(now + 2)).isEqualTo(2);
+    }
+
+    // Guards against a second restoration, from a copy of before the first, that is taken for what
+    // operators wrote after it; and against a higher version that hides a lost one.
+    @Test
+    void isNotGivenAtOnceByVersionsThatMayBeOfOlderCopies() {
       configuration.replace(version(25, 13), next(25), 5, false, 5);
-      assertThat(configuration.ageNanos(7)).isEqualTo(2);
+      assertThat(configuration.ageNanos(7)).isEqualTo(7);
+      long now = DirectoryCopyState.MAX_COPY_AGE_NANOS + 5;
+      configuration.replace(version(27, 16), new HistoryPosition(3, 27), now, false, now);
+      assertThat(configuration.ageNanos(now)).isEqualTo(now);
     }
 
     // Guards against refusing keys for longer than needed.
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -21,11 +21,14 @@
    */
   static final long REREGISTRATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
 
+  /** Era of a platform that was never restored. */
+  private static final long FIRST_ERA = 1;
+
   /**
-   * Time after the first listing in which it does not prove an operators' object current: the
-   * platform may just have been restored, and only peers know what is lost.
+   * Longest age of the copy from which a platform is restored; its operators speak of some seconds.
+   * A copy that is older than the era before may show the same versions at any revisions.
    */
-  static final long START_SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+  static final long MAX_COPY_AGE_NANOS = TimeUnit.SECONDS.toNanos(20);
 
   /** Time for which a VM is remembered that has left; well above the age of a platform's copy. */
   private static final long DEPARTED_NANOS = TimeUnit.MINUTES.toNanos(2);
@@ -41,6 +44,7 @@
   private boolean proven;
   private boolean loaded;
   private long settledAt;
+  private long eraSince;
 
   /** An entry that is not used, since its VM had left before the platform was restored. */
   private record WithheldEntry(DirectoryEntry entry, long until) {}
@@ -103,13 +107,21 @@
         departedAt.put(old.name(), now);
       }
     }
-    position = listedPosition;
-    loaded = true;
     if (first) {
-      settledAt = now + START_SETTLING_NANOS;
+      // The platform may just have been restored, and only peers know what it has lost.
+      settledAt = listedPosition.era() > FIRST_ERA ? now + REREGISTRATION_NANOS : now;
     } else if (otherEra) {
-      settledAt = isWrittenAgain(previous) ? now : now + REREGISTRATION_NANOS;
+      boolean writtenAgain =
+          keptBefore.isEmpty()
+              && now - eraSince >= MAX_COPY_AGE_NANOS
+              && isWrittenAgain(previous, listedPosition.era());
+      settledAt = writtenAgain ? now : now + REREGISTRATION_NANOS;
     }
+    if (first || otherEra) {
+      eraSince = now;
+    }
+    position = listedPosition;
+    loaded = true;
     confirmIfSettled(currentAt, now);
     return otherEra || !hasSameRevisions(previous);
   }
@@ -144,14 +156,21 @@
   }
 
   /**
-   * Returns whether the platform shows all operators' objects of the era before as written in this
-   * era: no lower version, and at other revisions.
+   * Returns whether the platform shows all operators' objects as written in the era that follows
+   * that of the copy: in the versions of the copy, at other revisions. A higher version may have
+   * been written before the restoration, and a still higher one be lost.
    */
-  private boolean isWrittenAgain(Map<String, DirectoryEntry> previous) {
-    return kept.isEmpty()
+  private boolean isWrittenAgain(Map<String, DirectoryEntry> previous, long nextEra) {
+    return nextEra == position.era() + 1
         && !previous.isEmpty()
         && previous.values().stream()
-            .noneMatch(old -> entries.get(old.name()).revision() == old.revision());
+            .allMatch(
+                old -> {
+                  DirectoryEntry shown = entries.get(old.name());
+                  return shown.operatorVersion() == old.operatorVersion()
+                      && shown.revision() != old.revision()
+                      && !kept.containsKey(old.name());
+                });
   }
 
   /** Returns the time until which an entry that the platform lacks may be written again. */
