Notice changes whose revision is that of a kept entry of another era

Callers saw: nothing yet. A VM that was cut off during a restoration would have stayed with its configuration although its copy had the newer one. Cause: a listing counted as unchanged if its revisions were those of the entries in use, but entries that are kept, also by a peer, have revisions of the era before. Change: entries that were kept, and those of another version, count as changed.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
@@ -64,7 +64,7 @@
       peers =
           new DirectoryExchange(
               sync,
-              new HttpClient(eventLoops, LinkShaping.NONE),
+              new HttpClient(eventLoops, LinkShaping.NONE)::call,
               scheduler,
               SystemNanoClock.INSTANCE,
               () -> 0,
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.agrona.concurrent.NanoClock;
@@ -17,9 +18,9 @@
 import org.clementineford.serving.directory.DirectoryEntry;
 import org.clementineford.serving.directory.HistoryPosition;
 import org.clementineford.serving.directory.ObjectKind;
-import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpExchange;
 import org.clementineford.transport.http.HttpRequest;
+import org.clementineford.transport.http.HttpResponse;
 import org.clementineford.wire.DirectoryCopies;
 import org.clementineford.wire.DirectoryCopy;
 import org.slf4j.Logger;
@@ -46,7 +47,7 @@
   private static final long TIMEOUT_MS = 600;
 
   private final DirectorySync sync;
-  private final HttpClient client;
+  private final PeerClient client;
   private final Scheduler scheduler;
   private final NanoClock clock;
   private final DoubleSupplier random;
@@ -54,11 +55,25 @@
   private final long staleNanos;
   private final Set<HostPort> peers = new LinkedHashSet<>();
 
+  /** Sends requests to peers. */
+  @FunctionalInterface
+  public interface PeerClient {
+    /**
+     * Sends a request.
+     *
+     * @param peer address of the peer
+     * @param request the request
+     * @param timeoutMs longest time until the response is complete, in milliseconds
+     * @return future of the response
+     */
+    CompletableFuture<HttpResponse> call(HostPort peer, HttpRequest request, long timeoutMs);
+  }
+
   /**
    * Creates the exchange.
    *
    * @param sync local copies to serve and to update
-   * @param client client for calls to peers
+   * @param client sends requests to peers
    * @param scheduler runs timers on the thread that uses {@code sync}
    * @param clock monotonic clock
    * @param random random numbers from 0 inclusive to 1 exclusive
@@ -67,7 +82,7 @@
    */
   public DirectoryExchange(
       DirectorySync sync,
-      HttpClient client,
+      PeerClient client,
       Scheduler scheduler,
       NanoClock clock,
       DoubleSupplier random,
@@ -208,9 +223,12 @@
    * @param exchange exchange whose request has the path {@link #PATH}
    */
   public void answer(HttpExchange exchange) {
+    exchange.respond(200, Map.of(), copiesFor(exchange.request()));
+  }
+
+  byte[] copiesFor(HttpRequest request) {
     DirectoryCopies copies = new DirectoryCopies().setEntryVms(new ArrayList<>());
     copies.setCopies(new ArrayList<>());
-    HttpRequest request = exchange.request();
     for (ObjectKind kind : sync.kinds()) {
       String peerPosition = request.queryParameter(kind.name(), "");
       DirectoryCopyState copy = sync.copy(kind);
@@ -226,6 +244,6 @@
     }
     peers.forEach(peer -> copies.addToEntryVms(peer.toString()));
     copies.addToEntryVms(self.toString());
-    exchange.respond(200, Map.of(), ThriftCodec.encode(copies));
+    return ThriftCodec.encode(copies);
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -154,7 +154,7 @@
     this.directoryExchange =
         new DirectoryExchange(
             directorySync,
-            new HttpClient(eventLoops, LinkShaping.NONE),
+            new HttpClient(eventLoops, LinkShaping.NONE)::call,
             scheduler,
             stalenessClock,
             random,
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -142,7 +142,7 @@
     this.directoryExchange =
         new DirectoryExchange(
             sync,
-            client,
+            client::call,
             scheduler,
             clock,
             () -> ThreadLocalRandom.current().nextDouble(),
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -198,6 +198,14 @@
       assertThat(configuration.kept()).hasSize(1);
     }
 
+    // Guards against a change that is not noticed because its revision is that of the kept entry in
+    // the era before.
+    @Test
+    void areRaisedByListingsAtTheRevisionOfTheKeptEntry() {
+      configuration.replace(List.of(version(24, 6)), next(25), 0, false, 0);
+      assertThat(configuration.replace(List.of(version(30, 16)), next(30), 0, false, 0)).isTrue();
+    }
+
     // Guards against a second restoration that lets the kept version go.
     @Test
     void areKeptOverTwoRestorations() {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -123,7 +123,7 @@
     position = listedPosition;
     loaded = true;
     confirmIfSettled(currentAt, now);
-    return otherEra || !hasSameRevisions(previous);
+    return otherEra || !isSame(previous, keptBefore);
   }
 
   /**
@@ -194,13 +194,20 @@
     kept.put(entry.name(), new KeptEntry(entry, Optional.empty(), until));
   }
 
-  private boolean hasSameRevisions(Map<String, DirectoryEntry> previous) {
+  private boolean isSame(Map<String, DirectoryEntry> previous, Map<String, KeptEntry> keptBefore) {
     if (previous.size() != entries.size()) {
       return false;
     }
     for (DirectoryEntry entry : entries.values()) {
       DirectoryEntry old = previous.get(entry.name());
-      if (old == null || old.revision() != entry.revision()) {
+      // The revision of an entry that was kept, here or by a peer, may be of another era.
+      boolean isSameEntry =
+          entry == old
+              || (old != null
+                  && old.revision() == entry.revision()
+                  && old.operatorVersion() == entry.operatorVersion()
+                  && !keptBefore.containsKey(entry.name()));
+      if (!isSameEntry) {
         return false;
       }
     }
