Show the era of the platform and what is kept against it

Callers saw: nothing. Cause: operators could not see that the platform was restored, nor what was lost and not written again.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -74,7 +74,8 @@
    * @param clock monotonic clock
    * @param entryExpiryMs time after which the platform removes the entry of a VM that no longer
    *     writes it, in milliseconds
-   * @param onChange called with each kind whose entries changed
+   * @param onChange called with each kind whose entries changed, or are again as the platform shows
+   *     them
    * @param onRestored called when the platform was restored from a copy, and so may have lost what
    *     this VM wrote
    */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -270,6 +270,7 @@
 
   private void onObjectsChanged(ObjectKind kind) {
     DirectoryCopyState copy = directorySync.copy(kind);
+    gateway.recordPlatformCopy(kind, copy);
     switch (kind) {
       case CONFIGURATION -> copy.entries().forEach(this::configure);
       case ENDPOINTS -> {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -18,6 +18,8 @@
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.serving.directory.DirectoryCopyState;
+import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.serving.model.CallerLimits;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.model.EngineProfile;
@@ -53,6 +55,7 @@
   private final RequestRouter router;
   private final PromptGuard prompts;
   private final CallerListener listener;
+  private final GatewayMetrics metrics;
   private final EventLoopMonitor eventLoopMonitor;
   private final Map<String, EndpointState> enginesByHost = new HashMap<>();
   private final Map<EndpointState, Long> lastReportAt = new HashMap<>();
@@ -94,7 +97,7 @@
     this.clock = clock;
     EventLoopInput input = new EventLoopInput(eventLoops, scheduler, clock);
     this.pool = new EndpointConnectionPool(eventLoops, protocol, clock, input);
-    GatewayMetrics metrics = new GatewayMetrics(registry);
+    this.metrics = new GatewayMetrics(registry);
     this.prompts = new PromptGuard(quarantine, pool, metrics);
     this.router =
         new RequestRouter(state, protocol, pool, input, configurationAge, metrics, prompts);
@@ -272,6 +275,17 @@
     router.dispatchWaiting(engine.endpoint().service());
   }
 
+  /**
+   * Records the state of a copy of platform objects.
+   *
+   * @param kind kind of the objects
+   * @param copy the copy
+   */
+  public void recordPlatformCopy(ObjectKind kind, DirectoryCopyState copy) {
+    metrics.recordPlatformCopy(
+        kind.name(), copy.position().era(), copy.kept().size() + copy.withheld().size());
+  }
+
   /** Applies the quarantine to requests in progress, after records of other VMs were added. */
   public void quarantineChanged() {
     prompts.update();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
@@ -18,6 +18,8 @@
   private final Counter requests;
   private final Counter failedAttempts;
   private final Gauge quarantinedParts;
+  private final Gauge platformEra;
+  private final Gauge unconfirmedEntries;
   private final Histogram firstAnswerLatency;
   private final Histogram eventLoopLateness;
 
@@ -39,6 +41,17 @@
             .name("clementineford_entry_quarantined_prompt_parts")
             .help("Parts of prompts that no engine receives, since engines crash on them")
             .register(registry);
+    platformEra =
+        Gauge.builder()
+            .name("clementineford_entry_platform_era")
+            .help("Era of the platform's history; it rises with each restoration from a copy")
+            .register(registry);
+    unconfirmedEntries =
+        Gauge.builder()
+            .name("clementineford_entry_unconfirmed_platform_entries")
+            .help("Objects in use, or left out of use, against what the platform shows")
+            .labelNames("kind")
+            .register(registry);
     firstAnswerLatency =
         Histogram.builder()
             .name("clementineford_entry_first_answer_seconds")
@@ -67,6 +80,11 @@
     quarantinedParts.set(parts);
   }
 
+  void recordPlatformCopy(String kind, long era, int unconfirmed) {
+    platformEra.set(era);
+    unconfirmedEntries.labelValues(kind).set(unconfirmed);
+  }
+
   void recordEventLoopLateness(long lateMs) {
     eventLoopLateness.observe(lateMs / MILLIS_PER_SECOND);
   }
