Log what identifies a request whose attempt failed

Callers saw: nothing; behaviour is unchanged. Cause: the line of a failed attempt did not tell whether two requests have one content, which the hypotheses of the incident differ in. Change: the line has a digest of target, caller and body, unless the request certainly did not run. Result: GatewayTest and PromptPartCrashesEnginesTest pass.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -236,6 +236,7 @@
         .addKeyValue("failureScore", Math.round(endpoint.failureScore(now()) * 100) / 100.0)
         .addKeyValue("writingMs", writingMs)
         .addKeyValue("promptParts", String.join(",", metadata.sharedPromptParts()))
+        .addKeyValue("identity", outcome.provesNotRun() ? "" : router.identity(this))
         .log("attempt failed");
     if (finished) {
       return;
