--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -186,13 +186,19 @@
 
   CompletableFuture<HttpResponse<String>> sendAsync(
       String method, String path, String id, String... headers) {
+    boolean hasBody = !method.equals("GET") && !method.equals("HEAD");
+    return sendBodyAsync(method, path, id, hasBody ? "body" : "", headers);
+  }
+
+  CompletableFuture<HttpResponse<String>> sendBodyAsync(
+      String method, String path, String id, String body, String... headers) {
     HttpRequest.Builder request =
         HttpRequest.newBuilder(URI.create("http://" + address + path))
             .method(
                 method,
-                method.equals("GET") || method.equals("HEAD")
+                body.isEmpty()
                     ? HttpRequest.BodyPublishers.noBody()
-                    : HttpRequest.BodyPublishers.ofString("body"))
+                    : HttpRequest.BodyPublishers.ofString(body))
             .timeout(Duration.ofSeconds(5))
             .header("id", id);
     if (headers.length > 0) {
