--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QuarantineExchangeTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QuarantineExchangeTest.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
-import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.wire.FleetDatagram;
 import org.junit.jupiter.api.Nested;
@@ -37,7 +37,7 @@
   /** A VM on a network that loses and delays datagrams. */
   private final class Vm {
     private final HostPort address;
-    private final PromptQuarantine quarantine = new PromptQuarantine(time);
+    private final RequestQuarantine quarantine = new RequestQuarantine(time);
     private final QuarantineExchange exchange;
     private final List<Scheduler.Cancellable> timers = new ArrayList<>();
 
@@ -83,7 +83,7 @@
         return;
       }
       time.schedule(
-          () -> vms.get(receiver).exchange.onMessage(address, datagram.getPromptParts()),
+          () -> vms.get(receiver).exchange.onMessage(address, datagram.getSuspects()),
           DELAY_MS,
           TimeUnit.MILLISECONDS);
     }
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QueryOfDeathLoadTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QueryOfDeathLoadTest.java
@@ -7,7 +7,7 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
-import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.wire.FleetDatagram;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,7 +38,7 @@
 
   private final class EntryVm {
     private final HostPort address;
-    private PromptQuarantine quarantine;
+    private RequestQuarantine quarantine;
     private QuarantineExchange exchange;
     private long cutOffUntilMs;
     private long disturbedAtMs = -CONTACT_MS;
@@ -49,7 +49,7 @@
     }
 
     void restart() {
-      PromptQuarantine started = new PromptQuarantine(time);
+      RequestQuarantine started = new RequestQuarantine(time);
       QuarantineExchange[] self = new QuarantineExchange[1];
       self[0] =
           new QuarantineExchange(
@@ -82,7 +82,7 @@
           entryVms.stream().filter(vm -> vm.address.equals(member)).findFirst().orElseThrow();
       if (random.nextDouble() >= LOSS && !isCutOff() && !receiver.isCutOff()) {
         time.schedule(
-            () -> receiver.exchange.onMessage(address, datagram.getPromptParts()),
+            () -> receiver.exchange.onMessage(address, datagram.getSuspects()),
             3,
             TimeUnit.MILLISECONDS);
       }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/QuarantineExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/QuarantineExchange.java
@@ -11,19 +11,19 @@
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.serving.quarantine.EngineCrash;
-import org.clementineford.serving.quarantine.PromptPart;
-import org.clementineford.serving.quarantine.PromptPartRecord;
-import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.quarantine.RequestQuarantine;
+import org.clementineford.serving.quarantine.Suspect;
+import org.clementineford.serving.quarantine.SuspectRecord;
 import org.clementineford.wire.FleetDatagram;
 import org.clementineford.wire.PromptCrash;
-import org.clementineford.wire.PromptPartRecords;
+import org.clementineford.wire.SuspectRecords;
 
 /**
- * Exchanges the records of a {@link PromptQuarantine} between VMs by gossip. New records are pushed
- * to random members for a short time, so that they reach hundreds of VMs within a second or so. In
- * addition, each entry VM compares digests with random members, so that one that has just started,
- * or was suspended or cut off, gets what it lacks. Endpoint VMs only answer; they keep the records
- * when all entry VMs restart. Not thread-safe.
+ * Exchanges the records of a {@link RequestQuarantine} between VMs by gossip. New records are
+ * pushed to random members for a short time, so that they reach hundreds of VMs within a second or
+ * so. In addition, each entry VM compares digests with random members, so that one that has just
+ * started, or was suspended or cut off, gets what it lacks. Endpoint VMs only answer; they keep the
+ * records when all entry VMs restart. Not thread-safe.
  */
 public final class QuarantineExchange {
   private static final long PUSH_INTERVAL_MS = 100;
@@ -42,7 +42,7 @@
   /** Records in one datagram; one of a part in eight crashes takes about 200 bytes. */
   private static final int RECORDS_PER_DATAGRAM = 16;
 
-  private final PromptQuarantine quarantine;
+  private final RequestQuarantine quarantine;
   private final Supplier<List<HostPort>> members;
   private final BiConsumer<HostPort, FleetDatagram> sender;
   private final NanoClock clock;
@@ -60,7 +60,7 @@
    * @param onChange called after records of another VM were added
    */
   public QuarantineExchange(
-      PromptQuarantine quarantine,
+      RequestQuarantine quarantine,
       Supplier<List<HostPort>> members,
       BiConsumer<HostPort, FleetDatagram> sender,
       NanoClock clock,
@@ -85,7 +85,7 @@
   }
 
   private void push() {
-    List<PromptPartRecord> changed = quarantine.recordsChangedSince(clock.nanoTime() - PUSH_NANOS);
+    List<SuspectRecord> changed = quarantine.recordsChangedSince(clock.nanoTime() - PUSH_NANOS);
     if (!changed.isEmpty()) {
       for (HostPort member : choose(PUSH_MEMBERS)) {
         send(member, changed, false);
@@ -108,25 +108,25 @@
     return chosen;
   }
 
-  private void send(HostPort member, List<PromptPartRecord> records, boolean replyRequested) {
+  private void send(HostPort member, List<SuspectRecord> records, boolean replyRequested) {
     int start = 0;
     do {
       int end = Math.min(records.size(), start + RECORDS_PER_DATAGRAM);
-      PromptPartRecords message =
-          new PromptPartRecords()
+      SuspectRecords message =
+          new SuspectRecords()
               .setDigest(quarantine.digest())
               .setRecords(records.subList(start, end).stream().map(this::encode).toList())
               .setReplyRequested(replyRequested && end == records.size());
       FleetDatagram datagram = new FleetDatagram();
-      datagram.setPromptParts(message);
+      datagram.setSuspects(message);
       sender.accept(member, datagram);
       start = end;
     } while (start < records.size());
   }
 
-  private org.clementineford.wire.PromptPartRecord encode(PromptPartRecord record) {
-    org.clementineford.wire.PromptPartRecord encoded =
-        new org.clementineford.wire.PromptPartRecord()
+  private org.clementineford.wire.SuspectRecord encode(SuspectRecord record) {
+    org.clementineford.wire.SuspectRecord encoded =
+        new org.clementineford.wire.SuspectRecord()
             .setServiceName(record.part().service())
             .setPart(record.part().id())
             .setCrashes(new ArrayList<>());
@@ -151,7 +151,7 @@
    * @param member address of the VM
    * @param message its message
    */
-  public void onMessage(HostPort member, PromptPartRecords message) {
+  public void onMessage(HostPort member, SuspectRecords message) {
     if (message.getRecordsSize() > 0) {
       quarantine.merge(message.getRecords().stream().map(this::decode).toList());
       onChange.run();
@@ -162,13 +162,13 @@
     }
   }
 
-  private PromptPartRecord decode(org.clementineford.wire.PromptPartRecord encoded) {
+  private SuspectRecord decode(org.clementineford.wire.SuspectRecord encoded) {
     List<EngineCrash> crashes = new ArrayList<>();
     for (PromptCrash crash : encoded.getCrashes()) {
       crashes.add(new EngineCrash(crash.getEngine(), crash.getRequest(), at(crash.getAgeMs())));
     }
-    return new PromptPartRecord(
-        new PromptPart(encoded.getServiceName(), encoded.getPart()),
+    return new SuspectRecord(
+        new Suspect(encoded.getServiceName(), encoded.getPart()),
         crashes,
         encoded.isSetSoundAgeMs()
             ? OptionalLong.of(at(encoded.getSoundAgeMs()))
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -34,7 +34,7 @@
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.model.ServiceShare;
-import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.transport.EventLoopScheduler;
@@ -98,7 +98,7 @@
             () -> 0,
             configurationAge::get,
             () -> new EntryVmPosition(1, 0),
-            new PromptQuarantine(clock),
+            new RequestQuarantine(clock),
             new PrometheusRegistry());
     address = gateway.start(any);
     List<Endpoint> listed = new ArrayList<>();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -28,7 +28,7 @@
 import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.serving.model.Endpoint;
-import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.transport.EventLoopScheduler;
 import org.clementineford.transport.LinkShaping;
@@ -160,7 +160,7 @@
             random,
             settings.peerAddress(),
             STALE_COPY_MS);
-    PromptQuarantine quarantine = new PromptQuarantine(stalenessClock);
+    RequestQuarantine quarantine = new RequestQuarantine(stalenessClock);
     this.gateway =
         new Gateway(
             settings,
@@ -310,8 +310,8 @@
     if (datagram.isSetReport()) {
       EngineReport report = datagram.getReport();
       gateway.onReport(sender.host(), report);
-    } else if (datagram.isSetPromptParts()) {
-      quarantineExchange.onMessage(sender, datagram.getPromptParts());
+    } else if (datagram.isSetSuspects()) {
+      quarantineExchange.onMessage(sender, datagram.getSuspects());
     }
   }
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -169,7 +169,7 @@
 
   private void recordSound() {
     sound = true;
-    router.prompts().answered(proxiedRequest);
+    router.quarantine().answered(proxiedRequest);
   }
 
   /** Returns whether the engine has answered, or has been writing for a while. */
@@ -304,7 +304,7 @@
   @Override
   public void onConnectionFailure(boolean refused, String cause) {
     if (refused) {
-      router.prompts().refusedConnection(endpoint);
+      router.quarantine().refusedConnection(endpoint);
     }
     onFailure(AttemptOutcome.NOT_CONNECTED, cause);
   }
@@ -320,7 +320,7 @@
     }
     endpoint.failed(outcome, router.state().clock().nanoTime());
     if (outcome == AttemptOutcome.BROKEN && !complete && !sound) {
-      router.prompts().interrupted(proxiedRequest, endpoint);
+      router.quarantine().interrupted(proxiedRequest, endpoint);
     }
     proxiedRequest.attemptFailed(endpoint, outcome, cause);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -25,7 +25,7 @@
 import org.clementineford.serving.model.EngineProfile;
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
-import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.serving.routing.EndpointLoad;
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.serving.routing.EntryVmPosition;
@@ -53,7 +53,7 @@
   private final NanoClock clock;
   private final EndpointConnectionPool pool;
   private final RequestRouter router;
-  private final PromptGuard prompts;
+  private final QuarantineGuard quarantine;
   private final CallerListener listener;
   private final GatewayMetrics metrics;
   private final EventLoopMonitor eventLoopMonitor;
@@ -90,7 +90,7 @@
       DoubleSupplier random,
       LongSupplier configurationAge,
       Supplier<EntryVmPosition> position,
-      PromptQuarantine quarantine,
+      RequestQuarantine quarantine,
       PrometheusRegistry registry) {
     this.state = new GatewayState(settings, clock, epochClock, random, position);
     this.eventLoops = eventLoops;
@@ -98,9 +98,9 @@
     EventLoopInput input = new EventLoopInput(eventLoops, scheduler, clock);
     this.pool = new EndpointConnectionPool(eventLoops, protocol, clock, input);
     this.metrics = new GatewayMetrics(registry);
-    this.prompts = new PromptGuard(quarantine, pool, metrics);
+    this.quarantine = new QuarantineGuard(quarantine, pool, metrics);
     this.router =
-        new RequestRouter(state, protocol, pool, input, configurationAge, metrics, prompts);
+        new RequestRouter(state, protocol, pool, input, configurationAge, metrics, this.quarantine);
     this.eventLoopMonitor =
         new EventLoopMonitor(clock, TimeUnit.MILLISECONDS.toNanos(DISPATCH_INTERVAL_MS), metrics);
     scheduler.scheduleWithFixedDelay(
@@ -288,7 +288,7 @@
 
   /** Applies the quarantine to requests in progress, after records of other VMs were added. */
   public void quarantineChanged() {
-    prompts.update();
+    quarantine.update();
   }
 
   /** Closes the connections of callers that have exceeded the idle timeout. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -75,12 +75,12 @@
       failOrRefuse(rejected.get());
       return;
     }
-    Optional<String> quarantinedPart = router.prompts().quarantinedPart(this);
+    Optional<String> quarantinedPart = router.quarantine().quarantinedPart(this);
     if (quarantinedPart.isPresent()) {
       refuseQuarantined(quarantinedPart.get());
       return;
     }
-    router.prompts().started(this);
+    router.quarantine().started(this);
     deadlineTimer =
         router.input().schedule(this::onDeadline, deadlineAt - now(), TimeUnit.NANOSECONDS);
     router.state().retryBudget(service).countRequest(now());
@@ -250,7 +250,7 @@
     if (repeatable
         && canContinueStream()
         && callerWaitsForAnswer()
-        && router.prompts().mayRetry(this)
+        && router.quarantine().mayRetry(this)
         && attemptCount < route.maxAttempts()
         && hasRetryBudget(outcome)) {
       router.place(this);
@@ -280,7 +280,7 @@
 
   private void refuseQuarantined(String part) {
     trace.recordQuarantinedPart(part);
-    refuse(FailureReason.PROMPT_QUARANTINED, router.prompts().retryAfterSeconds(this, part));
+    refuse(FailureReason.PROMPT_QUARANTINED, router.quarantine().retryAfterSeconds(this, part));
   }
 
   /** Returns whether a stream sent now can bring an event before its caller leaves. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/PromptGuard.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/QuarantineGuard.java
@@ -6,28 +6,29 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.clementineford.serving.quarantine.PromptPart;
-import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.quarantine.RequestQuarantine;
+import org.clementineford.serving.quarantine.Suspect;
 import org.clementineford.serving.routing.EndpointState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps prompt parts that crash engines away from them: reports to the {@link PromptQuarantine}
+ * Keeps prompt parts that crash engines away from them: reports to the {@link RequestQuarantine}
  * what happened to requests, and ends the requests whose prompts it excludes.
  */
-final class PromptGuard {
-  private static final Logger LOG = LoggerFactory.getLogger(PromptGuard.class);
+final class QuarantineGuard {
+  private static final Logger LOG = LoggerFactory.getLogger(QuarantineGuard.class);
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
-  private final PromptQuarantine quarantine;
+  private final RequestQuarantine quarantine;
   private final EndpointConnectionPool pool;
   private final GatewayMetrics metrics;
   private final Set<ProxiedRequest> requests = new LinkedHashSet<>();
   private final Set<EndpointState> probed = new HashSet<>();
-  private Set<PromptPart> quarantined = Set.of();
+  private Set<Suspect> quarantined = Set.of();
 
-  PromptGuard(PromptQuarantine quarantine, EndpointConnectionPool pool, GatewayMetrics metrics) {
+  QuarantineGuard(
+      RequestQuarantine quarantine, EndpointConnectionPool pool, GatewayMetrics metrics) {
     this.quarantine = quarantine;
     this.pool = pool;
     this.metrics = metrics;
@@ -104,13 +105,13 @@
 
   /** Applies changes of the quarantine to the requests in progress. */
   void update() {
-    Set<PromptPart> before = quarantined;
+    Set<Suspect> before = quarantined;
     quarantined = quarantine.quarantined();
     if (quarantined.equals(before)) {
       return;
     }
     metrics.recordQuarantinedParts(quarantined.size());
-    for (PromptPart part : before) {
+    for (Suspect part : before) {
       if (!quarantined.contains(part)) {
         LOG.atInfo()
             .addKeyValue("service", part.service())
@@ -118,7 +119,7 @@
             .log("prompt part left quarantine");
       }
     }
-    for (PromptPart part : quarantined) {
+    for (Suspect part : quarantined) {
       if (!before.contains(part)) {
         List<Long> crashAgesMs = quarantine.crashAgesMs(part);
         LOG.atWarn()
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -25,7 +25,7 @@
   private final EventLoopInput input;
   private final LongSupplier configurationAge;
   private final GatewayMetrics metrics;
-  private final PromptGuard prompts;
+  private final QuarantineGuard quarantine;
   private final Map<String, EngineQueue> queues = new HashMap<>();
   private int requestsInProgress;
 
@@ -36,14 +36,14 @@
       EventLoopInput input,
       LongSupplier configurationAge,
       GatewayMetrics metrics,
-      PromptGuard prompts) {
+      QuarantineGuard quarantine) {
     this.state = state;
     this.protocol = protocol;
     this.pool = pool;
     this.input = input;
     this.configurationAge = configurationAge;
     this.metrics = metrics;
-    this.prompts = prompts;
+    this.quarantine = quarantine;
   }
 
   GatewayState state() {
@@ -66,8 +66,8 @@
     return metrics;
   }
 
-  PromptGuard prompts() {
-    return prompts;
+  QuarantineGuard quarantine() {
+    return quarantine;
   }
 
   /** Returns the number of requests without a final response. */
@@ -77,7 +77,7 @@
 
   void requestEnded(ProxiedRequest request) {
     requestsInProgress--;
-    prompts.ended(request);
+    quarantine.ended(request);
   }
 
   /** Returns whether there is a configuration that was confirmed to be current at some time. */
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -27,7 +27,7 @@
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.model.WeightTarget;
-import org.clementineford.serving.quarantine.PromptQuarantine;
+import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.transport.EventLoopScheduler;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
@@ -171,7 +171,7 @@
             rollout, clock, context.self(), settings.datagramAddress().port(), this::send);
     this.quarantineExchange =
         new QuarantineExchange(
-            new PromptQuarantine(stalenessClock),
+            new RequestQuarantine(stalenessClock),
             List::of,
             this::send,
             stalenessClock,
@@ -302,8 +302,8 @@
       rollout.updateTarget(
           holdings.getModel(), holdings.getVersion(), clock.nanoTime(), targetsListed);
       holdingsReceived(sender, holdings);
-    } else if (datagram.isSetPromptParts()) {
-      quarantineExchange.onMessage(sender, datagram.getPromptParts());
+    } else if (datagram.isSetSuspects()) {
+      quarantineExchange.onMessage(sender, datagram.getSuspects());
     }
   }
 
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/quarantine/PromptQuarantineTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/quarantine/RequestQuarantineTest.java
@@ -10,11 +10,11 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
-class PromptQuarantineTest {
+class RequestQuarantineTest {
   private static final String SERVICE = "pool";
 
   private final VirtualTime time = new VirtualTime(0);
-  private final PromptQuarantine quarantine = new PromptQuarantine(time);
+  private final RequestQuarantine quarantine = new RequestQuarantine(time);
 
   private void answered(String... parts) {
     quarantine.answered(SERVICE, List.of(parts));
@@ -109,8 +109,8 @@
       assertThat(isQuarantined("part")).isTrue();
       quarantine.merge(
           List.of(
-              new PromptPartRecord(
-                  new PromptPart(SERVICE, "part"), List.of(), OptionalLong.of(time.nanoTime()))));
+              new SuspectRecord(
+                  new Suspect(SERVICE, "part"), List.of(), OptionalLong.of(time.nanoTime()))));
       assertThat(isQuarantined("part")).isFalse();
     }
 
@@ -144,10 +144,10 @@
     void leadToEqualDecisionsWhateverTheirOrder() {
       for (int seed = 0; seed < 50; seed++) {
         Random random = new Random(seed);
-        PromptQuarantine one = new PromptQuarantine(time);
-        PromptQuarantine two = new PromptQuarantine(time);
+        RequestQuarantine one = new RequestQuarantine(time);
+        RequestQuarantine two = new RequestQuarantine(time);
         for (int i = 0; i < 40; i++) {
-          PromptQuarantine observer = random.nextBoolean() ? one : two;
+          RequestQuarantine observer = random.nextBoolean() ? one : two;
           String engine = "e" + random.nextInt(12);
           observer.interrupted(
               engine, "r" + random.nextInt(20), SERVICE, List.of("p" + random.nextInt(5)));
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/CrashSuspects.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/CrashSuspects.java
@@ -25,13 +25,13 @@
   private CrashSuspects() {}
 
   /** Returns the parts that are blamed. */
-  static Set<PromptPart> blamed(Collection<PromptPartRecord> records) {
-    Set<PromptPart> blamed = new LinkedHashSet<>();
+  static Set<Suspect> blamed(Collection<SuspectRecord> records) {
+    Set<Suspect> blamed = new LinkedHashSet<>();
     Set<Long> explained = new HashSet<>();
-    for (List<PromptPartRecord> next = strongest(records, explained);
+    for (List<SuspectRecord> next = strongest(records, explained);
         !next.isEmpty();
         next = strongest(records, explained)) {
-      for (PromptPartRecord record : next) {
+      for (SuspectRecord record : next) {
         blamed.add(record.part());
         record.crashes().forEach(crash -> explained.add(crash.engine()));
       }
@@ -43,13 +43,13 @@
    * Returns the part that explains most of the remaining crashes, and those that were in exactly
    * the same ones, since they cannot be told apart.
    */
-  private static List<PromptPartRecord> strongest(
-      Collection<PromptPartRecord> records, Set<Long> explained) {
+  private static List<SuspectRecord> strongest(
+      Collection<SuspectRecord> records, Set<Long> explained) {
     return records.stream()
         .filter(record -> unexplained(record, explained) >= MIN_CRASHES)
         .filter(record -> requests(record) >= MIN_REQUESTS)
         .max(
-            Comparator.comparingLong((PromptPartRecord record) -> unexplained(record, explained))
+            Comparator.comparingLong((SuspectRecord record) -> unexplained(record, explained))
                 .thenComparingLong(CrashSuspects::requests)
                 .thenComparing(record -> record.part().id()))
         .map(best -> records.stream().filter(other -> engines(other).equals(engines(best))))
@@ -57,17 +57,17 @@
         .orElse(List.of());
   }
 
-  private static long unexplained(PromptPartRecord record, Set<Long> explained) {
+  private static long unexplained(SuspectRecord record, Set<Long> explained) {
     return engines(record).stream().filter(engine -> !explained.contains(engine)).count();
   }
 
-  private static Set<Long> engines(PromptPartRecord record) {
+  private static Set<Long> engines(SuspectRecord record) {
     Set<Long> engines = new HashSet<>();
     record.crashes().forEach(crash -> engines.add(crash.engine()));
     return engines;
   }
 
-  private static long requests(PromptPartRecord record) {
+  private static long requests(SuspectRecord record) {
     return record.crashes().stream().mapToLong(EngineCrash::request).distinct().count();
   }
 }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/Interruptions.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/Interruptions.java
@@ -30,7 +30,7 @@
    * @param parts parts of its prompt that may have crashed the engine
    * @param at time at which the connection ended
    */
-  record Interruption(long request, List<PromptPart> parts, long at) {
+  record Interruption(long request, List<Suspect> parts, long at) {
     boolean isConfirmable(long now) {
       return now - at <= CONFIRMATION_NANOS;
     }
@@ -63,7 +63,7 @@
   }
 
   /** Returns the engines that recently lost a request with a prompt part. */
-  Set<Long> engines(PromptPart part, long now) {
+  Set<Long> engines(Suspect part, long now) {
     Set<Long> engines = new TreeSet<>();
     byEngine.forEach(
         (engine, interrupted) -> {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptQuarantine.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/RequestQuarantine.java
@@ -24,7 +24,7 @@
  * had been writing the answer for a while. A part that an engine answers is sound, and crashes
  * before that no longer count against it. Times are monotonic nanoseconds. Not thread-safe.
  */
-public final class PromptQuarantine {
+public final class RequestQuarantine {
   /** Time after the last crash for which a part stays in quarantine. */
   private static final long QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(10);
 
@@ -53,11 +53,11 @@
   private static final int MAX_CRASHES = 8;
 
   private final NanoClock clock;
-  private final Map<PromptPart, TreeMap<Long, EngineCrash>> crashes = new LinkedHashMap<>();
-  private final Map<PromptPart, Long> changedAt = new HashMap<>();
-  private final Map<PromptPart, Long> soundAt = new BoundedMap<>(MAX_SOUND_PARTS);
+  private final Map<Suspect, TreeMap<Long, EngineCrash>> crashes = new LinkedHashMap<>();
+  private final Map<Suspect, Long> changedAt = new HashMap<>();
+  private final Map<Suspect, Long> soundAt = new BoundedMap<>(MAX_SOUND_PARTS);
   private final Interruptions interruptions = new Interruptions();
-  private Set<PromptPart> blamed = Set.of();
+  private Set<Suspect> blamed = Set.of();
 
   /**
    * Creates a quarantine without parts.
@@ -65,12 +65,12 @@
    * @param clock monotonic clock that counts the time for which this VM was suspended, since other
    *     VMs learn the ages of crashes
    */
-  public PromptQuarantine(NanoClock clock) {
+  public RequestQuarantine(NanoClock clock) {
     this.clock = clock;
   }
 
-  private static List<PromptPart> partsOf(String service, List<String> ids) {
-    return ids.stream().distinct().map(id -> new PromptPart(service, id)).toList();
+  private static List<Suspect> partsOf(String service, List<String> ids) {
+    return ids.stream().distinct().map(id -> new Suspect(service, id)).toList();
   }
 
   /**
@@ -83,7 +83,7 @@
   public void answered(String service, List<String> partIds) {
     long now = clock.nanoTime();
     boolean cleared = false;
-    for (PromptPart part : partsOf(service, partIds)) {
+    for (Suspect part : partsOf(service, partIds)) {
       cleared |= soundSince(part, now, now);
     }
     if (cleared) {
@@ -92,7 +92,7 @@
   }
 
   /** Clears a part of the crashes up to a time, and returns whether there were any. */
-  private boolean soundSince(PromptPart part, long at, long now) {
+  private boolean soundSince(Suspect part, long at, long now) {
     soundAt.merge(part, at, Math::max);
     TreeMap<Long, EngineCrash> known = crashes.get(part);
     if (known == null || !known.values().removeIf(crash -> crash.at() - at <= 0)) {
@@ -114,7 +114,7 @@
   public void interrupted(
       String engineName, String requestId, String service, List<String> partIds) {
     long now = clock.nanoTime();
-    List<PromptPart> suspects =
+    List<Suspect> suspects =
         partsOf(service, partIds).stream().filter(part -> !isSound(part, now)).toList();
     if (suspects.isEmpty()) {
       return;
@@ -127,7 +127,7 @@
     }
   }
 
-  private boolean isSound(PromptPart part, long now) {
+  private boolean isSound(Suspect part, long now) {
     Long at = soundAt.get(part);
     return at != null && now - at <= SOUND_NANOS;
   }
@@ -152,13 +152,13 @@
   }
 
   private void addCrash(long engine, Interruption interruption, long now) {
-    for (PromptPart part : interruption.parts()) {
+    for (Suspect part : interruption.parts()) {
       addCrash(part, new EngineCrash(engine, interruption.request(), interruption.at()), now);
     }
   }
 
   /** Adds a crash in a way that leads to the same records on all VMs, whatever the order. */
-  private void addCrash(PromptPart part, EngineCrash crash, long now) {
+  private void addCrash(Suspect part, EngineCrash crash, long now) {
     Long sound = soundAt.get(part);
     if (sound != null && crash.at() - sound <= 0) {
       // Peers that lack the sound answer learn of it with the changed record.
@@ -186,7 +186,7 @@
 
   /** Forgets the oldest part that was in a single crash, and returns whether there was one. */
   private boolean removeWeakest() {
-    for (Map.Entry<PromptPart, TreeMap<Long, EngineCrash>> entry : crashes.entrySet()) {
+    for (Map.Entry<Suspect, TreeMap<Long, EngineCrash>> entry : crashes.entrySet()) {
       if (entry.getValue().size() <= 1) {
         forget(entry.getKey());
         return true;
@@ -195,13 +195,13 @@
     return false;
   }
 
-  private void forget(PromptPart part) {
+  private void forget(Suspect part) {
     crashes.remove(part);
     changedAt.remove(part);
   }
 
   private void updateBlamed(long now) {
-    Set<PromptPart> outdated = new HashSet<>();
+    Set<Suspect> outdated = new HashSet<>();
     changedAt.forEach(
         (part, at) -> {
           boolean isCleared = crashes(part).isEmpty();
@@ -213,11 +213,11 @@
     blamed = CrashSuspects.blamed(records());
   }
 
-  private long lastCrashAt(PromptPart part) {
+  private long lastCrashAt(Suspect part) {
     return crashes(part).stream().mapToLong(EngineCrash::at).max().orElseThrow();
   }
 
-  private Collection<EngineCrash> crashes(PromptPart part) {
+  private Collection<EngineCrash> crashes(Suspect part) {
     TreeMap<Long, EngineCrash> known = crashes.get(part);
     return known == null ? List.of() : known.values();
   }
@@ -237,11 +237,11 @@
     return partsOf(service, partIds).stream()
         .filter(blamed::contains)
         .filter(part -> remainingNanos(part, now) > 0)
-        .map(PromptPart::id)
+        .map(Suspect::id)
         .findFirst();
   }
 
-  private long remainingNanos(PromptPart part, long now) {
+  private long remainingNanos(Suspect part, long now) {
     return QUARANTINE_NANOS - (now - lastCrashAt(part));
   }
 
@@ -253,7 +253,7 @@
    * @return time in nanoseconds
    */
   public long remainingNanos(String service, String partId) {
-    return Math.max(0, remainingNanos(new PromptPart(service, partId), clock.nanoTime()));
+    return Math.max(0, remainingNanos(new Suspect(service, partId), clock.nanoTime()));
   }
 
   /**
@@ -261,9 +261,9 @@
    *
    * @return the parts, in no particular order
    */
-  public Set<PromptPart> quarantined() {
+  public Set<Suspect> quarantined() {
     long now = clock.nanoTime();
-    Set<PromptPart> parts = new HashSet<>(blamed);
+    Set<Suspect> parts = new HashSet<>(blamed);
     parts.removeIf(part -> remainingNanos(part, now) <= 0);
     return parts;
   }
@@ -274,7 +274,7 @@
    * @param part the part
    * @return times in milliseconds
    */
-  public List<Long> crashAgesMs(PromptPart part) {
+  public List<Long> crashAgesMs(Suspect part) {
     long now = clock.nanoTime();
     return crashes(part).stream()
         .map(crash -> TimeUnit.NANOSECONDS.toMillis(now - crash.at()))
@@ -295,7 +295,7 @@
         .anyMatch(part -> !isSound(part, now) && lostEngines(part, now) >= 2);
   }
 
-  private int lostEngines(PromptPart part, long now) {
+  private int lostEngines(Suspect part, long now) {
     Set<Long> engines = interruptions.engines(part, now);
     crashes(part).forEach(crash -> engines.add(crash.engine()));
     return engines.size();
@@ -306,8 +306,8 @@
    *
    * @return records of parts that were in requests of crashed engines
    */
-  public List<PromptPartRecord> records() {
-    List<PromptPartRecord> records = new ArrayList<>();
+  public List<SuspectRecord> records() {
+    List<SuspectRecord> records = new ArrayList<>();
     crashes.keySet().forEach(part -> records.add(record(part)));
     return records;
   }
@@ -318,8 +318,8 @@
    * @param since time in monotonic nanoseconds
    * @return records that changed since then; those without crashes tell that a part is sound
    */
-  public List<PromptPartRecord> recordsChangedSince(long since) {
-    List<PromptPartRecord> records = new ArrayList<>();
+  public List<SuspectRecord> recordsChangedSince(long since) {
+    List<SuspectRecord> records = new ArrayList<>();
     changedAt.forEach(
         (part, at) -> {
           if (at - since >= 0) {
@@ -329,9 +329,9 @@
     return records;
   }
 
-  private PromptPartRecord record(PromptPart part) {
+  private SuspectRecord record(Suspect part) {
     Long sound = soundAt.get(part);
-    return new PromptPartRecord(
+    return new SuspectRecord(
         part,
         List.copyOf(crashes(part)),
         sound == null ? OptionalLong.empty() : OptionalLong.of(sound));
@@ -342,9 +342,9 @@
    *
    * @param records the records, with times of this VM's clock
    */
-  public void merge(List<PromptPartRecord> records) {
+  public void merge(List<SuspectRecord> records) {
     long now = clock.nanoTime();
-    for (PromptPartRecord record : records) {
+    for (SuspectRecord record : records) {
       if (record.soundAt().isPresent()) {
         soundSince(record.part(), record.soundAt().getAsLong(), now);
       }
@@ -363,7 +363,7 @@
    */
   public long digest() {
     long digest = 0;
-    for (Map.Entry<PromptPart, TreeMap<Long, EngineCrash>> entry : crashes.entrySet()) {
+    for (Map.Entry<Suspect, TreeMap<Long, EngineCrash>> entry : crashes.entrySet()) {
       long part = 31L * entry.getKey().service().hashCode() + entry.getKey().id().hashCode();
       for (EngineCrash crash : entry.getValue().values()) {
         digest += (part ^ crash.engine()) * 0x9E3779B97F4A7C15L + crash.request();
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptPart.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/Suspect.java
@@ -6,11 +6,11 @@
  * @param service name of the service
  * @param id ID of the part
  */
-public record PromptPart(String service, String id) {
+public record Suspect(String service, String id) {
   private static final int MAX_ID_LENGTH = 64;
 
   /** Shortens an overlong ID, so that callers cannot make this system store large ones. */
-  public PromptPart {
+  public Suspect {
     if (id.length() > MAX_ID_LENGTH) {
       id = id.substring(0, MAX_ID_LENGTH);
     }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/PromptPartRecord.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/SuspectRecord.java
@@ -11,9 +11,9 @@
  * @param soundAt time at which an engine last proved the part to be sound, in monotonic
  *     nanoseconds; empty if none did
  */
-public record PromptPartRecord(PromptPart part, List<EngineCrash> crashes, OptionalLong soundAt) {
+public record SuspectRecord(Suspect part, List<EngineCrash> crashes, OptionalLong soundAt) {
   /** Creates a record with an unmodifiable copy of the crashes. */
-  public PromptPartRecord {
+  public SuspectRecord {
     crashes = List.copyOf(crashes);
   }
 }
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/FleetDatagram.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/FleetDatagram.java
@@ -12,14 +12,14 @@
   private static final org.apache.thrift.protocol.TField SUBSCRIPTION_FIELD_DESC = new org.apache.thrift.protocol.TField("subscription", org.apache.thrift.protocol.TType.STRUCT, (short)1);
   private static final org.apache.thrift.protocol.TField REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("report", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField HOLDINGS_FIELD_DESC = new org.apache.thrift.protocol.TField("holdings", org.apache.thrift.protocol.TType.STRUCT, (short)3);
-  private static final org.apache.thrift.protocol.TField PROMPT_PARTS_FIELD_DESC = new org.apache.thrift.protocol.TField("promptParts", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.STRUCT, (short)4);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SUBSCRIPTION((short)1, "subscription"),
     REPORT((short)2, "report"),
     HOLDINGS((short)3, "holdings"),
-    PROMPT_PARTS((short)4, "promptParts");
+    SUSPECTS((short)4, "suspects");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -41,8 +41,8 @@
           return REPORT;
         case 3: // HOLDINGS
           return HOLDINGS;
-        case 4: // PROMPT_PARTS
-          return PROMPT_PARTS;
+        case 4: // SUSPECTS
+          return SUSPECTS;
         default:
           return null;
       }
@@ -94,8 +94,8 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, EngineReport.class)));
     tmpMap.put(_Fields.HOLDINGS, new org.apache.thrift.meta_data.FieldMetaData("holdings", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ChunkHoldings.class)));
-    tmpMap.put(_Fields.PROMPT_PARTS, new org.apache.thrift.meta_data.FieldMetaData("promptParts", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
-        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PromptPartRecords.class)));
+    tmpMap.put(_Fields.SUSPECTS, new org.apache.thrift.meta_data.FieldMetaData("suspects", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SuspectRecords.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetDatagram.class, metaDataMap);
   }
@@ -134,9 +134,9 @@
     return x;
   }
 
-  public static FleetDatagram promptParts(PromptPartRecords value) {
+  public static FleetDatagram suspects(SuspectRecords value) {
     FleetDatagram x = new FleetDatagram();
-    x.setPromptParts(value);
+    x.setSuspects(value);
     return x;
   }
 
@@ -159,11 +159,11 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type ChunkHoldings for field 'holdings', but got " + value.getClass().getSimpleName());
-      case PROMPT_PARTS:
-        if (value instanceof PromptPartRecords) {
+      case SUSPECTS:
+        if (value instanceof SuspectRecords) {
           break;
         }
-        throw new java.lang.ClassCastException("Was expecting value of type PromptPartRecords for field 'promptParts', but got " + value.getClass().getSimpleName());
+        throw new java.lang.ClassCastException("Was expecting value of type SuspectRecords for field 'suspects', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -204,12 +204,12 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
-        case PROMPT_PARTS:
-          if (field.type == PROMPT_PARTS_FIELD_DESC.type) {
-            PromptPartRecords promptParts;
-            promptParts = new PromptPartRecords();
-            promptParts.read(iprot);
-            return promptParts;
+        case SUSPECTS:
+          if (field.type == SUSPECTS_FIELD_DESC.type) {
+            SuspectRecords suspects;
+            suspects = new SuspectRecords();
+            suspects.read(iprot);
+            return suspects;
           } else {
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
@@ -238,9 +238,9 @@
         ChunkHoldings holdings = (ChunkHoldings)value_;
         holdings.write(oprot);
         return;
-      case PROMPT_PARTS:
-        PromptPartRecords promptParts = (PromptPartRecords)value_;
-        promptParts.write(oprot);
+      case SUSPECTS:
+        SuspectRecords suspects = (SuspectRecords)value_;
+        suspects.write(oprot);
         return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
@@ -267,11 +267,11 @@
           holdings = new ChunkHoldings();
           holdings.read(iprot);
           return holdings;
-        case PROMPT_PARTS:
-          PromptPartRecords promptParts;
-          promptParts = new PromptPartRecords();
-          promptParts.read(iprot);
-          return promptParts;
+        case SUSPECTS:
+          SuspectRecords suspects;
+          suspects = new SuspectRecords();
+          suspects.read(iprot);
+          return suspects;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -295,9 +295,9 @@
         ChunkHoldings holdings = (ChunkHoldings)value_;
         holdings.write(oprot);
         return;
-      case PROMPT_PARTS:
-        PromptPartRecords promptParts = (PromptPartRecords)value_;
-        promptParts.write(oprot);
+      case SUSPECTS:
+        SuspectRecords suspects = (SuspectRecords)value_;
+        suspects.write(oprot);
         return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
@@ -313,8 +313,8 @@
         return REPORT_FIELD_DESC;
       case HOLDINGS:
         return HOLDINGS_FIELD_DESC;
-      case PROMPT_PARTS:
-        return PROMPT_PARTS_FIELD_DESC;
+      case SUSPECTS:
+        return SUSPECTS_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -376,17 +376,17 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.HOLDINGS");
   }
 
-  public PromptPartRecords getPromptParts() {
-    if (getSetField() == _Fields.PROMPT_PARTS) {
-      return (PromptPartRecords)getFieldValue();
+  public SuspectRecords getSuspects() {
+    if (getSetField() == _Fields.SUSPECTS) {
+      return (SuspectRecords)getFieldValue();
     } else {
-      throw new java.lang.RuntimeException("Cannot get field 'promptParts' because union is currently set to " + getFieldDesc(getSetField()).name);
+      throw new java.lang.RuntimeException("Cannot get field 'suspects' because union is currently set to " + getFieldDesc(getSetField()).name);
     }
   }
 
-  public void setPromptParts(PromptPartRecords value) {
-    setField_ = _Fields.PROMPT_PARTS;
-    value_ = java.util.Objects.requireNonNull(value,"_Fields.PROMPT_PARTS");
+  public void setSuspects(SuspectRecords value) {
+    setField_ = _Fields.SUSPECTS;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.SUSPECTS");
   }
 
   public boolean isSetSubscription() {
@@ -404,8 +404,8 @@
   }
 
 
-  public boolean isSetPromptParts() {
-    return setField_ == _Fields.PROMPT_PARTS;
+  public boolean isSetSuspects() {
+    return setField_ == _Fields.SUSPECTS;
   }
 
 
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/PromptPartRecord.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/SuspectRecord.java
@@ -7,16 +7,16 @@
 package org.clementineford.wire;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class PromptPartRecord implements org.apache.thrift.TBase<PromptPartRecord, PromptPartRecord._Fields>, java.io.Serializable, Cloneable, Comparable<PromptPartRecord> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("PromptPartRecord");
+public class SuspectRecord implements org.apache.thrift.TBase<SuspectRecord, SuspectRecord._Fields>, java.io.Serializable, Cloneable, Comparable<SuspectRecord> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SuspectRecord");
 
   private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)1);
   private static final org.apache.thrift.protocol.TField PART_FIELD_DESC = new org.apache.thrift.protocol.TField("part", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.LIST, (short)3);
   private static final org.apache.thrift.protocol.TField SOUND_AGE_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("soundAgeMs", org.apache.thrift.protocol.TType.I64, (short)4);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PromptPartRecordStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PromptPartRecordTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SuspectRecordStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SuspectRecordTupleSchemeFactory();
 
   public @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // required
   public @org.apache.thrift.annotation.Nullable java.lang.String part; // required
@@ -111,13 +111,13 @@
     tmpMap.put(_Fields.SOUND_AGE_MS, new org.apache.thrift.meta_data.FieldMetaData("soundAgeMs", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PromptPartRecord.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SuspectRecord.class, metaDataMap);
   }
 
-  public PromptPartRecord() {
+  public SuspectRecord() {
   }
 
-  public PromptPartRecord(
+  public SuspectRecord(
     java.lang.String serviceName,
     java.lang.String part,
     java.util.List<PromptCrash> crashes)
@@ -131,7 +131,7 @@
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public PromptPartRecord(PromptPartRecord other) {
+  public SuspectRecord(SuspectRecord other) {
     __isset_bitfield = other.__isset_bitfield;
     if (other.isSetServiceName()) {
       this.serviceName = other.serviceName;
@@ -150,8 +150,8 @@
   }
 
   @Override
-  public PromptPartRecord deepCopy() {
-    return new PromptPartRecord(this);
+  public SuspectRecord deepCopy() {
+    return new SuspectRecord(this);
   }
 
   @Override
@@ -168,7 +168,7 @@
     return this.serviceName;
   }
 
-  public PromptPartRecord setServiceName(@org.apache.thrift.annotation.Nullable java.lang.String serviceName) {
+  public SuspectRecord setServiceName(@org.apache.thrift.annotation.Nullable java.lang.String serviceName) {
     this.serviceName = serviceName;
     return this;
   }
@@ -193,7 +193,7 @@
     return this.part;
   }
 
-  public PromptPartRecord setPart(@org.apache.thrift.annotation.Nullable java.lang.String part) {
+  public SuspectRecord setPart(@org.apache.thrift.annotation.Nullable java.lang.String part) {
     this.part = part;
     return this;
   }
@@ -234,7 +234,7 @@
     return this.crashes;
   }
 
-  public PromptPartRecord setCrashes(@org.apache.thrift.annotation.Nullable java.util.List<PromptCrash> crashes) {
+  public SuspectRecord setCrashes(@org.apache.thrift.annotation.Nullable java.util.List<PromptCrash> crashes) {
     this.crashes = crashes;
     return this;
   }
@@ -258,7 +258,7 @@
     return this.soundAgeMs;
   }
 
-  public PromptPartRecord setSoundAgeMs(long soundAgeMs) {
+  public SuspectRecord setSoundAgeMs(long soundAgeMs) {
     this.soundAgeMs = soundAgeMs;
     setSoundAgeMsIsSet(true);
     return this;
@@ -357,12 +357,12 @@
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof PromptPartRecord)
-      return this.equals((PromptPartRecord)that);
+    if (that instanceof SuspectRecord)
+      return this.equals((SuspectRecord)that);
     return false;
   }
 
-  public boolean equals(PromptPartRecord that) {
+  public boolean equals(SuspectRecord that) {
     if (that == null)
       return false;
     if (this == that)
@@ -431,7 +431,7 @@
   }
 
   @Override
-  public int compareTo(PromptPartRecord other) {
+  public int compareTo(SuspectRecord other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
@@ -499,7 +499,7 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("PromptPartRecord(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("SuspectRecord(");
     boolean first = true;
 
     sb.append("serviceName:");
@@ -558,17 +558,17 @@
     }
   }
 
-  private static class PromptPartRecordStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class SuspectRecordStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public PromptPartRecordStandardScheme getScheme() {
-      return new PromptPartRecordStandardScheme();
+    public SuspectRecordStandardScheme getScheme() {
+      return new SuspectRecordStandardScheme();
     }
   }
 
-  private static class PromptPartRecordStandardScheme extends org.apache.thrift.scheme.StandardScheme<PromptPartRecord> {
+  private static class SuspectRecordStandardScheme extends org.apache.thrift.scheme.StandardScheme<SuspectRecord> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, PromptPartRecord struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, SuspectRecord struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -633,7 +633,7 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, PromptPartRecord struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, SuspectRecord struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
@@ -670,17 +670,17 @@
 
   }
 
-  private static class PromptPartRecordTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class SuspectRecordTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public PromptPartRecordTupleScheme getScheme() {
-      return new PromptPartRecordTupleScheme();
+    public SuspectRecordTupleScheme getScheme() {
+      return new SuspectRecordTupleScheme();
     }
   }
 
-  private static class PromptPartRecordTupleScheme extends org.apache.thrift.scheme.TupleScheme<PromptPartRecord> {
+  private static class SuspectRecordTupleScheme extends org.apache.thrift.scheme.TupleScheme<SuspectRecord> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, PromptPartRecord struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, SuspectRecord struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetServiceName()) {
@@ -717,7 +717,7 @@
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, PromptPartRecord struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, SuspectRecord struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet incoming = iprot.readBitSet(4);
       if (incoming.get(0)) {
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/PromptPartRecords.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/SuspectRecords.java
@@ -7,18 +7,18 @@
 package org.clementineford.wire;
 
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
-public class PromptPartRecords implements org.apache.thrift.TBase<PromptPartRecords, PromptPartRecords._Fields>, java.io.Serializable, Cloneable, Comparable<PromptPartRecords> {
-  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("PromptPartRecords");
+public class SuspectRecords implements org.apache.thrift.TBase<SuspectRecords, SuspectRecords._Fields>, java.io.Serializable, Cloneable, Comparable<SuspectRecords> {
+  private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SuspectRecords");
 
   private static final org.apache.thrift.protocol.TField DIGEST_FIELD_DESC = new org.apache.thrift.protocol.TField("digest", org.apache.thrift.protocol.TType.I64, (short)1);
   private static final org.apache.thrift.protocol.TField RECORDS_FIELD_DESC = new org.apache.thrift.protocol.TField("records", org.apache.thrift.protocol.TType.LIST, (short)2);
   private static final org.apache.thrift.protocol.TField REPLY_REQUESTED_FIELD_DESC = new org.apache.thrift.protocol.TField("replyRequested", org.apache.thrift.protocol.TType.BOOL, (short)3);
 
-  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new PromptPartRecordsStandardSchemeFactory();
-  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new PromptPartRecordsTupleSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SuspectRecordsStandardSchemeFactory();
+  private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SuspectRecordsTupleSchemeFactory();
 
   public long digest; // required
-  public @org.apache.thrift.annotation.Nullable java.util.List<PromptPartRecord> records; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<SuspectRecord> records; // required
   public boolean replyRequested; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -100,19 +100,19 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.RECORDS, new org.apache.thrift.meta_data.FieldMetaData("records", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
-            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PromptPartRecord.class))));
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SuspectRecord.class))));
     tmpMap.put(_Fields.REPLY_REQUESTED, new org.apache.thrift.meta_data.FieldMetaData("replyRequested", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
-    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(PromptPartRecords.class, metaDataMap);
+    org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(SuspectRecords.class, metaDataMap);
   }
 
-  public PromptPartRecords() {
+  public SuspectRecords() {
   }
 
-  public PromptPartRecords(
+  public SuspectRecords(
     long digest,
-    java.util.List<PromptPartRecord> records,
+    java.util.List<SuspectRecord> records,
     boolean replyRequested)
   {
     this();
@@ -126,13 +126,13 @@
   /**
    * Performs a deep copy on <i>other</i>.
    */
-  public PromptPartRecords(PromptPartRecords other) {
+  public SuspectRecords(SuspectRecords other) {
     __isset_bitfield = other.__isset_bitfield;
     this.digest = other.digest;
     if (other.isSetRecords()) {
-      java.util.List<PromptPartRecord> __this__records = new java.util.ArrayList<PromptPartRecord>(other.records.size());
-      for (PromptPartRecord other_element : other.records) {
-        __this__records.add(new PromptPartRecord(other_element));
+      java.util.List<SuspectRecord> __this__records = new java.util.ArrayList<SuspectRecord>(other.records.size());
+      for (SuspectRecord other_element : other.records) {
+        __this__records.add(new SuspectRecord(other_element));
       }
       this.records = __this__records;
     }
@@ -140,8 +140,8 @@
   }
 
   @Override
-  public PromptPartRecords deepCopy() {
-    return new PromptPartRecords(this);
+  public SuspectRecords deepCopy() {
+    return new SuspectRecords(this);
   }
 
   @Override
@@ -157,7 +157,7 @@
     return this.digest;
   }
 
-  public PromptPartRecords setDigest(long digest) {
+  public SuspectRecords setDigest(long digest) {
     this.digest = digest;
     setDigestIsSet(true);
     return this;
@@ -181,23 +181,23 @@
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.Iterator<PromptPartRecord> getRecordsIterator() {
+  public java.util.Iterator<SuspectRecord> getRecordsIterator() {
     return (this.records == null) ? null : this.records.iterator();
   }
 
-  public void addToRecords(PromptPartRecord elem) {
+  public void addToRecords(SuspectRecord elem) {
     if (this.records == null) {
-      this.records = new java.util.ArrayList<PromptPartRecord>();
+      this.records = new java.util.ArrayList<SuspectRecord>();
     }
     this.records.add(elem);
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.util.List<PromptPartRecord> getRecords() {
+  public java.util.List<SuspectRecord> getRecords() {
     return this.records;
   }
 
-  public PromptPartRecords setRecords(@org.apache.thrift.annotation.Nullable java.util.List<PromptPartRecord> records) {
+  public SuspectRecords setRecords(@org.apache.thrift.annotation.Nullable java.util.List<SuspectRecord> records) {
     this.records = records;
     return this;
   }
@@ -221,7 +221,7 @@
     return this.replyRequested;
   }
 
-  public PromptPartRecords setReplyRequested(boolean replyRequested) {
+  public SuspectRecords setReplyRequested(boolean replyRequested) {
     this.replyRequested = replyRequested;
     setReplyRequestedIsSet(true);
     return this;
@@ -255,7 +255,7 @@
       if (value == null) {
         unsetRecords();
       } else {
-        setRecords((java.util.List<PromptPartRecord>)value);
+        setRecords((java.util.List<SuspectRecord>)value);
       }
       break;
 
@@ -307,12 +307,12 @@
 
   @Override
   public boolean equals(java.lang.Object that) {
-    if (that instanceof PromptPartRecords)
-      return this.equals((PromptPartRecords)that);
+    if (that instanceof SuspectRecords)
+      return this.equals((SuspectRecords)that);
     return false;
   }
 
-  public boolean equals(PromptPartRecords that) {
+  public boolean equals(SuspectRecords that) {
     if (that == null)
       return false;
     if (this == that)
@@ -364,7 +364,7 @@
   }
 
   @Override
-  public int compareTo(PromptPartRecords other) {
+  public int compareTo(SuspectRecords other) {
     if (!getClass().equals(other.getClass())) {
       return getClass().getName().compareTo(other.getClass().getName());
     }
@@ -422,7 +422,7 @@
 
   @Override
   public java.lang.String toString() {
-    java.lang.StringBuilder sb = new java.lang.StringBuilder("PromptPartRecords(");
+    java.lang.StringBuilder sb = new java.lang.StringBuilder("SuspectRecords(");
     boolean first = true;
 
     sb.append("digest:");
@@ -467,17 +467,17 @@
     }
   }
 
-  private static class PromptPartRecordsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class SuspectRecordsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public PromptPartRecordsStandardScheme getScheme() {
-      return new PromptPartRecordsStandardScheme();
+    public SuspectRecordsStandardScheme getScheme() {
+      return new SuspectRecordsStandardScheme();
     }
   }
 
-  private static class PromptPartRecordsStandardScheme extends org.apache.thrift.scheme.StandardScheme<PromptPartRecords> {
+  private static class SuspectRecordsStandardScheme extends org.apache.thrift.scheme.StandardScheme<SuspectRecords> {
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol iprot, PromptPartRecords struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol iprot, SuspectRecords struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TField schemeField;
       iprot.readStructBegin();
       while (true)
@@ -499,11 +499,11 @@
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
                 org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.records = new java.util.ArrayList<PromptPartRecord>(_list8.size);
-                @org.apache.thrift.annotation.Nullable PromptPartRecord _elem9;
+                struct.records = new java.util.ArrayList<SuspectRecord>(_list8.size);
+                @org.apache.thrift.annotation.Nullable SuspectRecord _elem9;
                 for (int _i10 = 0; _i10 < _list8.size; ++_i10)
                 {
-                  _elem9 = new PromptPartRecord();
+                  _elem9 = new SuspectRecord();
                   _elem9.read(iprot);
                   struct.records.add(_elem9);
                 }
@@ -534,7 +534,7 @@
     }
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol oprot, PromptPartRecords struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol oprot, SuspectRecords struct) throws org.apache.thrift.TException {
       struct.validate();
 
       oprot.writeStructBegin(STRUCT_DESC);
@@ -545,7 +545,7 @@
         oprot.writeFieldBegin(RECORDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.records.size()));
-          for (PromptPartRecord _iter11 : struct.records)
+          for (SuspectRecord _iter11 : struct.records)
           {
             _iter11.write(oprot);
           }
@@ -562,17 +562,17 @@
 
   }
 
-  private static class PromptPartRecordsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+  private static class SuspectRecordsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
     @Override
-    public PromptPartRecordsTupleScheme getScheme() {
-      return new PromptPartRecordsTupleScheme();
+    public SuspectRecordsTupleScheme getScheme() {
+      return new SuspectRecordsTupleScheme();
     }
   }
 
-  private static class PromptPartRecordsTupleScheme extends org.apache.thrift.scheme.TupleScheme<PromptPartRecords> {
+  private static class SuspectRecordsTupleScheme extends org.apache.thrift.scheme.TupleScheme<SuspectRecords> {
 
     @Override
-    public void write(org.apache.thrift.protocol.TProtocol prot, PromptPartRecords struct) throws org.apache.thrift.TException {
+    public void write(org.apache.thrift.protocol.TProtocol prot, SuspectRecords struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet optionals = new java.util.BitSet();
       if (struct.isSetDigest()) {
@@ -591,7 +591,7 @@
       if (struct.isSetRecords()) {
         {
           oprot.writeI32(struct.records.size());
-          for (PromptPartRecord _iter12 : struct.records)
+          for (SuspectRecord _iter12 : struct.records)
           {
             _iter12.write(oprot);
           }
@@ -603,7 +603,7 @@
     }
 
     @Override
-    public void read(org.apache.thrift.protocol.TProtocol prot, PromptPartRecords struct) throws org.apache.thrift.TException {
+    public void read(org.apache.thrift.protocol.TProtocol prot, SuspectRecords struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
       java.util.BitSet incoming = iprot.readBitSet(3);
       if (incoming.get(0)) {
@@ -613,11 +613,11 @@
       if (incoming.get(1)) {
         {
           org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.records = new java.util.ArrayList<PromptPartRecord>(_list13.size);
-          @org.apache.thrift.annotation.Nullable PromptPartRecord _elem14;
+          struct.records = new java.util.ArrayList<SuspectRecord>(_list13.size);
+          @org.apache.thrift.annotation.Nullable SuspectRecord _elem14;
           for (int _i15 = 0; _i15 < _list13.size; ++_i15)
           {
-            _elem14 = new PromptPartRecord();
+            _elem14 = new SuspectRecord();
             _elem14.read(iprot);
             struct.records.add(_elem14);
           }
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -37,16 +37,16 @@
 }
 
 // What is known of a part of prompts that was in requests of crashed engines.
-struct PromptPartRecord {
+struct SuspectRecord {
   1: string serviceName,
   2: string part,
   3: list<PromptCrash> crashes,
   4: optional i64 soundAgeMs, // since an engine last answered a prompt with it; absent if never
 }
 
-struct PromptPartRecords {
+struct SuspectRecords {
   1: i64 digest, // of all records of the sender
-  2: list<PromptPartRecord> records, // some of them
+  2: list<SuspectRecord> records, // some of them
   3: bool replyRequested, // the receiver should send its records if its digest differs
 }
 
@@ -54,7 +54,7 @@
   1: ReportSubscription subscription,
   2: EngineReport report,
   3: ChunkHoldings holdings,
-  4: PromptPartRecords promptParts,
+  4: SuspectRecords suspects,
 }
 
 struct DirectoryObject {
