--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QuarantineExchangeTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QuarantineExchangeTest.java
@@ -13,6 +13,7 @@
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.serving.quarantine.RequestQuarantine;
+import org.clementineford.serving.quarantine.Suspect;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.wire.FleetDatagram;
 import org.junit.jupiter.api.Nested;
@@ -89,12 +90,12 @@
     }
 
     void crash(int engine, int request, String... parts) {
-      quarantine.interrupted("e" + engine, "r" + request, "pool", List.of(parts));
+      quarantine.interrupted("e" + engine, "r" + request, Suspect.parts("pool", List.of(parts)));
       quarantine.crashed("e" + engine);
     }
 
     boolean hasQuarantined() {
-      return quarantine.quarantinedPart("pool", List.of("bad")).isPresent();
+      return quarantine.quarantinedSuspect(Suspect.parts("pool", List.of("bad"))).isPresent();
     }
   }
 
@@ -140,6 +141,41 @@
     return entryVms.stream().filter(address -> !vms.get(address).hasQuarantined()).count();
   }
 
+  @Nested
+  class RepeatedRequest {
+    private final Suspect fatal = Suspect.request("ledger", "target", "body");
+
+    private void crash(int index, int server) {
+      RequestQuarantine quarantine = entryVm(index).quarantine;
+      quarantine.interrupted("s" + server, "r" + server, List.of(fatal));
+      quarantine.crashed("s" + server);
+    }
+
+    // Guards against a VM that sends a request although it has ended three servers, each seen by
+    // another VM; and against VMs that do not learn of it when they start or are connected again.
+    @ParameterizedTest
+    @ValueSource(ints = {7, 30, 100, 300})
+    void isQuarantinedOnAllEntryVmsInTime(int size) {
+      startFleet(size);
+      cutOff.add(entryVms.get(5));
+      for (int i = 0; i < 3; i++) {
+        crash(i, i);
+        time.advance(300, TimeUnit.MILLISECONDS);
+      }
+      time.advance(CONTACT_MS - 300, TimeUnit.MILLISECONDS);
+      startEntryVm(6);
+      cutOff.clear();
+      for (int i = 0; i < size; i++) {
+        if (i != 5 && i != 6) {
+          assertThat(entryVm(i).quarantine.quarantinedSuspect(List.of(fatal))).isPresent();
+        }
+      }
+      time.advance(CONTACT_MS, TimeUnit.MILLISECONDS);
+      assertThat(entryVm(5).quarantine.quarantinedSuspect(List.of(fatal))).isPresent();
+      assertThat(entryVm(6).quarantine.quarantinedSuspect(List.of(fatal))).isPresent();
+    }
+  }
+
   @Nested
   class FiveCrashes {
     // Guards against a VM that sends a query of death although the fleet has seen five crashes.
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QueryOfDeathLoadTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QueryOfDeathLoadTest.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.serving.quarantine.RequestQuarantine;
+import org.clementineford.serving.quarantine.Suspect;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.wire.FleetDatagram;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -89,7 +90,7 @@
     }
 
     void send(Request request, int attempt) {
-      if (quarantine.quarantinedPart("pool", request.parts).isPresent()) {
+      if (quarantine.quarantinedSuspect(request.suspects).isPresent()) {
         soundRefused +=
             !request.bad && attempt == 1 && nowMs() > fifthCrashAt + 2 * CONTACT_MS ? 1 : 0;
         return;
@@ -105,7 +106,7 @@
     }
   }
 
-  private record Request(String id, List<String> parts, boolean bad) {}
+  private record Request(String id, List<Suspect> suspects, boolean bad) {}
 
   private record Held(Request request, EntryVm sender, int attempt, long beginsAt, long endsAt) {}
 
@@ -137,7 +138,7 @@
         }
         if (now >= each.endsAt) {
           held.remove(each);
-          each.sender.quarantine.answered("pool", each.request.parts);
+          each.sender.quarantine.answered(each.request.suspects);
         }
       }
     }
@@ -153,7 +154,7 @@
       availableAtMs = nowMs() + 4_000 + random.nextInt(2_000);
       for (Held each : lost) {
         if (nowMs() - each.beginsAt < 400) {
-          each.sender.quarantine.interrupted(crashed, each.request.id, "pool", each.request.parts);
+          each.sender.quarantine.interrupted(crashed, each.request.id, each.request.suspects);
         }
       }
       time.schedule(
@@ -161,7 +162,7 @@
           2,
           TimeUnit.MILLISECONDS);
       for (Held each : lost) {
-        if (each.attempt < 2 && !each.sender.quarantine.isSuspect("pool", each.request.parts)) {
+        if (each.attempt < 2 && !each.sender.quarantine.isSuspect(each.request.suspects)) {
           each.sender.send(each.request, each.attempt + 1);
         }
       }
@@ -177,7 +178,7 @@
     if (!bad && nowMs() > fifthCrashAt + 2 * CONTACT_MS) {
       soundRequests++;
     }
-    vm.send(new Request("r" + requestNumber++, parts, bad), 1);
+    vm.send(new Request("r" + requestNumber++, Suspect.parts("pool", parts), bad), 1);
   }
 
   private void disturb() {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/QuarantineExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/QuarantineExchange.java
@@ -127,8 +127,9 @@
   private org.clementineford.wire.SuspectRecord encode(SuspectRecord record) {
     org.clementineford.wire.SuspectRecord encoded =
         new org.clementineford.wire.SuspectRecord()
-            .setServiceName(record.part().service())
-            .setPart(record.part().id())
+            .setServiceName(record.suspect().service())
+            .setSuspect(record.suspect().id())
+            .setWholeRequest(record.suspect().kind() == Suspect.Kind.REQUEST)
             .setCrashes(new ArrayList<>());
     for (EngineCrash crash : record.crashes()) {
       encoded.addToCrashes(
@@ -158,7 +159,7 @@
     }
     if (message.isReplyRequested() && message.getDigest() != quarantine.digest()) {
       // The first reply asks for the records that this VM lacks; the second one ends the exchange.
-      send(member, quarantine.records(), message.getRecordsSize() == 0);
+      send(member, quarantine.comparedRecords(), message.getRecordsSize() == 0);
     }
   }
 
@@ -168,7 +169,10 @@
       crashes.add(new EngineCrash(crash.getEngine(), crash.getRequest(), at(crash.getAgeMs())));
     }
     return new SuspectRecord(
-        new Suspect(encoded.getServiceName(), encoded.getPart()),
+        new Suspect(
+            encoded.isWholeRequest() ? Suspect.Kind.REQUEST : Suspect.Kind.PROMPT_PART,
+            encoded.getServiceName(),
+            encoded.getSuspect()),
         crashes,
         encoded.isSetSoundAgeMs()
             ? OptionalLong.of(at(encoded.getSoundAgeMs()))
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RequestCrashesServersTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RequestCrashesServersTest.java
@@ -15,6 +15,7 @@
 
 class RequestCrashesServersTest {
   private static final int SERVERS = 14;
+  private static final String PROOF = "proof: p\r\n";
 
   /** Crashes after which the request may be sent three times more at most. */
   private static final int CRASHES = 3;
@@ -38,7 +39,7 @@
                   connection.writeChunk("id: 1\ndata: a\n\n");
                   connection.write("0\r\n\r\n");
                 } else {
-                  connection.respond(200, request.id(), "signature: s\r\n", "ok");
+                  connection.respond(200, request.id(), PROOF, "ok");
                 }
               }));
     }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -304,7 +304,7 @@
   @Override
   public void onConnectionFailure(boolean refused, String cause) {
     if (refused) {
-      router.quarantine().refusedConnection(endpoint);
+      router.quarantine().stopped(endpoint);
     }
     onFailure(AttemptOutcome.NOT_CONNECTED, cause);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
@@ -1,5 +1,7 @@
 package org.clementineford.gateway.internal;
 
+import org.clementineford.serving.quarantine.Suspect;
+
 /**
  * Reason why the gateway itself, and not an endpoint, answered a request with an error. The names
  * of the constants appear in logs and as a label of metrics.
@@ -22,6 +24,8 @@
   OVERLOADED(503),
   /** Engines crash on a part of the prompt. */
   PROMPT_QUARANTINED(503),
+  /** Endpoints crash on requests of this target, caller and body. */
+  REQUEST_QUARANTINED(503),
   /** Every attempt failed without running the request, and no further attempt is made. */
   REJECTED(503),
   /**
@@ -42,6 +46,13 @@
     this.status = status;
   }
 
+  static FailureReason quarantined(Suspect.Kind kind) {
+    return switch (kind) {
+      case PROMPT_PART -> PROMPT_QUARANTINED;
+      case REQUEST -> REQUEST_QUARANTINED;
+    };
+  }
+
   int status() {
     return status;
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -168,6 +168,7 @@
     for (EndpointState removed : state.endpoints().update(listedEndpoints)) {
       pool.remove(removed);
       lastReportAt.remove(removed);
+      quarantine.stopped(removed);
       LOG.atInfo().addKeyValue("endpoint", removed.endpoint()).log("endpoint gone");
     }
     indexEnginesByHost();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
@@ -4,6 +4,7 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import org.clementineford.serving.quarantine.Suspect;
 import org.clementineford.serving.routing.AttemptOutcome;
 
 /** Request counters and the latency histogram of a gateway. */
@@ -18,6 +19,7 @@
   private final Counter requests;
   private final Counter failedAttempts;
   private final Gauge quarantinedParts;
+  private final Gauge quarantinedRequests;
   private final Gauge platformEra;
   private final Gauge unconfirmedEntries;
   private final Histogram firstAnswerLatency;
@@ -41,6 +43,11 @@
             .name("clementineford_entry_quarantined_prompt_parts")
             .help("Parts of prompts that no engine receives, since engines crash on them")
             .register(registry);
+    quarantinedRequests =
+        Gauge.builder()
+            .name("clementineford_entry_quarantined_requests")
+            .help("Requests, by target, caller and body, that no endpoint receives")
+            .register(registry);
     platformEra =
         Gauge.builder()
             .name("clementineford_entry_platform_era")
@@ -76,8 +83,12 @@
     failedAttempts.labelValues(outcome.name()).inc();
   }
 
-  void recordQuarantinedParts(int parts) {
-    quarantinedParts.set(parts);
+  void recordQuarantined(Suspect.Kind kind, long count) {
+    switch (kind) {
+      case PROMPT_PART -> quarantinedParts.set(count);
+      case REQUEST -> quarantinedRequests.set(count);
+      default -> throw new IllegalStateException("unhandled kind " + kind);
+    }
   }
 
   void recordPlatformCopy(String kind, long era, int unconfirmed) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -17,6 +17,7 @@
 import org.clementineford.serving.model.RequestMetadata;
 import org.clementineford.serving.model.Route;
 import org.clementineford.serving.model.RoutingClientAccount;
+import org.clementineford.serving.quarantine.Suspect;
 import org.clementineford.serving.queueing.WaitingQueue;
 import org.clementineford.serving.queueing.WaitingRequest;
 import org.clementineford.serving.routing.AttemptOutcome;
@@ -49,6 +50,7 @@
   private int attemptCount;
   private boolean mayHaveRun;
   private String lastEventId;
+  private RequestIdentity identity;
   private FailureResponse failureResponse;
   private boolean finished;
 
@@ -75,9 +77,9 @@
       failOrRefuse(rejected.get());
       return;
     }
-    Optional<String> quarantinedPart = router.quarantine().quarantinedPart(this);
-    if (quarantinedPart.isPresent()) {
-      refuseQuarantined(quarantinedPart.get());
+    Optional<Suspect> quarantined = router.quarantine().quarantinedSuspect(this);
+    if (quarantined.isPresent()) {
+      refuseQuarantined(quarantined.get());
       return;
     }
     router.quarantine().started(this);
@@ -95,6 +97,15 @@
     return metadata;
   }
 
+  /** Returns what identifies this request among those that its caller sends again. */
+  RequestIdentity identity() {
+    if (identity == null) {
+      String caller = router.clientAccount(this).map(RoutingClientAccount::name).orElse("");
+      identity = new RequestIdentity(exchange, metadata.host(), caller);
+    }
+    return identity;
+  }
+
   RequestTrace trace() {
     return trace;
   }
@@ -236,7 +247,7 @@
         .addKeyValue("failureScore", Math.round(endpoint.failureScore(now()) * 100) / 100.0)
         .addKeyValue("writingMs", writingMs)
         .addKeyValue("promptParts", String.join(",", metadata.sharedPromptParts()))
-        .addKeyValue("identity", outcome.provesNotRun() ? "" : router.identity(this))
+        .addKeyValue("identity", outcome.provesNotRun() ? "" : identity().asSuspect(service).id())
         .log("attempt failed");
     if (finished) {
       return;
@@ -264,8 +275,8 @@
     }
   }
 
-  /** Ends the request, unless an engine has shown that its prompt is sound. */
-  void partQuarantined(String part) {
+  /** Ends the request, unless an endpoint has shown that it is sound. */
+  void suspectQuarantined(Suspect suspect) {
     if (finished || (attempt != null && attempt.isSound())) {
       return;
     }
@@ -275,12 +286,13 @@
       attempt = null;
     }
     router.removeFromQueue(this);
-    refuseQuarantined(part);
+    refuseQuarantined(suspect);
   }
 
-  private void refuseQuarantined(String part) {
-    trace.recordQuarantinedPart(part);
-    refuse(FailureReason.PROMPT_QUARANTINED, router.quarantine().retryAfterSeconds(this, part));
+  private void refuseQuarantined(Suspect suspect) {
+    trace.recordQuarantinedSuspect(suspect.id());
+    refuse(
+        FailureReason.quarantined(suspect.kind()), router.quarantine().retryAfterSeconds(suspect));
   }
 
   /** Returns whether a stream sent now can bring an event before its caller leaves. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/QuarantineGuard.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/QuarantineGuard.java
@@ -1,5 +1,6 @@
 package org.clementineford.gateway.internal;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -13,8 +14,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps prompt parts that crash engines away from them: reports to the {@link RequestQuarantine}
- * what happened to requests, and ends the requests whose prompts it excludes.
+ * Keeps requests that crash endpoints away from them: reports to the {@link RequestQuarantine} what
+ * happened to requests, and ends those that it excludes.
  */
 final class QuarantineGuard {
   private static final Logger LOG = LoggerFactory.getLogger(QuarantineGuard.class);
@@ -34,73 +35,86 @@
     this.metrics = metrics;
   }
 
-  /** Adds a request that must end if a part of its prompt is quarantined. */
+  /** Adds a request that must end if it is quarantined. */
   void started(ProxiedRequest request) {
-    if (!parts(request).isEmpty()) {
-      requests.add(request);
-    }
+    requests.add(request);
   }
 
   void ended(ProxiedRequest request) {
     requests.remove(request);
   }
 
-  private static List<String> parts(ProxiedRequest request) {
-    return request.metadata().sharedPromptParts();
+  /**
+   * Returns what a request may be recognized by. Its identity, which needs a digest of its body, is
+   * included only if a suspect has the same target and caller.
+   */
+  private List<Suspect> suspects(ProxiedRequest request) {
+    List<Suspect> parts = Suspect.parts(request.service(), request.metadata().sharedPromptParts());
+    if (!quarantine.hasRequestSuspects() || !quarantine.mayBeSuspect(request.identity().target())) {
+      return parts;
+    }
+    List<Suspect> all = new ArrayList<>();
+    all.add(request.identity().asSuspect(request.service()));
+    all.addAll(parts);
+    return all;
   }
 
-  /** Returns the part of a request's prompt that no engine may receive. */
-  Optional<String> quarantinedPart(ProxiedRequest request) {
-    return quarantine.quarantinedPart(request.service(), parts(request));
+  /** Returns what excludes a request from all endpoints. */
+  Optional<Suspect> quarantinedSuspect(ProxiedRequest request) {
+    return quarantine.quarantinedSuspect(suspects(request));
   }
 
-  /** Returns the time after which requests with a quarantined part may be sent again. */
-  double retryAfterSeconds(ProxiedRequest request, String part) {
-    return quarantine.remainingNanos(request.service(), part) / NANOS_PER_SECOND;
+  /** Returns the time after which requests with a quarantined suspect may be sent again. */
+  double retryAfterSeconds(Suspect suspect) {
+    return quarantine.remainingNanos(suspect) / NANOS_PER_SECOND;
   }
 
-  /** Returns whether another attempt of a request is unlikely to crash another engine. */
+  /** Returns whether another attempt of a request is unlikely to crash another endpoint. */
   boolean mayRetry(ProxiedRequest request) {
-    return quarantinedPart(request).isEmpty()
-        && !quarantine.isSuspect(request.service(), parts(request));
+    List<Suspect> suspects = suspects(request);
+    return quarantine.quarantinedSuspect(suspects).isEmpty() && !quarantine.isSuspect(suspects);
   }
 
-  /** Records that an engine has answered a prompt, or wrote for long enough to prove it sound. */
+  /**
+   * Records that an endpoint has answered a request, or wrote for long enough to prove it sound.
+   */
   void answered(ProxiedRequest request) {
-    if (!parts(request).isEmpty()) {
-      quarantine.answered(request.service(), parts(request));
+    List<Suspect> suspects = suspects(request);
+    if (!suspects.isEmpty()) {
+      quarantine.answered(suspects);
       update();
     }
   }
 
-  /** Records that a connection ended during a request, and finds out whether its engine crashed. */
-  void interrupted(ProxiedRequest request, EndpointState engine) {
-    if (parts(request).isEmpty()) {
-      return;
-    }
-    quarantine.interrupted(
-        name(engine), request.metadata().id(), request.service(), parts(request));
-    if (probed.add(engine)) {
+  /**
+   * Records that a connection ended during a request, and finds out whether its endpoint crashed.
+   */
+  void interrupted(ProxiedRequest request, EndpointState endpoint) {
+    List<Suspect> suspects = new ArrayList<>();
+    suspects.add(request.identity().asSuspect(request.service()));
+    suspects.addAll(Suspect.parts(request.service(), request.metadata().sharedPromptParts()));
+    quarantine.interrupted(name(endpoint), request.metadata().id(), suspects);
+    if (probed.add(endpoint)) {
       pool.probe(
-          engine,
+          endpoint,
           refused -> {
-            probed.remove(engine);
+            probed.remove(endpoint);
             if (refused) {
-              refusedConnection(engine);
+              stopped(endpoint);
             }
           });
     }
     update();
   }
 
-  /** Records that an engine refused a connection, so that its process is not running. */
-  void refusedConnection(EndpointState engine) {
-    quarantine.crashed(name(engine));
+  /** Records that an endpoint does not run: it refused a connection, or is no longer listed. */
+  void stopped(EndpointState endpoint) {
+    quarantine.crashed(name(endpoint));
     update();
   }
 
-  private static String name(EndpointState engine) {
-    return engine.endpoint().id() + "@" + engine.endpoint().incarnation();
+  private static String name(EndpointState endpoint) {
+    return endpoint.endpoint().id() + "@" + endpoint.endpoint().incarnation();
   }
 
   /** Applies changes of the quarantine to the requests in progress. */
@@ -110,29 +124,33 @@
     if (quarantined.equals(before)) {
       return;
     }
-    metrics.recordQuarantinedParts(quarantined.size());
-    for (Suspect part : before) {
-      if (!quarantined.contains(part)) {
+    for (Suspect.Kind kind : Suspect.Kind.values()) {
+      metrics.recordQuarantined(
+          kind, quarantined.stream().filter(suspect -> suspect.kind() == kind).count());
+    }
+    for (Suspect suspect : before) {
+      if (!quarantined.contains(suspect)) {
         LOG.atInfo()
-            .addKeyValue("service", part.service())
-            .addKeyValue("part", part.id())
-            .log("prompt part left quarantine");
+            .addKeyValue("kind", suspect.kind())
+            .addKeyValue("service", suspect.service())
+            .addKeyValue("suspect", suspect.id())
+            .log("suspect left quarantine");
       }
     }
-    for (Suspect part : quarantined) {
-      if (!before.contains(part)) {
-        List<Long> crashAgesMs = quarantine.crashAgesMs(part);
+    for (Suspect suspect : quarantined) {
+      if (!before.contains(suspect)) {
+        List<Long> crashAgesMs = quarantine.crashAgesMs(suspect);
         LOG.atWarn()
-            .addKeyValue("service", part.service())
-            .addKeyValue("part", part.id())
+            .addKeyValue("kind", suspect.kind())
+            .addKeyValue("service", suspect.service())
+            .addKeyValue("suspect", suspect.id())
             .addKeyValue("crashes", crashAgesMs.size())
             .addKeyValue("crashAgesMs", crashAgesMs)
-            .log(
-                "prompt part quarantined, since engines crash on it; requests with it are refused");
+            .log("suspect quarantined, since endpoints crash on it; requests with it are refused");
       }
     }
     for (ProxiedRequest request : List.copyOf(requests)) {
-      quarantinedPart(request).ifPresent(request::partQuarantined);
+      quarantinedSuspect(request).ifPresent(request::suspectQuarantined);
     }
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestIdentity.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestIdentity.java
@@ -4,36 +4,50 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import org.clementineford.kernel.Fingerprint;
+import org.clementineford.serving.quarantine.Suspect;
 
 /**
  * What identifies a request that a caller sends again, also at another VM and with another request
- * ID: its target (method, host, path and query), its caller and its body.
+ * ID: its target (method, host, path and query), its caller and its body. Digests are computed when
+ * they are first needed.
  */
 final class RequestIdentity {
   private static final int BODY_DIGEST_BYTES = 16;
 
-  private RequestIdentity() {}
+  private final CallerExchange exchange;
+  private final String host;
+  private final String caller;
+  private String target;
+  private String body;
 
-  /**
-   * Returns the part of the identity that needs no digest of the body. Requests of one identity
-   * have the same.
-   */
-  static String prefix(ProxiedRequest request, String caller) {
-    String target =
-        String.join(
-            "\n",
-            request.exchange().head().method().name(),
-            request.metadata().host(),
-            request.exchange().head().uri(),
-            caller);
-    return Long.toHexString(Fingerprint.of(target));
+  RequestIdentity(CallerExchange exchange, String host, String caller) {
+    this.exchange = exchange;
+    this.host = host;
+    this.caller = caller;
   }
 
-  /** Returns the identity. */
-  static String of(ProxiedRequest request, String caller) {
+  /** Returns the digest of the target and the caller. */
+  String target() {
+    if (target == null) {
+      String text =
+          String.join("\n", exchange.head().method().name(), host, exchange.head().uri(), caller);
+      target = Long.toHexString(Fingerprint.of(text));
+    }
+    return target;
+  }
+
+  /** Returns the request as what may have crashed an endpoint of a service. */
+  Suspect asSuspect(String service) {
+    if (body == null) {
+      body = digest(exchange.body());
+    }
+    return Suspect.request(service, target(), body);
+  }
+
+  private static String digest(byte[] bytes) {
     try {
-      byte[] digest = MessageDigest.getInstance("SHA-256").digest(request.exchange().body());
-      return prefix(request, caller) + "-" + HexFormat.of().formatHex(digest, 0, BODY_DIGEST_BYTES);
+      byte[] digest = MessageDigest.getInstance("SHA-256").digest(bytes);
+      return HexFormat.of().formatHex(digest, 0, BODY_DIGEST_BYTES);
     } catch (NoSuchAlgorithmException e) {
       throw new IllegalStateException(
           "the Java runtime does not provide SHA-256; use a complete Java runtime", e);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -125,12 +125,6 @@
     return request.metadata().key().flatMap(key -> state.configuration().account(key));
   }
 
-  /** Returns what identifies a request that its caller sends again. */
-  String identity(ProxiedRequest request) {
-    return RequestIdentity.of(
-        request, clientAccount(request).map(RoutingClientAccount::name).orElse(""));
-  }
-
   long configurationAgeMs() {
     return TimeUnit.NANOSECONDS.toMillis(configurationAge.getAsLong());
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestTrace.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestTrace.java
@@ -16,7 +16,7 @@
   private long reportNumberAtSend = -1;
   private long predictedWaitMs = -1;
   private double retryAfterSeconds;
-  private String quarantinedPart = "";
+  private String quarantinedSuspect = "";
 
   RequestTrace(NanoClock clock, long arrivedAt) {
     this.clock = clock;
@@ -50,8 +50,8 @@
     retryAfterSeconds = seconds;
   }
 
-  void recordQuarantinedPart(String part) {
-    quarantinedPart = part;
+  void recordQuarantinedSuspect(String suspect) {
+    quarantinedSuspect = suspect;
   }
 
   /** Adds the recorded values to a log line. */
@@ -66,7 +66,7 @@
         .addKeyValue("report", reportNumberAtSend)
         .addKeyValue("predictedWaitMs", predictedWaitMs)
         .addKeyValue("retryAfterSeconds", Math.round(retryAfterSeconds * 100) / 100.0)
-        .addKeyValue("quarantinedPart", quarantinedPart)
+        .addKeyValue("quarantinedSuspect", quarantinedSuspect)
         .addKeyValue("weights", lastEndpoint == null ? -1 : lastEndpoint.weightVersion());
   }
 }
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/quarantine/InterruptionsTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/quarantine/InterruptionsTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 class InterruptionsTest {
-  private static final Suspect PART = new Suspect("pool", "part");
+  private static final Suspect PART = new Suspect(Suspect.Kind.PROMPT_PART, "pool", "part");
 
   // Guards against memory that grows with each answer that a running engine breaks off.
   @Test
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/CrashSuspects.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/CrashSuspects.java
@@ -8,23 +8,26 @@
 import java.util.Set;
 
 /**
- * Finds the prompt parts that explain crashes of engines. Each crash has one cause, but all parts
- * of the requests that an engine held are suspects. So the part that most crashes have in common is
- * blamed first, and these crashes no longer count against other parts.
+ * Finds the suspects that explain crashes of endpoints. Each crash has one cause, but all requests
+ * that an endpoint held, and all parts of their prompts, are suspects. So the suspect that most
+ * crashes have in common is blamed first, and these crashes no longer count against others.
  */
 final class CrashSuspects {
   /**
-   * Crashes of different engines from which on a part is blamed. Two may coincide, since a request
-   * that loses its engine is sent to a second one.
+   * Crashes of different engines from which on a suspect is blamed. Two may coincide, since a
+   * request that loses its engine is sent to a second one.
    */
   private static final int MIN_CRASHES = 3;
 
-  /** Different requests that these crashes must have in common with the part. */
-  private static final int MIN_REQUESTS = 2;
+  /**
+   * Crashes from which on requests are blamed that were in exactly the same ones. One of them is
+   * likely to be sound, and the next crash tells them apart.
+   */
+  private static final int MIN_AMBIGUOUS_CRASHES = 4;
 
   private CrashSuspects() {}
 
-  /** Returns the parts that are blamed. */
+  /** Returns the suspects that are blamed. */
   static Set<Suspect> blamed(Collection<SuspectRecord> records) {
     Set<Suspect> blamed = new LinkedHashSet<>();
     Set<Long> explained = new HashSet<>();
@@ -32,7 +35,7 @@
         !next.isEmpty();
         next = strongest(records, explained)) {
       for (SuspectRecord record : next) {
-        blamed.add(record.part());
+        blamed.add(record.suspect());
         record.crashes().forEach(crash -> explained.add(crash.engine()));
       }
     }
@@ -40,23 +43,44 @@
   }
 
   /**
-   * Returns the part that explains most of the remaining crashes, and those that were in exactly
-   * the same ones, since they cannot be told apart.
+   * Returns the suspect that explains most of the remaining crashes, and those of its kind that
+   * were in exactly the same ones, since they cannot be told apart. A request goes before the parts
+   * of its prompt.
    */
   private static List<SuspectRecord> strongest(
       Collection<SuspectRecord> records, Set<Long> explained) {
     return records.stream()
-        .filter(record -> unexplained(record, explained) >= MIN_CRASHES)
-        .filter(record -> requests(record) >= MIN_REQUESTS)
+        .filter(CrashSuspects::hasEnoughRequests)
+        .filter(record -> unexplained(record, explained) >= minCrashes(record, records))
         .max(
             Comparator.comparingLong((SuspectRecord record) -> unexplained(record, explained))
+                .thenComparing(record -> record.suspect().kind())
                 .thenComparingLong(CrashSuspects::requests)
-                .thenComparing(record -> record.part().id()))
-        .map(best -> records.stream().filter(other -> engines(other).equals(engines(best))))
-        .map(equals -> equals.filter(record -> requests(record) >= MIN_REQUESTS).toList())
+                .thenComparing(record -> record.suspect().id()))
+        .map(best -> equals(best, records))
         .orElse(List.of());
   }
 
+  private static int minCrashes(SuspectRecord record, Collection<SuspectRecord> records) {
+    boolean ambiguous =
+        record.suspect().kind() == Suspect.Kind.REQUEST && equals(record, records).size() > 1;
+    return ambiguous ? MIN_AMBIGUOUS_CRASHES : MIN_CRASHES;
+  }
+
+  /** Returns the records of the same kind and the same crashes, including the given one. */
+  private static List<SuspectRecord> equals(
+      SuspectRecord record, Collection<SuspectRecord> records) {
+    return records.stream()
+        .filter(other -> other.suspect().kind() == record.suspect().kind())
+        .filter(CrashSuspects::hasEnoughRequests)
+        .filter(other -> engines(other).equals(engines(record)))
+        .toList();
+  }
+
+  private static boolean hasEnoughRequests(SuspectRecord record) {
+    return requests(record) >= record.suspect().kind().minRequests();
+  }
+
   private static long unexplained(SuspectRecord record, Set<Long> explained) {
     return engines(record).stream().filter(engine -> !explained.contains(engine)).count();
   }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/RequestQuarantine.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/RequestQuarantine.java
@@ -49,6 +49,15 @@
   /** Largest number of sound parts that are remembered. */
   private static final int MAX_SOUND_PARTS = 4_096;
 
+  /**
+   * Time after the last crash for which a request is remembered that is not blamed. Many requests
+   * are in one crash by chance.
+   */
+  private static final long UNBLAMED_REQUEST_NANOS = TimeUnit.MINUTES.toNanos(2);
+
+  /** Largest number of targets of requests that are remembered. */
+  private static final int MAX_TARGETS = 1_024;
+
   /** Largest number of crashes that are remembered of a part. */
   private static final int MAX_CRASHES = 8;
 
@@ -57,6 +66,7 @@
   private final Map<Suspect, Long> changedAt = new HashMap<>();
   private final Map<Suspect, Long> soundAt = new BoundedMap<>(MAX_SOUND_PARTS);
   private final Interruptions interruptions = new Interruptions();
+  private final Map<String, Boolean> requestTargets = new BoundedMap<>(MAX_TARGETS);
   private Set<Suspect> blamed = Set.of();
 
   /**
@@ -69,21 +79,16 @@
     this.clock = clock;
   }
 
-  private static List<Suspect> partsOf(String service, List<String> ids) {
-    return ids.stream().distinct().map(id -> new Suspect(service, id)).toList();
-  }
-
   /**
    * Records that an engine has answered a prompt, or has been writing the answer for long enough to
    * show that the prompt does not crash it.
    *
-   * @param service service of the engine
-   * @param partIds IDs of the shared parts of the prompt
+   * @param suspects what the request might be recognized by
    */
-  public void answered(String service, List<String> partIds) {
+  public void answered(List<Suspect> suspects) {
     long now = clock.nanoTime();
     boolean cleared = false;
-    for (Suspect part : partsOf(service, partIds)) {
+    for (Suspect part : suspects) {
       cleared |= soundSince(part, now, now);
     }
     if (cleared) {
@@ -108,17 +113,15 @@
    *
    * @param engineName ID and incarnation of the engine
    * @param requestId ID of the request
-   * @param service service of the engine
-   * @param partIds IDs of the shared parts of the prompt
+   * @param held what the request may be recognized by
    */
-  public void interrupted(
-      String engineName, String requestId, String service, List<String> partIds) {
+  public void interrupted(String engineName, String requestId, List<Suspect> held) {
     long now = clock.nanoTime();
-    List<Suspect> suspects =
-        partsOf(service, partIds).stream().filter(part -> !isSound(part, now)).toList();
+    List<Suspect> suspects = held.stream().filter(suspect -> !isSound(suspect, now)).toList();
     if (suspects.isEmpty()) {
       return;
     }
+    suspects.forEach(this::rememberTarget);
     long engine = Fingerprint.of(engineName);
     Interruption interruption = new Interruption(Fingerprint.of(requestId), suspects, now);
     if (!interruptions.addUnlessCrashed(engine, interruption)) {
@@ -127,6 +130,31 @@
     }
   }
 
+  private void rememberTarget(Suspect suspect) {
+    if (suspect.kind() == Suspect.Kind.REQUEST) {
+      requestTargets.put(suspect.target(), true);
+    }
+  }
+
+  /**
+   * Returns whether any request is a suspect.
+   *
+   * @return false if no request needs to be compared with suspects
+   */
+  public boolean hasRequestSuspects() {
+    return !requestTargets.isEmpty();
+  }
+
+  /**
+   * Returns whether a request of a target and caller may be a suspect, depending on its body.
+   *
+   * @param target digest of the target and the caller
+   * @return false if it is none
+   */
+  public boolean mayBeSuspect(String target) {
+    return requestTargets.containsKey(target);
+  }
+
   private boolean isSound(Suspect part, long now) {
     Long at = soundAt.get(part);
     return at != null && now - at <= SOUND_NANOS;
@@ -165,9 +193,13 @@
       changedAt.put(part, now);
       return;
     }
-    if (!crashes.containsKey(part) && crashes.size() >= MAX_RECORDS && !removeWeakest()) {
+    if (!crashes.containsKey(part)
+        && crashes.size() >= MAX_RECORDS
+        && !removeWeakest(Suspect.Kind.REQUEST)
+        && !removeWeakest(Suspect.Kind.PROMPT_PART)) {
       return;
     }
+    rememberTarget(part);
     TreeMap<Long, EngineCrash> known = crashes.computeIfAbsent(part, key -> new TreeMap<>());
     EngineCrash previous = known.get(crash.engine());
     if (previous != null && previous.request() <= crash.request()) {
@@ -184,10 +216,10 @@
     changedAt.put(part, now);
   }
 
-  /** Forgets the oldest part that was in a single crash, and returns whether there was one. */
-  private boolean removeWeakest() {
+  /** Forgets the oldest suspect of a kind that was in a single crash; returns whether it did. */
+  private boolean removeWeakest(Suspect.Kind kind) {
     for (Map.Entry<Suspect, TreeMap<Long, EngineCrash>> entry : crashes.entrySet()) {
-      if (entry.getValue().size() <= 1) {
+      if (entry.getKey().kind() == kind && entry.getValue().size() <= 1) {
         forget(entry.getKey());
         return true;
       }
@@ -205,7 +237,7 @@
     changedAt.forEach(
         (part, at) -> {
           boolean isCleared = crashes(part).isEmpty();
-          if (isCleared ? now - at > CLEARED_NANOS : now - lastCrashAt(part) > MEMORY_NANOS) {
+          if (isCleared ? now - at > CLEARED_NANOS : now - lastCrashAt(part) > memoryNanos(part)) {
             outdated.add(part);
           }
         });
@@ -213,6 +245,12 @@
     blamed = CrashSuspects.blamed(records());
   }
 
+  private long memoryNanos(Suspect suspect) {
+    return suspect.kind() == Suspect.Kind.REQUEST && !blamed.contains(suspect)
+        ? UNBLAMED_REQUEST_NANOS
+        : MEMORY_NANOS;
+  }
+
   private long lastCrashAt(Suspect part) {
     return crashes(part).stream().mapToLong(EngineCrash::at).max().orElseThrow();
   }
@@ -223,21 +261,19 @@
   }
 
   /**
-   * Returns the first part of a prompt that is in quarantine.
+   * Returns the first of some suspects that is in quarantine.
    *
-   * @param service service that the request is meant for
-   * @param partIds IDs of the shared parts of the prompt
-   * @return ID of the part; empty if the prompt may be sent to engines
+   * @param suspects what a request may be recognized by
+   * @return the suspect; empty if the request may be sent
    */
-  public Optional<String> quarantinedPart(String service, List<String> partIds) {
+  public Optional<Suspect> quarantinedSuspect(List<Suspect> suspects) {
     if (blamed.isEmpty()) {
       return Optional.empty();
     }
     long now = clock.nanoTime();
-    return partsOf(service, partIds).stream()
+    return suspects.stream()
         .filter(blamed::contains)
-        .filter(part -> remainingNanos(part, now) > 0)
-        .map(Suspect::id)
+        .filter(suspect -> remainingNanos(suspect, now) > 0)
         .findFirst();
   }
 
@@ -246,14 +282,13 @@
   }
 
   /**
-   * Returns the time until a part may leave quarantine.
+   * Returns the time until a suspect may leave quarantine.
    *
-   * @param service service that the request is meant for
-   * @param partId ID of a part in quarantine
+   * @param suspect a suspect in quarantine
    * @return time in nanoseconds
    */
-  public long remainingNanos(String service, String partId) {
-    return Math.max(0, remainingNanos(new Suspect(service, partId), clock.nanoTime()));
+  public long remainingNanos(Suspect suspect) {
+    return Math.max(0, remainingNanos(suspect, clock.nanoTime()));
   }
 
   /**
@@ -285,14 +320,12 @@
    * Returns whether a request that lost its engine should not be sent to another one, since a part
    * of its prompt was in the requests of two engines that crashed or lost their connections.
    *
-   * @param service service that the request is meant for
-   * @param partIds IDs of the shared parts of the prompt
+   * @param suspects what the request may be recognized by
    * @return true if another attempt may well crash another engine
    */
-  public boolean isSuspect(String service, List<String> partIds) {
+  public boolean isSuspect(List<Suspect> suspects) {
     long now = clock.nanoTime();
-    return partsOf(service, partIds).stream()
-        .anyMatch(part -> !isSound(part, now) && lostEngines(part, now) >= 2);
+    return suspects.stream().anyMatch(part -> !isSound(part, now) && lostEngines(part, now) >= 2);
   }
 
   private int lostEngines(Suspect part, long now) {
@@ -301,15 +334,22 @@
     return engines.size();
   }
 
+  private List<SuspectRecord> records() {
+    return crashes.keySet().stream().map(this::record).toList();
+  }
+
   /**
-   * Returns all records, to exchange them with other VMs.
+   * Returns the records that VMs compare. Requests in a single crash are told only when they
+   * change: most are in it by chance, and VMs forget them at different times.
    *
-   * @return records of parts that were in requests of crashed engines
+   * @return records of suspects
    */
-  public List<SuspectRecord> records() {
-    List<SuspectRecord> records = new ArrayList<>();
-    crashes.keySet().forEach(part -> records.add(record(part)));
-    return records;
+  public List<SuspectRecord> comparedRecords() {
+    return crashes.keySet().stream().filter(this::isCompared).map(this::record).toList();
+  }
+
+  private boolean isCompared(Suspect suspect) {
+    return suspect.kind() != Suspect.Kind.REQUEST || crashes.get(suspect).size() > 1;
   }
 
   /**
@@ -346,10 +386,10 @@
     long now = clock.nanoTime();
     for (SuspectRecord record : records) {
       if (record.soundAt().isPresent()) {
-        soundSince(record.part(), record.soundAt().getAsLong(), now);
+        soundSince(record.suspect(), record.soundAt().getAsLong(), now);
       }
       for (EngineCrash crash : record.crashes()) {
-        addCrash(record.part(), crash, now);
+        addCrash(record.suspect(), crash, now);
         crashed(crash.engine(), now);
       }
     }
@@ -357,13 +397,17 @@
   }
 
   /**
-   * Returns a number that differs between VMs, except by chance, if their records do.
+   * Returns a number that differs between VMs, except by chance, if the records do that they
+   * compare.
    *
    * @return the number; 0 without records
    */
   public long digest() {
     long digest = 0;
     for (Map.Entry<Suspect, TreeMap<Long, EngineCrash>> entry : crashes.entrySet()) {
+      if (!isCompared(entry.getKey())) {
+        continue;
+      }
       long part = 31L * entry.getKey().service().hashCode() + entry.getKey().id().hashCode();
       for (EngineCrash crash : entry.getValue().values()) {
         digest += (part ^ crash.engine()) * 0x9E3779B97F4A7C15L + crash.request();
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/SuspectRecord.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/SuspectRecord.java
@@ -11,23 +11,26 @@
   private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("SuspectRecord");
 
   private static final org.apache.thrift.protocol.TField SERVICE_NAME_FIELD_DESC = new org.apache.thrift.protocol.TField("serviceName", org.apache.thrift.protocol.TType.STRING, (short)1);
-  private static final org.apache.thrift.protocol.TField PART_FIELD_DESC = new org.apache.thrift.protocol.TField("part", org.apache.thrift.protocol.TType.STRING, (short)2);
+  private static final org.apache.thrift.protocol.TField SUSPECT_FIELD_DESC = new org.apache.thrift.protocol.TField("suspect", org.apache.thrift.protocol.TType.STRING, (short)2);
   private static final org.apache.thrift.protocol.TField CRASHES_FIELD_DESC = new org.apache.thrift.protocol.TField("crashes", org.apache.thrift.protocol.TType.LIST, (short)3);
+  private static final org.apache.thrift.protocol.TField WHOLE_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("wholeRequest", org.apache.thrift.protocol.TType.BOOL, (short)5);
   private static final org.apache.thrift.protocol.TField SOUND_AGE_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("soundAgeMs", org.apache.thrift.protocol.TType.I64, (short)4);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new SuspectRecordStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new SuspectRecordTupleSchemeFactory();
 
   public @org.apache.thrift.annotation.Nullable java.lang.String serviceName; // required
-  public @org.apache.thrift.annotation.Nullable java.lang.String part; // required
+  public @org.apache.thrift.annotation.Nullable java.lang.String suspect; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<PromptCrash> crashes; // required
+  public boolean wholeRequest; // required
   public long soundAgeMs; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SERVICE_NAME((short)1, "serviceName"),
-    PART((short)2, "part"),
+    SUSPECT((short)2, "suspect"),
     CRASHES((short)3, "crashes"),
+    WHOLE_REQUEST((short)5, "wholeRequest"),
     SOUND_AGE_MS((short)4, "soundAgeMs");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
@@ -46,10 +49,12 @@
       switch(fieldId) {
         case 1: // SERVICE_NAME
           return SERVICE_NAME;
-        case 2: // PART
-          return PART;
+        case 2: // SUSPECT
+          return SUSPECT;
         case 3: // CRASHES
           return CRASHES;
+        case 5: // WHOLE_REQUEST
+          return WHOLE_REQUEST;
         case 4: // SOUND_AGE_MS
           return SOUND_AGE_MS;
         default:
@@ -95,7 +100,8 @@
   }
 
   // isset id assignments
-  private static final int __SOUNDAGEMS_ISSET_ID = 0;
+  private static final int __WHOLEREQUEST_ISSET_ID = 0;
+  private static final int __SOUNDAGEMS_ISSET_ID = 1;
   private byte __isset_bitfield = 0;
   private static final _Fields optionals[] = {_Fields.SOUND_AGE_MS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
@@ -103,11 +109,13 @@
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
     tmpMap.put(_Fields.SERVICE_NAME, new org.apache.thrift.meta_data.FieldMetaData("serviceName", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
-    tmpMap.put(_Fields.PART, new org.apache.thrift.meta_data.FieldMetaData("part", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+    tmpMap.put(_Fields.SUSPECT, new org.apache.thrift.meta_data.FieldMetaData("suspect", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
     tmpMap.put(_Fields.CRASHES, new org.apache.thrift.meta_data.FieldMetaData("crashes", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PromptCrash.class))));
+    tmpMap.put(_Fields.WHOLE_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("wholeRequest", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.SOUND_AGE_MS, new org.apache.thrift.meta_data.FieldMetaData("soundAgeMs", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
@@ -119,13 +127,16 @@
 
   public SuspectRecord(
     java.lang.String serviceName,
-    java.lang.String part,
-    java.util.List<PromptCrash> crashes)
+    java.lang.String suspect,
+    java.util.List<PromptCrash> crashes,
+    boolean wholeRequest)
   {
     this();
     this.serviceName = serviceName;
-    this.part = part;
+    this.suspect = suspect;
     this.crashes = crashes;
+    this.wholeRequest = wholeRequest;
+    setWholeRequestIsSet(true);
   }
 
   /**
@@ -136,8 +147,8 @@
     if (other.isSetServiceName()) {
       this.serviceName = other.serviceName;
     }
-    if (other.isSetPart()) {
-      this.part = other.part;
+    if (other.isSetSuspect()) {
+      this.suspect = other.suspect;
     }
     if (other.isSetCrashes()) {
       java.util.List<PromptCrash> __this__crashes = new java.util.ArrayList<PromptCrash>(other.crashes.size());
@@ -146,6 +157,7 @@
       }
       this.crashes = __this__crashes;
     }
+    this.wholeRequest = other.wholeRequest;
     this.soundAgeMs = other.soundAgeMs;
   }
 
@@ -157,8 +169,10 @@
   @Override
   public void clear() {
     this.serviceName = null;
-    this.part = null;
+    this.suspect = null;
     this.crashes = null;
+    setWholeRequestIsSet(false);
+    this.wholeRequest = false;
     setSoundAgeMsIsSet(false);
     this.soundAgeMs = 0;
   }
@@ -189,27 +203,27 @@
   }
 
   @org.apache.thrift.annotation.Nullable
-  public java.lang.String getPart() {
-    return this.part;
+  public java.lang.String getSuspect() {
+    return this.suspect;
   }
 
-  public SuspectRecord setPart(@org.apache.thrift.annotation.Nullable java.lang.String part) {
-    this.part = part;
+  public SuspectRecord setSuspect(@org.apache.thrift.annotation.Nullable java.lang.String suspect) {
+    this.suspect = suspect;
     return this;
   }
 
-  public void unsetPart() {
-    this.part = null;
+  public void unsetSuspect() {
+    this.suspect = null;
   }
 
-  /** Returns true if field part is set (has been assigned a value) and false otherwise */
-  public boolean isSetPart() {
-    return this.part != null;
+  /** Returns true if field suspect is set (has been assigned a value) and false otherwise */
+  public boolean isSetSuspect() {
+    return this.suspect != null;
   }
 
-  public void setPartIsSet(boolean value) {
+  public void setSuspectIsSet(boolean value) {
     if (!value) {
-      this.part = null;
+      this.suspect = null;
     }
   }
 
@@ -254,6 +268,29 @@
     }
   }
 
+  public boolean isWholeRequest() {
+    return this.wholeRequest;
+  }
+
+  public SuspectRecord setWholeRequest(boolean wholeRequest) {
+    this.wholeRequest = wholeRequest;
+    setWholeRequestIsSet(true);
+    return this;
+  }
+
+  public void unsetWholeRequest() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __WHOLEREQUEST_ISSET_ID);
+  }
+
+  /** Returns true if field wholeRequest is set (has been assigned a value) and false otherwise */
+  public boolean isSetWholeRequest() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __WHOLEREQUEST_ISSET_ID);
+  }
+
+  public void setWholeRequestIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __WHOLEREQUEST_ISSET_ID, value);
+  }
+
   public long getSoundAgeMs() {
     return this.soundAgeMs;
   }
@@ -288,11 +325,11 @@
       }
       break;
 
-    case PART:
+    case SUSPECT:
       if (value == null) {
-        unsetPart();
+        unsetSuspect();
       } else {
-        setPart((java.lang.String)value);
+        setSuspect((java.lang.String)value);
       }
       break;
 
@@ -304,6 +341,14 @@
       }
       break;
 
+    case WHOLE_REQUEST:
+      if (value == null) {
+        unsetWholeRequest();
+      } else {
+        setWholeRequest((java.lang.Boolean)value);
+      }
+      break;
+
     case SOUND_AGE_MS:
       if (value == null) {
         unsetSoundAgeMs();
@@ -322,12 +367,15 @@
     case SERVICE_NAME:
       return getServiceName();
 
-    case PART:
-      return getPart();
+    case SUSPECT:
+      return getSuspect();
 
     case CRASHES:
       return getCrashes();
 
+    case WHOLE_REQUEST:
+      return isWholeRequest();
+
     case SOUND_AGE_MS:
       return getSoundAgeMs();
 
@@ -345,10 +393,12 @@
     switch (field) {
     case SERVICE_NAME:
       return isSetServiceName();
-    case PART:
-      return isSetPart();
+    case SUSPECT:
+      return isSetSuspect();
     case CRASHES:
       return isSetCrashes();
+    case WHOLE_REQUEST:
+      return isSetWholeRequest();
     case SOUND_AGE_MS:
       return isSetSoundAgeMs();
     }
@@ -377,12 +427,12 @@
         return false;
     }
 
-    boolean this_present_part = true && this.isSetPart();
-    boolean that_present_part = true && that.isSetPart();
-    if (this_present_part || that_present_part) {
-      if (!(this_present_part && that_present_part))
+    boolean this_present_suspect = true && this.isSetSuspect();
+    boolean that_present_suspect = true && that.isSetSuspect();
+    if (this_present_suspect || that_present_suspect) {
+      if (!(this_present_suspect && that_present_suspect))
         return false;
-      if (!this.part.equals(that.part))
+      if (!this.suspect.equals(that.suspect))
         return false;
     }
 
@@ -395,6 +445,15 @@
         return false;
     }
 
+    boolean this_present_wholeRequest = true;
+    boolean that_present_wholeRequest = true;
+    if (this_present_wholeRequest || that_present_wholeRequest) {
+      if (!(this_present_wholeRequest && that_present_wholeRequest))
+        return false;
+      if (this.wholeRequest != that.wholeRequest)
+        return false;
+    }
+
     boolean this_present_soundAgeMs = true && this.isSetSoundAgeMs();
     boolean that_present_soundAgeMs = true && that.isSetSoundAgeMs();
     if (this_present_soundAgeMs || that_present_soundAgeMs) {
@@ -415,14 +474,16 @@
     if (isSetServiceName())
       hashCode = hashCode * 8191 + serviceName.hashCode();
 
-    hashCode = hashCode * 8191 + ((isSetPart()) ? 131071 : 524287);
-    if (isSetPart())
-      hashCode = hashCode * 8191 + part.hashCode();
+    hashCode = hashCode * 8191 + ((isSetSuspect()) ? 131071 : 524287);
+    if (isSetSuspect())
+      hashCode = hashCode * 8191 + suspect.hashCode();
 
     hashCode = hashCode * 8191 + ((isSetCrashes()) ? 131071 : 524287);
     if (isSetCrashes())
       hashCode = hashCode * 8191 + crashes.hashCode();
 
+    hashCode = hashCode * 8191 + ((wholeRequest) ? 131071 : 524287);
+
     hashCode = hashCode * 8191 + ((isSetSoundAgeMs()) ? 131071 : 524287);
     if (isSetSoundAgeMs())
       hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(soundAgeMs);
@@ -448,12 +509,12 @@
         return lastComparison;
       }
     }
-    lastComparison = java.lang.Boolean.compare(isSetPart(), other.isSetPart());
+    lastComparison = java.lang.Boolean.compare(isSetSuspect(), other.isSetSuspect());
     if (lastComparison != 0) {
       return lastComparison;
     }
-    if (isSetPart()) {
-      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.part, other.part);
+    if (isSetSuspect()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.suspect, other.suspect);
       if (lastComparison != 0) {
         return lastComparison;
       }
@@ -468,6 +529,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetWholeRequest(), other.isSetWholeRequest());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetWholeRequest()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.wholeRequest, other.wholeRequest);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetSoundAgeMs(), other.isSetSoundAgeMs());
     if (lastComparison != 0) {
       return lastComparison;
@@ -510,11 +581,11 @@
     }
     first = false;
     if (!first) sb.append(", ");
-    sb.append("part:");
-    if (this.part == null) {
+    sb.append("suspect:");
+    if (this.suspect == null) {
       sb.append("null");
     } else {
-      sb.append(this.part);
+      sb.append(this.suspect);
     }
     first = false;
     if (!first) sb.append(", ");
@@ -525,6 +596,10 @@
       sb.append(this.crashes);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("wholeRequest:");
+    sb.append(this.wholeRequest);
+    first = false;
     if (isSetSoundAgeMs()) {
       if (!first) sb.append(", ");
       sb.append("soundAgeMs:");
@@ -586,10 +661,10 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
-          case 2: // PART
+          case 2: // SUSPECT
             if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
-              struct.part = iprot.readString();
-              struct.setPartIsSet(true);
+              struct.suspect = iprot.readString();
+              struct.setSuspectIsSet(true);
             } else { 
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
@@ -613,6 +688,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // WHOLE_REQUEST
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.wholeRequest = iprot.readBool();
+              struct.setWholeRequestIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           case 4: // SOUND_AGE_MS
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.soundAgeMs = iprot.readI64();
@@ -642,9 +725,9 @@
         oprot.writeString(struct.serviceName);
         oprot.writeFieldEnd();
       }
-      if (struct.part != null) {
-        oprot.writeFieldBegin(PART_FIELD_DESC);
-        oprot.writeString(struct.part);
+      if (struct.suspect != null) {
+        oprot.writeFieldBegin(SUSPECT_FIELD_DESC);
+        oprot.writeString(struct.suspect);
         oprot.writeFieldEnd();
       }
       if (struct.crashes != null) {
@@ -664,6 +747,9 @@
         oprot.writeI64(struct.soundAgeMs);
         oprot.writeFieldEnd();
       }
+      oprot.writeFieldBegin(WHOLE_REQUEST_FIELD_DESC);
+      oprot.writeBool(struct.wholeRequest);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -686,21 +772,24 @@
       if (struct.isSetServiceName()) {
         optionals.set(0);
       }
-      if (struct.isSetPart()) {
+      if (struct.isSetSuspect()) {
         optionals.set(1);
       }
       if (struct.isSetCrashes()) {
         optionals.set(2);
       }
-      if (struct.isSetSoundAgeMs()) {
+      if (struct.isSetWholeRequest()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetSoundAgeMs()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetServiceName()) {
         oprot.writeString(struct.serviceName);
       }
-      if (struct.isSetPart()) {
-        oprot.writeString(struct.part);
+      if (struct.isSetSuspect()) {
+        oprot.writeString(struct.suspect);
       }
       if (struct.isSetCrashes()) {
         {
@@ -711,6 +800,9 @@
           }
         }
       }
+      if (struct.isSetWholeRequest()) {
+        oprot.writeBool(struct.wholeRequest);
+      }
       if (struct.isSetSoundAgeMs()) {
         oprot.writeI64(struct.soundAgeMs);
       }
@@ -719,14 +811,14 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, SuspectRecord struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.serviceName = iprot.readString();
         struct.setServiceNameIsSet(true);
       }
       if (incoming.get(1)) {
-        struct.part = iprot.readString();
-        struct.setPartIsSet(true);
+        struct.suspect = iprot.readString();
+        struct.setSuspectIsSet(true);
       }
       if (incoming.get(2)) {
         {
@@ -743,6 +835,10 @@
         struct.setCrashesIsSet(true);
       }
       if (incoming.get(3)) {
+        struct.wholeRequest = iprot.readBool();
+        struct.setWholeRequestIsSet(true);
+      }
+      if (incoming.get(4)) {
         struct.soundAgeMs = iprot.readI64();
         struct.setSoundAgeMsIsSet(true);
       }
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -39,8 +39,9 @@
 // What is known of a part of prompts that was in requests of crashed engines.
 struct SuspectRecord {
   1: string serviceName,
-  2: string part,
+  2: string suspect, // ID of a part of prompts, or identity of a request
   3: list<PromptCrash> crashes,
+  5: bool wholeRequest, // the suspect is a request
   4: optional i64 soundAgeMs, // since an engine last answered a prompt with it; absent if never
 }
 
