Send no requests to endpoints that say they are leaving

Cause: only the listing told that an endpoint is leaving; the header Server-Leaving was not read. Change: the adapter decodes it from every response of a server and from the answers to load polls. That incarnation gets no new request, retry, queued request or resumed stream; what it is at work on continues, and idle connections to it are closed. EndpointMark holds the reasons for which an endpoint gets no request, and placement asks one method.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -101,19 +101,19 @@
             new RequestQuarantine(clock),
             new PrometheusRegistry());
     address = gateway.start(any);
+    eventLoops.submit(() -> gateway.configure(configuration())).get();
+    list(List.of(endpoints), 1);
+  }
+
+  /** Lists each endpoint as one of the plain service and one engine. */
+  void list(List<ScriptedHttpEndpoint> endpoints, long incarnation) throws Exception {
     List<Endpoint> listed = new ArrayList<>();
     for (ScriptedHttpEndpoint endpoint : endpoints) {
       String id = "e" + listed.size();
-      listed.add(new Endpoint(id, 1, "plain", endpoint.address(), "x", false, 0));
-      listed.add(new Endpoint("m" + id, 1, "pool", endpoint.address(), "x", false, 1));
+      listed.add(new Endpoint(id, incarnation, "plain", endpoint.address(), "x", false, 0));
+      listed.add(new Endpoint("m" + id, incarnation, "pool", endpoint.address(), "x", false, 1));
     }
-    eventLoops
-        .submit(
-            () -> {
-              gateway.configure(configuration());
-              gateway.updateEndpoints(listed);
-            })
-        .get();
+    eventLoops.submit(() -> gateway.updateEndpoints(listed)).get();
   }
 
   private static RoutingConfiguration configuration() {
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
@@ -66,6 +66,7 @@
         headers.contains("not-run"),
         response.status().code() == 421,
         headers.contains(HttpHeaderNames.CONTENT_ENCODING),
+        headers.contains("leaving"),
         Optional.empty(),
         limit == null ? OptionalDouble.empty() : OptionalDouble.of(Double.parseDouble(limit)));
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EndpointResponseHead.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EndpointResponseHead.java
@@ -13,6 +13,7 @@
  * @param misdirected true if the endpoint rejected the request as meant for another one
  * @param contentEncoded true if the body has a content encoding, so that it differs from the body
  *     that the endpoint generated
+ * @param leaving true if the endpoint says that it is leaving and must not get new requests
  * @param load load of the endpoint; empty if the header is missing
  * @param requestLimit requests per second, at least 0, that the endpoint accepts from all entry VMs
  *     together for as long as its responses say so; empty if it names no limit
@@ -24,6 +25,7 @@
     boolean notRun,
     boolean misdirected,
     boolean contentEncoded,
+    boolean leaving,
     Optional<Load> load,
     OptionalDouble requestLimit) {
   /**
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -203,6 +203,9 @@
   public void onHead(EndpointResponseHead head, HttpHeaders headers) {
     this.head = head;
     this.headers = headers;
+    if (head.leaving()) {
+      router.endpointLeaves(endpoint);
+    }
     if (!head.misdirected()) {
       router.state().updateRequestLimit(endpoint, head.requestLimit());
     }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
@@ -65,7 +65,7 @@
       request.release();
       return;
     }
-    IdleConnections idle = idleConnections.computeIfAbsent(endpoint, key -> new IdleConnections());
+    IdleConnections idle = idleConnections.computeIfAbsent(endpoint, IdleConnections::new);
     EndpointConnection reused = idle.take(repeatable);
     if (reused != null) {
       reused.send(request, listener);
@@ -100,7 +100,7 @@
    *     listens there; false if it was accepted or there was no response
    */
   void probe(EndpointState endpoint, Consumer<Boolean> onResult) {
-    IdleConnections idle = idleConnections.computeIfAbsent(endpoint, key -> new IdleConnections());
+    IdleConnections idle = idleConnections.computeIfAbsent(endpoint, IdleConnections::new);
     open(
         endpoint,
         idle,
@@ -169,9 +169,14 @@
 
   /** The idle connections to one endpoint, the most recently used one first. */
   final class IdleConnections {
+    private final EndpointState endpoint;
     private final ArrayDeque<EndpointConnection> connections = new ArrayDeque<>();
     private boolean removed;
 
+    IdleConnections(EndpointState endpoint) {
+      this.endpoint = endpoint;
+    }
+
     EndpointConnection take(boolean repeatable) {
       EndpointConnection connection = connections.peekFirst();
       if (connection != null && connection.isUsable(repeatable)) {
@@ -181,7 +186,7 @@
     }
 
     void add(EndpointConnection connection) {
-      if (removed) {
+      if (removed || endpoint.endpoint().leaving()) {
         connection.close();
       } else {
         connections.addFirst(connection);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -254,6 +254,9 @@
           .addKeyValue("weights", report.getWeightVersion())
           .log("engine reports a different version of weights");
     }
+    if (report.isLeaving() && report.getIncarnation() == engine.endpoint().incarnation()) {
+      router.endpointLeaves(engine);
+    }
     lastReportAt.put(engine, now);
     int slots =
         state
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -14,9 +14,12 @@
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.routing.EndpointState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Authenticates requests against the configuration and routes them to endpoints of services. */
 final class RequestRouter {
+  private static final Logger LOG = LoggerFactory.getLogger(RequestRouter.class);
   private static final double NANOS_PER_SECOND = TimeUnit.SECONDS.toNanos(1);
 
   private final GatewayState state;
@@ -180,6 +183,16 @@
         .orElse(0);
   }
 
+  /** Sends no further requests to an endpoint that says that it is leaving. */
+  void endpointLeaves(EndpointState endpoint) {
+    if (endpoint.markLeaving()) {
+      LOG.atInfo()
+          .addKeyValue("endpoint", endpoint.endpoint().id())
+          .log("endpoint says that it is leaving");
+      pool.closeIdle(endpoint);
+    }
+  }
+
   private EngineQueue queue(String service) {
     return queues.computeIfAbsent(service, name -> new EngineQueue(state, name));
   }
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/EngineReportsTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/EngineReportsTest.java
@@ -45,7 +45,7 @@
   }
 
   private void status(int running) {
-    rollout.statusChanged(new EngineStatus(1, 1, false, running, 0, 0, 1, 1.0));
+    rollout.statusChanged(new EngineStatus(1, 1, false, running, 0, 0, 1, false, 1.0));
     reports.send();
   }
 
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -58,7 +58,7 @@
   }
 
   private static EngineStatus status(long incarnation, long version) {
-    return new EngineStatus(incarnation, version, false, 0, 0, 0, 1, 1.0);
+    return new EngineStatus(incarnation, version, false, 0, 0, 0, 1, false, 1.0);
   }
 
   private void advance(long millis) {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/EngineStatus.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/EngineStatus.java
@@ -10,6 +10,7 @@
  * @param waiting number of queued requests
  * @param memoryUsed context tokens in memory
  * @param memoryTotal context tokens that fit into memory
+ * @param leaving true if the engine says that it is leaving
  * @param pace slowdown relative to the engine's profile; above 1 if it is slower
  */
 public record EngineStatus(
@@ -20,7 +21,9 @@
     int waiting,
     long memoryUsed,
     long memoryTotal,
+    boolean leaving,
     double pace) {
   /** Status of an engine that does not answer. */
-  public static final EngineStatus UNREACHABLE = new EngineStatus(0, 0, false, 0, 0, 0, 0, 1.0);
+  public static final EngineStatus UNREACHABLE =
+      new EngineStatus(0, 0, false, 0, 0, 0, 0, false, 1.0);
 }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EngineReports.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EngineReports.java
@@ -63,6 +63,7 @@
             .setWaiting(status.waiting())
             .setMemoryUsed(status.memoryUsed())
             .setMemoryTotal(status.memoryTotal())
+            .setLeaving(status.leaving())
             .setPace(status.pace());
     long now = clock.nanoTime();
     if (report.equals(last) && now - sentAt < REPEAT_NANOS) {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
@@ -1,5 +1,6 @@
 package org.clementineford.serving.routing;
 
+import java.util.Optional;
 import org.clementineford.serving.model.Endpoint;
 
 /**
@@ -39,6 +40,36 @@
     return endpoint;
   }
 
+  boolean isRemoved() {
+    return removed;
+  }
+
+  /**
+   * Records that the endpoint says that it is leaving. It stays so in this incarnation.
+   *
+   * @return true if that was not known
+   */
+  public boolean markLeaving() {
+    boolean isNew = !endpoint.leaving();
+    endpoint = endpoint.asLeaving();
+    return isNew;
+  }
+
+  /**
+   * Returns the reason for which the endpoint gets no request now.
+   *
+   * @param now monotonic time in nanoseconds
+   * @return the first reason that holds; empty if it may get one
+   */
+  public Optional<EndpointMark> mark(long now) {
+    for (EndpointMark mark : EndpointMark.values()) {
+      if (mark.applies(this, now)) {
+        return Optional.of(mark);
+      }
+    }
+    return Optional.empty();
+  }
+
   /**
    * Returns whether the endpoint is listed and not leaving.
    *
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
@@ -75,8 +75,7 @@
             isCandidate(engine, tried, now)
                 && isServing(engine, minimumVersion)
                 && engine.load() < profile.slots()
-                && engine.hasAllowance()
-                && engine.requestLimit().allows(now),
+                && engine.hasAllowance(),
         engine -> {
           double ms = EngineLatencyModel.firstTokenMs(profile, engine, promptTokens);
           return (ms * (1 + JITTER * random.getAsDouble()) + remotePenaltyMs(engine))
@@ -118,10 +117,7 @@
       long now) {
     return cheapest(
         endpoints,
-        endpoint ->
-            isCandidate(endpoint, tried, now)
-                && endpoint.outstanding() < connections
-                && endpoint.requestLimit().allows(now),
+        endpoint -> isCandidate(endpoint, tried, now) && endpoint.outstanding() < connections,
         endpoint -> {
           double localAdvantage =
               endpoint.endpoint().dataCentre().equals(dataCentre) ? LOCAL_ADVANTAGE_REQUESTS : 0;
@@ -169,9 +165,7 @@
   }
 
   private boolean isCandidate(EndpointState endpoint, Set<String> tried, long now) {
-    return endpoint.acceptsRequests()
-        && !tried.contains(endpoint.endpoint().id())
-        && endpoint.isHealthy(now);
+    return endpoint.mark(now).isEmpty() && !tried.contains(endpoint.endpoint().id());
   }
 
   private double remotePenaltyMs(EndpointState engine) {
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/EngineReport.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/EngineReport.java
@@ -20,6 +20,7 @@
   private static final org.apache.thrift.protocol.TField MEMORY_USED_FIELD_DESC = new org.apache.thrift.protocol.TField("memoryUsed", org.apache.thrift.protocol.TType.I64, (short)8);
   private static final org.apache.thrift.protocol.TField MEMORY_TOTAL_FIELD_DESC = new org.apache.thrift.protocol.TField("memoryTotal", org.apache.thrift.protocol.TType.I64, (short)9);
   private static final org.apache.thrift.protocol.TField PACE_FIELD_DESC = new org.apache.thrift.protocol.TField("pace", org.apache.thrift.protocol.TType.DOUBLE, (short)10);
+  private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.BOOL, (short)12);
   private static final org.apache.thrift.protocol.TField NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("number", org.apache.thrift.protocol.TType.I64, (short)11);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new EngineReportStandardSchemeFactory();
@@ -35,6 +36,7 @@
   public long memoryUsed; // required
   public long memoryTotal; // required
   public double pace; // required
+  public boolean leaving; // required
   public long number; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
@@ -49,6 +51,7 @@
     MEMORY_USED((short)8, "memoryUsed"),
     MEMORY_TOTAL((short)9, "memoryTotal"),
     PACE((short)10, "pace"),
+    LEAVING((short)12, "leaving"),
     NUMBER((short)11, "number");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
@@ -85,6 +88,8 @@
           return MEMORY_TOTAL;
         case 10: // PACE
           return PACE;
+        case 12: // LEAVING
+          return LEAVING;
         case 11: // NUMBER
           return NUMBER;
         default:
@@ -140,7 +145,8 @@
   private static final int __MEMORYUSED_ISSET_ID = 7;
   private static final int __MEMORYTOTAL_ISSET_ID = 8;
   private static final int __PACE_ISSET_ID = 9;
-  private static final int __NUMBER_ISSET_ID = 10;
+  private static final int __LEAVING_ISSET_ID = 10;
+  private static final int __NUMBER_ISSET_ID = 11;
   private short __isset_bitfield = 0;
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
@@ -165,6 +171,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     tmpMap.put(_Fields.PACE, new org.apache.thrift.meta_data.FieldMetaData("pace", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.DOUBLE)));
+    tmpMap.put(_Fields.LEAVING, new org.apache.thrift.meta_data.FieldMetaData("leaving", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.NUMBER, new org.apache.thrift.meta_data.FieldMetaData("number", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
@@ -185,6 +193,7 @@
     long memoryUsed,
     long memoryTotal,
     double pace,
+    boolean leaving,
     long number)
   {
     this();
@@ -208,6 +217,8 @@
     setMemoryTotalIsSet(true);
     this.pace = pace;
     setPaceIsSet(true);
+    this.leaving = leaving;
+    setLeavingIsSet(true);
     this.number = number;
     setNumberIsSet(true);
   }
@@ -227,6 +238,7 @@
     this.memoryUsed = other.memoryUsed;
     this.memoryTotal = other.memoryTotal;
     this.pace = other.pace;
+    this.leaving = other.leaving;
     this.number = other.number;
   }
 
@@ -257,6 +269,8 @@
     this.memoryTotal = 0;
     setPaceIsSet(false);
     this.pace = 0.0;
+    setLeavingIsSet(false);
+    this.leaving = false;
     setNumberIsSet(false);
     this.number = 0;
   }
@@ -491,6 +505,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __PACE_ISSET_ID, value);
   }
 
+  public boolean isLeaving() {
+    return this.leaving;
+  }
+
+  public EngineReport setLeaving(boolean leaving) {
+    this.leaving = leaving;
+    setLeavingIsSet(true);
+    return this;
+  }
+
+  public void unsetLeaving() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __LEAVING_ISSET_ID);
+  }
+
+  /** Returns true if field leaving is set (has been assigned a value) and false otherwise */
+  public boolean isSetLeaving() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __LEAVING_ISSET_ID);
+  }
+
+  public void setLeavingIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __LEAVING_ISSET_ID, value);
+  }
+
   public long getNumber() {
     return this.number;
   }
@@ -597,6 +634,14 @@
       }
       break;
 
+    case LEAVING:
+      if (value == null) {
+        unsetLeaving();
+      } else {
+        setLeaving((java.lang.Boolean)value);
+      }
+      break;
+
     case NUMBER:
       if (value == null) {
         unsetNumber();
@@ -642,6 +687,9 @@
     case PACE:
       return getPace();
 
+    case LEAVING:
+      return isLeaving();
+
     case NUMBER:
       return getNumber();
 
@@ -677,6 +725,8 @@
       return isSetMemoryTotal();
     case PACE:
       return isSetPace();
+    case LEAVING:
+      return isSetLeaving();
     case NUMBER:
       return isSetNumber();
     }
@@ -786,6 +836,15 @@
         return false;
     }
 
+    boolean this_present_leaving = true;
+    boolean that_present_leaving = true;
+    if (this_present_leaving || that_present_leaving) {
+      if (!(this_present_leaving && that_present_leaving))
+        return false;
+      if (this.leaving != that.leaving)
+        return false;
+    }
+
     boolean this_present_number = true;
     boolean that_present_number = true;
     if (this_present_number || that_present_number) {
@@ -822,6 +881,8 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(pace);
 
+    hashCode = hashCode * 8191 + ((leaving) ? 131071 : 524287);
+
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(number);
 
     return hashCode;
@@ -935,6 +996,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetLeaving(), other.isSetLeaving());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetLeaving()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.leaving, other.leaving);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     lastComparison = java.lang.Boolean.compare(isSetNumber(), other.isSetNumber());
     if (lastComparison != 0) {
       return lastComparison;
@@ -1009,6 +1080,10 @@
     sb.append(this.pace);
     first = false;
     if (!first) sb.append(", ");
+    sb.append("leaving:");
+    sb.append(this.leaving);
+    first = false;
+    if (!first) sb.append(", ");
     sb.append("number:");
     sb.append(this.number);
     first = false;
@@ -1139,6 +1214,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 12: // LEAVING
+            if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+              struct.leaving = iprot.readBool();
+              struct.setLeavingIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           case 11: // NUMBER
             if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
               struct.number = iprot.readI64();
@@ -1196,6 +1279,9 @@
       oprot.writeFieldBegin(NUMBER_FIELD_DESC);
       oprot.writeI64(struct.number);
       oprot.writeFieldEnd();
+      oprot.writeFieldBegin(LEAVING_FIELD_DESC);
+      oprot.writeBool(struct.leaving);
+      oprot.writeFieldEnd();
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1245,10 +1331,13 @@
       if (struct.isSetPace()) {
         optionals.set(9);
       }
-      if (struct.isSetNumber()) {
+      if (struct.isSetLeaving()) {
         optionals.set(10);
       }
-      oprot.writeBitSet(optionals, 11);
+      if (struct.isSetNumber()) {
+        optionals.set(11);
+      }
+      oprot.writeBitSet(optionals, 12);
       if (struct.isSetIncarnation()) {
         oprot.writeI64(struct.incarnation);
       }
@@ -1279,6 +1368,9 @@
       if (struct.isSetPace()) {
         oprot.writeDouble(struct.pace);
       }
+      if (struct.isSetLeaving()) {
+        oprot.writeBool(struct.leaving);
+      }
       if (struct.isSetNumber()) {
         oprot.writeI64(struct.number);
       }
@@ -1287,7 +1379,7 @@
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, EngineReport struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(11);
+      java.util.BitSet incoming = iprot.readBitSet(12);
       if (incoming.get(0)) {
         struct.incarnation = iprot.readI64();
         struct.setIncarnationIsSet(true);
@@ -1329,6 +1421,10 @@
         struct.setPaceIsSet(true);
       }
       if (incoming.get(10)) {
+        struct.leaving = iprot.readBool();
+        struct.setLeavingIsSet(true);
+      }
+      if (incoming.get(11)) {
         struct.number = iprot.readI64();
         struct.setNumberIsSet(true);
       }
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -18,6 +18,7 @@
   8: i64 memoryUsed, // tokens
   9: i64 memoryTotal, // tokens
   10: double pace, // above 1 if the engine is slower than its profile
+  12: bool leaving, // the engine says that it is leaving
   11: i64 number, // increases with each report of one incarnation of the sender
 }
 
