Leave endpoints alone for the pause that they ask for

Cause: Retry-After of servers was not read; the next request came at once. Change: a 503 with Retry-After closes the endpoint for this VM until its end, for placement, retries, and queued requests. The request that was turned away goes to another endpoint. If none is left, requests are refused at once with the time until the first pause ends. After a pause requests return step by step. Two log lines, a gauge of endpoints by mark, and the marks in the line of a request for which no endpoint was found.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
@@ -68,6 +68,9 @@
         headers.contains(HttpHeaderNames.CONTENT_ENCODING),
         headers.contains("leaving"),
         Optional.empty(),
-        limit == null ? OptionalDouble.empty() : OptionalDouble.of(Double.parseDouble(limit)));
+        limit == null ? OptionalDouble.empty() : OptionalDouble.of(Double.parseDouble(limit)),
+        headers.contains("pause")
+            ? OptionalDouble.of(Double.parseDouble(headers.get("pause")))
+            : OptionalDouble.empty());
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EndpointResponseHead.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EndpointResponseHead.java
@@ -17,6 +17,8 @@
  * @param load load of the endpoint; empty if the header is missing
  * @param requestLimit requests per second, at least 0, that the endpoint accepts from all entry VMs
  *     together for as long as its responses say so; empty if it names no limit
+ * @param pauseSeconds time for which the endpoint wants no request of this entry VM, in seconds;
+ *     empty if it asks for no pause
  */
 public record EndpointResponseHead(
     int status,
@@ -27,7 +29,8 @@
     boolean contentEncoded,
     boolean leaving,
     Optional<Load> load,
-    OptionalDouble requestLimit) {
+    OptionalDouble requestLimit,
+    OptionalDouble pauseSeconds) {
   /**
    * Load of an endpoint, as its response reports it.
    *
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -208,6 +208,7 @@
     }
     if (!head.misdirected()) {
       router.state().updateRequestLimit(endpoint, head.requestLimit());
+      router.state().beginPause(endpoint, head.pauseSeconds());
     }
     if (proxiedRequest.route().kind() != RequestKind.STREAM) {
       // The load of engines comes from the reports of their VMs, which are more recent.
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -53,6 +53,10 @@
         return;
       }
     }
+    request.trace().recordMarks(state.marks(service));
+    if (refusedForPause(request)) {
+      return;
+    }
     WaitingRequest<ProxiedRequest> waiting = request.toWaitingRequest(costMs(request, profile));
     double waitMs =
         QueueAdmissionPolicy.predictWaitMs(
@@ -68,6 +72,16 @@
     dispatchWaiting(profile);
   }
 
+  /** Refuses a request if all engines asked for a pause, and returns whether it did. */
+  private boolean refusedForPause(ProxiedRequest request) {
+    long pauseNanos = state.pauseNanos(service);
+    if (pauseNanos > 0) {
+      request.refuse(
+          FailureReason.ENDPOINTS_PAUSED, pauseNanos / (double) TimeUnit.SECONDS.toNanos(1));
+    }
+    return pauseNanos > 0;
+  }
+
   private long minimumVersion(long now) {
     long minimum = state.minimumWeightVersion(service).minimum(now);
     if (minimum > lastMinimumVersion) {
@@ -116,7 +130,9 @@
     int load = 0;
     int own = 0;
     for (EndpointState engine : state.endpoints().ofService(service)) {
-      if (engine.acceptsRequests() && Placement.isServing(engine, minimum)) {
+      if (engine.acceptsRequests()
+          && engine.pause().waitNanos(now) == 0
+          && Placement.isServing(engine, minimum)) {
         if (engine.requestLimit().isLimited()) {
           limits.add(engine.requestLimit());
         } else {
@@ -148,6 +164,9 @@
       ProxiedRequest request = next.get().item();
       Optional<EndpointState> engine = place(request, profile);
       if (engine.isEmpty()) {
+        if (refusedForPause(request)) {
+          continue;
+        }
         queue.add(next.get());
         return;
       }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
@@ -22,6 +22,8 @@
    * connections to an endpoint is reached.
    */
   OVERLOADED(503),
+  /** All endpoints of the service asked for a pause. */
+  ENDPOINTS_PAUSED(503),
   /** Engines crash on a part of the prompt. */
   PROMPT_QUARANTINED(503),
   /** Endpoints crash on requests of this target, caller and body. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -295,8 +295,12 @@
     quarantine.update();
   }
 
-  /** Closes the connections of callers that have exceeded the idle timeout. */
+  /**
+   * Closes the connections of callers that have exceeded the idle timeout, and counts the endpoints
+   * that get no requests.
+   */
   public void closeIdle() {
+    state.recordMarks(metrics);
     requestsInProgress = router.requestsInProgress();
     listener.closeIdle();
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
@@ -4,8 +4,10 @@
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.Map;
 import org.clementineford.serving.quarantine.Suspect;
 import org.clementineford.serving.routing.AttemptOutcome;
+import org.clementineford.serving.routing.EndpointMark;
 
 /** Request counters and the latency histogram of a gateway. */
 final class GatewayMetrics {
@@ -20,6 +22,7 @@
   private final Counter failedAttempts;
   private final Gauge quarantinedParts;
   private final Gauge quarantinedRequests;
+  private final Gauge markedEndpoints;
   private final Gauge platformEra;
   private final Gauge unconfirmedEntries;
   private final Histogram firstAnswerLatency;
@@ -48,6 +51,12 @@
             .name("clementineford_entry_quarantined_requests")
             .help("Requests, by target, caller and body, that no endpoint receives")
             .register(registry);
+    markedEndpoints =
+        Gauge.builder()
+            .name("clementineford_entry_marked_endpoints")
+            .help("Listed endpoints that get no request now, by the first reason that holds")
+            .labelNames("mark")
+            .register(registry);
     platformEra =
         Gauge.builder()
             .name("clementineford_entry_platform_era")
@@ -91,6 +100,12 @@
     }
   }
 
+  void recordMarks(Map<EndpointMark, Integer> counts) {
+    for (EndpointMark mark : EndpointMark.values()) {
+      markedEndpoints.labelValues(mark.name()).set(counts.getOrDefault(mark, 0));
+    }
+  }
+
   void recordPlatformCopy(String kind, long era, int unconfirmed) {
     platformEra.set(era);
     unconfirmedEntries.labelValues(kind).set(unconfirmed);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
@@ -1,8 +1,13 @@
 package org.clementineford.gateway.internal;
 
+import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
@@ -13,6 +18,7 @@
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.queueing.QueueAdmissionPolicy;
 import org.clementineford.serving.routing.ConnectionShare;
+import org.clementineford.serving.routing.EndpointMark;
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.serving.routing.ListedEndpointTable;
@@ -43,6 +49,7 @@
   private final QueueAdmissionPolicy admission;
   private final Map<String, MinimumWeightVersion> minimumWeightVersions = new HashMap<>();
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
+  private final Set<EndpointState> paused = new HashSet<>();
   private RoutingConfiguration configuration;
 
   GatewayState(
@@ -145,6 +152,74 @@
     }
   }
 
+  /** Records the pause that a response of an endpoint asks for. */
+  void beginPause(EndpointState endpoint, OptionalDouble seconds) {
+    if (seconds.isEmpty()) {
+      return;
+    }
+    endpoint.pause().begin(seconds.getAsDouble(), clock.nanoTime());
+    LOG.atInfo()
+        .addKeyValue("endpoint", endpoint.endpoint().id())
+        .addKeyValue("seconds", seconds.getAsDouble())
+        .log("endpoint asks for a pause");
+  }
+
+  /** Counts the endpoints by mark, and logs the pauses that have ended. */
+  void recordMarks(GatewayMetrics metrics) {
+    long now = clock.nanoTime();
+    Map<EndpointMark, Integer> counts = new EnumMap<>(EndpointMark.class);
+    for (EndpointState endpoint : endpoints.all()) {
+      endpoint.mark(now).ifPresent(mark -> counts.merge(mark, 1, Integer::sum));
+      if (endpoint.pause().waitNanos(now) > 0) {
+        paused.add(endpoint);
+      }
+    }
+    metrics.recordMarks(counts);
+    paused.removeIf(
+        endpoint -> {
+          boolean ended = endpoint.pause().waitNanos(now) == 0;
+          if (ended) {
+            LOG.atInfo()
+                .addKeyValue("endpoint", endpoint.endpoint().id())
+                .log("pause of an endpoint ended");
+          }
+          return ended || !endpoint.acceptsRequests();
+        });
+  }
+
+  /**
+   * Returns the time until an endpoint of a service gets requests, if all that are listed and not
+   * leaving are paused or limited; 0 if any gets them now.
+   */
+  long waitNanos(String service) {
+    long now = clock.nanoTime();
+    return endpoints.ofService(service).stream()
+        .filter(EndpointState::acceptsRequests)
+        .mapToLong(endpoint -> endpoint.waitNanos(now))
+        .min()
+        .orElse(0);
+  }
+
+  /** Returns the time until the first pause ends, if all endpoints of a service are paused. */
+  long pauseNanos(String service) {
+    long now = clock.nanoTime();
+    return endpoints.ofService(service).stream()
+        .filter(EndpointState::acceptsRequests)
+        .mapToLong(endpoint -> endpoint.pause().waitNanos(now))
+        .min()
+        .orElse(0);
+  }
+
+  /** Returns the marks of the endpoints of a service that get no request now, for logs. */
+  String marks(String service) {
+    long now = clock.nanoTime();
+    List<String> marks = new ArrayList<>();
+    for (EndpointState endpoint : endpoints.ofService(service)) {
+      endpoint.mark(now).ifPresent(mark -> marks.add(endpoint.endpoint().id() + ":" + mark));
+    }
+    return String.join(",", marks);
+  }
+
   /**
    * Returns whether keys of callers may be accepted.
    *
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -161,10 +161,15 @@
       request.send(endpoint.get());
       return;
     }
-    long limitWaitNanos = requestLimitWaitNanos(endpoints);
-    if (limitWaitNanos > 0) {
-      request.refuse(
-          FailureReason.OVERLOADED, limitWaitNanos / NANOS_PER_SECOND * (1 + state.random() / 4));
+    request.trace().recordMarks(state.marks(request.service()));
+    double pauseSeconds = state.pauseNanos(request.service()) / NANOS_PER_SECOND;
+    if (pauseSeconds > 0) {
+      request.refuse(FailureReason.ENDPOINTS_PAUSED, pauseSeconds);
+      return;
+    }
+    double waitSeconds = state.waitNanos(request.service()) / NANOS_PER_SECOND;
+    if (waitSeconds > 0) {
+      request.refuse(FailureReason.OVERLOADED, waitSeconds * (1 + state.random() / 4));
       return;
     }
     boolean full = endpoints.stream().anyMatch(each -> each.outstanding() >= connectionLimit);
@@ -173,16 +178,6 @@
         state.admission().retryAfterSeconds(0));
   }
 
-  /** Returns the time until the first endpoint accepts a request; 0 if not all have a limit. */
-  private long requestLimitWaitNanos(List<EndpointState> endpoints) {
-    long now = state.clock().nanoTime();
-    return endpoints.stream()
-        .filter(EndpointState::acceptsRequests)
-        .mapToLong(endpoint -> endpoint.requestLimit().waitNanos(now))
-        .min()
-        .orElse(0);
-  }
-
   /** Sends no further requests to an endpoint that says that it is leaving. */
   void endpointLeaves(EndpointState endpoint) {
     if (endpoint.markLeaving()) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestTrace.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestTrace.java
@@ -17,6 +17,7 @@
   private long predictedWaitMs = -1;
   private double retryAfterSeconds;
   private String quarantinedSuspect = "";
+  private String marks = "";
 
   RequestTrace(NanoClock clock, long arrivedAt) {
     this.clock = clock;
@@ -50,6 +51,11 @@
     retryAfterSeconds = seconds;
   }
 
+  /** Records why endpoints got no requests when no endpoint was found for this one. */
+  void recordMarks(String endpointMarks) {
+    marks = endpointMarks;
+  }
+
   void recordQuarantinedSuspect(String suspect) {
     quarantinedSuspect = suspect;
   }
@@ -67,6 +73,7 @@
         .addKeyValue("predictedWaitMs", predictedWaitMs)
         .addKeyValue("retryAfterSeconds", Math.round(retryAfterSeconds * 100) / 100.0)
         .addKeyValue("quarantinedSuspect", quarantinedSuspect)
+        .addKeyValue("marks", marks)
         .addKeyValue("weights", lastEndpoint == null ? -1 : lastEndpoint.weightVersion());
   }
 }
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
@@ -139,7 +139,7 @@
             settings,
             objects(settings, eventLoops),
             new ObjectDecoder(),
-            new RequestHeaders(),
+            new RequestHeaders(SystemEpochClock.INSTANCE),
             eventLoops,
             clock,
             SystemEpochClock.INSTANCE,
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointMark.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointMark.java
@@ -16,6 +16,13 @@
       return endpoint.endpoint().leaving();
     }
   },
+  /** It asked for a pause, or one has just ended and enough requests have returned. */
+  PAUSED {
+    @Override
+    boolean applies(EndpointState endpoint, long now) {
+      return !endpoint.pause().allows(endpoint.outstanding(), now);
+    }
+  },
   /** It used up this entry VM's share of the limit of requests that it named. */
   LIMITED {
     @Override
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
@@ -10,6 +10,7 @@
 public final class EndpointState {
   private final EndpointHealth health = new EndpointHealth();
   private final RequestRateLimit requestLimit = new RequestRateLimit();
+  private final RequestPause pause = new RequestPause();
   private Endpoint endpoint;
   private boolean removed;
   private int outstanding;
@@ -239,6 +240,25 @@
     return requestLimit;
   }
 
+  /**
+   * Returns the pause that the endpoint asked for.
+   *
+   * @return the pause, which ends with this incarnation of the endpoint
+   */
+  public RequestPause pause() {
+    return pause;
+  }
+
+  /**
+   * Returns the time until a pause or a limit allows a request.
+   *
+   * @param now monotonic time in nanoseconds
+   * @return nanoseconds; 0 if neither excludes the endpoint
+   */
+  public long waitNanos(long now) {
+    return Math.max(pause.waitNanos(now), requestLimit.waitNanos(now));
+  }
+
   /**
    * Returns whether the endpoint's health allows another request.
    *
