Split the proof of copies, the log of restorations and the targets of suspects

Change: CopyProof, DirectoryCopyLog and RequestTargets; marks are written out only for requests that are refused. Result: the tests of copies, restorations and the quarantine pass.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -15,7 +15,6 @@
 import org.clementineford.serving.directory.DirectoryEntries;
 import org.clementineford.serving.directory.DirectoryEntry;
 import org.clementineford.serving.directory.HistoryPosition;
-import org.clementineford.serving.directory.KeptEntry;
 import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.serving.directory.PlatformHistory;
@@ -172,7 +171,7 @@
   public void addHigherVersions(ObjectKind kind, List<DirectoryEntry> newer) {
     KindSync sync = kinds.get(kind);
     if (sync != null && sync.copy.addHigherVersions(newer)) {
-      sync.logKept();
+      DirectoryCopyLog.kept(kind, sync.copy, clock.nanoTime());
       onChange.accept(kind);
     }
   }
@@ -219,13 +218,8 @@
 
   /** Reads all watched kinds again, since the platform was restored from a copy. */
   private void restored(KindSync source, long revision) {
-    LOG.atWarn()
-        .addKeyValue("kind", source.kind)
-        .addKeyValue("eraBefore", source.copy.position().era())
-        .addKeyValue("era", history.era())
-        .addKeyValue("revisionBefore", source.copy.position().revision())
-        .addKeyValue("revision", revision)
-        .log("the platform was restored from a copy; listing all objects");
+    DirectoryCopyLog.restored(
+        source.kind, source.copy.position(), new HistoryPosition(history.era(), revision));
     kinds.values().stream().filter(other -> other != source).forEach(KindSync::restartListing);
     onRestored.run();
   }
@@ -317,11 +311,7 @@
       }
       switch (history.read(listing.era(), watching, sentAt, now)) {
         case OUTDATED -> {
-          LOG.atInfo()
-              .addKeyValue("kind", kind)
-              .addKeyValue("era", listing.era().orElse(0))
-              .addKeyValue("revision", listing.revision())
-              .log("ignored an answer from before the platform was restored");
+          DirectoryCopyLog.ignored(kind, listing);
           listNeeded = true;
           scheduleCall(MAX_RETRY_DELAY_MS);
           return;
@@ -341,7 +331,7 @@
         HistoryPosition position = new HistoryPosition(history.era(), listing.revision());
         changed = copy.replace(listing.entries(), position, sentAt, afterOutage, now);
         listNeeded = false;
-        logKept();
+        DirectoryCopyLog.kept(kind, copy, now);
         listWhenSettled();
       } else {
         relists = 0;
@@ -403,29 +393,6 @@
       scheduleCall(delay);
     }
 
-    private void logKept() {
-      for (String name : copy.withheld()) {
-        LOG.atInfo()
-            .addKeyValue("kind", kind)
-            .addKeyValue("name", name)
-            .log("withheld an entry of a VM that had left before the platform was restored");
-      }
-      for (KeptEntry entry : copy.kept()) {
-        OptionalLong until = entry.until();
-        LOG.atInfo()
-            .addKeyValue("kind", kind)
-            .addKeyValue("name", entry.entry().name())
-            .addKeyValue("version", entry.entry().operatorVersion())
-            .addKeyValue("shownVersion", entry.shown().map(e -> e.operatorVersion()).orElse(-1L))
-            .addKeyValue(
-                "remainingMs",
-                until.isPresent()
-                    ? TimeUnit.NANOSECONDS.toMillis(until.getAsLong() - clock.nanoTime())
-                    : -1)
-            .log("kept an entry that the platform does not show in this state");
-      }
-    }
-
     void expire() {
       if (copy.expire(clock.nanoTime())) {
         LOG.atInfo()
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -53,7 +53,6 @@
         return;
       }
     }
-    request.trace().recordMarks(state.marks(service));
     if (refusedForPause(request)) {
       return;
     }
@@ -65,6 +64,7 @@
     request.trace().recordPredictedWait(waitMs);
     OptionalDouble refusal = state.admission().retryAfterIfRefused(waitMs, request.remainingMs());
     if (refusal.isPresent()) {
+      request.trace().recordMarks(state.marks(service));
       request.refuse(FailureReason.OVERLOADED, refusal.getAsDouble());
       return;
     }
@@ -76,6 +76,7 @@
   private boolean refusedForPause(ProxiedRequest request) {
     long pauseNanos = state.pauseNanos(service);
     if (pauseNanos > 0) {
+      request.trace().recordMarks(state.marks(service));
       request.refuse(
           FailureReason.ENDPOINTS_PAUSED, pauseNanos / (double) TimeUnit.SECONDS.toNanos(1));
     }
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -273,7 +273,7 @@
     // Guards against refusing keys for longer than needed.
     @Test
     void isGivenAtOnceByAnEraInWhichTheObjectWasWrittenAgain() {
-      long now = DirectoryCopyState.MAX_COPY_AGE_NANOS;
+      long now = CopyProof.MAX_COPY_AGE_NANOS;
       configuration.replace(version(25, 13), next(25), now, false, now);
       assertThat(configuration.ageNanos(now + 2)).isEqualTo(2);
     }
@@ -284,7 +284,7 @@
     void isNotGivenAtOnceByVersionsThatMayBeOfOlderCopies() {
       configuration.replace(version(25, 13), next(25), 5, false, 5);
       assertThat(configuration.ageNanos(7)).isEqualTo(7);
-      long now = DirectoryCopyState.MAX_COPY_AGE_NANOS + 5;
+      long now = CopyProof.MAX_COPY_AGE_NANOS + 5;
       configuration.replace(version(27, 16), new HistoryPosition(3, 27), now, false, now);
       assertThat(configuration.ageNanos(now)).isEqualTo(now);
     }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -21,15 +21,6 @@
    */
   static final long REREGISTRATION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_900);
 
-  /** Era of a platform that was never restored. */
-  private static final long FIRST_ERA = 1;
-
-  /**
-   * Longest age of the copy from which a platform is restored; its operators speak of some seconds.
-   * A copy that is older than the era before may show the same versions at any revisions.
-   */
-  static final long MAX_COPY_AGE_NANOS = TimeUnit.SECONDS.toNanos(20);
-
   /** Time for which a VM is remembered that has left; well above the age of a platform's copy. */
   private static final long DEPARTED_NANOS = TimeUnit.MINUTES.toNanos(2);
 
@@ -40,11 +31,8 @@
   private final Map<String, Long> departedAt = new HashMap<>();
   private final Map<String, WithheldEntry> withheld = new HashMap<>();
   private HistoryPosition position = HistoryPosition.START;
-  private long currentAt;
-  private boolean proven;
+  private final CopyProof proof;
   private boolean loaded;
-  private long settledAt;
-  private long eraSince;
 
   /** An entry that is not used, since its VM had left before the platform was restored. */
   private record WithheldEntry(DirectoryEntry entry, long until) {}
@@ -59,6 +47,7 @@
   public DirectoryCopyState(ObjectKind kind, long expiryNanos) {
     this.kind = kind;
     this.expiryNanos = expiryNanos;
+    this.proof = new CopyProof(kind.isVersionedByOperators() ? REREGISTRATION_NANOS : 0);
   }
 
   /**
@@ -108,21 +97,13 @@
       }
     }
     if (first) {
-      // The platform may just have been restored, and only peers know what it has lost.
-      settledAt = listedPosition.era() > FIRST_ERA ? now + REREGISTRATION_NANOS : now;
+      proof.loaded(listedPosition.era(), now);
     } else if (otherEra) {
-      boolean writtenAgain =
-          keptBefore.isEmpty()
-              && now - eraSince >= MAX_COPY_AGE_NANOS
-              && isWrittenAgain(previous, listedPosition.era());
-      settledAt = writtenAgain ? now : now + REREGISTRATION_NANOS;
-    }
-    if (first || otherEra) {
-      eraSince = now;
+      proof.eraChanged(keptBefore.isEmpty() && isWrittenAgain(previous, listedPosition.era()), now);
     }
     position = listedPosition;
     loaded = true;
-    confirmIfSettled(currentAt, now);
+    proof.answered(currentAt, now);
     return otherEra || !isSame(previous, keptBefore);
   }
 
@@ -262,10 +243,10 @@
       }
     }
     position = new HistoryPosition(position.era(), Math.max(position.revision(), changedRevision));
-    if (keptBefore && kept.isEmpty() && proven) {
-      settledAt = Math.min(settledAt, now);
+    if (keptBefore && kept.isEmpty()) {
+      proof.writtenAgain(now);
     }
-    confirmIfSettled(currentAt, now);
+    proof.answered(currentAt, now);
     return changed;
   }
 
@@ -346,19 +327,6 @@
     return List.copyOf(kept.values());
   }
 
-  private void confirm(long time) {
-    if (!proven || time - currentAt > 0) {
-      currentAt = time;
-      proven = true;
-    }
-  }
-
-  private void confirmIfSettled(long time, long now) {
-    if (settlingNanos(now) == 0) {
-      confirm(time);
-    }
-  }
-
   /**
    * Returns the time in which the platform's answers do not prove the copy current, since operators
    * may have yet to write again what a restored platform has lost.
@@ -367,7 +335,7 @@
    * @return nanoseconds; 0 if its answers count
    */
   public long settlingNanos(long now) {
-    return loaded && kind.isVersionedByOperators() ? Math.max(0, settledAt - now) : 0;
+    return proof.settlingNanos(now);
   }
 
   /**
@@ -381,7 +349,7 @@
     if (loaded
         && confirmed.era() == position.era()
         && confirmed.revision() <= position.revision()) {
-      confirm(time);
+      proof.confirm(time);
     }
   }
 
@@ -392,7 +360,7 @@
    * @return nanoseconds; {@link Long#MAX_VALUE} if it never was
    */
   public long ageNanos(long now) {
-    return proven ? now - currentAt : Long.MAX_VALUE;
+    return proof.ageNanos(now);
   }
 
   /**
@@ -410,7 +378,7 @@
    * @return false until the first confirmation
    */
   public boolean isProven() {
-    return proven;
+    return proof.isProven();
   }
 
   /**
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/RequestQuarantine.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/RequestQuarantine.java
@@ -55,9 +55,6 @@
    */
   private static final long UNBLAMED_REQUEST_NANOS = TimeUnit.MINUTES.toNanos(2);
 
-  /** Largest number of targets of requests that are remembered. */
-  private static final int MAX_TARGETS = 1_024;
-
   /** Largest number of crashes that are remembered of a part. */
   private static final int MAX_CRASHES = 8;
 
@@ -66,7 +63,7 @@
   private final Map<Suspect, Long> changedAt = new HashMap<>();
   private final Map<Suspect, Long> soundAt = new BoundedMap<>(MAX_SOUND_PARTS);
   private final Interruptions interruptions = new Interruptions();
-  private final Map<String, Boolean> requestTargets = new BoundedMap<>(MAX_TARGETS);
+  private final RequestTargets requestTargets = new RequestTargets();
   private Set<Suspect> blamed = Set.of();
 
   /**
@@ -121,7 +118,7 @@
     if (suspects.isEmpty()) {
       return;
     }
-    suspects.forEach(this::rememberTarget);
+    requestTargets.remember(suspects);
     long engine = Fingerprint.of(engineName);
     Interruption interruption = new Interruption(Fingerprint.of(requestId), suspects, now);
     if (!interruptions.addUnlessCrashed(engine, interruption)) {
@@ -130,12 +127,6 @@
     }
   }
 
-  private void rememberTarget(Suspect suspect) {
-    if (suspect.kind() == Suspect.Kind.REQUEST) {
-      requestTargets.put(suspect.target(), true);
-    }
-  }
-
   /**
    * Returns whether any request is a suspect.
    *
@@ -152,7 +143,7 @@
    * @return false if it is none
    */
   public boolean mayBeSuspect(String target) {
-    return requestTargets.containsKey(target);
+    return requestTargets.contains(target);
   }
 
   private boolean isSound(Suspect part, long now) {
@@ -199,7 +190,7 @@
         && !removeWeakest(Suspect.Kind.PROMPT_PART)) {
       return;
     }
-    rememberTarget(part);
+    requestTargets.remember(List.of(part));
     TreeMap<Long, EngineCrash> known = crashes.computeIfAbsent(part, key -> new TreeMap<>());
     EngineCrash previous = known.get(crash.engine());
     if (previous != null && previous.request() <= crash.request()) {
