Play repeated requests that crash engines under load

Callers saw: nothing. Cause: QueryOfDeathLoadTest knew only requests with a common part of their prompts. Change: a second kind of bad requests, repeats of one request beside sound ones with identities of their own; prompt parts are judged as before.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QueryOfDeathLoadTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/QueryOfDeathLoadTest.java
@@ -12,7 +12,7 @@
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.wire.FleetDatagram;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** A load with queries of death on a fleet whose VMs restart, are cut off and load weights. */
 class QueryOfDeathLoadTest {
@@ -22,13 +22,38 @@
   private static final double LOSS = 0.02;
   private static final int SUBJECTS = 300;
 
+  /** What bad requests have in common, and the crashes after which they must be held back. */
+  private enum Cause {
+    PROMPT_PART(5),
+    REPEATED_REQUEST(3);
+
+    private final int crashes;
+
+    Cause(int crashes) {
+      this.crashes = crashes;
+    }
+
+    List<Suspect> suspects(String first, String subject, boolean bad) {
+      List<Suspect> suspects = new ArrayList<>();
+      if (this == REPEATED_REQUEST) {
+        suspects.add(Suspect.request("pool", "target", bad ? "bad" : subject));
+      }
+      suspects.addAll(Suspect.parts("pool", List.of(first, subject)));
+      if (bad && this == PROMPT_PART) {
+        suspects.addAll(Suspect.parts("pool", List.of("bad")));
+      }
+      return suspects;
+    }
+  }
+
   private final VirtualTime time = new VirtualTime(0);
   private final Random random = new Random(11);
   private final List<EntryVm> entryVms = new ArrayList<>();
   private final List<Engine> engines = new ArrayList<>();
   private int requestNumber;
-  private int crashes;
-  private long fifthCrashAt = Long.MAX_VALUE;
+  private Cause cause;
+  private int countedCrashes;
+  private long lastAllowedCrashAt = Long.MAX_VALUE / 2;
   private int badRequestsAfterBound;
   private int soundRequests;
   private int soundRefused;
@@ -92,14 +117,14 @@
     void send(Request request, int attempt) {
       if (quarantine.quarantinedSuspect(request.suspects).isPresent()) {
         soundRefused +=
-            !request.bad && attempt == 1 && nowMs() > fifthCrashAt + 2 * CONTACT_MS ? 1 : 0;
+            !request.bad && attempt == 1 && nowMs() > lastAllowedCrashAt + 2 * CONTACT_MS ? 1 : 0;
         return;
       }
       List<Engine> free = engines.stream().filter(engine -> engine.acceptsRequests()).toList();
       if (free.isEmpty()) {
         return;
       }
-      if (request.bad && isInTouch() && nowMs() > fifthCrashAt + CONTACT_MS) {
+      if (request.bad && isInTouch() && nowMs() > lastAllowedCrashAt + CONTACT_MS) {
         badRequestsAfterBound++;
       }
       free.get(random.nextInt(free.size())).receive(request, this, attempt);
@@ -133,7 +158,7 @@
       long now = nowMs();
       for (Held each : List.copyOf(held)) {
         if (now >= each.beginsAt && each.request.bad) {
-          crash();
+          crash(true);
           return;
         }
         if (now >= each.endsAt) {
@@ -143,10 +168,11 @@
       }
     }
 
-    void crash() {
-      crashes++;
-      if (crashes == 5) {
-        fifthCrashAt = nowMs();
+    void crash(boolean byBadRequest) {
+      // Prompt parts are judged from the fifth crash of any engine on, which is earlier.
+      countedCrashes += byBadRequest || cause == Cause.PROMPT_PART ? 1 : 0;
+      if (countedCrashes == cause.crashes) {
+        lastAllowedCrashAt = Math.min(lastAllowedCrashAt, nowMs());
       }
       List<Held> lost = List.copyOf(held);
       held.clear();
@@ -173,12 +199,11 @@
     // Low subjects are the most frequent ones; two routes have a first part each.
     int subject = (int) (SUBJECTS * Math.pow(random.nextDouble(), 3));
     String first = "route" + subject % 2;
-    List<String> parts = bad ? List.of(first, "s" + subject, "bad") : List.of(first, "s" + subject);
     EntryVm vm = entryVms.get(random.nextInt(entryVms.size()));
-    if (!bad && nowMs() > fifthCrashAt + 2 * CONTACT_MS) {
+    if (!bad && nowMs() > lastAllowedCrashAt + 2 * CONTACT_MS) {
       soundRequests++;
     }
-    vm.send(new Request("r" + requestNumber++, Suspect.parts("pool", parts), bad), 1);
+    vm.send(new Request("r" + requestNumber++, cause.suspects(first, "s" + subject, bad), bad), 1);
   }
 
   private void disturb() {
@@ -193,7 +218,7 @@
     }
     Engine engine = engines.get(random.nextInt(engines.size()));
     if (random.nextInt(200) == 0 && engine.acceptsRequests()) {
-      engine.crash();
+      engine.crash(false);
     }
     if (random.nextInt(50) == 0) {
       // A rollout takes an engine out of service while it loads other weights.
@@ -203,8 +228,12 @@
 
   // Guards against a fleet that goes on crashing engines, or refuses sound requests instead.
   @ParameterizedTest
-  @ValueSource(ints = {7, 30, 100})
-  void crashesFewEnginesAndServesSoundRequests(int size) {
+  @CsvSource({
+    "7, PROMPT_PART", "30, PROMPT_PART", "100, PROMPT_PART",
+    "7, REPEATED_REQUEST", "30, REPEATED_REQUEST", "100, REPEATED_REQUEST"
+  })
+  void crashesFewEnginesAndServesSoundRequests(int size, Cause badRequests) {
+    cause = badRequests;
     for (int i = 0; i < size; i++) {
       entryVms.add(new EntryVm(i));
     }
@@ -222,7 +251,7 @@
       engines.forEach(Engine::advance);
       time.advance(TICK_MS, TimeUnit.MILLISECONDS);
     }
-    assertThat(crashes).isGreaterThanOrEqualTo(5);
+    assertThat(countedCrashes).isGreaterThanOrEqualTo(cause.crashes);
     assertThat(badRequestsAfterBound).isLessThanOrEqualTo(3);
     assertThat(soundRequests).isGreaterThan(1_000);
     assertThat(soundRefused).isLessThan(soundRequests / 2);
