Give endpoints the time to register again in each era

Callers saw: nothing yet. After two restorations in a row, endpoints would have been dropped 1.9 s after the first, although what they wrote was lost again by the second. Cause: an entry that was kept in one era kept its end of time in the next. Change: the time counts from the first answer of each era. Result: DirectoryCopyStateTest$AnotherEra#missingEntriesGetTheTimeToRegisterAgainInEachEra failed before and passes.

--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -92,6 +92,19 @@
       assertThat(names()).containsExactly("a");
     }
 
+    // Guards against endpoints that are dropped after the second of two restorations, because the
+    // time to register again counts from the first.
+    @Test
+    void missingEntriesGetTheTimeToRegisterAgainInEachEra() {
+      copy.replace(List.of(entry("a", 30)), at(30), 0, false, 0);
+      copy.replace(List.of(), next(20), 0, false, 0);
+      long second = DirectoryCopyState.REREGISTRATION_NANOS - 1;
+      copy.replace(List.of(), new HistoryPosition(3, 20), second, false, second);
+      assertThat(copy.expire(second + 2)).isFalse();
+      assertThat(names()).containsExactly("a");
+      assertThat(copy.expire(second + DirectoryCopyState.REREGISTRATION_NANOS)).isTrue();
+    }
+
     private void loseEndpointThatLeft() {
       copy.replace(List.of(entry("a", 30), entry("b", 20)), at(30), 0, false, 0);
       copy.apply(List.of(removed("b", 31)), 31, 0, false, 0);
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -88,7 +88,7 @@
         if (isLowerVersion(shown, old)) {
           keep(old, shown);
         }
-      } else if (keptOld != null) {
+      } else if (keptOld != null && !otherEra) {
         keepMissing(old, keptOld.until());
       } else if (keepsMissing) {
         keepMissing(old, registrationEnd(otherEra, now));
