--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -116,7 +116,6 @@
     final Map<String, WithheldEntry> before = new HashMap<>(withheld);
     withheld.clear();
     if (otherEra) {
-      departedAt.values().removeIf(at -> now - at > DEPARTED_NANOS);
       for (String name : departedAt.keySet()) {
         if (entries.containsKey(name)) {
           withheld.put(
@@ -258,6 +257,7 @@
    * @return true if an entry changed
    */
   public boolean expire(long now) {
+    departedAt.values().removeIf(at -> now - at > DEPARTED_NANOS);
     List<String> expired = new ArrayList<>();
     kept.forEach(
         (name, keptEntry) -> {
