Compare only suspects of three crashes or more with each other

Callers saw: nothing yet; each crash would have cost an entry VM with many suspects tens of milliseconds of its core. Cause: the check for requests in exactly the same crashes compared all records with all others, 256 by 256 sets, at each change. Change: suspects in fewer than three crashes, which cannot be blamed, are left out first.

--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/CrashSuspects.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/CrashSuspects.java
@@ -49,15 +49,20 @@
    */
   private static List<SuspectRecord> strongest(
       Collection<SuspectRecord> records, Set<Long> explained) {
-    return records.stream()
-        .filter(CrashSuspects::hasEnoughRequests)
-        .filter(record -> unexplained(record, explained) >= minCrashes(record, records))
+    // Most suspects are in one crash by chance; only the others are compared with each other.
+    List<SuspectRecord> candidates =
+        records.stream()
+            .filter(record -> record.crashes().size() >= MIN_CRASHES)
+            .filter(CrashSuspects::hasEnoughRequests)
+            .toList();
+    return candidates.stream()
+        .filter(record -> unexplained(record, explained) >= minCrashes(record, candidates))
         .max(
             Comparator.comparingLong((SuspectRecord record) -> unexplained(record, explained))
                 .thenComparing(record -> record.suspect().kind())
                 .thenComparingLong(CrashSuspects::requests)
                 .thenComparing(record -> record.suspect().id()))
-        .map(best -> equals(best, records))
+        .map(best -> equals(best, candidates))
         .orElse(List.of());
   }
 
@@ -72,7 +77,6 @@
       SuspectRecord record, Collection<SuspectRecord> records) {
     return records.stream()
         .filter(other -> other.suspect().kind() == record.suspect().kind())
-        .filter(CrashSuspects::hasEnoughRequests)
         .filter(other -> engines(other).equals(engines(record)))
         .toList();
   }
