Name suspects and endpoints in the comments of the quarantine

Callers saw: nothing; comments only. Cause: the comments spoke of prompt parts and engines where requests and plain services count too. Change: wording. Result: formatter passes; the code is the same.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/QuarantineExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/QuarantineExchange.java
@@ -39,7 +39,7 @@
   /** Members of each comparison; one may be unreachable. */
   private static final int COMPARE_MEMBERS = 2;
 
-  /** Records in one datagram; one of a part in eight crashes takes about 200 bytes. */
+  /** Records in one datagram; one of a suspect in eight crashes takes about 200 bytes. */
   private static final int RECORDS_PER_DATAGRAM = 16;
 
   private final RequestQuarantine quarantine;
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/EngineCrash.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/EngineCrash.java
@@ -1,10 +1,10 @@
 package org.clementineford.serving.quarantine;
 
 /**
- * The crash of an engine while it held a request with a certain prompt part and had not proved the
- * part to be sound.
+ * The crash of an engine, or of an endpoint of a plain service, while it held a suspect and had not
+ * proved it to be sound.
  *
- * @param engine fingerprint of the engine's ID and incarnation
+ * @param engine fingerprint of the endpoint's ID and incarnation
  * @param request fingerprint of the request's ID
  * @param at time of the crash, in monotonic nanoseconds
  */
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/RequestQuarantine.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/RequestQuarantine.java
@@ -17,19 +17,21 @@
 import org.clementineford.serving.quarantine.Interruptions.Interruption;
 
 /**
- * Decides which prompt parts no engine receives, since engines crash when they begin to answer a
- * prompt with them. Such a request is known as a query of death.
+ * Decides which requests no endpoint receives, since endpoints crash when they run them: repeats of
+ * one request, or requests with one part in their prompts. Such a request is known as a query of
+ * death.
  *
- * <p>Every part of a request that an engine held when it crashed is a suspect, unless the engine
- * had been writing the answer for a while. A part that an engine answers is sound, and crashes
- * before that no longer count against it. Times are monotonic nanoseconds. Not thread-safe.
+ * <p>Every request that an endpoint held when it crashed is a suspect, and so is every part of its
+ * prompt, unless the endpoint had been writing the answer for a while. What an endpoint answers is
+ * sound, and crashes before that no longer count against it. Times are monotonic nanoseconds. Not
+ * thread-safe.
  */
 public final class RequestQuarantine {
-  /** Time after the last crash for which a part stays in quarantine. */
+  /** Time after the last crash for which a suspect stays in quarantine. */
   private static final long QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(10);
 
   /**
-   * Time after the last crash for which a part is remembered. A part that leaves quarantine returns
+   * Time after the last crash for which a suspect is remembered. One that leaves quarantine returns
    * to it with its next crash.
    */
   private static final long MEMORY_NANOS = TimeUnit.MINUTES.toNanos(60);
@@ -40,13 +42,13 @@
    */
   private static final long SOUND_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
-  /** Time for which it is remembered, for other VMs, that a part was cleared of its crashes. */
+  /** Time for which it is remembered, for other VMs, that a suspect was cleared of its crashes. */
   private static final long CLEARED_NANOS = TimeUnit.SECONDS.toNanos(10);
 
-  /** Largest number of parts for which crashes are remembered. */
+  /** Largest number of suspects for which crashes are remembered. */
   private static final int MAX_RECORDS = 256;
 
-  /** Largest number of sound parts that are remembered. */
+  /** Largest number of sound suspects that are remembered. */
   private static final int MAX_SOUND_PARTS = 4_096;
 
   /**
@@ -55,7 +57,7 @@
    */
   private static final long UNBLAMED_REQUEST_NANOS = TimeUnit.MINUTES.toNanos(2);
 
-  /** Largest number of crashes that are remembered of a part. */
+  /** Largest number of crashes that are remembered of a suspect. */
   private static final int MAX_CRASHES = 8;
 
   private final NanoClock clock;
@@ -77,8 +79,8 @@
   }
 
   /**
-   * Records that an engine has answered a prompt, or has been writing the answer for long enough to
-   * show that the prompt does not crash it.
+   * Records that an endpoint has answered a request, or has been writing the answer for long enough
+   * to show that the request does not crash it.
    *
    * @param suspects what the request might be recognized by
    */
@@ -105,8 +107,8 @@
   }
 
   /**
-   * Records that a connection ended while an engine held a request. The parts of the prompt become
-   * suspects if the engine turns out to have crashed.
+   * Records that a connection ended while an endpoint held a request. It counts against what the
+   * request is recognized by if the endpoint turns out to have crashed.
    *
    * @param engineName ID and incarnation of the engine
    * @param requestId ID of the request
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/package-info.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/quarantine/package-info.java
@@ -1,2 +1,2 @@
-/** Which parts of prompts crash engines, decided from crashes that all entry VMs saw. */
+/** Which requests and parts of prompts crash endpoints, decided from crashes that all VMs saw. */
 package org.clementineford.serving.quarantine;
