Keep removed endpoints only after an outage, until its end plus the time to register

Any failed call counted as an outage, and each removal within two seconds of the next answer was kept for 1.9 s from its arrival. A kept entry was also passed on to peers as a listed one, at a position after its removal, so that they held it until their next listing.

An outage is now a time without any answer of at least the interval at which entries are written; the time to register again counts from its end, for all kinds; peers are told how long an entry is still kept.

Seen to fail before: DirectorySyncTest$Outage#doesNotBeginWithOneFailedCall and #keepsNoEntryForLongerThanTheRegistrationTimeAfterItsEnd. keepsRemovedEntriesUntilTheRegistrationTimeEnds used a single failed call as its outage, in which no entry can lapse; it now plays one of three seconds, with the same assertions.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -90,19 +91,57 @@
 
   @Nested
   class Outage {
+    private DirectoryEntries removalOf(String name, long revision) {
+      return new DirectoryEntries(
+          List.of(new DirectoryEntry(name, revision, new byte[0], true)), revision);
+    }
+
+    /** Lets the platform not answer for three seconds, and then answer a watch. */
+    private void endOutage(DirectoryEntries firstAnswer) {
+      for (int i = 0; i < 30; i++) {
+        if (!directory.pending.isEmpty()) {
+          directory.failFirst(failure(ErrorKind.UNAVAILABLE));
+        }
+        time.advance(100, TimeUnit.MILLISECONDS);
+      }
+      time.advance(800, TimeUnit.MILLISECONDS);
+      directory.answerFirst(firstAnswer);
+    }
+
     // Guards against dropping endpoints whose entries lapsed while the platform was down and that
     // are about to register again.
     @Test
     void keepsRemovedEntriesUntilTheRegistrationTimeEnds() {
       start();
-      directory.failFirst(failure(ErrorKind.UNAVAILABLE));
-      time.advance(1, TimeUnit.SECONDS);
-      directory.answerFirst(
-          new DirectoryEntries(List.of(new DirectoryEntry("a", 5, new byte[0], true)), 5));
+      endOutage(removalOf("a", 5));
       assertThat(names()).containsExactly("a", "b");
       time.advance(2_100, TimeUnit.MILLISECONDS);
       assertThat(names()).containsExactly("b");
     }
+
+    // Guards against requests to an endpoint that left a while after an outage: the time to
+    // register again counts from the end of the outage.
+    @Test
+    void keepsNoEntryForLongerThanTheRegistrationTimeAfterItsEnd() {
+      start();
+      endOutage(new DirectoryEntries(List.of(), 4));
+      time.advance(1_500, TimeUnit.MILLISECONDS);
+      directory.answerFirst(removalOf("a", 5));
+      assertThat(names()).containsExactly("a", "b");
+      time.advance(600, TimeUnit.MILLISECONDS);
+      assertThat(names()).containsExactly("b");
+    }
+
+    // Guards against requests to an endpoint that left, since one call had failed shortly before:
+    // no entry lapses in a time that is shorter than the interval at which it is written.
+    @Test
+    void doesNotBeginWithOneFailedCall() {
+      start();
+      directory.failFirst(failure(ErrorKind.UNAVAILABLE));
+      time.advance(100, TimeUnit.MILLISECONDS);
+      directory.answerFirst(removalOf("a", 5));
+      assertThat(names()).containsExactly("b");
+    }
   }
 
   @Nested
@@ -167,9 +206,9 @@
   @Test
   void peerCopyReplacesOnlyAnOlderCopy() {
     start();
-    sync.applyPeerCopy(KIND, new HistoryPosition(0, 1), List.of(entry("old", 1)), 0);
+    sync.applyPeerCopy(KIND, new HistoryPosition(0, 1), List.of(entry("old", 1)), Map.of(), 0);
     assertThat(names()).containsExactly("a", "b");
-    sync.applyPeerCopy(KIND, new HistoryPosition(0, 9), List.of(entry("new", 9)), 0);
+    sync.applyPeerCopy(KIND, new HistoryPosition(0, 9), List.of(entry("new", 9)), Map.of(), 0);
     assertThat(names()).containsExactly("new");
   }
 
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/RestoredPlatformTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.serving.directory.DirectoryEntry;
 import org.clementineford.serving.directory.HistoryPosition;
@@ -197,10 +198,10 @@
     void ofTheEraBeforeIsIgnored() {
       restoreWithoutTheLastVersion();
       advanceMs(1_000);
-      sync.applyPeerCopy(KIND, new HistoryPosition(1, 99), entries, time.nanoTime());
+      sync.applyPeerCopy(KIND, new HistoryPosition(1, 99), entries, Map.of(), time.nanoTime());
       assertThat(version()).isNotEqualTo(7);
       final long age = sync.copy(KIND).ageNanos(time.nanoTime());
-      sync.applyPeerCopy(KIND, new HistoryPosition(1, 0), null, time.nanoTime());
+      sync.applyPeerCopy(KIND, new HistoryPosition(1, 0), null, Map.of(), time.nanoTime());
       assertThat(sync.copy(KIND).ageNanos(time.nanoTime())).isEqualTo(age);
     }
 
@@ -211,7 +212,7 @@
       write(2);
       advanceMs(500);
       client.setCutOff(true);
-      sync.applyPeerCopy(KIND, new HistoryPosition(2, 1), entries, time.nanoTime());
+      sync.applyPeerCopy(KIND, new HistoryPosition(2, 1), entries, Map.of(), time.nanoTime());
       assertThat(version()).isEqualTo(7);
     }
   }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryCopyCodec.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryCopyCodec.java
@@ -8,6 +8,7 @@
 import org.clementineford.serving.directory.DirectoryCopyState;
 import org.clementineford.serving.directory.DirectoryEntry;
 import org.clementineford.serving.directory.HistoryPosition;
+import org.clementineford.serving.directory.KeptEntry;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.wire.DirectoryCopy;
 import org.clementineford.wire.DirectoryObject;
@@ -47,6 +48,7 @@
             .setProvenAgeMs(TimeUnit.NANOSECONDS.toMillis(copy.ageNanos(now)) + 1);
     if (copy.position().compareTo(peerPosition) > 0) {
       encoded.setObjects(encode(copy.entries()));
+      copy.kept().forEach(kept -> setKeptTime(encoded.getObjects(), kept, now));
     } else if (kind.isVersionedByOperators()) {
       encoded.setHigherVersions(encode(higherVersions(copy, peerVersions)));
     }
@@ -65,6 +67,32 @@
         .toList();
   }
 
+  private static void setKeptTime(List<DirectoryObject> objects, KeptEntry kept, long now) {
+    if (kept.until().isPresent()) {
+      long remainingMs = TimeUnit.NANOSECONDS.toMillis(kept.until().getAsLong() - now);
+      objects.stream()
+          .filter(object -> object.getName().equals(kept.entry().name()))
+          .forEach(object -> object.setKeptMs(Math.max(0, remainingMs)));
+    }
+  }
+
+  /**
+   * Returns the times until which a peer keeps entries that the platform lacks.
+   *
+   * @param objects objects of the peer's copy
+   * @param sentAt time at which the copy was requested, which is not after that of the answer
+   * @return monotonic times in nanoseconds, by name
+   */
+  static Map<String, Long> keptUntil(List<DirectoryObject> objects, long sentAt) {
+    Map<String, Long> until = new HashMap<>();
+    for (DirectoryObject object : objects) {
+      if (object.isSetKeptMs()) {
+        until.put(object.getName(), sentAt + TimeUnit.MILLISECONDS.toNanos(object.getKeptMs()));
+      }
+    }
+    return until;
+  }
+
   private static List<DirectoryEntry> higherVersions(DirectoryCopyState copy, String peerVersions) {
     Map<String, String> known = new HashMap<>();
     for (String line : peerVersions.split("\n")) {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -213,6 +213,7 @@
           kind,
           new HistoryPosition(copy.getEra(), copy.getRevision()),
           copy.isSetObjects() ? DirectoryCopyCodec.decode(copy.getObjects()) : null,
+          copy.isSetObjects() ? DirectoryCopyCodec.keptUntil(copy.getObjects(), sentAt) : Map.of(),
           provenAt);
     }
   }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -41,14 +41,11 @@
   /** Longest delay before a retry, in milliseconds. */
   private static final long MAX_RETRY_DELAY_MS = 800;
 
-  /**
-   * Time after the end of an outage in which a removed entry may belong to a VM that has yet to
-   * register again.
-   */
-  private static final long REREGISTRATION_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
-
   private static final long EXPIRY_INTERVAL_MS = 100;
 
+  /** Times that a VM writes its entry before the platform removes an entry that is not written. */
+  private static final int HEARTBEATS_PER_EXPIRY = 3;
+
   /**
    * Time before its call for which a watch may have missed changes without notice. The platform may
    * withhold changes from its watches for up to a second before it drops its history.
@@ -65,6 +62,11 @@
   private final PlatformHistory history = new PlatformHistory();
   private boolean stopped;
 
+  /** Time of the last answer to any call; the start if there was none. */
+  private long answeredAt;
+
+  private boolean failedSinceAnswer;
+
   /**
    * Creates an object that does not read anything yet.
    *
@@ -91,6 +93,7 @@
     this.clock = clock;
     this.onChange = onChange;
     this.onRestored = onRestored;
+    this.answeredAt = clock.nanoTime();
   }
 
   /**
@@ -183,19 +186,27 @@
    * @param kind the kind
    * @param position position of the peer's copy
    * @param entries the entries; null if the peer's copy is not newer than the local one
+   * @param keptUntil times until which the peer keeps entries that the platform lacks, by name
    * @param provenAt time at which the peer's copy was last known to be current
    */
   public void applyPeerCopy(
-      ObjectKind kind, HistoryPosition position, List<DirectoryEntry> entries, long provenAt) {
+      ObjectKind kind,
+      HistoryPosition position,
+      List<DirectoryEntry> entries,
+      Map<String, Long> keptUntil,
+      long provenAt) {
     KindSync sync = kinds.get(kind);
     if (sync == null || !isOfCurrentEra(sync, position)) {
       return;
     }
     boolean changed =
-        entries != null && sync.copy.replace(entries, position, provenAt, false, clock.nanoTime());
+        entries != null
+            && sync.copy.replaceWithPeerCopy(
+                entries, keptUntil, position, provenAt, clock.nanoTime());
     sync.copy.confirmCurrent(position, provenAt);
     sync.listWhenSettled();
     if (changed) {
+      DirectoryCopyLog.kept(kind, sync.copy, clock.nanoTime());
       LOG.atInfo()
           .addKeyValue("kind", kind)
           .addKeyValue("position", position.toText())
@@ -205,6 +216,22 @@
     }
   }
 
+  /**
+   * Records an answer of the platform. Entries lapse in an outage only if it lasts longer than the
+   * interval at which VMs write them; a shorter one, such as a single call that was cut off, is no
+   * reason to keep what was removed.
+   */
+  private void answered(long now) {
+    if (failedSinceAnswer && now - answeredAt >= entryExpiryNanos / HEARTBEATS_PER_EXPIRY) {
+      LOG.atInfo()
+          .addKeyValue("outageMs", TimeUnit.NANOSECONDS.toMillis(now - answeredAt))
+          .log("outage of the platform ended; removed entries are kept for a while");
+      kinds.values().forEach(sync -> sync.copy.outageEnded(now));
+    }
+    failedSinceAnswer = false;
+    answeredAt = now;
+  }
+
   /** Reads the era of a peer's copy, and returns whether the copy may be used. */
   private boolean isOfCurrentEra(KindSync sync, HistoryPosition position) {
     long now = clock.nanoTime();
@@ -238,8 +265,6 @@
     private Scheduler.Cancellable settledTimer;
     private int failures;
     private int relists;
-    private boolean outageEnded;
-    private long outageEndedAt;
 
     KindSync(ObjectKind kind, long waitMs, long batchDelayMs, boolean watching) {
       this.batchDelayMs = batchDelayMs;
@@ -302,10 +327,9 @@
 
     private void succeeded(boolean list, DirectoryEntries listing, long sentAt, long copyEra) {
       long now = clock.nanoTime();
+      answered(now);
       if (failures > 0) {
         LOG.atInfo().addKeyValue("kind", kind).log("platform reached again");
-        outageEnded = true;
-        outageEndedAt = now;
         failures = 0;
         kinds.values().stream().filter(other -> other != this).forEach(KindSync::restartWatch);
       }
@@ -325,18 +349,20 @@
         sendCall();
         return;
       }
-      boolean afterOutage = outageEnded && now - outageEndedAt < REREGISTRATION_NANOS;
       boolean changed;
       if (list) {
         HistoryPosition position = new HistoryPosition(history.era(), listing.revision());
-        changed = copy.replace(listing.entries(), position, sentAt, afterOutage, now);
+        changed = copy.replace(listing.entries(), position, sentAt, now);
         listNeeded = false;
         DirectoryCopyLog.kept(kind, copy, now);
         listWhenSettled();
       } else {
         relists = 0;
         long provenAt = sentAt - WATCH_LAG_NANOS;
-        changed = copy.apply(listing.entries(), listing.revision(), provenAt, afterOutage, now);
+        changed = copy.apply(listing.entries(), listing.revision(), provenAt, now);
+        if (listing.entries().stream().anyMatch(DirectoryEntry::removed)) {
+          DirectoryCopyLog.kept(kind, copy, now);
+        }
       }
       if (changed) {
         LOG.atInfo()
@@ -388,6 +414,7 @@
             .addKeyValue("reason", failure.getMessage())
             .log("platform not reached");
       }
+      failedSinceAnswer = true;
       long delay = Math.min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS << Math.min(failures, 3));
       failures++;
       scheduleCall(delay);
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -34,6 +34,9 @@
   private final CopyProof proof;
   private boolean loaded;
 
+  /** Time up to which removed entries may be registered again; empty if there was no outage. */
+  private OptionalLong registrationEnd = OptionalLong.empty();
+
   /** An entry that is not used, since its VM had left before the platform was restored. */
   private record WithheldEntry(DirectoryEntry entry, long until) {}
 
@@ -50,6 +53,21 @@
     this.proof = new CopyProof(kind.isVersionedByOperators() ? REREGISTRATION_NANOS : 0);
   }
 
+  /**
+   * Records the end of an outage of the platform, in which the entries of VMs may have lapsed that
+   * still run. Entries that are missing from now on are kept until {@link #REREGISTRATION_NANOS}
+   * after this time.
+   *
+   * @param at time of the first answer after the outage
+   */
+  public void outageEnded(long at) {
+    registrationEnd = OptionalLong.of(at + REREGISTRATION_NANOS);
+  }
+
+  private boolean mayRegisterAgain(long now) {
+    return registrationEnd.isPresent() && now - registrationEnd.getAsLong() < 0;
+  }
+
   /**
    * Replaces the copy by a full listing. A listing of the same era that is older than the copy is
    * ignored. After an outage, and in another era, entries that the listing lacks are kept for
@@ -59,22 +77,17 @@
    * @param listed all objects of the kind
    * @param listedPosition position of the platform's history at the listing
    * @param currentAt time at which the listing was current
-   * @param afterOutage true if entries may be missing only because of an outage of the platform
    * @param now present time
    * @return true if an entry changed
    */
   public boolean replace(
-      Collection<DirectoryEntry> listed,
-      HistoryPosition listedPosition,
-      long currentAt,
-      boolean afterOutage,
-      long now) {
+      Collection<DirectoryEntry> listed, HistoryPosition listedPosition, long currentAt, long now) {
     final boolean first = !loaded;
     boolean otherEra = loaded && listedPosition.era() != position.era();
     if (!otherEra && listedPosition.revision() < position.revision()) {
       return false;
     }
-    final boolean keepsMissing = afterOutage || otherEra;
+    final boolean keepsMissing = mayRegisterAgain(now) || otherEra;
     final Map<String, DirectoryEntry> previous = new HashMap<>(entries);
     final Map<String, KeptEntry> keptBefore = new HashMap<>(kept);
     entries.clear();
@@ -91,7 +104,7 @@
       } else if (keptOld != null && !otherEra) {
         keepMissing(old, keptOld.until());
       } else if (keepsMissing) {
-        keepMissing(old, registrationEnd(otherEra, now));
+        keepMissing(old, keptUntil(otherEra, now));
       } else {
         departedAt.put(old.name(), now);
       }
@@ -107,6 +120,40 @@
     return otherEra || !isSame(previous, keptBefore);
   }
 
+  /**
+   * Replaces the copy by that of a peer, as {@link #replace}. What the peer only keeps is kept no
+   * longer here than there, since no change from its position on shows that it is missing.
+   *
+   * @param listed all entries of the peer's copy
+   * @param keptUntil times until which the peer keeps entries that the platform lacks, by name
+   * @param peerPosition position of the peer's copy
+   * @param currentAt time at which the peer's copy was current
+   * @param now present time
+   * @return true if an entry changed
+   */
+  public boolean replaceWithPeerCopy(
+      Collection<DirectoryEntry> listed,
+      Map<String, Long> keptUntil,
+      HistoryPosition peerPosition,
+      long currentAt,
+      long now) {
+    final Map<String, KeptEntry> keptBefore = new HashMap<>(kept);
+    boolean changed = replace(listed, peerPosition, currentAt, now);
+    if (position.equals(peerPosition)) {
+      keptUntil.forEach((name, until) -> keepAsPeer(name, until, keptBefore.get(name)));
+    }
+    return changed;
+  }
+
+  private void keepAsPeer(String name, long peerUntil, KeptEntry keptBefore) {
+    DirectoryEntry entry = entries.get(name);
+    if (entry != null) {
+      OptionalLong before = keptBefore == null ? OptionalLong.empty() : keptBefore.until();
+      boolean endsEarlier = before.isPresent() && before.getAsLong() - peerUntil < 0;
+      keepMissing(entry, endsEarlier ? before : OptionalLong.of(peerUntil));
+    }
+  }
+
   /**
    * Takes the entries out of use that a restored platform shows again although their VMs had left.
    * Such an entry is used when it is written again, or when it stays for longer than the platform
@@ -154,8 +201,11 @@
   }
 
   /** Returns the time until which an entry that the platform lacks may be written again. */
-  private OptionalLong registrationEnd(boolean otherEra, long now) {
-    return otherEra && kind.isVersionedByOperators()
+  private OptionalLong keptUntil(boolean otherEra, long now) {
+    if (!otherEra) {
+      return registrationEnd;
+    }
+    return kind.isVersionedByOperators()
         ? OptionalLong.empty()
         : OptionalLong.of(now + REREGISTRATION_NANOS);
   }
@@ -200,16 +250,11 @@
    * @param changes changed and removed objects, oldest first
    * @param changedRevision revision of the platform after the changes
    * @param currentAt time up to which the changes are complete
-   * @param afterOutage true if entries may be removed only because of an outage of the platform
    * @param now present time
    * @return true if an entry changed
    */
   public boolean apply(
-      List<DirectoryEntry> changes,
-      long changedRevision,
-      long currentAt,
-      boolean afterOutage,
-      long now) {
+      List<DirectoryEntry> changes, long changedRevision, long currentAt, long now) {
     boolean changed = false;
     final boolean keptBefore = !kept.isEmpty();
     for (DirectoryEntry change : changes) {
@@ -224,9 +269,9 @@
         keep(old, change);
         continue;
       }
-      if (change.removed() && afterOutage && old != null) {
+      if (change.removed() && mayRegisterAgain(now) && old != null) {
         if (!kept.containsKey(change.name())) {
-          keepMissing(old, registrationEnd(false, now));
+          keepMissing(old, registrationEnd);
         }
         continue;
       }
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryObject.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryObject.java
@@ -14,6 +14,7 @@
   private static final org.apache.thrift.protocol.TField REVISION_FIELD_DESC = new org.apache.thrift.protocol.TField("revision", org.apache.thrift.protocol.TType.I64, (short)2);
   private static final org.apache.thrift.protocol.TField CONTENT_FIELD_DESC = new org.apache.thrift.protocol.TField("content", org.apache.thrift.protocol.TType.STRING, (short)3);
   private static final org.apache.thrift.protocol.TField OPERATOR_VERSION_FIELD_DESC = new org.apache.thrift.protocol.TField("operatorVersion", org.apache.thrift.protocol.TType.I64, (short)4);
+  private static final org.apache.thrift.protocol.TField KEPT_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("keptMs", org.apache.thrift.protocol.TType.I64, (short)5);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DirectoryObjectStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DirectoryObjectTupleSchemeFactory();
@@ -22,13 +23,15 @@
   public long revision; // required
   public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer content; // required
   public long operatorVersion; // required
+  public long keptMs; // optional
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     NAME((short)1, "name"),
     REVISION((short)2, "revision"),
     CONTENT((short)3, "content"),
-    OPERATOR_VERSION((short)4, "operatorVersion");
+    OPERATOR_VERSION((short)4, "operatorVersion"),
+    KEPT_MS((short)5, "keptMs");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -52,6 +55,8 @@
           return CONTENT;
         case 4: // OPERATOR_VERSION
           return OPERATOR_VERSION;
+        case 5: // KEPT_MS
+          return KEPT_MS;
         default:
           return null;
       }
@@ -97,7 +102,9 @@
   // isset id assignments
   private static final int __REVISION_ISSET_ID = 0;
   private static final int __OPERATORVERSION_ISSET_ID = 1;
+  private static final int __KEPTMS_ISSET_ID = 2;
   private byte __isset_bitfield = 0;
+  private static final _Fields optionals[] = {_Fields.KEPT_MS};
   public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
   static {
     java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -109,6 +116,8 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
     tmpMap.put(_Fields.OPERATOR_VERSION, new org.apache.thrift.meta_data.FieldMetaData("operatorVersion", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.KEPT_MS, new org.apache.thrift.meta_data.FieldMetaData("keptMs", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DirectoryObject.class, metaDataMap);
   }
@@ -144,6 +153,7 @@
       this.content = org.apache.thrift.TBaseHelper.copyBinary(other.content);
     }
     this.operatorVersion = other.operatorVersion;
+    this.keptMs = other.keptMs;
   }
 
   @Override
@@ -159,6 +169,8 @@
     this.content = null;
     setOperatorVersionIsSet(false);
     this.operatorVersion = 0;
+    setKeptMsIsSet(false);
+    this.keptMs = 0;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -266,6 +278,29 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OPERATORVERSION_ISSET_ID, value);
   }
 
+  public long getKeptMs() {
+    return this.keptMs;
+  }
+
+  public DirectoryObject setKeptMs(long keptMs) {
+    this.keptMs = keptMs;
+    setKeptMsIsSet(true);
+    return this;
+  }
+
+  public void unsetKeptMs() {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __KEPTMS_ISSET_ID);
+  }
+
+  /** Returns true if field keptMs is set (has been assigned a value) and false otherwise */
+  public boolean isSetKeptMs() {
+    return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __KEPTMS_ISSET_ID);
+  }
+
+  public void setKeptMsIsSet(boolean value) {
+    __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __KEPTMS_ISSET_ID, value);
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -305,6 +340,14 @@
       }
       break;
 
+    case KEPT_MS:
+      if (value == null) {
+        unsetKeptMs();
+      } else {
+        setKeptMs((java.lang.Long)value);
+      }
+      break;
+
     }
   }
 
@@ -324,6 +367,9 @@
     case OPERATOR_VERSION:
       return getOperatorVersion();
 
+    case KEPT_MS:
+      return getKeptMs();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -344,6 +390,8 @@
       return isSetContent();
     case OPERATOR_VERSION:
       return isSetOperatorVersion();
+    case KEPT_MS:
+      return isSetKeptMs();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -397,6 +445,15 @@
         return false;
     }
 
+    boolean this_present_keptMs = true && this.isSetKeptMs();
+    boolean that_present_keptMs = true && that.isSetKeptMs();
+    if (this_present_keptMs || that_present_keptMs) {
+      if (!(this_present_keptMs && that_present_keptMs))
+        return false;
+      if (this.keptMs != that.keptMs)
+        return false;
+    }
+
     return true;
   }
 
@@ -416,6 +473,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(operatorVersion);
 
+    hashCode = hashCode * 8191 + ((isSetKeptMs()) ? 131071 : 524287);
+    if (isSetKeptMs())
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(keptMs);
+
     return hashCode;
   }
 
@@ -467,6 +528,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetKeptMs(), other.isSetKeptMs());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetKeptMs()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.keptMs, other.keptMs);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -514,6 +585,12 @@
     sb.append("operatorVersion:");
     sb.append(this.operatorVersion);
     first = false;
+    if (isSetKeptMs()) {
+      if (!first) sb.append(", ");
+      sb.append("keptMs:");
+      sb.append(this.keptMs);
+      first = false;
+    }
     sb.append(")");
     return sb.toString();
   }
@@ -593,6 +670,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 5: // KEPT_MS
+            if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+              struct.keptMs = iprot.readI64();
+              struct.setKeptMsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -625,6 +710,11 @@
       oprot.writeFieldBegin(OPERATOR_VERSION_FIELD_DESC);
       oprot.writeI64(struct.operatorVersion);
       oprot.writeFieldEnd();
+      if (struct.isSetKeptMs()) {
+        oprot.writeFieldBegin(KEPT_MS_FIELD_DESC);
+        oprot.writeI64(struct.keptMs);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -656,7 +746,10 @@
       if (struct.isSetOperatorVersion()) {
         optionals.set(3);
       }
-      oprot.writeBitSet(optionals, 4);
+      if (struct.isSetKeptMs()) {
+        optionals.set(4);
+      }
+      oprot.writeBitSet(optionals, 5);
       if (struct.isSetName()) {
         oprot.writeString(struct.name);
       }
@@ -669,12 +762,15 @@
       if (struct.isSetOperatorVersion()) {
         oprot.writeI64(struct.operatorVersion);
       }
+      if (struct.isSetKeptMs()) {
+        oprot.writeI64(struct.keptMs);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, DirectoryObject struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(4);
+      java.util.BitSet incoming = iprot.readBitSet(5);
       if (incoming.get(0)) {
         struct.name = iprot.readString();
         struct.setNameIsSet(true);
@@ -691,6 +787,10 @@
         struct.operatorVersion = iprot.readI64();
         struct.setOperatorVersionIsSet(true);
       }
+      if (incoming.get(4)) {
+        struct.keptMs = iprot.readI64();
+        struct.setKeptMsIsSet(true);
+      }
     }
   }
 
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -64,6 +64,7 @@
   2: i64 revision,
   3: binary content, // as the platform encodes it
   4: i64 operatorVersion, // 0 if operators do not version it
+  5: optional i64 keptMs, // the platform lacks it, and the sender drops it after this time
 }
 
 // The sender's copy of one kind of platform objects.
