--- /dev/null
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
@@ -0,0 +1,443 @@
+package org.clementineford.fleet;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.Scheduler;
+import org.clementineford.serving.directory.DirectoryEntries;
+import org.clementineford.serving.directory.DirectoryEntry;
+import org.clementineford.serving.directory.ObjectDirectory;
+import org.clementineford.serving.directory.ObjectKind;
+import org.clementineford.serving.directory.ObserverDuty;
+import org.clementineford.serving.model.Endpoint;
+import org.clementineford.serving.model.RoutingConfiguration;
+import org.clementineford.serving.model.WeightTarget;
+import org.clementineford.testing.VirtualTime;
+import org.clementineford.transport.http.HttpRequest;
+import org.clementineford.transport.http.HttpResponse;
+import org.clementineford.wire.FleetDatagram;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Entry VMs of several data centres that follow their observers, with random faults. */
+class ObserverFleetTest {
+  private static final VmSettings.Bounds BOUNDS =
+      new VmSettings.Bounds(8_000, 5_000, true, 8_000, 0.2, 100, 10, 3_600, 2_000, 3_000);
+
+  /** Age of the configuration up to which an entry VM accepts keys. */
+  private static final long KEY_AGE_MS = 4_600;
+
+  /** Time within which a VM in touch must use no endpoint that was removed. */
+  private static final long DRAIN_MS = 2_000;
+
+  private static final long STEP_MS = 20;
+
+  private static long nanos(long ms) {
+    return TimeUnit.MILLISECONDS.toNanos(ms);
+  }
+
+  /** One fleet with its faults. */
+  private static final class Fleet implements DirectoryDecoder {
+    private final long seed;
+    private final Random random;
+    private final VirtualTime time = new VirtualTime(0);
+    private final SimulatedPlatform platform = new SimulatedPlatform(time);
+    private final Map<String, Vm> vms = new LinkedHashMap<>();
+    private final List<String> hosts = new ArrayList<>();
+    private final Map<Long, Long> confirmedAt = new HashMap<>();
+    private final Map<String, Long> removedAt = new HashMap<>();
+    private final List<String> endpoints = new ArrayList<>();
+    private long version;
+    private int endpointNumber;
+    private boolean away;
+    private long platformDisturbedUntil;
+
+    Fleet(int size, int dataCentres, long seed) {
+      this.seed = seed;
+      random = new Random(seed);
+      write();
+      for (int i = 0; i < 12; i++) {
+        addEndpoint();
+      }
+      for (int i = 0; i < size; i++) {
+        String host = "10." + i % dataCentres + ".0." + i;
+        hosts.add(host);
+        vms.put(host, new Vm(host, "dc-" + i % dataCentres));
+      }
+    }
+
+    private void after(long delayMs, Runnable action) {
+      time.schedule(action, delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void write() {
+      if (!away) {
+        version++;
+        platform.put(ObjectKind.CONFIGURATION, "main", version);
+        confirmedAt.put(version, time.nanoTime());
+      }
+    }
+
+    private void addEndpoint() {
+      if (!away) {
+        endpointNumber++;
+        endpoints.add("e" + endpointNumber);
+        platform.put(ObjectKind.ENDPOINTS, "e" + endpointNumber);
+      }
+    }
+
+    private void removeEndpoint() {
+      if (!away && endpoints.size() > 4) {
+        String removed = endpoints.remove(random.nextInt(endpoints.size()));
+        platform.remove(ObjectKind.ENDPOINTS, removed);
+        removedAt.put(removed, time.nanoTime());
+      }
+    }
+
+    private void outage(long durationMs) {
+      if (!away) {
+        away = true;
+        platform.goDown();
+        platformDisturbedUntil = Long.MAX_VALUE;
+        after(
+            durationMs,
+            () -> {
+              platform.recover();
+              away = false;
+              platformDisturbedUntil = time.nanoTime();
+            });
+      }
+    }
+
+    private Vm any() {
+      return vms.get(hosts.get(random.nextInt(hosts.size())));
+    }
+
+    /** Returns an observer of a random data centre. */
+    private Vm anyObserver() {
+      List<Vm> observers =
+          vms.values().stream().filter(vm -> vm.observers.isObserving() && !vm.stopped).toList();
+      return observers.isEmpty() ? any() : observers.get(random.nextInt(observers.size()));
+    }
+
+    private void disturb(Vm vm) {
+      if (vm.stopped || vm.disturbedUntil == Long.MAX_VALUE) {
+        return;
+      }
+      vm.disturbedUntil = Long.MAX_VALUE;
+      long durationMs = 300 + random.nextInt(8_000);
+      switch (random.nextInt(5)) {
+        case 0 -> vm.stop();
+        case 1 -> vm.paused = true;
+        case 2 -> vm.client.setCutOff(true);
+        case 3 -> vm.sendsNothing = true;
+        default -> vm.receivesNothing = true;
+      }
+      after(durationMs, () -> vms.get(vm.host).recover());
+    }
+
+    void play(long durationMs, int faultsPerSecond) {
+      for (long ms = 0; ms < durationMs; ms += STEP_MS) {
+        if (random.nextInt(1_000) < faultsPerSecond * STEP_MS) {
+          switch (random.nextInt(10)) {
+            case 0, 1, 2 -> disturb(anyObserver());
+            case 3 -> disturb(any());
+            case 4 -> outage(200 + random.nextInt(4_000));
+            case 5, 6 -> addEndpoint();
+            case 7 -> removeEndpoint();
+            default -> write();
+          }
+        }
+        time.advance(STEP_MS, TimeUnit.MILLISECONDS);
+        vms.values().forEach(this::check);
+      }
+    }
+
+    private void check(Vm vm) {
+      long now = time.nanoTime();
+      if (vm.stopped || vm.paused) {
+        return;
+      }
+      long ageNanos = vm.sync.copy(ObjectKind.CONFIGURATION).ageNanos(now);
+      boolean inTouch =
+          vm.disturbedUntil != Long.MAX_VALUE
+              && now - vm.disturbedUntil > nanos(BOUNDS.contactMs())
+              && platformDisturbedUntil != Long.MAX_VALUE
+              && now - platformDisturbedUntil > nanos(BOUNDS.contactMs());
+      confirmedAt.forEach(
+          (confirmed, at) -> {
+            if (vm.inForce < confirmed) {
+              assertThat(ageNanos > nanos(KEY_AGE_MS) || now - at < nanos(5_000))
+                  .as("seed %d: %s accepts keys by %d", seed, vm.host, vm.inForce)
+                  .isTrue();
+              assertThat(inTouch && now - at > nanos(BOUNDS.configurationApplyMs()))
+                  .as("seed %d, %d ms: %s has no %d", seed, now / 1_000_000, vm.host, confirmed)
+                  .isFalse();
+            }
+          });
+      if (inTouch) {
+        assertThat(ageNanos)
+            .as("seed %d, %d ms: age at %s", seed, now / 1_000_000, vm.host)
+            .isLessThan(nanos(KEY_AGE_MS));
+        for (DirectoryEntry entry : vm.sync.copy(ObjectKind.ENDPOINTS).entries()) {
+          Long at = removedAt.get(entry.name());
+          assertThat(at != null && now - at > nanos(DRAIN_MS))
+              .as("seed %d, %d ms: %s uses %s", seed, now / 1_000_000, vm.host, entry.name())
+              .isFalse();
+        }
+      }
+    }
+
+    long observers() {
+      return vms.values().stream().filter(vm -> vm.observers.isObserving()).count();
+    }
+
+    @Override
+    public RoutingConfiguration configuration(DirectoryEntry entry) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Optional<Endpoint> endpoint(DirectoryEntry entry) {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<WeightTarget> weightTarget(DirectoryEntry entry) {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<RegisteredEntryVm> entryVm(DirectoryEntry entry) {
+      String dataCentre = "dc-" + entry.name().split("\\.")[1];
+      return Optional.of(new RegisteredEntryVm(new HostPort(entry.name(), 8_000), dataCentre));
+    }
+
+    /** An entry VM. What reaches it while it is paused waits until it goes on. */
+    private final class Vm implements Scheduler, ObjectDirectory {
+      private final String host;
+      private final String dataCentre;
+      private final SimulatedPlatform.Client client = platform.new Client();
+      private final DirectorySync sync;
+      private final DirectoryExchange copies;
+      private final ObserverExchange observers;
+      private final List<Runnable> waiting = new ArrayList<>();
+      private boolean stopped;
+      private boolean paused;
+      private boolean sendsNothing;
+      private boolean receivesNothing;
+      private long disturbedUntil;
+      private long inForce;
+
+      Vm(String host, String dataCentre) {
+        this.host = host;
+        this.dataCentre = dataCentre;
+        disturbedUntil = time.nanoTime();
+        HostPort address = new HostPort(host, 8_000);
+        sync = new DirectorySync(this, this, time, 3_600, this::changed, () -> {});
+        copies =
+            new DirectoryExchange(
+                sync,
+                this::call,
+                this,
+                time,
+                random::nextDouble,
+                address,
+                kind -> sync.maxAgeNanos(kind) + nanos(500));
+        observers =
+            new ObserverExchange(
+                sync,
+                copies,
+                new ObserverDuty(host, random::nextDouble),
+                time,
+                new VmSettings(
+                    host,
+                    dataCentre,
+                    "region",
+                    Map.of(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    address,
+                    new HostPort(host, 7_701),
+                    List.of(),
+                    Optional.empty(),
+                    "",
+                    address,
+                    1,
+                    BOUNDS),
+                List.of(ObjectKind.CONFIGURATION, ObjectKind.ENDPOINTS),
+                random.nextLong(1L << 60),
+                this::send);
+        hosts.stream().limit(3).forEach(seed -> copies.addPeers(List.of(new HostPort(seed, 8000))));
+        sync.start();
+        WatchTimes watchTimes = WatchTimes.of(BOUNDS);
+        sync.watch(ObjectKind.CONFIGURATION, watchTimes.configurationMs(), 0);
+        sync.watch(ObjectKind.ENDPOINTS, watchTimes.endpointsMs(), 300);
+        sync.poll(ObjectKind.ENTRY_VMS, 10_000);
+        schedule(() -> sync.refresh(ObjectKind.ENTRY_VMS), 2_000, TimeUnit.MILLISECONDS);
+        copies.start();
+        observers.start(this);
+        client.register(host, address.toString(), dataCentre);
+      }
+
+      void stop() {
+        stopped = true;
+        sync.stop();
+      }
+
+      void recover() {
+        if (stopped) {
+          vms.put(host, new Vm(host, dataCentre));
+          return;
+        }
+        disturbedUntil = time.nanoTime();
+        client.setCutOff(false);
+        sendsNothing = false;
+        receivesNothing = false;
+        paused = false;
+        List<Runnable> late = List.copyOf(waiting);
+        waiting.clear();
+        late.forEach(Runnable::run);
+      }
+
+      private void changed(ObjectKind kind) {
+        observers.copyChanged();
+        if (kind == ObjectKind.CONFIGURATION) {
+          for (DirectoryEntry entry : sync.copy(kind).entries()) {
+            inForce = Math.max(inForce, entry.operatorVersion());
+          }
+        } else if (kind == ObjectKind.ENTRY_VMS) {
+          copies.addEntryVms(sync.copy(kind).entries(), Fleet.this);
+          observers.addEntryVms(sync.copy(kind).entries(), Fleet.this);
+        }
+      }
+
+      private void deliver(Runnable command) {
+        if (paused) {
+          waiting.add(command);
+        } else if (!stopped) {
+          command.run();
+        }
+      }
+
+      private void send(HostPort receiver, FleetDatagram datagram) {
+        Vm vm = vms.get(receiver.host());
+        if (vm == null || sendsNothing || vm.receivesNothing || random.nextInt(100) == 0) {
+          return;
+        }
+        after(2, () -> vm.deliver(() -> vm.received(new HostPort(host, 7_701), datagram)));
+      }
+
+      private void received(HostPort sender, FleetDatagram datagram) {
+        if (datagram.isSetPositionsRequest()) {
+          observers.onRequest(sender, datagram.getPositionsRequest());
+        } else {
+          observers.onPositions(sender, datagram.getPositions());
+        }
+      }
+
+      private CompletableFuture<HttpResponse> call(HostPort peer, HttpRequest request, long ms) {
+        CompletableFuture<HttpResponse> future = new CompletableFuture<>();
+        Vm vm = vms.get(peer.host());
+        boolean cut = sendsNothing || receivesNothing || vm.sendsNothing || vm.receivesNothing;
+        if (cut || vm.stopped) {
+          after(ms, () -> deliver(() -> future.completeExceptionally(new Exception("silent"))));
+        } else {
+          after(
+              3,
+              () ->
+                  vm.deliver(
+                      () -> {
+                        byte[] body = vm.copies.copiesFor(request);
+                        HttpResponse response = new HttpResponse(200, Map.of(), body);
+                        after(3, () -> deliver(() -> future.complete(response)));
+                      }));
+        }
+        return future;
+      }
+
+      private <T> CompletableFuture<T> buffered(CompletableFuture<T> answer) {
+        CompletableFuture<T> future = new CompletableFuture<>();
+        answer.whenComplete(
+            (value, failure) ->
+                deliver(
+                    () -> {
+                      if (failure == null) {
+                        future.complete(value);
+                      } else {
+                        future.completeExceptionally(failure);
+                      }
+                    }));
+        return future;
+      }
+
+      @Override
+      public CompletableFuture<DirectoryEntries> list(ObjectKind kind, boolean current) {
+        return buffered(client.list(kind, current));
+      }
+
+      @Override
+      public CompletableFuture<DirectoryEntries> watch(
+          ObjectKind kind, long revision, long waitMs) {
+        return buffered(client.watch(kind, revision, waitMs));
+      }
+
+      @Override
+      public CompletableFuture<Void> register(String name, String address, String dataCentre) {
+        return client.register(name, address, dataCentre);
+      }
+
+      @Override
+      public Cancellable schedule(Runnable command, long delay, TimeUnit unit) {
+        return time.schedule(() -> deliver(command), delay, unit);
+      }
+
+      @Override
+      public Cancellable scheduleWithFixedDelay(Runnable command, long interval, TimeUnit unit) {
+        return time.scheduleWithFixedDelay(() -> deliver(command), interval, unit);
+      }
+    }
+  }
+
+  // Guards against configurations, removed keys and endpoints that left which reach followers late
+  // while their observers are stopped, paused or cut off, also in one direction.
+  @ParameterizedTest
+  @CsvSource({"9, 3, 10", "40, 3, 6", "100, 7, 2"})
+  void followersAreCurrentWhateverHappensToObservers(int size, int dataCentres, int runs) {
+    for (long seed = 1; seed <= runs; seed++) {
+      Fleet fleet = new Fleet(size, dataCentres, seed);
+      fleet.play(6_000, 0);
+      fleet.play(40_000, 3);
+      fleet.play(20_000, 0);
+      assertThat(fleet.observers())
+          .as("seed %d", seed)
+          .isBetween(2L * dataCentres, 3L * dataCentres);
+    }
+  }
+
+  // Guards against calls to the platform that grow with the entry VMs.
+  @Test
+  void callsDependOnTheDataCentresAndNotOnTheVms() {
+    List<Integer> calls = new ArrayList<>();
+    for (int size : List.of(30, 120)) {
+      Fleet fleet = new Fleet(size, 3, 1);
+      fleet.play(10_000, 0);
+      int before = fleet.platform.calls();
+      fleet.play(20_000, 0);
+      calls.add(fleet.platform.calls() - before);
+    }
+    // Both kinds at two observers of three data centres, and one listing of entry VMs in 10 s.
+    assertThat(calls.get(0)).isLessThan(6 * (20 + 8) + 30 * 3);
+    assertThat(calls.get(1)).isLessThan(6 * (20 + 8) + 120 * 3);
+  }
+}
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryDecoder.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryDecoder.java
@@ -1,7 +1,6 @@
 package org.clementineford.fleet;
 
 import java.util.Optional;
-import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.serving.directory.DirectoryEntry;
 import org.clementineford.serving.model.Endpoint;
@@ -40,7 +39,7 @@
    * Decodes the registration of an entry VM.
    *
    * @param entry the encoded object
-   * @return address at which it answers its peers; empty if the entry does not contain one
+   * @return the registration; empty if the entry contains no address
    */
-  Optional<HostPort> entryVm(DirectoryEntry entry);
+  Optional<RegisteredEntryVm> entryVm(DirectoryEntry entry);
 }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
+import java.util.function.ToLongFunction;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
@@ -52,7 +53,7 @@
   private final NanoClock clock;
   private final DoubleSupplier random;
   private final HostPort self;
-  private final long staleNanos;
+  private final ToLongFunction<ObjectKind> staleNanos;
   private final Set<HostPort> peers = new LinkedHashSet<>();
 
   /** Sends requests to peers. */
@@ -78,7 +79,7 @@
    * @param clock monotonic clock
    * @param random random numbers from 0 inclusive to 1 exclusive
    * @param self address at which this VM answers its peers
-   * @param staleMs age above which a copy is requested from peers, in milliseconds
+   * @param staleNanos age of each kind above which a copy is requested from peers, in nanoseconds
    */
   public DirectoryExchange(
       DirectorySync sync,
@@ -87,14 +88,14 @@
       NanoClock clock,
       DoubleSupplier random,
       HostPort self,
-      long staleMs) {
+      ToLongFunction<ObjectKind> staleNanos) {
     this.sync = sync;
     this.client = client;
     this.scheduler = scheduler;
     this.clock = clock;
     this.random = random;
     this.self = self;
-    this.staleNanos = TimeUnit.MILLISECONDS.toNanos(staleMs);
+    this.staleNanos = staleNanos;
   }
 
   /** Starts to request copies from peers whenever a local copy is stale. */
@@ -124,7 +125,7 @@
    */
   public void addEntryVms(Iterable<DirectoryEntry> entries, DirectoryDecoder decoder) {
     List<HostPort> addresses = new ArrayList<>();
-    entries.forEach(entry -> decoder.entryVm(entry).ifPresent(addresses::add));
+    entries.forEach(entry -> decoder.entryVm(entry).ifPresent(vm -> addresses.add(vm.address())));
     addPeers(addresses);
   }
 
@@ -154,9 +155,7 @@
     long now = clock.nanoTime();
     List<ObjectKind> stale = new ArrayList<>();
     for (ObjectKind kind : sync.kinds()) {
-      DirectoryCopyState copy = sync.copy(kind);
-      boolean isStale = copy.ageNanos(now) > staleNanos || copy.settlingNanos(now) > 0;
-      if (kind != ObjectKind.ENTRY_VMS && isStale) {
+      if (kind != ObjectKind.ENTRY_VMS && isStale(kind, now)) {
         stale.add(kind);
       }
     }
@@ -170,7 +169,18 @@
     }
   }
 
-  private void requestCopies(HostPort peer, List<ObjectKind> kinds) {
+  private boolean isStale(ObjectKind kind, long now) {
+    DirectoryCopyState copy = sync.copy(kind);
+    return copy.ageNanos(now) > staleNanos.applyAsLong(kind) || copy.settlingNanos(now) > 0;
+  }
+
+  /**
+   * Requests copies from one peer.
+   *
+   * @param peer address of the peer
+   * @param kinds the kinds
+   */
+  public void requestCopies(HostPort peer, List<ObjectKind> kinds) {
     final long sentAt = clock.nanoTime();
     StringBuilder query = new StringBuilder(PATH).append("?vm=").append(self);
     for (ObjectKind kind : kinds) {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -41,6 +41,15 @@
   /** Longest delay before a retry, in milliseconds. */
   private static final long MAX_RETRY_DELAY_MS = 800;
 
+  /** Shortest wait of a watch, in milliseconds. */
+  private static final long MIN_WATCH_MS = 200;
+
+  /** Time that the platform's answer to a watch may take after its wait, when it is slow. */
+  private static final long SLOW_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(350);
+
+  /** Time by which a copy from a peer may be older than the peer's: two questions and a copy. */
+  static final long FOLLOWER_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
   private static final long EXPIRY_INTERVAL_MS = 100;
 
   /** Times that a VM writes its entry before the platform removes an entry that is not written. */
@@ -100,8 +109,8 @@
    * Lists a kind, then watches it for changes.
    *
    * @param kind the kind
-   * @param waitMs longest wait of a watch, in milliseconds; a lost connection is detected after
-   *     about this time
+   * @param waitMs time after which the copy is confirmed again, in milliseconds, and longest wait
+   *     of a watch; a lost connection is detected after about this time
    * @param batchDelayMs delay before the next call after a change, in milliseconds, so that one
    *     call returns several changes
    */
@@ -132,6 +141,30 @@
     kinds.get(kind).refresh();
   }
 
+  /**
+   * Ends or begins the watch of a kind. The copy of a suspended kind comes from peers; it is listed
+   * only when the platform was restored.
+   *
+   * @param kind a kind that is watched
+   * @param suspended true to end the watch
+   */
+  public void setSuspended(ObjectKind kind, boolean suspended) {
+    kinds.get(kind).setSuspended(suspended);
+  }
+
+  /**
+   * Returns the age that a copy of a kind has at most while its watch is answered.
+   *
+   * @param kind a kind that is watched
+   * @return nanoseconds
+   */
+  public long maxAgeNanos(ObjectKind kind) {
+    KindSync sync = kinds.get(kind);
+    return TimeUnit.MILLISECONDS.toNanos(sync.waitMs + sync.batchDelayMs + MIN_WATCH_MS)
+        + WATCH_LAG_NANOS
+        + SLOW_ANSWER_NANOS;
+  }
+
   /** Starts to expire entries of VMs that do not register again after an outage. */
   public void start() {
     scheduler.scheduleWithFixedDelay(this::expire, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -199,10 +232,13 @@
     if (sync == null || !isOfCurrentEra(sync, position)) {
       return;
     }
+    long now = clock.nanoTime();
+    if (sync.isOverdue(now) && now - provenAt <= maxAgeNanos(kind)) {
+      outageEnded(now);
+    }
     boolean changed =
         entries != null
-            && sync.copy.replaceWithPeerCopy(
-                entries, keptUntil, position, provenAt, clock.nanoTime());
+            && sync.copy.replaceWithPeerCopy(entries, keptUntil, position, provenAt, now);
     sync.copy.confirmCurrent(position, provenAt);
     sync.listWhenSettled();
     if (changed) {
@@ -223,15 +259,17 @@
    */
   private void answered(long now) {
     if (failedSinceAnswer && now - answeredAt >= entryExpiryNanos / HEARTBEATS_PER_EXPIRY) {
-      LOG.atInfo()
-          .addKeyValue("outageMs", TimeUnit.NANOSECONDS.toMillis(now - answeredAt))
-          .log("outage of the platform ended; removed entries are kept for a while");
-      kinds.values().forEach(sync -> sync.copy.outageEnded(now));
+      outageEnded(now);
     }
     failedSinceAnswer = false;
     answeredAt = now;
   }
 
+  private void outageEnded(long now) {
+    LOG.info("outage of the platform ended; removed entries are kept for a while");
+    kinds.values().forEach(sync -> sync.copy.outageEnded(now));
+  }
+
   /** Reads the era of a peer's copy, and returns whether the copy may be used. */
   private boolean isOfCurrentEra(KindSync sync, HistoryPosition position) {
     long now = clock.nanoTime();
@@ -265,6 +303,10 @@
     private Scheduler.Cancellable settledTimer;
     private int failures;
     private int relists;
+    private boolean suspended;
+
+    /** Time up to which the last answer was current, apart from changes that are withheld. */
+    private long confirmedAt;
 
     KindSync(ObjectKind kind, long waitMs, long batchDelayMs, boolean watching) {
       this.batchDelayMs = batchDelayMs;
@@ -296,8 +338,32 @@
       }
     }
 
+    void setSuspended(boolean suspended) {
+      this.suspended = suspended;
+      if (suspended) {
+        callCount++;
+        callPending = false;
+        cancelTimer();
+      } else {
+        refresh();
+      }
+    }
+
+    /** Returns whether neither the platform nor a peer confirmed the copy when it was due. */
+    boolean isOverdue(long now) {
+      return watching
+          && copy.isProven()
+          && copy.ageNanos(now) > maxAgeNanos(kind) + FOLLOWER_LAG_NANOS;
+    }
+
+    private void cancelTimer() {
+      if (timer != null) {
+        timer.cancel();
+      }
+    }
+
     void sendCall() {
-      if (stopped) {
+      if (stopped || (suspended && !listNeeded)) {
         return;
       }
       callPending = true;
@@ -305,11 +371,12 @@
       final long call = callCount;
       final long sentAt = clock.nanoTime();
       final boolean list = listNeeded || !watching;
+      final long callWaitMs = callWaitMs(sentAt);
       final long copyEra = copy.position().era();
       var result =
           list
               ? directory.list(kind, watching)
-              : directory.watch(kind, copy.position().revision(), waitMs);
+              : directory.watch(kind, copy.position().revision(), callWaitMs);
       result.whenComplete(
           (listing, failure) -> {
             if (call != callCount) {
@@ -318,14 +385,21 @@
             }
             callPending = false;
             if (failure == null) {
-              succeeded(list, listing, sentAt, copyEra);
+              succeeded(list, listing, sentAt, callWaitMs, copyEra);
             } else {
               failed(failure);
             }
           });
     }
 
-    private void succeeded(boolean list, DirectoryEntries listing, long sentAt, long copyEra) {
+    /** Returns the wait after which the copy has to be confirmed again. */
+    private long callWaitMs(long now) {
+      long sinceMs = TimeUnit.NANOSECONDS.toMillis(now - confirmedAt);
+      return Math.max(Math.min(MIN_WATCH_MS, waitMs), Math.min(waitMs, waitMs - sinceMs));
+    }
+
+    private void succeeded(
+        boolean list, DirectoryEntries listing, long sentAt, long callWaitMs, long copyEra) {
       long now = clock.nanoTime();
       answered(now);
       if (failures > 0) {
@@ -354,11 +428,13 @@
         HistoryPosition position = new HistoryPosition(history.era(), listing.revision());
         changed = copy.replace(listing.entries(), position, sentAt, now);
         listNeeded = false;
+        confirmedAt = sentAt;
         DirectoryCopyLog.kept(kind, copy, now);
         listWhenSettled();
       } else {
         relists = 0;
-        long provenAt = sentAt - WATCH_LAG_NANOS;
+        confirmedAt = confirmedAt(listing, sentAt, callWaitMs, now);
+        long provenAt = confirmedAt - WATCH_LAG_NANOS;
         changed = copy.apply(listing.entries(), listing.revision(), provenAt, now);
         if (listing.entries().stream().anyMatch(DirectoryEntry::removed)) {
           DirectoryCopyLog.kept(kind, copy, now);
@@ -378,6 +454,15 @@
       }
     }
 
+    /**
+     * Returns the time up to which the platform reported all changes. An answer without changes was
+     * given after the whole wait; any other, at an unknown time after the call.
+     */
+    private long confirmedAt(DirectoryEntries answer, long sentAt, long callWaitMs, long now) {
+      long waitNanos = TimeUnit.MILLISECONDS.toNanos(callWaitMs);
+      return answer.entries().isEmpty() && now - sentAt >= waitNanos ? sentAt + waitNanos : sentAt;
+    }
+
     /** Lists again as soon as the answer proves the copy current. */
     private void listWhenSettled() {
       long settlingNanos = copy.settlingNanos(clock.nanoTime());
@@ -391,9 +476,7 @@
     }
 
     private void scheduleCall(long delayMs) {
-      if (timer != null) {
-        timer.cancel();
-      }
+      cancelTimer();
       timer = scheduler.schedule(this::refresh, delayMs, TimeUnit.MILLISECONDS);
     }
 
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/EntryVmRegistration.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/EntryVmRegistration.java
@@ -31,6 +31,7 @@
   private final DoubleSupplier random;
   private final String name;
   private final String address;
+  private final String dataCentre;
   private Scheduler.Cancellable next;
   private int failures;
 
@@ -42,18 +43,21 @@
    * @param random random numbers of at least 0 and below 1
    * @param name name of the VM
    * @param address address at which it accepts requests of its peers
+   * @param dataCentre its data centre
    */
   public EntryVmRegistration(
       ObjectDirectory directory,
       Scheduler scheduler,
       DoubleSupplier random,
       String name,
-      String address) {
+      String address,
+      String dataCentre) {
     this.directory = directory;
     this.scheduler = scheduler;
     this.random = random;
     this.name = name;
     this.address = address;
+    this.dataCentre = dataCentre;
   }
 
   /** Registers the VM, and tries again until the platform accepts it. */
@@ -75,7 +79,7 @@
   }
 
   private void attempt() {
-    directory.register(name, address).whenComplete((done, failure) -> ended(failure));
+    directory.register(name, address, dataCentre).whenComplete((done, failure) -> ended(failure));
   }
 
   private void ended(Throwable failure) {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/VmSettings.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/VmSettings.java
@@ -71,6 +71,10 @@
    * @param retryWindowSeconds length of the window, in seconds
    * @param endpointExpiryMs time after which the platform removes the entry of an endpoint that no
    *     longer writes it, in milliseconds
+   * @param configurationApplyMs time after which a configuration must be in force on each VM, in
+   *     milliseconds
+   * @param contactMs time without a disturbance after which all of these limits hold for a VM, in
+   *     milliseconds
    */
   public record Bounds(
       long stopTimeoutMs,
@@ -80,5 +84,7 @@
       double retryRatio,
       double fixedRetriesPerWindow,
       double retryWindowSeconds,
-      long endpointExpiryMs) {}
+      long endpointExpiryMs,
+      long configurationApplyMs,
+      long contactMs) {}
 }
--- /dev/null
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/WatchTimes.java
@@ -0,0 +1,43 @@
+package org.clementineford.fleet;
+
+/**
+ * Times after which observers confirm their copies again. They follow from the limits of the
+ * deployment, since each call to the platform is billed.
+ *
+ * @param configurationMs time between two confirmations of the configuration, in milliseconds
+ * @param endpointsMs time between two confirmations of the endpoints, in milliseconds
+ */
+public record WatchTimes(long configurationMs, long endpointsMs) {
+  /**
+   * Part of the time to apply a configuration in which an observer that lost the platform is
+   * noticed; the rest is left to its followers to read the configuration themselves.
+   */
+  private static final double APPLY_PART = 0.5;
+
+  /**
+   * Time in which a removed key is refused that the age of a copy takes besides the wait, in
+   * milliseconds: withheld changes, two hops between VMs, one lost call to a peer, and the start of
+   * the request at an endpoint.
+   */
+  private static final long KEY_OVERHEAD_MS = 3_300;
+
+  /** Time in which an unanswered watch is given up, in milliseconds. */
+  private static final long CONTACT_OVERHEAD_MS = 500;
+
+  private static final long MIN_MS = 400;
+
+  /**
+   * Derives the times.
+   *
+   * @param bounds limits of the deployment
+   * @return the times
+   */
+  public static WatchTimes of(VmSettings.Bounds bounds) {
+    double apply = APPLY_PART * bounds.configurationApplyMs();
+    double keys =
+        bounds.failClosedOnStaleKeys() ? bounds.keyRevocationMs() - KEY_OVERHEAD_MS : apply;
+    return new WatchTimes(
+        Math.max(MIN_MS, (long) Math.min(apply, keys)),
+        Math.max(MIN_MS, bounds.contactMs() - CONTACT_OVERHEAD_MS));
+  }
+}
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -17,8 +17,10 @@
 import org.clementineford.fleet.DirectoryExchange;
 import org.clementineford.fleet.DirectorySync;
 import org.clementineford.fleet.EntryVmRegistration;
+import org.clementineford.fleet.ObserverExchange;
 import org.clementineford.fleet.QuarantineExchange;
 import org.clementineford.fleet.VmSettings;
+import org.clementineford.fleet.WatchTimes;
 import org.clementineford.gateway.internal.Gateway;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
@@ -27,6 +29,7 @@
 import org.clementineford.serving.directory.DirectoryEntry;
 import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
+import org.clementineford.serving.directory.ObserverDuty;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.serving.routing.EntryVmPosition;
@@ -47,18 +50,6 @@
 public final class EntryVm {
   private static final Logger LOG = LoggerFactory.getLogger(EntryVm.class);
 
-  /**
-   * Longest wait of a watch call for the configuration. It bounds the age of the keys, so it must
-   * be well below the time within which a removed key must stop working.
-   */
-  private static final long CONFIGURATION_WATCH_TIMEOUT_MS = 1_000;
-
-  /**
-   * Longest wait of a watch call for the endpoints. A dead connection to the platform is detected
-   * after about this time.
-   */
-  private static final long ENDPOINTS_WATCH_TIMEOUT_MS = 2_500;
-
   /**
    * Pause between a change of the endpoints and the next watch call. Engines update their entries
    * often while they load, and each call of each entry VM is billed. The pause is short enough to
@@ -69,10 +60,16 @@
   private static final long ENTRY_VMS_POLL_INTERVAL_MS = 10_000;
 
   /**
-   * Age from which a copy is stale and peers are asked for theirs: the time of one lost watch call
-   * plus the lag of a successful one.
+   * Time after the start at which entry VMs are listed again, in milliseconds: those that started
+   * at the same time have registered by then.
    */
-  private static final long STALE_COPY_MS = 3_000;
+  private static final long SECOND_ENTRY_VMS_POLL_MS = 2_000;
+
+  /** Time that an overdue copy has before peers are asked for theirs. */
+  private static final long STALE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  private static final List<ObjectKind> WATCHED =
+      List.of(ObjectKind.CONFIGURATION, ObjectKind.ENDPOINTS);
 
   /** Lowest number of entry VMs to assume, for the time in which few peers are known. */
   private static final int MIN_ENTRY_VMS = 10;
@@ -101,6 +98,8 @@
   private final DirectoryExchange directoryExchange;
   private final Gateway gateway;
   private final QuarantineExchange quarantineExchange;
+  private final ObserverExchange observerExchange;
+  private final WatchTimes watchTimes;
   private DatagramLink datagrams;
 
   /** The last position, since each load report and response asks for it. */
@@ -142,7 +141,12 @@
     Scheduler scheduler = new EventLoopScheduler(eventLoops);
     this.registration =
         new EntryVmRegistration(
-            directory, scheduler, random, settings.vm(), settings.peerAddress().toString());
+            directory,
+            scheduler,
+            random,
+            settings.vm(),
+            settings.peerAddress().toString(),
+            settings.dataCentre());
     this.directorySync =
         new DirectorySync(
             directory,
@@ -159,7 +163,7 @@
             stalenessClock,
             random,
             settings.peerAddress(),
-            STALE_COPY_MS);
+            kind -> directorySync.maxAgeNanos(kind) + STALE_MARGIN_NANOS);
     RequestQuarantine quarantine = new RequestQuarantine(stalenessClock);
     this.gateway =
         new Gateway(
@@ -182,6 +186,17 @@
             stalenessClock,
             random,
             gateway::quarantineChanged);
+    this.watchTimes = WatchTimes.of(settings.bounds());
+    this.observerExchange =
+        new ObserverExchange(
+            directorySync,
+            directoryExchange,
+            new ObserverDuty(settings.datagramAddress().host(), random),
+            stalenessClock,
+            settings,
+            WATCHED,
+            (long) (random.getAsDouble() * Long.MAX_VALUE),
+            (member, datagram) -> datagrams.send(member, datagram));
   }
 
   /**
@@ -226,12 +241,18 @@
   private void startDirectory() {
     directoryExchange.addPeers(settings.seeds());
     directorySync.start();
-    directorySync.watch(ObjectKind.CONFIGURATION, CONFIGURATION_WATCH_TIMEOUT_MS, 0);
-    directorySync.watch(ObjectKind.ENDPOINTS, ENDPOINTS_WATCH_TIMEOUT_MS, ENDPOINTS_WATCH_PAUSE_MS);
+    directorySync.watch(ObjectKind.CONFIGURATION, watchTimes.configurationMs(), 0);
+    directorySync.watch(ObjectKind.ENDPOINTS, watchTimes.endpointsMs(), ENDPOINTS_WATCH_PAUSE_MS);
     directorySync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_INTERVAL_MS);
     directoryExchange.start();
     directoryExchange.requestStaleCopies();
-    quarantineExchange.start(new EventLoopScheduler(eventLoops));
+    EventLoopScheduler scheduler = new EventLoopScheduler(eventLoops);
+    scheduler.schedule(
+        () -> directorySync.refresh(ObjectKind.ENTRY_VMS),
+        SECOND_ENTRY_VMS_POLL_MS,
+        TimeUnit.MILLISECONDS);
+    quarantineExchange.start(scheduler);
+    observerExchange.start(scheduler);
     registration.start();
   }
 
@@ -271,6 +292,7 @@
   private void onObjectsChanged(ObjectKind kind) {
     DirectoryCopyState copy = directorySync.copy(kind);
     gateway.recordPlatformCopy(kind, copy);
+    observerExchange.copyChanged();
     switch (kind) {
       case CONFIGURATION -> copy.entries().forEach(this::configure);
       case ENDPOINTS -> {
@@ -279,7 +301,10 @@
         gateway.updateEndpoints(endpoints);
         subscribeToReports();
       }
-      case ENTRY_VMS -> directoryExchange.addEntryVms(copy.entries(), decoder);
+      case ENTRY_VMS -> {
+        directoryExchange.addEntryVms(copy.entries(), decoder);
+        observerExchange.addEntryVms(copy.entries(), decoder);
+      }
       default -> LOG.debug("ignoring a change of {}; entry VMs do not use it", kind);
     }
   }
@@ -312,6 +337,10 @@
       gateway.onReport(sender.host(), report);
     } else if (datagram.isSetSuspects()) {
       quarantineExchange.onMessage(sender, datagram.getSuspects());
+    } else if (datagram.isSetPositionsRequest()) {
+      observerExchange.onRequest(sender, datagram.getPositionsRequest());
+    } else if (datagram.isSetPositions()) {
+      observerExchange.onPositions(sender, datagram.getPositions());
     }
   }
 
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -51,7 +51,7 @@
   private static final long CONFIGURATION_POLL_MS = 20_000;
   private static final long ENDPOINTS_POLL_MS = 5_000;
   private static final long ENTRY_VMS_POLL_MS = 30_000;
-  private static final long STALE_COPY_MS = 45_000;
+  private static final long STALE_COPY_NANOS = TimeUnit.SECONDS.toNanos(45);
   private static final long STATUS_POLL_MS = 100;
   private static final long ANNOUNCE_INTERVAL_MS = 100;
 
@@ -147,7 +147,7 @@
             clock,
             () -> ThreadLocalRandom.current().nextDouble(),
             settings.peerAddress(),
-            STALE_COPY_MS);
+            kind -> STALE_COPY_NANOS);
     TransferContext context =
         new TransferContext(
             identity(settings.peerAddress().host(), settings.dataCentre(), settings.region()),
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/DirectoryCopyStateTest.java
@@ -84,6 +84,7 @@
     @Test
     void holdsEntriesNoLongerThanThePeerKeepsThem() {
       copy.replace(List.of(entry("a", 1), entry("b", 2)), at(2), 0, 0);
+      copy.outageEnded(0);
       List<DirectoryEntry> peers = List.of(entry("a", 1), entry("b", 2));
       copy.replaceWithPeerCopy(peers, Map.of("a", 500L), at(9), 0, 0);
       assertThat(names()).containsExactly("a", "b");
@@ -91,9 +92,19 @@
       assertThat(names()).containsExactly("b");
     }
 
+    // Guards against an endpoint that left and stays in use, since a peer alone lost the platform.
+    @Test
+    void holdsNoKeptEntryIfOnlyThePeerHadAnOutage() {
+      copy.replace(List.of(entry("a", 1), entry("b", 2)), at(2), 0, 0);
+      List<DirectoryEntry> peers = List.of(entry("a", 1), entry("b", 2));
+      copy.replaceWithPeerCopy(peers, Map.of("a", 500L), at(9), 0, 0);
+      assertThat(names()).containsExactly("b");
+    }
+
     // Guards against VMs that prolong the time of such an entry for each other.
     @Test
     void doesNotProlongWhatIsKeptHere() {
+      copy.outageEnded(0);
       copy.replace(List.of(entry("a", 1)), at(1), 0, 0);
       copy.replaceWithPeerCopy(List.of(entry("a", 1)), Map.of("a", 500L), at(9), 0, 0);
       copy.replaceWithPeerCopy(List.of(entry("a", 1)), Map.of("a", 900L), at(9), 0, 0);
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/DirectoryCopyState.java
@@ -121,8 +121,9 @@
   }
 
   /**
-   * Replaces the copy by that of a peer, as {@link #replace}. What the peer only keeps is kept no
-   * longer here than there, since no change from its position on shows that it is missing.
+   * Replaces the copy by that of a peer, as {@link #replace}. What the peer only keeps counts as
+   * missing, unless this VM noticed the outage too or has just started; it is then kept no longer
+   * here than there, since no change from its position on shows that it is missing.
    *
    * @param listed all entries of the peer's copy
    * @param keptUntil times until which the peer keeps entries that the platform lacks, by name
@@ -138,8 +139,13 @@
       long currentAt,
       long now) {
     final Map<String, KeptEntry> keptBefore = new HashMap<>(kept);
-    boolean changed = replace(listed, peerPosition, currentAt, now);
-    if (position.equals(peerPosition)) {
+    final boolean keepsAsPeer = !loaded || mayRegisterAgain(now);
+    Collection<DirectoryEntry> used =
+        keepsAsPeer
+            ? listed
+            : listed.stream().filter(entry -> !keptUntil.containsKey(entry.name())).toList();
+    boolean changed = replace(used, peerPosition, currentAt, now);
+    if (keepsAsPeer && position.equals(peerPosition)) {
       keptUntil.forEach((name, until) -> keepAsPeer(name, until, keptBefore.get(name)));
     }
     return changed;
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/ObjectDirectory.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/ObjectDirectory.java
@@ -33,7 +33,8 @@
    *
    * @param name name of the VM
    * @param address address at which it accepts requests of its peers
+   * @param dataCentre its data centre
    * @return future that completes when the platform has accepted the entry
    */
-  CompletableFuture<Void> register(String name, String address);
+  CompletableFuture<Void> register(String name, String address, String dataCentre);
 }
--- /dev/null
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/ObserverDuty.java
@@ -0,0 +1,157 @@
+package org.clementineford.serving.directory;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Decides whether an entry VM watches the platform itself, as an observer, or follows the observers
+ * of its data centre. It answers the load of calls to the platform, which would grow with the
+ * fleet. There is no election: each VM decides by itself, from the observers that it heard lately.
+ * Too many observers cost calls only; with too few, a VM becomes one after a bounded time. Times
+ * are nanoseconds of one monotonic clock that counts the time for which the VM was suspended.
+ */
+public final class ObserverDuty {
+  /** Observers of a data centre, so that the loss of one leaves the others their copies. */
+  static final int OBSERVERS = 2;
+
+  /** Time without a sound answer after which an observer counts as lost. */
+  static final long LOST_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+
+  /** Time for which enough better observers must be heard before a VM ends its own watches. */
+  static final long SURPLUS_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  /** Time over which followers spread when they lost all observers. */
+  static final long URGENT_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+  /** Time over which followers spread when an observer is left. */
+  static final long SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+  private final String self;
+  private final DoubleSupplier random;
+  private final Map<String, Long> heardAt = new HashMap<>();
+  private boolean observing = true;
+  private OptionalLong surplusSince = OptionalLong.empty();
+  private OptionalLong lackingSince = OptionalLong.empty();
+  private double spread;
+
+  /** What a VM has to do after an update. */
+  public enum Step {
+    /** Go on as before. */
+    NONE,
+    /** Watch the platform from now on. */
+    OBSERVE,
+    /** End the watches and follow the observers of the data centre. */
+    FOLLOW
+  }
+
+  /**
+   * Creates the duty of a VM that has just started, and observes.
+   *
+   * @param self name of this VM among those of its data centre
+   * @param random random numbers of at least 0 and below 1
+   */
+  public ObserverDuty(String self, DoubleSupplier random) {
+    this.self = self;
+    this.random = random;
+  }
+
+  /**
+   * Records what another VM of the data centre said of its copy.
+   *
+   * @param vm name of the VM
+   * @param isSoundObserver true if it watches the platform and its copies are not overdue
+   * @param now present time
+   */
+  public void heard(String vm, boolean isSoundObserver, long now) {
+    if (isSoundObserver) {
+      heardAt.put(vm, now);
+    } else {
+      heardAt.remove(vm);
+    }
+  }
+
+  /**
+   * Decides what to do now.
+   *
+   * @param isSound false if the copies of this VM are overdue
+   * @param now present time
+   * @return the step
+   */
+  public Step update(boolean isSound, long now) {
+    heardAt.values().removeIf(at -> now - at > LOST_NANOS);
+    return observing ? updateObserver(isSound, now) : updateFollower(isSound, now);
+  }
+
+  private Step updateObserver(boolean isSound, long now) {
+    long better = heardAt.keySet().stream().filter(vm -> rank(vm) < rank(self)).count();
+    if (better < OBSERVERS || !isSound) {
+      surplusSince = OptionalLong.empty();
+      return Step.NONE;
+    }
+    if (surplusSince.isEmpty()) {
+      surplusSince = OptionalLong.of(now);
+    }
+    if (now - surplusSince.getAsLong() < SURPLUS_NANOS) {
+      return Step.NONE;
+    }
+    observing = false;
+    lackingSince = OptionalLong.empty();
+    return Step.FOLLOW;
+  }
+
+  private Step updateFollower(boolean isSound, long now) {
+    if (heardAt.size() >= OBSERVERS && isSound) {
+      lackingSince = OptionalLong.empty();
+      return Step.NONE;
+    }
+    if (lackingSince.isEmpty()) {
+      lackingSince = OptionalLong.of(now);
+      spread = random.getAsDouble();
+    }
+    // Observers that are heard but prove nothing here do not hear this VM, for example.
+    boolean urgent = heardAt.isEmpty() || !isSound;
+    long delay = (long) (spread * (urgent ? URGENT_SPREAD_NANOS : SPREAD_NANOS));
+    if (now - lackingSince.getAsLong() < delay) {
+      return Step.NONE;
+    }
+    observing = true;
+    surplusSince = OptionalLong.empty();
+    return Step.OBSERVE;
+  }
+
+  /**
+   * Returns whether this VM watches the platform.
+   *
+   * @return true for an observer
+   */
+  public boolean isObserving() {
+    return observing;
+  }
+
+  /**
+   * Returns the observers to follow.
+   *
+   * @return names of up to two observers that were heard lately, the best first
+   */
+  public List<String> observers() {
+    return heardAt.keySet().stream()
+        .sorted(Comparator.comparingLong(ObserverDuty::rank).thenComparing(vm -> vm))
+        .limit(OBSERVERS)
+        .toList();
+  }
+
+  /** Returns a number that orders VMs in the same way on all of them. */
+  private static long rank(String vm) {
+    long hash = 0xcbf29ce484222325L;
+    for (int i = 0; i < vm.length(); i++) {
+      hash = (hash ^ vm.charAt(i)) * 0x100000001b3L;
+    }
+    hash = (hash ^ (hash >>> 32)) * 0x9e3779b97f4a7c15L;
+    return hash ^ (hash >>> 29);
+  }
+}
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
@@ -436,14 +436,14 @@
           case 1: // COPIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list32.size);
-                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list40.size);
+                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                  _elem33 = new DirectoryCopy();
-                  _elem33.read(iprot);
-                  struct.copies.add(_elem33);
+                  _elem41 = new DirectoryCopy();
+                  _elem41.read(iprot);
+                  struct.copies.add(_elem41);
                 }
                 iprot.readListEnd();
               }
@@ -455,13 +455,13 @@
           case 2: // ENTRY_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list35 = iprot.readListBegin();
-                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list35.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem36;
-                for (int _i37 = 0; _i37 < _list35.size; ++_i37)
+                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
+                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list43.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem44;
+                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
                 {
-                  _elem36 = iprot.readString();
-                  struct.entryVms.add(_elem36);
+                  _elem44 = iprot.readString();
+                  struct.entryVms.add(_elem44);
                 }
                 iprot.readListEnd();
               }
@@ -490,9 +490,9 @@
         oprot.writeFieldBegin(COPIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.copies.size()));
-          for (DirectoryCopy _iter38 : struct.copies)
+          for (DirectoryCopy _iter46 : struct.copies)
           {
-            _iter38.write(oprot);
+            _iter46.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -502,9 +502,9 @@
         oprot.writeFieldBegin(ENTRY_VMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.entryVms.size()));
-          for (java.lang.String _iter39 : struct.entryVms)
+          for (java.lang.String _iter47 : struct.entryVms)
           {
-            oprot.writeString(_iter39);
+            oprot.writeString(_iter47);
           }
           oprot.writeListEnd();
         }
@@ -539,18 +539,18 @@
       if (struct.isSetCopies()) {
         {
           oprot.writeI32(struct.copies.size());
-          for (DirectoryCopy _iter40 : struct.copies)
+          for (DirectoryCopy _iter48 : struct.copies)
           {
-            _iter40.write(oprot);
+            _iter48.write(oprot);
           }
         }
       }
       if (struct.isSetEntryVms()) {
         {
           oprot.writeI32(struct.entryVms.size());
-          for (java.lang.String _iter41 : struct.entryVms)
+          for (java.lang.String _iter49 : struct.entryVms)
           {
-            oprot.writeString(_iter41);
+            oprot.writeString(_iter49);
           }
         }
       }
@@ -562,27 +562,27 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list42.size);
-          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem43;
-          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+          org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list50.size);
+          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem51;
+          for (int _i52 = 0; _i52 < _list50.size; ++_i52)
           {
-            _elem43 = new DirectoryCopy();
-            _elem43.read(iprot);
-            struct.copies.add(_elem43);
+            _elem51 = new DirectoryCopy();
+            _elem51.read(iprot);
+            struct.copies.add(_elem51);
           }
         }
         struct.setCopiesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list45.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list53.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
           {
-            _elem46 = iprot.readString();
-            struct.entryVms.add(_elem46);
+            _elem54 = iprot.readString();
+            struct.entryVms.add(_elem54);
           }
         }
         struct.setEntryVmsIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
@@ -774,14 +774,14 @@
           case 4: // OBJECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.objects = new java.util.ArrayList<DirectoryObject>(_list16.size);
-                @org.apache.thrift.annotation.Nullable DirectoryObject _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.objects = new java.util.ArrayList<DirectoryObject>(_list24.size);
+                @org.apache.thrift.annotation.Nullable DirectoryObject _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = new DirectoryObject();
-                  _elem17.read(iprot);
-                  struct.objects.add(_elem17);
+                  _elem25 = new DirectoryObject();
+                  _elem25.read(iprot);
+                  struct.objects.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -801,14 +801,14 @@
           case 6: // HIGHER_VERSIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list19 = iprot.readListBegin();
-                struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list19.size);
-                @org.apache.thrift.annotation.Nullable DirectoryObject _elem20;
-                for (int _i21 = 0; _i21 < _list19.size; ++_i21)
+                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
+                struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list27.size);
+                @org.apache.thrift.annotation.Nullable DirectoryObject _elem28;
+                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
                 {
-                  _elem20 = new DirectoryObject();
-                  _elem20.read(iprot);
-                  struct.higherVersions.add(_elem20);
+                  _elem28 = new DirectoryObject();
+                  _elem28.read(iprot);
+                  struct.higherVersions.add(_elem28);
                 }
                 iprot.readListEnd();
               }
@@ -848,9 +848,9 @@
         oprot.writeFieldBegin(OBJECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.objects.size()));
-          for (DirectoryObject _iter22 : struct.objects)
+          for (DirectoryObject _iter30 : struct.objects)
           {
-            _iter22.write(oprot);
+            _iter30.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -863,9 +863,9 @@
         oprot.writeFieldBegin(HIGHER_VERSIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.higherVersions.size()));
-          for (DirectoryObject _iter23 : struct.higherVersions)
+          for (DirectoryObject _iter31 : struct.higherVersions)
           {
-            _iter23.write(oprot);
+            _iter31.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -921,9 +921,9 @@
       if (struct.isSetObjects()) {
         {
           oprot.writeI32(struct.objects.size());
-          for (DirectoryObject _iter24 : struct.objects)
+          for (DirectoryObject _iter32 : struct.objects)
           {
-            _iter24.write(oprot);
+            _iter32.write(oprot);
           }
         }
       }
@@ -933,9 +933,9 @@
       if (struct.isSetHigherVersions()) {
         {
           oprot.writeI32(struct.higherVersions.size());
-          for (DirectoryObject _iter25 : struct.higherVersions)
+          for (DirectoryObject _iter33 : struct.higherVersions)
           {
-            _iter25.write(oprot);
+            _iter33.write(oprot);
           }
         }
       }
@@ -959,14 +959,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list26 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.objects = new java.util.ArrayList<DirectoryObject>(_list26.size);
-          @org.apache.thrift.annotation.Nullable DirectoryObject _elem27;
-          for (int _i28 = 0; _i28 < _list26.size; ++_i28)
+          org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.objects = new java.util.ArrayList<DirectoryObject>(_list34.size);
+          @org.apache.thrift.annotation.Nullable DirectoryObject _elem35;
+          for (int _i36 = 0; _i36 < _list34.size; ++_i36)
           {
-            _elem27 = new DirectoryObject();
-            _elem27.read(iprot);
-            struct.objects.add(_elem27);
+            _elem35 = new DirectoryObject();
+            _elem35.read(iprot);
+            struct.objects.add(_elem35);
           }
         }
         struct.setObjectsIsSet(true);
@@ -977,14 +977,14 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list29.size);
-          @org.apache.thrift.annotation.Nullable DirectoryObject _elem30;
-          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
+          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list37.size);
+          @org.apache.thrift.annotation.Nullable DirectoryObject _elem38;
+          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
           {
-            _elem30 = new DirectoryObject();
-            _elem30.read(iprot);
-            struct.higherVersions.add(_elem30);
+            _elem38 = new DirectoryObject();
+            _elem38.read(iprot);
+            struct.higherVersions.add(_elem38);
           }
         }
         struct.setHigherVersionsIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/FleetDatagram.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/FleetDatagram.java
@@ -13,13 +13,17 @@
   private static final org.apache.thrift.protocol.TField REPORT_FIELD_DESC = new org.apache.thrift.protocol.TField("report", org.apache.thrift.protocol.TType.STRUCT, (short)2);
   private static final org.apache.thrift.protocol.TField HOLDINGS_FIELD_DESC = new org.apache.thrift.protocol.TField("holdings", org.apache.thrift.protocol.TType.STRUCT, (short)3);
   private static final org.apache.thrift.protocol.TField SUSPECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("suspects", org.apache.thrift.protocol.TType.STRUCT, (short)4);
+  private static final org.apache.thrift.protocol.TField POSITIONS_REQUEST_FIELD_DESC = new org.apache.thrift.protocol.TField("positionsRequest", org.apache.thrift.protocol.TType.STRUCT, (short)5);
+  private static final org.apache.thrift.protocol.TField POSITIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("positions", org.apache.thrift.protocol.TType.STRUCT, (short)6);
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
     SUBSCRIPTION((short)1, "subscription"),
     REPORT((short)2, "report"),
     HOLDINGS((short)3, "holdings"),
-    SUSPECTS((short)4, "suspects");
+    SUSPECTS((short)4, "suspects"),
+    POSITIONS_REQUEST((short)5, "positionsRequest"),
+    POSITIONS((short)6, "positions");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -43,6 +47,10 @@
           return HOLDINGS;
         case 4: // SUSPECTS
           return SUSPECTS;
+        case 5: // POSITIONS_REQUEST
+          return POSITIONS_REQUEST;
+        case 6: // POSITIONS
+          return POSITIONS;
         default:
           return null;
       }
@@ -96,6 +104,10 @@
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ChunkHoldings.class)));
     tmpMap.put(_Fields.SUSPECTS, new org.apache.thrift.meta_data.FieldMetaData("suspects", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
         new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, SuspectRecords.class)));
+    tmpMap.put(_Fields.POSITIONS_REQUEST, new org.apache.thrift.meta_data.FieldMetaData("positionsRequest", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, PositionsRequest.class)));
+    tmpMap.put(_Fields.POSITIONS, new org.apache.thrift.meta_data.FieldMetaData("positions", org.apache.thrift.TFieldRequirementType.OPTIONAL, 
+        new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, CopyPositions.class)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(FleetDatagram.class, metaDataMap);
   }
@@ -140,6 +152,18 @@
     return x;
   }
 
+  public static FleetDatagram positionsRequest(PositionsRequest value) {
+    FleetDatagram x = new FleetDatagram();
+    x.setPositionsRequest(value);
+    return x;
+  }
+
+  public static FleetDatagram positions(CopyPositions value) {
+    FleetDatagram x = new FleetDatagram();
+    x.setPositions(value);
+    return x;
+  }
+
 
   @Override
   protected void checkType(_Fields setField, java.lang.Object value) throws java.lang.ClassCastException {
@@ -164,6 +188,16 @@
           break;
         }
         throw new java.lang.ClassCastException("Was expecting value of type SuspectRecords for field 'suspects', but got " + value.getClass().getSimpleName());
+      case POSITIONS_REQUEST:
+        if (value instanceof PositionsRequest) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type PositionsRequest for field 'positionsRequest', but got " + value.getClass().getSimpleName());
+      case POSITIONS:
+        if (value instanceof CopyPositions) {
+          break;
+        }
+        throw new java.lang.ClassCastException("Was expecting value of type CopyPositions for field 'positions', but got " + value.getClass().getSimpleName());
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -214,6 +248,26 @@
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
             return null;
           }
+        case POSITIONS_REQUEST:
+          if (field.type == POSITIONS_REQUEST_FIELD_DESC.type) {
+            PositionsRequest positionsRequest;
+            positionsRequest = new PositionsRequest();
+            positionsRequest.read(iprot);
+            return positionsRequest;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
+        case POSITIONS:
+          if (field.type == POSITIONS_FIELD_DESC.type) {
+            CopyPositions positions;
+            positions = new CopyPositions();
+            positions.read(iprot);
+            return positions;
+          } else {
+            org.apache.thrift.protocol.TProtocolUtil.skip(iprot, field.type);
+            return null;
+          }
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -242,6 +296,14 @@
         SuspectRecords suspects = (SuspectRecords)value_;
         suspects.write(oprot);
         return;
+      case POSITIONS_REQUEST:
+        PositionsRequest positionsRequest = (PositionsRequest)value_;
+        positionsRequest.write(oprot);
+        return;
+      case POSITIONS:
+        CopyPositions positions = (CopyPositions)value_;
+        positions.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -272,6 +334,16 @@
           suspects = new SuspectRecords();
           suspects.read(iprot);
           return suspects;
+        case POSITIONS_REQUEST:
+          PositionsRequest positionsRequest;
+          positionsRequest = new PositionsRequest();
+          positionsRequest.read(iprot);
+          return positionsRequest;
+        case POSITIONS:
+          CopyPositions positions;
+          positions = new CopyPositions();
+          positions.read(iprot);
+          return positions;
         default:
           throw new java.lang.IllegalStateException("setField wasn't null, but didn't match any of the case statements!");
       }
@@ -299,6 +371,14 @@
         SuspectRecords suspects = (SuspectRecords)value_;
         suspects.write(oprot);
         return;
+      case POSITIONS_REQUEST:
+        PositionsRequest positionsRequest = (PositionsRequest)value_;
+        positionsRequest.write(oprot);
+        return;
+      case POSITIONS:
+        CopyPositions positions = (CopyPositions)value_;
+        positions.write(oprot);
+        return;
       default:
         throw new java.lang.IllegalStateException("Cannot write union with unknown field " + setField_);
     }
@@ -315,6 +395,10 @@
         return HOLDINGS_FIELD_DESC;
       case SUSPECTS:
         return SUSPECTS_FIELD_DESC;
+      case POSITIONS_REQUEST:
+        return POSITIONS_REQUEST_FIELD_DESC;
+      case POSITIONS:
+        return POSITIONS_FIELD_DESC;
       default:
         throw new java.lang.IllegalArgumentException("Unknown field id " + setField);
     }
@@ -389,6 +473,32 @@
     value_ = java.util.Objects.requireNonNull(value,"_Fields.SUSPECTS");
   }
 
+  public PositionsRequest getPositionsRequest() {
+    if (getSetField() == _Fields.POSITIONS_REQUEST) {
+      return (PositionsRequest)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'positionsRequest' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setPositionsRequest(PositionsRequest value) {
+    setField_ = _Fields.POSITIONS_REQUEST;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.POSITIONS_REQUEST");
+  }
+
+  public CopyPositions getPositions() {
+    if (getSetField() == _Fields.POSITIONS) {
+      return (CopyPositions)getFieldValue();
+    } else {
+      throw new java.lang.RuntimeException("Cannot get field 'positions' because union is currently set to " + getFieldDesc(getSetField()).name);
+    }
+  }
+
+  public void setPositions(CopyPositions value) {
+    setField_ = _Fields.POSITIONS;
+    value_ = java.util.Objects.requireNonNull(value,"_Fields.POSITIONS");
+  }
+
   public boolean isSetSubscription() {
     return setField_ == _Fields.SUBSCRIPTION;
   }
@@ -409,6 +519,16 @@
   }
 
 
+  public boolean isSetPositionsRequest() {
+    return setField_ == _Fields.POSITIONS_REQUEST;
+  }
+
+
+  public boolean isSetPositions() {
+    return setField_ == _Fields.POSITIONS;
+  }
+
+
   public boolean equals(java.lang.Object other) {
     if (other instanceof FleetDatagram) {
       return equals((FleetDatagram)other);
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -52,11 +52,30 @@
   3: bool replyRequested, // the receiver should send its records if its digest differs
 }
 
+// Asks an observer for the positions of its copies of platform objects.
+struct PositionsRequest { 1: i64 question }
+
+// Position up to which the sender's copy of one kind of platform objects is complete.
+struct CopyPosition {
+  1: string kind,
+  2: i64 era,
+  3: i64 revision,
+  4: i64 provenAgeMs, // the copy was current this long ago
+}
+
+struct CopyPositions {
+  1: bool observing, // the sender watches the platform
+  2: list<CopyPosition> positions,
+  3: optional i64 question, // the question that this answers; absent in an announcement
+}
+
 union FleetDatagram {
   1: ReportSubscription subscription,
   2: EngineReport report,
   3: ChunkHoldings holdings,
   4: SuspectRecords suspects,
+  5: PositionsRequest positionsRequest,
+  6: CopyPositions positions,
 }
 
 struct DirectoryObject {
