Let engines change weights in turns that follow the end of transfers, also for superseded versions

Logs of the 19 endpoint VMs showed two causes. Version 3 was named 0.2 s before the transfers of version 2 ended, and a superseded version was loaded without turns: all engines got their order within 0.5 s. Without that, turns were spread over fixed parts of the limit, which are over for half of the engines when the transfers end.

Each version now keeps the time of its naming and its turns; turns are spread from 1.5 s before the end of the transfer to 0.85 of the limit, and over the engines of each data centre.

Seen to fail before: WeightRolloutTest$NextVersion#leavesTheEngineItsTurnForTheVersionBefore. ActivationScheduleTest plays turns of 5 to 97 engines: at least a quarter answers at each moment and more than half on average.

--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
@@ -2,8 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.HostPort;
+import org.clementineford.kernel.VmIdentity;
+import org.clementineford.kernel.VmRole;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 class ActivationScheduleTest {
   private static final long BOUND_MS = 8_000;
@@ -13,12 +20,47 @@
   // Guards against all engines switching to new weights at the same time.
   @Test
   void enginesTakeTurns() {
-    long first = schedule.beginAt(0, 0, 10, true);
-    long last = schedule.beginAt(0, 9, 10, true);
+    long first = schedule.beginAt(0, seconds(4), 0, true);
+    long last = schedule.beginAt(0, seconds(4), 0.9, true);
     assertThat(last - first).isGreaterThan(TimeUnit.SECONDS.toNanos(2));
     assertThat(last).isLessThan(TimeUnit.MILLISECONDS.toNanos(BOUND_MS));
   }
 
+  // Guards against turns that are over before any engine has its weights: all would then switch as
+  // soon as their transfers end. Engines take 1.5 s to end their requests and 0.3 s to load.
+  @ParameterizedTest
+  @CsvSource({"10, 3, 4.3", "19, 3, 4.3", "19, 3, 5.5", "36, 3, 5", "97, 5, 5", "5, 5, 4.3"})
+  void mostOfTheTimeHalfOfTheEnginesAnswer(int engines, int dataCentres, double transferSeconds) {
+    List<VmIdentity> vms = new ArrayList<>();
+    for (int i = 0; i < engines; i++) {
+      HostPort address = new HostPort("10.0.0." + i, 1);
+      String dataCentre = "dc-" + i % dataCentres;
+      vms.add(new VmIdentity("vm-" + i, VmRole.ENDPOINT, dataCentre, dataCentre, 0, address));
+    }
+    double sum = 0;
+    int steps = 0;
+    for (long now = 0; now < seconds(10); now += seconds(0.05)) {
+      int answering = 0;
+      for (int i = 0; i < engines; i++) {
+        List<VmIdentity> peers = new ArrayList<>(vms);
+        peers.remove(i);
+        double turn = ActivationTurn.of(vms.get(i), peers, "m/2");
+        // Transfers end within half a second of each other.
+        long end = seconds(transferSeconds + 0.5 * i / engines);
+        long begin = schedule.beginAt(0, end, turn, true);
+        long drain = Math.max(begin, end - seconds(1.5));
+        answering +=
+            now < drain || now >= Math.max(drain + seconds(1.5), end) + seconds(0.3) ? 1 : 0;
+      }
+      assertThat(answering).as("at %d ms", now / 1_000_000).isGreaterThanOrEqualTo(engines / 4);
+      if (answering < engines) {
+        sum += (double) answering / engines;
+        steps++;
+      }
+    }
+    assertThat(sum / steps).isGreaterThan(0.5);
+  }
+
   private static long seconds(double seconds) {
     return (long) (seconds * TimeUnit.SECONDS.toNanos(1));
   }
@@ -49,6 +91,6 @@
   // Guards against an engine that waits for its turn although it has no weights to answer with.
   @Test
   void engineWithoutWeightsDoesNotWait() {
-    assertThat(schedule.beginAt(5, 9, 10, false)).isEqualTo(5);
+    assertThat(schedule.beginAt(5, seconds(4), 0.9, false)).isEqualTo(5);
   }
 }
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.kernel.VmRole;
@@ -24,6 +25,7 @@
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.weights.Digests;
+import org.clementineford.weights.RendezvousHash;
 import org.clementineford.weights.TransferLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -236,6 +238,38 @@
       advance(500);
       assertThat(rollout.transfers()).hasSize(2);
     }
+
+    // Guards against engines that all change at the same moment, since the version that their
+    // transfers bring was superseded meanwhile.
+    @Test
+    void leavesTheEngineItsTurnForTheVersionBefore() {
+      origin.delayedChunks = 1;
+      origin.withheldVersion = 3;
+      rollout.statusChanged(status(1, 1));
+      rollout.updateTarget("m", 2, 0, true);
+      advance(100);
+      rollout.setPeers(peersBefore(2));
+      advance(2_400);
+      rollout.updateTarget("m", 3, time.nanoTime(), true);
+      origin.release();
+      advance(2_000);
+      assertThat(engine.loaded).isEmpty();
+      assertThat(rollout.isChanging()).isFalse();
+      advance(5_000);
+      assertThat(engine.loaded).contains(2L);
+    }
+
+    /** Returns peers whose turns come before that of the engine. */
+    private List<VmIdentity> peersBefore(long version) {
+      long seed = RendezvousHash.seed("m/" + version);
+      long own = RendezvousHash.weight(RendezvousHash.seed("a"), seed);
+      return IntStream.range(0, 100)
+          .mapToObj(i -> "p" + i)
+          .filter(name -> RendezvousHash.weight(RendezvousHash.seed(name), seed) > own)
+          .limit(9)
+          .map(name -> new VmIdentity(name, VmRole.ENDPOINT, "x", "r", 0, address))
+          .toList();
+    }
   }
 
   private static final class FakeEngine implements LocalEngine {
@@ -271,6 +305,7 @@
     private final List<Runnable> delayedReads = new ArrayList<>();
     private boolean corrupt;
     private int delayedChunks;
+    private long withheldVersion;
     private int chunksRead;
 
     void release() {
@@ -296,7 +331,7 @@
       chunksRead++;
       byte[] bytes = WeightRolloutTest.chunk(corrupt ? 99 : version, chunk);
       CompletableFuture<byte[]> future = new CompletableFuture<>();
-      if (chunk >= CHUNKS - delayedChunks) {
+      if (chunk >= CHUNKS - delayedChunks || version == withheldVersion) {
         delayedReads.add(() -> future.complete(bytes));
       } else {
         future.complete(bytes);
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
@@ -9,13 +9,10 @@
  */
 final class ActivationSchedule {
   /**
-   * Fraction of the time limit before which no engine switches. Engines begin to drain before their
-   * transfers end, so that they do not all drain at once afterwards.
+   * Fraction of the time limit at which the last engine begins to switch. Shortly after it, entry
+   * VMs send no requests to engines with an older version.
    */
-  private static final double FIRST_START_FRACTION = 0.42;
-
-  /** Fraction of the time limit at which the last engine begins to switch. */
-  private static final double LAST_START_FRACTION = 0.8;
+  private static final double LAST_START_FRACTION = 0.85;
 
   /** Progress of a transfer below which abandoning it for the next version loses little. */
   private static final double MIN_PROGRESS_TO_COMPLETE = 0.3;
@@ -54,8 +51,8 @@
         < nextNamedAt + timeLimitNanos;
   }
 
-  private static double remainingNanos(double progress, long elapsedNanos) {
-    return elapsedNanos * (1 - progress) / progress;
+  private static long remainingNanos(double progress, long elapsedNanos) {
+    return (long) (elapsedNanos * (1 - progress) / progress);
   }
 
   /**
@@ -76,20 +73,35 @@
   }
 
   /**
-   * Returns the earliest time at which an engine may begin to switch.
+   * Returns the earliest time at which an engine may begin to switch. Turns are spread from the
+   * time at which the transfers are about to end, so that engines do not all wait for their weights
+   * and then switch at once.
    *
    * @param namedAt when this VM learned of the version, in monotonic nanoseconds
-   * @param rank rank of this engine among those of the service, from 0
-   * @param engines number of engines of the service
+   * @param transferEndsAt when the transfer ended or is expected to end; those of all engines end
+   *     at about the same time
+   * @param turn place of this engine among those of the service, from 0 inclusive to 1 exclusive
    * @param serving true if the engine has weights that are still allowed to answer
    * @return time in monotonic nanoseconds
    */
-  long beginAt(long namedAt, int rank, int engines, boolean serving) {
+  long beginAt(long namedAt, long transferEndsAt, double turn, boolean serving) {
     if (!serving) {
       return namedAt;
     }
-    double turn = engines <= 1 ? 0 : (double) rank / (engines - 1);
-    double fraction = FIRST_START_FRACTION + (LAST_START_FRACTION - FIRST_START_FRACTION) * turn;
-    return namedAt + (long) (fraction * timeLimitNanos);
+    long last = (long) (LAST_START_FRACTION * timeLimitNanos);
+    long first = Math.max(0, Math.min(last, transferEndsAt - DRAIN_NANOS - namedAt));
+    return namedAt + first + (long) (turn * (last - first));
+  }
+
+  /**
+   * Returns when a transfer is expected to end.
+   *
+   * @param progress fraction of the chunks that are held
+   * @param elapsedNanos time since the transfer began
+   * @param now current time, in monotonic nanoseconds
+   * @return time in monotonic nanoseconds
+   */
+  long expectedEnd(double progress, long elapsedNanos, long now) {
+    return progress <= 0 ? now + timeLimitNanos : now + remainingNanos(progress, elapsedNanos);
   }
 }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
@@ -47,6 +47,7 @@
   private final Map<String, Long> bytesBySource = new HashMap<>();
   private final Scheduler.Cancellable timer;
   private final long startedAt;
+  private long completedAt;
   private boolean stopped;
 
   ChunkTransfer(
@@ -71,6 +72,7 @@
     reuse(reusable);
     staged.forEach(this::reuse);
     state.setMembers(peers);
+    completedAt = startedAt;
     timer =
         context
             .scheduler()
@@ -119,6 +121,13 @@
     return state.held().count();
   }
 
+  /** Returns when the transfer was complete, or is expected to be, in monotonic nanoseconds. */
+  long endsAt(ActivationSchedule schedule) {
+    return isComplete()
+        ? completedAt
+        : schedule.expectedEnd(progress(), elapsedNanos(), context.clock().nanoTime());
+  }
+
   long elapsedNanos() {
     return context.clock().nanoTime() - startedAt;
   }
@@ -242,6 +251,7 @@
     state.succeeded(fetch.id(), context.clock().nanoTime()).forEach(this::cancel);
     state.markHeld(fetch.chunk());
     if (isComplete()) {
+      completedAt = context.clock().nanoTime();
       LOG.atInfo()
           .addKeyValue("version", digests.version())
           .addKeyValue("ms", TimeUnit.NANOSECONDS.toMillis(context.clock().nanoTime() - startedAt))
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -10,7 +10,6 @@
 import org.clementineford.replica.EngineStatus;
 import org.clementineford.replica.LocalEngine;
 import org.clementineford.replica.WeightDigests;
-import org.clementineford.weights.RendezvousHash;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -42,8 +41,11 @@
   private final Runnable onChanging;
   private String model;
   private long target;
-  private long targetNamedAt;
   private boolean targetTimeKnown;
+
+  /** Times at which this VM learned of the versions, in monotonic nanoseconds. */
+  private final TreeMap<Long, Long> namedAt = new TreeMap<>();
+
   private EngineStatus status = EngineStatus.UNREACHABLE;
   private List<VmIdentity> peers = List.of();
   private boolean digestsPending;
@@ -84,7 +86,7 @@
     return (int)
         Math.min(
             Integer.MAX_VALUE,
-            TimeUnit.NANOSECONDS.toMillis(context.clock().nanoTime() - targetNamedAt));
+            TimeUnit.NANOSECONDS.toMillis(context.clock().nanoTime() - namedAt(target)));
   }
 
   boolean isChanging() {
@@ -112,11 +114,11 @@
    *
    * @param namedModel name of the model
    * @param version the named version
-   * @param namedAt when this VM learned of it, in monotonic nanoseconds
+   * @param learnedAt when this VM learned of it, in monotonic nanoseconds
    * @param timeKnown true if the version was named at about that time; false if it may have been
    *     named at any time before
    */
-  void updateTarget(String namedModel, long version, long namedAt, boolean timeKnown) {
+  void updateTarget(String namedModel, long version, long learnedAt, boolean timeKnown) {
     if (!namedModel.equals(model)) {
       return;
     }
@@ -126,7 +128,10 @@
     target = version;
     targetTimeKnown = timeKnown;
     // A version that was named at an unknown time is due immediately.
-    targetNamedAt = timeKnown ? namedAt : namedAt - schedule.timeLimitNanos();
+    namedAt.put(version, timeKnown ? learnedAt : learnedAt - schedule.timeLimitNanos());
+    while (namedAt.size() > MAX_KEPT_VERSIONS) {
+      namedAt.pollFirstEntry();
+    }
     LOG.atInfo()
         .addKeyValue("model", namedModel)
         .addKeyValue("version", version)
@@ -134,6 +139,12 @@
     proceed();
   }
 
+  /** Returns when this VM learned of a version, or of the next one that it knows. */
+  private long namedAt(long version) {
+    Map.Entry<Long, Long> known = namedAt.ceilingEntry(version);
+    return known == null ? context.clock().nanoTime() : known.getValue();
+  }
+
   void setPeers(Collection<VmIdentity> listed) {
     peers = List.copyOf(listed);
     transfers.values().forEach(transfer -> transfer.setPeers(peers));
@@ -197,20 +208,24 @@
             && schedule.isWorthCompleting(
                 newest.progress(),
                 newest.elapsedNanos(),
-                targetNamedAt,
+                namedAt(target),
                 context.clock().nanoTime());
     boolean transferNeeded =
         target > 0 ? newest == null || newest.digests().version() < target : isWithoutWeights();
     if (transferNeeded && !keepsNewest && !digestsPending) {
       readDigests();
     }
-    drainIfDue(newest);
+    drainIfDue(newest, keepsNewest);
     activateIfDue();
   }
 
-  private void drainIfDue(ChunkTransfer transfer) {
-    boolean serving = status.weightVersion() > 0 && status.weightVersion() < target;
-    if (transfer == null || transfer.digests().version() != target || !serving) {
+  private void drainIfDue(ChunkTransfer transfer, boolean keepsSuperseded) {
+    boolean needed =
+        transfer != null
+            && (transfer.digests().version() == target || keepsSuperseded)
+            && status.weightVersion() > 0
+            && status.weightVersion() < transfer.digests().version();
+    if (!needed) {
       drain.end();
       return;
     }
@@ -225,9 +240,7 @@
       return;
     }
     int engines = peers.size() + 1;
-    if (!changing
-        && drain.mayBegin(transfer, engines)
-        && now - schedule.beginAt(targetNamedAt, rank(target), engines, true) >= 0) {
+    if (!changing && drain.mayBegin(transfer, engines) && now - beginAt(transfer, true) >= 0) {
       drain.begin(transfer, now);
       setChanging(true);
     }
@@ -317,12 +330,11 @@
     if (status.weightVersion() >= version || ordered) {
       return;
     }
-    if (version < target && !schedule.isWorthCompleting(1, 0, targetNamedAt, now)) {
+    if (version < target && !schedule.isWorthCompleting(1, 0, namedAt(target), now)) {
       return;
     }
     boolean serving = status.weightVersion() > 0;
-    long beginAt = schedule.beginAt(targetNamedAt, rank(version), peers.size() + 1, serving);
-    if (now - beginAt < 0 && version == target) {
+    if (now - beginAt(complete, serving) < 0) {
       return;
     }
     activating = true;
@@ -345,16 +357,11 @@
     return null;
   }
 
-  private int rank(long version) {
-    long seed = RendezvousHash.seed(model + "/" + version);
-    long own = RendezvousHash.weight(RendezvousHash.seed(context.self().vm()), seed);
-    int rank = 0;
-    for (VmIdentity peer : peers) {
-      if (RendezvousHash.weight(RendezvousHash.seed(peer.vm()), seed) > own) {
-        rank++;
-      }
-    }
-    return rank;
+  /** Returns when the turn of the engine comes to switch to the version of a transfer. */
+  private long beginAt(ChunkTransfer transfer, boolean serving) {
+    long version = transfer.digests().version();
+    double turn = ActivationTurn.of(context.self(), peers, model + "/" + version);
+    return schedule.beginAt(namedAt(version), transfer.endsAt(schedule), turn, serving);
   }
 
   /**
