Refuse answers without a request ID on connections used before

An endpoint may send a second copy of an answer late, on a connection that carries the next request. A copy that names its request was skipped, but one without an ID went to the next caller as its answer, and a copied 503 counted as proof that the next request had not run. Such an answer now fails the attempt with an unknown outcome and resets the connection; on a new connection, an answer without an ID is still accepted.

Seen to fail before: SecondCopyOfAnswerTest#neverReachesTheNextCaller, 2 of 7 cases (WITHOUT_ID, REJECTION_WITHOUT_ID). The other cases passed and stay. All tests of the gateway pass.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -46,6 +46,7 @@
   private final ResponseLimit limit;
   private Channel channel;
   private EndpointResponseListener listener;
+  private boolean usedBefore;
   private boolean skippingResponse;
   private boolean headAccepted;
   private boolean reusable;
@@ -168,9 +169,15 @@
             .addKeyValue("answered", head.requestId().orElse(""))
             .log("skipped a response that belongs to another request");
       }
+      usedBefore |= otherRequest;
       skippingResponse = true;
       return;
     }
+    if (head.requestId().isEmpty() && usedBefore) {
+      // It may be a late copy of an earlier answer.
+      fail(AttemptOutcome.BROKEN, "answer without a request ID on a connection used before");
+      return;
+    }
     reusable =
         HttpUtil.isKeepAlive(response)
             && (HttpUtil.isTransferEncodingChunked(response)
@@ -223,6 +230,7 @@
   private void finish() {
     final EndpointResponseListener finishedListener = listener;
     listener = null;
+    usedBefore = true;
     limit.passedOn();
     idleSince = clock.nanoTime();
     if (reusable && channel.isActive()) {
