Go on after errors in timers, in processing of platform objects and in messages

Three ways in which a process lost a part of itself while it stayed alive, found while looking for failures that operators of similar systems have seen: - A repeated task that threw an Error, such as a StackOverflowError, was cancelled: reports, expiry or polls ended for good. EventLoopScheduler caught exceptions only. - An exception while a listing or a watch was processed ended the watch of that kind, since the next call was not sent. - A datagram of 10 bytes that claims to hold 2^31 records made the decoder throw an OutOfMemoryError, and one that claims some million allocated them. Lists and texts are now limited by the size of their message.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -19,6 +19,8 @@
 import org.clementineford.testing.VirtualTime;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class DirectorySyncTest {
   private static final ObjectKind KIND = ObjectKind.ENDPOINTS;
@@ -202,6 +204,30 @@
     }
   }
 
+  // Guards against a watch that ends for good because an object was processed with an error, as one
+  // that another program wrote.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void watchesOnAfterAnErrorOfItsUser(boolean isError) {
+    DirectorySync failing =
+        new DirectorySync(
+            directory,
+            time,
+            time,
+            3_600,
+            kind -> {
+              if (isError) {
+                throw new StackOverflowError();
+              }
+              throw new IllegalStateException("by the test");
+            },
+            () -> {});
+    failing.watch(KIND, 1_000, BATCH_DELAY_MS);
+    directory.answerFirst(new DirectoryEntries(List.of(entry("a", 1)), 2));
+    time.advance(1, TimeUnit.SECONDS);
+    assertThat(directory.calls).containsExactly("list", "watch 2");
+  }
+
   // Guards against replacing the local copy with an older one from a peer.
   @Test
   void peerCopyReplacesOnlyAnOlderCopy() {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -384,10 +384,17 @@
               return;
             }
             callPending = false;
-            if (failure == null) {
-              succeeded(list, listing, sentAt, callWaitMs, copyEra);
-            } else {
+            if (failure != null) {
               failed(failure);
+              return;
+            }
+            try {
+              succeeded(list, listing, sentAt, callWaitMs, copyEra);
+            } catch (RuntimeException | Error e) {
+              LOG.atError()
+                  .addKeyValue("kind", kind)
+                  .log("failed to process platform objects; reading on", e);
+              scheduleCall(MAX_RETRY_DELAY_MS);
             }
           });
     }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ThriftCodec.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ThriftCodec.java
@@ -38,7 +38,9 @@
   public static <T extends TBase<?, ?>> T decode(T message, byte[] bytes)
       throws ClementinefordException {
     try {
-      new TDeserializer(new TCompactProtocol.Factory()).deserialize(message, bytes);
+      // Without the limits, memory would be allocated for what a message claims to hold.
+      new TDeserializer(new TCompactProtocol.Factory(bytes.length, bytes.length))
+          .deserialize(message, bytes);
       return message;
     } catch (TException e) {
       throw new ClementinefordException(
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/EventLoopScheduler.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/EventLoopScheduler.java
@@ -8,8 +8,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Runs scheduled tasks on Netty event loops. An exception that a task throws is logged; a repeated
- * task continues to run.
+ * Runs scheduled tasks on Netty event loops. An exception or error that a task throws is logged; a
+ * repeated task continues to run.
  */
 public final class EventLoopScheduler implements Scheduler {
   private static final Logger LOG = LoggerFactory.getLogger(EventLoopScheduler.class);
@@ -40,7 +40,7 @@
   private static void run(Runnable task) {
     try {
       task.run();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       LOG.error("scheduled task failed", e);
     }
   }
