Skip a superseded version if the engine then answers for longer without it

An engine now switches to a superseded version only if it answers longer with it, until its turn for the next one, than it could with the one before. The end of the next transfer is predicted from the last one until a quarter is there; one that stalls counts as far away. An engine whose version is no longer allowed has no turn to wait for.

--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/ActivationScheduleTest.java
@@ -88,6 +88,34 @@
     assertThat(schedule.endsSoon(0.0, seconds(0))).isFalse();
   }
 
+  // Guards against waiting for the next version while its transfer stalls.
+  @Test
+  void stalledTransferIsNotExpectedToEndSoon() {
+    assertThat(schedule.expectedEnd(0.1, seconds(1), seconds(4), 0)).isEqualTo(seconds(3));
+    assertThat(schedule.expectedEnd(0.1, seconds(5), seconds(4), 0)).isGreaterThan(seconds(40));
+    assertThat(schedule.expectedEnd(0, seconds(5), seconds(4), 0)).isEqualTo(seconds(8));
+    assertThat(schedule.expectedEnd(0.5, seconds(1), seconds(4), 0)).isEqualTo(seconds(1));
+  }
+
+  // Guards against an engine that switches twice in a row and answers hardly in between. Version 2
+  // is
+  // named at 0 s and required at 7.2 s.
+  @ParameterizedTest
+  @CsvSource({
+    "4.5, 9.0, false, false",
+    "4.5, 9.6, false, true",
+    "6.5, 9.0, false, false",
+    "6.5, 9.6, false, true",
+    "7.5, 9.0, false, false",
+    "7.5, 9.0, true, true",
+    "8.7, 9.0, true, false"
+  })
+  void supersededVersionIsLoadedIfTheEngineThenAnswersForLonger(
+      double now, double nextBegins, boolean idle, boolean worth) {
+    boolean result = schedule.isWorthSwitching(0, seconds(nextBegins), idle, seconds(now));
+    assertThat(result).isEqualTo(worth);
+  }
+
   // Guards against an engine that waits for its turn although it has no weights to answer with.
   @Test
   void engineWithoutWeightsDoesNotWait() {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
@@ -1,6 +1,7 @@
 package org.clementineford.replica.internal;
 
 import java.util.concurrent.TimeUnit;
+import org.clementineford.serving.routing.MinimumWeightVersion;
 
 /**
  * Decides when an engine switches to new weights. Engines take turns within the time limit for a
@@ -26,6 +27,15 @@
   /** Time, including loading, that a version must be able to serve to be worth its transfer. */
   private static final long MIN_SERVING_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
+  /** Time for which an engine that serves answers no new requests while it switches. */
+  private static final long SWITCH_NANOS = TimeUnit.MILLISECONDS.toNanos(2_300);
+
+  /** The same for an engine that has no requests left. */
+  private static final long LOAD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
+  /** Progress of a transfer from which its end is predicted from its own speed. */
+  private static final double MIN_OWN_SPEED_PROGRESS = 0.25;
+
   private final long timeLimitNanos;
 
   ActivationSchedule(long timeLimitMs) {
@@ -98,10 +108,40 @@
    *
    * @param progress fraction of the chunks that are held
    * @param elapsedNanos time since the transfer began
+   * @param usualNanos duration of the transfer before it
+   * @param now current time, in monotonic nanoseconds
+   * @return time in monotonic nanoseconds
+   */
+  long expectedEnd(double progress, long elapsedNanos, long usualNanos, long now) {
+    if (progress < MIN_OWN_SPEED_PROGRESS && elapsedNanos < usualNanos) {
+      return now + usualNanos - elapsedNanos;
+    }
+    return now + (progress > 0 ? remainingNanos(progress, elapsedNanos) : timeLimitNanos);
+  }
+
+  /**
+   * Returns whether an engine should switch to a version that was superseded. It then answers with
+   * that version until it switches to the next one; if not, it answers with the one before for as
+   * long as that is allowed.
+   *
+   * @param namedAt when the version was named, in monotonic nanoseconds
+   * @param nextBeginsAt when the engine begins to switch to the next version
+   * @param idle true if the engine has no requests
    * @param now current time, in monotonic nanoseconds
+   * @return true if it answers for longer in all
+   */
+  boolean isWorthSwitching(long namedAt, long nextBeginsAt, boolean idle, long now) {
+    long answered = nextBeginsAt - now - (idle ? LOAD_NANOS : SWITCH_NANOS);
+    return answered > Math.max(0, requiredAt(namedAt) - now);
+  }
+
+  /**
+   * Returns when a version is required, so that no request begins on an older one.
+   *
+   * @param namedAt when the version was named, in monotonic nanoseconds
    * @return time in monotonic nanoseconds
    */
-  long expectedEnd(double progress, long elapsedNanos, long now) {
-    return progress <= 0 ? now + timeLimitNanos : now + remainingNanos(progress, elapsedNanos);
+  long requiredAt(long namedAt) {
+    return namedAt + (long) (MinimumWeightVersion.REQUIRED_FRACTION * timeLimitNanos);
   }
 }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
@@ -121,11 +121,20 @@
     return state.held().count();
   }
 
-  /** Returns when the transfer was complete, or is expected to be, in monotonic nanoseconds. */
-  long endsAt(ActivationSchedule schedule) {
+  /**
+   * Returns when the transfer was complete, or is expected to be, in monotonic nanoseconds.
+   *
+   * @param usualNanos duration of the transfer before it
+   */
+  long endsAt(ActivationSchedule schedule, long usualNanos) {
     return isComplete()
         ? completedAt
-        : schedule.expectedEnd(progress(), elapsedNanos(), context.clock().nanoTime());
+        : schedule.expectedEnd(progress(), elapsedNanos(), usualNanos, context.clock().nanoTime());
+  }
+
+  /** Returns the time that the transfer took, or takes up to now. */
+  long durationNanos() {
+    return isComplete() ? completedAt - startedAt : elapsedNanos();
   }
 
   long elapsedNanos() {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -240,7 +240,10 @@
       return;
     }
     int engines = peers.size() + 1;
-    if (!changing && drain.mayBegin(transfer, engines) && now - beginAt(transfer, true) >= 0) {
+    if (!changing
+        && drain.mayBegin(transfer, engines)
+        && now - beginAt(transfer, isServing(now)) >= 0
+        && (transfer.digests().version() == target || isWorthSwitching(transfer, now))) {
       drain.begin(transfer, now);
       setChanging(true);
     }
@@ -330,11 +333,11 @@
     if (status.weightVersion() >= version || ordered) {
       return;
     }
-    if (version < target && !schedule.isWorthCompleting(1, 0, namedAt(target), now)) {
+    boolean serving = isServing(now);
+    if (now - beginAt(complete, serving) < 0) {
       return;
     }
-    boolean serving = status.weightVersion() > 0;
-    if (now - beginAt(complete, serving) < 0) {
+    if (version < target && !isWorthSwitching(complete, now)) {
       return;
     }
     activating = true;
@@ -361,7 +364,30 @@
   private long beginAt(ChunkTransfer transfer, boolean serving) {
     long version = transfer.digests().version();
     double turn = ActivationTurn.of(context.self(), peers, model + "/" + version);
-    return schedule.beginAt(namedAt(version), transfer.endsAt(schedule), turn, serving);
+    long endsAt = transfer.endsAt(schedule, usualNanos(version));
+    return schedule.beginAt(namedAt(version), endsAt, turn, serving);
+  }
+
+  /** Returns whether the engine has weights that are still allowed to answer. */
+  private boolean isServing(long now) {
+    Map.Entry<Long, Long> next = namedAt.higherEntry(status.weightVersion());
+    return status.weightVersion() > 0
+        && (next == null || now - schedule.requiredAt(next.getValue()) < 0);
+  }
+
+  /** Returns the duration of the transfer before that of a version. */
+  private long usualNanos(long version) {
+    Map.Entry<Long, ChunkTransfer> before = transfers.lowerEntry(version);
+    return before == null ? schedule.timeLimitNanos() : before.getValue().durationNanos();
+  }
+
+  /** Returns whether the engine should switch to a superseded version before the target. */
+  private boolean isWorthSwitching(ChunkTransfer superseded, long now) {
+    ChunkTransfer next = transfers.get(target);
+    long nextBeginsAt =
+        next == null ? now + superseded.durationNanos() : Math.max(now, beginAt(next, true));
+    return schedule.isWorthSwitching(
+        namedAt(superseded.digests().version()), nextBeginsAt, status.running() == 0, now);
   }
 
   /**
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/MinimumWeightVersion.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/MinimumWeightVersion.java
@@ -12,7 +12,7 @@
    * Fraction of the bound after which the target version is required. The rest covers the time that
    * requests take to reach the endpoints.
    */
-  private static final double REQUIRED_FRACTION = 0.9;
+  public static final double REQUIRED_FRACTION = 0.9;
 
   /**
    * Time to wait for a report of the time at which the target version was set, if the first report
