Derive the pause between watches of endpoints from drain_ms, and spread watches of target versions

A part of the calls that are left follows each change of the endpoints, and each endpoint VM watched target versions with calls of 15 s, all at the same moments, so that connections that go silent together would hide a version from all of them.

The pause is 0.15 of drain_ms now (300 ms at 2 s, as before). Watches of target versions last 15 to 30 s.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/VmSettings.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/VmSettings.java
@@ -73,6 +73,8 @@
    *     longer writes it, in milliseconds
    * @param configurationApplyMs time after which a configuration must be in force on each VM, in
    *     milliseconds
+   * @param drainMs time after which an endpoint that leaves must get no new request, in
+   *     milliseconds
    * @param contactMs time without a disturbance after which all of these limits hold for a VM, in
    *     milliseconds
    */
@@ -86,5 +88,6 @@
       double retryWindowSeconds,
       long endpointExpiryMs,
       long configurationApplyMs,
+      long drainMs,
       long contactMs) {}
 }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/WatchTimes.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/WatchTimes.java
@@ -6,8 +6,11 @@
  *
  * @param configurationMs time between two confirmations of the configuration, in milliseconds
  * @param endpointsMs time between two confirmations of the endpoints, in milliseconds
+ * @param endpointsPauseMs pause between a change of the endpoints and the next watch, in
+ *     milliseconds, so that one call returns several changes: engines write their entries often
+ *     while they load
  */
-public record WatchTimes(long configurationMs, long endpointsMs) {
+public record WatchTimes(long configurationMs, long endpointsMs, long endpointsPauseMs) {
   /**
    * Part of the time to apply a configuration in which an observer that lost the platform is
    * noticed; the rest is left to its followers to read the configuration themselves.
@@ -24,6 +27,12 @@
   /** Time in which an unanswered watch is given up, in milliseconds. */
   private static final long CONTACT_OVERHEAD_MS = 500;
 
+  /**
+   * Part of the time to drain an endpoint that the pause takes; the rest is left to followers that
+   * lose their observers at that moment, and to the way of the last requests.
+   */
+  private static final double DRAIN_PART = 0.15;
+
   private static final long MIN_MS = 400;
 
   /**
@@ -38,6 +47,7 @@
         bounds.failClosedOnStaleKeys() ? bounds.keyRevocationMs() - KEY_OVERHEAD_MS : apply;
     return new WatchTimes(
         Math.max(MIN_MS, (long) Math.min(apply, keys)),
-        Math.max(MIN_MS, bounds.contactMs() - CONTACT_OVERHEAD_MS));
+        Math.max(MIN_MS, bounds.contactMs() - CONTACT_OVERHEAD_MS),
+        (long) (DRAIN_PART * bounds.drainMs()));
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -50,13 +50,6 @@
 public final class EntryVm {
   private static final Logger LOG = LoggerFactory.getLogger(EntryVm.class);
 
-  /**
-   * Pause between a change of the endpoints and the next watch call. Engines update their entries
-   * often while they load, and each call of each entry VM is billed. The pause is short enough to
-   * learn in time of an endpoint that is leaving.
-   */
-  private static final long ENDPOINTS_WATCH_PAUSE_MS = 300;
-
   private static final long ENTRY_VMS_POLL_INTERVAL_MS = 10_000;
 
   /**
@@ -242,7 +235,8 @@
     directoryExchange.addPeers(settings.seeds());
     directorySync.start();
     directorySync.watch(ObjectKind.CONFIGURATION, watchTimes.configurationMs(), 0);
-    directorySync.watch(ObjectKind.ENDPOINTS, watchTimes.endpointsMs(), ENDPOINTS_WATCH_PAUSE_MS);
+    directorySync.watch(
+        ObjectKind.ENDPOINTS, watchTimes.endpointsMs(), watchTimes.endpointsPauseMs());
     directorySync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_INTERVAL_MS);
     directoryExchange.start();
     directoryExchange.requestStaleCopies();
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/ClassArchive.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/ClassArchive.java
@@ -54,6 +54,6 @@
         "none",
         closedPort,
         1,
-        new VmSettings.Bounds(0, 0, false, 0, 0, 0, 1, 0, 0, 0));
+        new VmSettings.Bounds(0, 0, false, 0, 0, 0, 1, 0, 0, 0, 0));
   }
 }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ActivationSchedule.java
@@ -33,6 +33,12 @@
   /** The same for an engine that has no requests left. */
   private static final long LOAD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+  /**
+   * Value of the time for which an engine answers with the version before, against that of the time
+   * after, in which fewer engines have a version that is allowed.
+   */
+  private static final double EARLIER_TIME_VALUE = 0.75;
+
   /** Progress of a transfer from which its end is predicted from its own speed. */
   private static final double MIN_OWN_SPEED_PROGRESS = 0.25;
 
@@ -128,11 +134,11 @@
    * @param nextBeginsAt when the engine begins to switch to the next version
    * @param idle true if the engine has no requests
    * @param now current time, in monotonic nanoseconds
-   * @return true if it answers for longer in all
+   * @return true if more is answered in all
    */
   boolean isWorthSwitching(long namedAt, long nextBeginsAt, boolean idle, long now) {
     long answered = nextBeginsAt - now - (idle ? LOAD_NANOS : SWITCH_NANOS);
-    return answered > Math.max(0, requiredAt(namedAt) - now);
+    return answered > EARLIER_TIME_VALUE * Math.max(0, requiredAt(namedAt) - now);
   }
 
   /**
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -45,8 +45,12 @@
 public final class EndpointVmProcess {
   private static final Logger LOG = LoggerFactory.getLogger(EndpointVmProcess.class);
 
-  /** Peers announce new versions to each other immediately, so a lost watch causes little delay. */
-  private static final long TARGETS_WATCH_MS = 15_000;
+  /**
+   * Longest wait of a watch for target versions. Peers announce new versions to each other
+   * immediately, so a lost watch causes little delay; the waits of VMs differ, so that not all
+   * watches are lost for as long.
+   */
+  private static final long MAX_TARGETS_WATCH_MS = 30_000;
 
   private static final long CONFIGURATION_POLL_MS = 20_000;
   private static final long ENDPOINTS_POLL_MS = 5_000;
@@ -224,7 +228,9 @@
   private void startSync() {
     directoryExchange.addPeers(settings.seeds());
     sync.start();
-    sync.watch(ObjectKind.WEIGHT_TARGETS, TARGETS_WATCH_MS, 0);
+    long waitMs =
+        MAX_TARGETS_WATCH_MS / 2 + ThreadLocalRandom.current().nextLong(MAX_TARGETS_WATCH_MS / 2);
+    sync.watch(ObjectKind.WEIGHT_TARGETS, waitMs, 0);
     sync.poll(ObjectKind.CONFIGURATION, CONFIGURATION_POLL_MS);
     sync.poll(ObjectKind.ENDPOINTS, ENDPOINTS_POLL_MS);
     sync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_MS);
