Wait for the connections of callers in a stop, and leave those with a part of a request open

A stop closed each connection without a complete request 2.6 s after SIGTERM, also one on which a head or a part of a body had just arrived, and the process ended when no request was in progress, although an answer may still wait in the buffer of its connection. Connections are now closed in a stop after 300 ms without bytes, and the process ends when all have closed, which they do once their last answer is written, or 0.7 s before SIGKILL as before.

Seen to fail with an idle time of 0: StoppingGatewayTest$Request#isAnsweredIfItsHeadHadArrivedInPart. A test with a slow reader of a large answer was written and dropped: it took minutes on loopback and showed nothing by its end, so that the second part is read, not shown.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -170,6 +170,11 @@
         4_000);
   }
 
+  /** Runs an action on the event loop without waiting for its end. */
+  void runUnchecked(Runnable action) {
+    eventLoops.execute(action);
+  }
+
   /** Waits until a gauge of the gateway has a value. */
   void awaitGauge(String name, double value) throws Exception {
     long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
--- /dev/null
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -0,0 +1,97 @@
+package org.clementineford.gateway.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.clementineford.testing.VirtualTime;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class StoppingGatewayTest {
+  private static final String HEAD =
+      "POST /post/a HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4\r\n";
+
+  private final VirtualTime time = new VirtualTime(0);
+
+  private static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
+  private static void await(GatewayFixture fixture, BooleanSupplier condition) throws Exception {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (!condition.getAsBoolean() && System.nanoTime() - giveUpAt < 0) {
+      fixture.run(() -> {});
+    }
+    assertThat(condition.getAsBoolean()).isTrue();
+  }
+
+  /** Waits for a condition on counts of the gateway, which it updates when it closes idle ones. */
+  private static void awaitCounted(GatewayFixture fixture, BooleanSupplier condition)
+      throws Exception {
+    await(
+        fixture,
+        () -> {
+          fixture.runUnchecked(fixture.gateway()::closeIdle);
+          return condition.getAsBoolean();
+        });
+  }
+
+  private static void awaitConnection(GatewayFixture fixture) throws Exception {
+    awaitCounted(fixture, () -> fixture.gateway().openCallerConnections() == 1);
+  }
+
+  private void stop(GatewayFixture fixture) throws Exception {
+    fixture.run(fixture.gateway()::beginStop);
+    fixture.run(fixture.gateway()::stopAccepting);
+  }
+
+  @Nested
+  class Request {
+    // Guards against a stop that closes the connection of a request of which a part has arrived.
+    @Test
+    void isAnsweredIfItsHeadHadArrivedInPart() throws Exception {
+      try (ScriptedHttpEndpoint endpoint =
+              new ScriptedHttpEndpoint(
+                  (request, connection) ->
+                      connection.respond(200, request.id(), "proof: p\r\n", "good"));
+          GatewayFixture fixture = new GatewayFixture(time, endpoint);
+          Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        socket.setSoTimeout(5_000);
+        write(socket, HEAD);
+        awaitConnection(fixture);
+        time.advance(100, TimeUnit.MILLISECONDS);
+        stop(fixture);
+        assertThat(fixture.gateway().isDrained()).isFalse();
+        write(socket, "id: r\r\n\r\nbody");
+        String answer =
+            new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertThat(answer).startsWith("HTTP/1.1 200").endsWith("good");
+        assertThat(answer.toLowerCase(Locale.ROOT)).contains("connection: close");
+        await(fixture, fixture.gateway()::isDrained);
+      }
+    }
+  }
+
+  @Nested
+  class IdleConnection {
+    // Guards against a stop that lasts until callers close their connections.
+    @Test
+    void isClosed() throws Exception {
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint((request, connection) -> {});
+          GatewayFixture fixture = new GatewayFixture(time, endpoint);
+          Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        socket.setSoTimeout(5_000);
+        awaitConnection(fixture);
+        time.advance(1, TimeUnit.SECONDS);
+        stop(fixture);
+        assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        await(fixture, fixture.gateway()::isDrained);
+      }
+    }
+  }
+}
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -356,7 +356,7 @@
   private void await(long startedAt, long limitMs, boolean untilIdle) {
     long pollNanos = TimeUnit.MILLISECONDS.toNanos(20);
     while (clock.nanoTime() - startedAt < TimeUnit.MILLISECONDS.toNanos(limitMs)) {
-      if (untilIdle && gateway.requestsInProgress() == 0) {
+      if (untilIdle && gateway.isDrained()) {
         return;
       }
       LockSupport.parkNanos(pollNanos);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -66,6 +66,11 @@
     startNext();
   }
 
+  /** Records that bytes arrived, which may be a part of a request. */
+  void onBytes() {
+    lastActivityAt = clock.nanoTime();
+  }
+
   private void startNext() {
     if (current == null && !pipelined.isEmpty() && !closing) {
       current = pipelined.poll();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -3,6 +3,9 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -60,12 +63,23 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel accepted) {
+                    CallerConnection connection =
+                        new CallerConnection(CallerListener.this, requestHandler, clock);
+                    ChannelInboundHandler activity =
+                        new ChannelInboundHandlerAdapter() {
+                          @Override
+                          public void channelRead(ChannelHandlerContext context, Object bytes) {
+                            connection.onBytes();
+                            context.fireChannelRead(bytes);
+                          }
+                        };
                     accepted
                         .pipeline()
                         .addLast(
+                            activity,
                             new HttpServerCodec(8192, MAX_HEADER_BYTES, 8192),
                             new HttpObjectAggregator(limits.get().maxBodyBytes()),
-                            new CallerConnection(CallerListener.this, requestHandler, clock));
+                            connection);
                   }
                 });
     ChannelFuture bound = bootstrap.bind(address.toSocketAddress()).awaitUninterruptibly();
@@ -87,6 +101,11 @@
     connections.remove(connection);
   }
 
+  /** Returns the number of open connections of callers. */
+  int openConnections() {
+    return connections.size();
+  }
+
   boolean isStopping() {
     return stopping;
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -45,6 +45,11 @@
   /** Age from which the last load report of an engine is no longer used. */
   private static final long REPORT_EXPIRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
 
+  private static final long STOP_CHECK_INTERVAL_MS = 10;
+
+  /** Time without bytes after which a connection without a request is closed in a stop. */
+  private static final long STOP_IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
   /** Interval of attempts to send waiting requests, in milliseconds. */
   private static final long DISPATCH_INTERVAL_MS = 20;
 
@@ -62,6 +67,7 @@
   private List<Endpoint> listedEndpoints = List.of();
   private boolean stopping;
   private volatile int requestsInProgress;
+  private volatile int openCallerConnections;
 
   /**
    * Creates a gateway.
@@ -304,7 +310,7 @@
    */
   public void closeIdle() {
     state.recordMarks(metrics);
-    requestsInProgress = router.requestsInProgress();
+    countCallers();
     listener.closeIdle();
   }
 
@@ -317,13 +323,47 @@
     listener.beginStop();
   }
 
-  /** Stops accepting connections and closes those without a request in progress. */
+  /**
+   * Stops accepting connections, and closes those on which nothing happens. A connection on which
+   * bytes arrived just before may hold a part of a request.
+   */
   public void stopAccepting() {
     listener.stopAccepting();
-    listener.closeIdle(0);
-    requestsInProgress = router.requestsInProgress();
+    closeIdleWhileStopping();
     eventLoops.scheduleWithFixedDelay(
-        () -> requestsInProgress = router.requestsInProgress(), 10, 10, TimeUnit.MILLISECONDS);
+        this::closeIdleWhileStopping,
+        STOP_CHECK_INTERVAL_MS,
+        STOP_CHECK_INTERVAL_MS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  private void closeIdleWhileStopping() {
+    listener.closeIdle(STOP_IDLE_NANOS);
+    countCallers();
+  }
+
+  private void countCallers() {
+    requestsInProgress = router.requestsInProgress();
+    openCallerConnections = listener.openConnections();
+  }
+
+  /**
+   * Returns whether all callers have their answers: no request is in progress, and each connection
+   * has closed, which it does once its last answer is written. May be called from any thread.
+   *
+   * @return true if the process may end; only after {@link #stopAccepting}
+   */
+  public boolean isDrained() {
+    return requestsInProgress == 0 && openCallerConnections == 0;
+  }
+
+  /**
+   * Returns the number of connections of callers. May be called from any thread.
+   *
+   * @return open connections, as of the last check
+   */
+  public int openCallerConnections() {
+    return openCallerConnections;
   }
 
   /**
