Add gauges of who observes the platform and of the age of copies

Operators could not see which entry VMs watch the platform for their data centre, nor how old the proof of a follower's copy is; clementineford_entry_observing and clementineford_entry_platform_copy_age_seconds now tell.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -72,6 +72,7 @@
 
   private static final long SUBSCRIPTION_INTERVAL_MS = 1_000;
   private static final long IDLE_CHECK_INTERVAL_MS = 500;
+  private static final long METRICS_INTERVAL_MS = 1_000;
 
   /** Time after which the platform has received two "not ready" responses from this VM. */
   private static final long NOT_READY_PERIOD_MS = 2_600;
@@ -222,6 +223,8 @@
     EventLoopScheduler scheduler = new EventLoopScheduler(eventLoops);
     scheduler.scheduleWithFixedDelay(
         this::subscribeToReports, SUBSCRIPTION_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    scheduler.scheduleWithFixedDelay(
+        this::recordCopies, METRICS_INTERVAL_MS, TimeUnit.MILLISECONDS);
     scheduler.scheduleWithFixedDelay(
         gateway::closeIdle, IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
     LOG.atInfo()
@@ -325,6 +328,12 @@
     }
   }
 
+  private void recordCopies() {
+    long now = stalenessClock.nanoTime();
+    gateway.recordObserving(observerExchange.isObserving());
+    WATCHED.forEach(kind -> gateway.recordCopyAge(kind, directorySync.copy(kind).ageNanos(now)));
+  }
+
   private void onDatagram(HostPort sender, FleetDatagram datagram) {
     if (datagram.isSetReport()) {
       EngineReport report = datagram.getReport();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -299,6 +299,25 @@
         kind.name(), copy.position().era(), copy.kept().size() + copy.withheld().size());
   }
 
+  /**
+   * Records whether this VM watches the platform, or follows VMs that do.
+   *
+   * @param observing true if it watches the platform
+   */
+  public void recordObserving(boolean observing) {
+    metrics.recordObserving(observing);
+  }
+
+  /**
+   * Records the time since a copy of platform objects was last proved current.
+   *
+   * @param kind kind of the objects
+   * @param ageNanos the time in nanoseconds; the largest number if it never was
+   */
+  public void recordCopyAge(ObjectKind kind, long ageNanos) {
+    metrics.recordCopyAge(kind.name(), TimeUnit.NANOSECONDS.toMillis(ageNanos));
+  }
+
   /** Applies the quarantine to requests in progress, after records of other VMs were added. */
   public void quarantineChanged() {
     quarantine.update();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
@@ -25,6 +25,8 @@
   private final Gauge markedEndpoints;
   private final Gauge platformEra;
   private final Gauge unconfirmedEntries;
+  private final Gauge observing;
+  private final Gauge copyAge;
   private final Histogram firstAnswerLatency;
   private final Histogram eventLoopLateness;
 
@@ -68,6 +70,17 @@
             .help("Objects in use, or left out of use, against what the platform shows")
             .labelNames("kind")
             .register(registry);
+    observing =
+        Gauge.builder()
+            .name("clementineford_entry_observing")
+            .help("1 if this VM watches the platform, 0 if it follows observers")
+            .register(registry);
+    copyAge =
+        Gauge.builder()
+            .name("clementineford_entry_platform_copy_age_seconds")
+            .help("Time since the copy of a kind of platform objects was last proved current")
+            .labelNames("kind")
+            .register(registry);
     firstAnswerLatency =
         Histogram.builder()
             .name("clementineford_entry_first_answer_seconds")
@@ -111,6 +124,14 @@
     unconfirmedEntries.labelValues(kind).set(unconfirmed);
   }
 
+  void recordObserving(boolean isObserving) {
+    observing.set(isObserving ? 1 : 0);
+  }
+
+  void recordCopyAge(String kind, long ageMs) {
+    copyAge.labelValues(kind).set(ageMs / MILLIS_PER_SECOND);
+  }
+
   void recordEventLoopLateness(long lateMs) {
     eventLoopLateness.observe(lateMs / MILLIS_PER_SECOND);
   }
