Take failed listings of followers for no outage, and log datagrams that cannot be processed

Found while reading: a VM that follows observers gets answers of its own only every 10 s, from its listing of entry VMs. Failed calls now count only on kinds that the VM watches itself, and a VM that watches again counts from the last proof of a peer. Errors while a datagram or a peer's copies are processed were not logged above debug level, or not at all; they now are.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -146,6 +146,65 @@
     }
   }
 
+  @Nested
+  class Follower {
+    private void confirm(long revision) {
+      sync.applyPeerCopy(KIND, new HistoryPosition(0, revision), null, Map.of(), time.nanoTime());
+    }
+
+    // Guards against requests to an endpoint that left, since a listing of another kind had failed
+    // once: a VM that follows others gets answers of its own only every some seconds.
+    @Test
+    void takesOneFailedListingForNoOutage() {
+      start();
+      sync.setSuspended(KIND, true);
+      sync.poll(ObjectKind.ENTRY_VMS, 10_000);
+      directory.answerLast(new DirectoryEntries(List.of(), 2));
+      for (int i = 0; i < 10; i++) {
+        time.advance(1, TimeUnit.SECONDS);
+        confirm(2);
+      }
+      directory.failLast(failure(ErrorKind.UNAVAILABLE));
+      time.advance(100, TimeUnit.MILLISECONDS);
+      directory.answerLast(new DirectoryEntries(List.of(), 2));
+      sync.applyPeerCopy(
+          KIND, new HistoryPosition(0, 5), List.of(entry("b", 2)), Map.of(), time.nanoTime());
+      assertThat(names()).containsExactly("b");
+    }
+
+    // Guards against dropping endpoints whose entries lapsed in an outage that a follower notices
+    // by its observers only.
+    @Test
+    void keepsMissingEntriesAfterAnOutageOfItsObservers() {
+      start();
+      sync.setSuspended(KIND, true);
+      confirm(2);
+      time.advance(6, TimeUnit.SECONDS);
+      sync.applyPeerCopy(
+          KIND, new HistoryPosition(0, 5), List.of(entry("b", 2)), Map.of(), time.nanoTime());
+      assertThat(names()).containsExactly("a", "b");
+      time.advance(2_100, TimeUnit.MILLISECONDS);
+      assertThat(names()).containsExactly("b");
+    }
+
+    // Guards against an outage that is counted from the last answer before the VM followed others.
+    @Test
+    void takesOneFailedCallForNoOutageWhenItWatchesAgain() {
+      start();
+      sync.setSuspended(KIND, true);
+      for (int i = 0; i < 10; i++) {
+        time.advance(1, TimeUnit.SECONDS);
+        confirm(2);
+      }
+      sync.setSuspended(KIND, false);
+      directory.failLast(failure(ErrorKind.UNAVAILABLE));
+      time.advance(100, TimeUnit.MILLISECONDS);
+      directory.answerLast(
+          new DirectoryEntries(List.of(new DirectoryEntry("a", 5, new byte[0], true)), 5));
+      assertThat(names()).containsExactly("b");
+    }
+  }
+
   @Nested
   class WatchDuringOutage {
     private final ObjectKind polled = ObjectKind.ENTRY_VMS;
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DatagramLink.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DatagramLink.java
@@ -93,8 +93,8 @@
         receiver.onDatagram(
             sender,
             ThriftCodec.decode(new FleetDatagram(), ByteBufUtil.getBytes(packet.content())));
-      } catch (ClementinefordException e) {
-        LOG.atWarn().addKeyValue("sender", sender).log("cannot decode a datagram; dropped it", e);
+      } catch (ClementinefordException | RuntimeException e) {
+        LOG.atWarn().addKeyValue("sender", sender).log("cannot process a datagram; dropped it", e);
       }
     }
 
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -201,7 +201,7 @@
               }
               try {
                 applyCopies(ThriftCodec.decode(new DirectoryCopies(), response.body()), sentAt);
-              } catch (ClementinefordException e) {
+              } catch (ClementinefordException | RuntimeException e) {
                 LOG.atWarn()
                     .addKeyValue("peer", peer)
                     .log("cannot decode the copies from a peer; ignored them", e);
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -71,7 +71,7 @@
   private final PlatformHistory history = new PlatformHistory();
   private boolean stopped;
 
-  /** Time of the last answer to any call; the start if there was none. */
+  /** Time at which the platform last answered this VM or was proved by a peer to answer. */
   private long answeredAt;
 
   private boolean failedSinceAnswer;
@@ -345,6 +345,10 @@
         callPending = false;
         cancelTimer();
       } else {
+        long now = clock.nanoTime();
+        if (copy.isProven() && now - copy.ageNanos(now) - answeredAt > 0) {
+          answeredAt = now - copy.ageNanos(now);
+        }
         refresh();
       }
     }
@@ -504,7 +508,8 @@
             .addKeyValue("reason", failure.getMessage())
             .log("platform not reached");
       }
-      failedSinceAnswer = true;
+      // A follower calls too seldom to tell an outage from a call that was cut off.
+      failedSinceAnswer |= watching && !suspended;
       long delay = Math.min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS << Math.min(failures, 3));
       failures++;
       scheduleCall(delay);
