--- a/review/harness/Http.java
+++ b/review/harness/Http.java
@@ -190,9 +190,6 @@
     final InputStream in;
     final OutputStream out;
 
-    /** True if nothing passes any more, in either direction, though the connection is open. */
-    volatile boolean silent;
-
     Connection(Socket socket) throws IOException {
       this.socket = socket;
       this.in = new BufferedInputStream(socket.getInputStream());
@@ -200,9 +197,6 @@
     }
 
     synchronized void write(byte[] bytes) throws IOException {
-      if (silent) {
-        return;
-      }
       out.write(bytes);
       out.flush();
     }
@@ -276,9 +270,7 @@
           ByteArrayOutputStream body = new ByteArrayOutputStream();
           readBody(connection.in, request, body::write);
           request.body = body.toByteArray();
-          if (!connection.silent) {
-            handler.handle(request, connection);
-          }
+          handler.handle(request, connection);
         }
       } catch (IOException e) {
         // The peer closed or reset the connection.
@@ -291,16 +283,6 @@
       }
     }
 
-    /** Silences the open connections for good, without a reset; new ones work. */
-    int silenceOpenConnections() {
-      int silenced = 0;
-      for (Connection connection : connections) {
-        connection.silent = true;
-        silenced++;
-      }
-      return silenced;
-    }
-
     /** Ends like a process that crashes: no listener, and all connections are reset. */
     void crash() throws IOException {
       listener.close();
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -17,6 +17,8 @@
   /** Time of an answer, as the sheet says: 4 ms. */
   private static final long ANSWER_MS = 4;
 
+  // Contents are ASCII, apart from bytes that cannot be read; these are passed on as they are.
+
   private record Stored(String name, long revision, String spec) {
     String json() {
       return "{\"metadata\":{\"name\":\""
@@ -39,13 +41,6 @@
   private final Record record;
   private long revision = 100;
 
-  /** Called after a page of a listing was read, before it is answered; for the record. */
-  interface PageListener {
-    void read(String kind, String after, long revision);
-  }
-
-  volatile PageListener pages = (kind, after, at) -> {};
-
   Store(String host, Record record) throws IOException {
     this.record = record;
     server = new Http.Server(host, 0, this::handle);
@@ -78,11 +73,6 @@
     return System.nanoTime();
   }
 
-  /** Silences the open connections for good, without a reset; new ones work. */
-  void silenceOpenConnections() {
-    record.line("open connections to the store go silent: " + server.silenceOpenConnections());
-  }
-
   private void handle(Http.Message request, Http.Connection connection)
       throws IOException, InterruptedException {
     Thread.sleep(ANSWER_MS);
@@ -109,7 +99,6 @@
       throws IOException {
     String after = request.query("after");
     StringBuilder body = new StringBuilder("{\"items\":[");
-    long at;
     synchronized (this) {
       int objects = 0;
       boolean more = false;
@@ -124,11 +113,9 @@
         body.append(objects++ == 0 ? "" : ",").append(stored.json());
       }
       body.append("],\"has_more\":").append(more).append(",\"at\":").append(revision).append("}");
-      at = revision;
     }
-    pages.read(kind, after, at);
     connection.answer(
-        "200 OK", "application/json", body.toString().getBytes(StandardCharsets.UTF_8));
+        "200 OK", "application/json", body.toString().getBytes(StandardCharsets.ISO_8859_1));
   }
 
   private void watch(Http.Message request, String kind, Http.Connection connection)
@@ -156,7 +143,7 @@
       }
     }
     connection.answer(
-        "200 OK", "application/json", body.toString().getBytes(StandardCharsets.UTF_8));
+        "200 OK", "application/json", body.toString().getBytes(StandardCharsets.ISO_8859_1));
   }
 
   private void write(Http.Message request, String kind, String named, Http.Connection connection)
