--- a/review/3/EarlyServer.java
+++ b/review/3/EarlyServer.java
@@ -53,8 +53,7 @@
       }
       String id = request.header("X-Request-Id");
       if (!self.equals(request.header("X-Expect-Instance"))) {
-        out.write(
-            Http.head("HTTP/1.1 421 Misdirected Request", "X-Instance-Id", self, "Content-Length", "0"));
+        out.write(Http.misdirected(self));
         return;
       }
       System.out.println("runs " + id);
--- a/review/3/Mixed.java
+++ b/review/3/Mixed.java
@@ -149,7 +149,11 @@
               "servers",
               id,
               Manifest.entry(
-                  "ledger", host + ":" + line.substring(10), 6, "ready", System.currentTimeMillis()));
+                  "ledger",
+                  host + ":" + line.substring(10),
+                  6,
+                  "ready",
+                  System.currentTimeMillis()));
           return new Server(id, process, output);
         }
       }
--- a/review/harness/Engine.java
+++ b/review/harness/Engine.java
@@ -29,9 +29,8 @@
   private long version;
   private boolean busy;
   private long sequence;
-  private volatile boolean crashed;
 
-  /** Called when a stream begins or ends. */
+  /** Called when a stream begins. */
   interface Listener {
     void begun(Engine engine, String id, long version);
   }
@@ -65,10 +64,6 @@
     return server.text();
   }
 
-  int running() {
-    return running.size();
-  }
-
   synchronized long version() {
     return version;
   }
@@ -114,13 +109,6 @@
             + "}");
   }
 
-  /** Ends like a crashed process; the entry of the server stays in the store until it lapses. */
-  void crash() throws IOException {
-    crashed = true;
-    server.crash();
-    record.line(id + " crashed with " + running.size() + " requests running");
-  }
-
   private void handle(Http.Message request, Http.Connection connection)
       throws IOException, InterruptedException {
     String path = request.path();
@@ -203,8 +191,7 @@
       throws IOException, InterruptedException {
     String requestId = request.header("X-Request-Id");
     if (!id.equals(request.header("X-Expect-Instance"))) {
-      connection.write(
-          Http.head("HTTP/1.1 421 Misdirected Request", "X-Instance-Id", id, "Content-Length", "0"));
+      connection.write(Http.misdirected(id));
       return;
     }
     long runVersion;
@@ -250,9 +237,6 @@
               "chunked"));
       for (int event = from; event <= events; event++) {
         Thread.sleep(eventMs);
-        if (crashed) {
-          throw new IOException("crashed");
-        }
         byte[] bytes =
             ("id: " + event + "\ndata: " + requestId + " " + event + "\n\n")
                 .getBytes(StandardCharsets.UTF_8);
--- a/review/harness/Http.java
+++ b/review/harness/Http.java
@@ -150,6 +150,12 @@
     return text.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
   }
 
+  /** Returns the answer of a server to a request that expects another one. */
+  static byte[] misdirected(String self) {
+    return head(
+        "HTTP/1.1 421 Misdirected Request", "X-Instance-Id", self, "Content-Length", "0");
+  }
+
   /** Sends one request on a new connection and reads the answer; never throws. */
   static Message call(
       InetSocketAddress address, int timeoutMs, byte[] head, byte[] body, Part onBody) {
@@ -283,15 +289,6 @@
       }
     }
 
-    /** Ends like a process that crashes: no listener, and all connections are reset. */
-    void crash() throws IOException {
-      listener.close();
-      for (Connection connection : connections) {
-        connection.socket.setSoLinger(true, 0);
-        connection.socket.close();
-      }
-    }
-
     @Override
     public void close() throws IOException {
       listener.close();
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -121,7 +121,8 @@
   private void watch(Http.Message request, String kind, Http.Connection connection)
       throws IOException, InterruptedException {
     long since = Long.parseLong(request.query("watch"));
-    long waitMs = request.query("wait_ms") == null ? 1_000 : Long.parseLong(request.query("wait_ms"));
+    String wait = request.query("wait_ms");
+    long waitMs = wait == null ? 1_000 : Long.parseLong(wait);
     long until = System.nanoTime() + waitMs * 1_000_000;
     StringBuilder body = new StringBuilder();
     synchronized (this) {
