--- a/review/3/Mixed.java
+++ b/review/3/Mixed.java
@@ -13,7 +13,7 @@
  * the answer as a complete success.
  */
 final class Mixed {
-  private static final int SERVERS = 3;
+  private static final int SERVERS = 6;
 
   /** Below the manifest's max_body_bytes of 4,194,304. */
   private static final int BODY_BYTES = 4_190_000;
