Take a response without a length for complete only after an orderly end of the input

Cause: the decoder ends such a body whenever its channel closes. A reported exception set a mark that prevented it, but a reset that the write of the request meets closes the channel without one. A server that has read all that arrived ends its output in order when it is killed and resets later; that passed as complete as well.

Change: InputEnd, in front of the decoder, records how the input ended. Half closure lets the channel report the end of the input apart from any close, so that completeness rests on what was seen and not on a missing mark. The response waits until the request is written completely, since a crash of the second kind shows only there.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConnectionDelimitedResponseTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConnectionDelimitedResponseTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.net.http.HttpResponse;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -32,6 +33,67 @@
     }
   }
 
+  /**
+   * Endpoints that answer after the head of a request whose body is too long for the buffers of the
+   * connection, so that the gateway still writes it.
+   */
+  @Nested
+  class DuringTheRequest {
+    private static final String BODY = "x".repeat(4_000_000);
+    private static final String HEAD = "HTTP/1.1 200 OK\r\nid: 1\r\nproof: p\r\n";
+
+    private HttpResponse<String> answerTo(ScriptedHttpEndpoint.Script script) throws Exception {
+      try (ScriptedHttpEndpoint endpoint = ScriptedHttpEndpoint.answeringHeads(script);
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        return fixture.sendBodyAsync("POST", "/post/a", "1", BODY).get(5, TimeUnit.SECONDS);
+      }
+    }
+
+    // Guards against a part of a response that passes as complete after a reset, which the write of
+    // the request meets before any read does.
+    @Test
+    void resetIsNoEnd() throws Exception {
+      HttpResponse<String> response =
+          answerTo(
+              (request, connection) -> {
+                connection.write(HEAD + "\r\npart");
+                new LoopbackDelivery(connection.socket()).awaitRead();
+                connection.reset();
+              });
+      assertThat(response.statusCode()).isEqualTo(502);
+    }
+
+    // Guards against taking the end of the input for that of the response, when a crash is reported
+    // only by the bytes of the request that follow.
+    @Test
+    void resetAfterTheEndOfTheInputIsNoEnd() throws Exception {
+      HttpResponse<String> response =
+          answerTo(
+              (request, connection) -> {
+                connection.write(HEAD + "\r\npart");
+                connection.socket().shutdownOutput();
+                new LoopbackDelivery(connection.socket()).awaitClose();
+                connection.reset();
+              });
+      assertThat(response.statusCode()).isEqualTo(502);
+    }
+
+    // Guards against failing a whole response because it ended before the request was read.
+    @Test
+    void theEndOfTheInputCompletesTheResponseOnceTheRequestIsWritten() throws Exception {
+      HttpResponse<String> response =
+          answerTo(
+              (request, connection) -> {
+                connection.write(HEAD + "\r\nwhole");
+                connection.socket().shutdownOutput();
+                new LoopbackDelivery(connection.socket()).awaitClose();
+                connection.skipBody(BODY.length());
+              });
+      assertThat(response.statusCode()).isEqualTo(200);
+      assertThat(response.body()).isEqualTo("whole");
+    }
+  }
+
   @Nested
   class Stream {
     private static final String FIRST = "id: 1\ndata: a\n\n";
@@ -67,6 +129,32 @@
       assertThat(bodyAfter(FIRST + "id: 2\nda")).isEqualTo(FIRST + SECOND);
     }
 
+    // Guards against ending a stream as complete after a reset between two events.
+    @Test
+    void thatIsResetAfterAnEventIsContinuedElsewhere() throws Exception {
+      ScriptedHttpEndpoint.Script cutOff =
+          (request, connection) -> {
+            if ("1".equals(request.headers().get("resume"))) {
+              connection.skipBody(request.bodyLength());
+              respond(request, connection, SECOND);
+            } else {
+              connection.write(
+                  "HTTP/1.1 200 OK\r\nid: " + request.id() + "\r\nproof: p\r\n\r\n" + FIRST);
+              new LoopbackDelivery(connection.socket()).awaitRead();
+              connection.reset();
+            }
+          };
+      try (ScriptedHttpEndpoint first = ScriptedHttpEndpoint.answeringHeads(cutOff);
+          ScriptedHttpEndpoint second = ScriptedHttpEndpoint.answeringHeads(cutOff);
+          GatewayFixture fixture = new GatewayFixture(first, second)) {
+        HttpResponse<String> response =
+            fixture
+                .sendBodyAsync("POST", "/stream/a", "1", DuringTheRequest.BODY)
+                .get(5, TimeUnit.SECONDS);
+        assertThat(response.body()).isEqualTo(FIRST + SECOND);
+      }
+    }
+
     // Guards against forwarding an empty stream when an engine stops before its first event.
     @Test
     void withoutAnyEventIsSentElsewhere() throws Exception {
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/LoopbackDelivery.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/LoopbackDelivery.java
@@ -31,6 +31,11 @@
     await(receiver -> receiver.map(Receiver::hasUnreadBytes).orElse(false));
   }
 
+  /** Waits until the other end has read what it holds. */
+  void awaitRead() throws IOException {
+    await(receiver -> receiver.map(end -> !end.hasUnreadBytes()).orElse(true));
+  }
+
   /** Waits until the other end knows that the connection is closed. */
   void awaitClose() throws IOException {
     await(receiver -> receiver.map(Receiver::isEstablished).map(open -> !open).orElse(true));
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ScriptedHttpEndpoint.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ScriptedHttpEndpoint.java
@@ -21,6 +21,7 @@
 final class ScriptedHttpEndpoint implements AutoCloseable {
   private final ServerSocket server;
   private final Script script;
+  private final boolean readsBodies;
   private final Thread accepting = new Thread(this::accept, "endpoint");
   private final List<Thread> serving = Collections.synchronizedList(new ArrayList<>());
   private final List<Socket> sockets = Collections.synchronizedList(new ArrayList<>());
@@ -37,10 +38,18 @@
     String id() {
       return headers.get("id");
     }
+
+    int bodyLength() {
+      return Integer.parseInt(headers.getOrDefault("content-length", "0"));
+    }
   }
 
   /** A connection to the gateway, on which responses are written. */
-  record Connection(Socket socket, OutputStream output) {
+  record Connection(Socket socket, InputStream input, OutputStream output) {
+    void skipBody(int length) throws IOException {
+      input.skipNBytes(length);
+    }
+
     void write(String text) throws IOException {
       output.write(text.getBytes(StandardCharsets.UTF_8));
       output.flush();
@@ -78,12 +87,22 @@
   }
 
   ScriptedHttpEndpoint(Script script) throws IOException {
+    this(script, true);
+  }
+
+  private ScriptedHttpEndpoint(Script script, boolean readsBodies) throws IOException {
     this.script = script;
+    this.readsBodies = readsBodies;
     this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     accepting.setDaemon(true);
     accepting.start();
   }
 
+  /** Returns an endpoint whose script runs after the head of a request and may read the body. */
+  static ScriptedHttpEndpoint answeringHeads(Script script) throws IOException {
+    return new ScriptedHttpEndpoint(script, false);
+  }
+
   HostPort address() {
     return new HostPort("127.0.0.1", server.getLocalPort());
   }
@@ -125,7 +144,7 @@
   private void serve(Socket socket) {
     try (socket) {
       InputStream input = new BufferedInputStream(socket.getInputStream());
-      Connection connection = new Connection(socket, socket.getOutputStream());
+      Connection connection = new Connection(socket, input, socket.getOutputStream());
       Request request = readRequest(input);
       while (request != null) {
         script.answer(request, connection);
@@ -146,7 +165,7 @@
       int colon = header.indexOf(':');
       headers.put(header.substring(0, colon), header.substring(colon + 1).strip());
     }
-    int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+    int length = readsBodies ? Integer.parseInt(headers.getOrDefault("content-length", "0")) : 0;
     String body = new String(input.readNBytes(length), StandardCharsets.UTF_8);
     synchronized (requests) {
       Request request = new Request(requests.size(), line, headers, body);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -2,9 +2,11 @@
 
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -18,6 +20,7 @@
 import org.clementineford.gateway.EndpointResponseHead;
 import org.clementineford.gateway.RequestProtocol;
 import org.clementineford.serving.routing.AttemptOutcome;
+import org.clementineford.transport.http.InputEnd;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,13 +47,15 @@
   private final EndpointConnectionPool.IdleConnections idleConnections;
   private final EndpointResponseDecoder decoder;
   private final ResponseLimit limit;
+  private final InputEnd inputEnd;
   private Channel channel;
+  private ChannelFuture written;
   private EndpointResponseListener listener;
   private boolean usedBefore;
   private boolean skippingResponse;
   private boolean headAccepted;
   private boolean reusable;
-  private boolean broken;
+  private boolean awaitingWrite;
   private String failureCause = "connection closed";
   private long idleLimitMs = DEFAULT_IDLE_LIMIT_MS;
   private long idleSince;
@@ -60,12 +65,14 @@
       NanoClock clock,
       EndpointConnectionPool.IdleConnections idleConnections,
       EndpointResponseDecoder decoder,
-      ResponseLimit limit) {
+      ResponseLimit limit,
+      InputEnd inputEnd) {
     this.protocol = protocol;
     this.clock = clock;
     this.idleConnections = idleConnections;
     this.decoder = decoder;
     this.limit = limit;
+    this.inputEnd = inputEnd;
   }
 
   @Override
@@ -86,7 +93,25 @@
     this.headAccepted = false;
     listener.onConnected(this);
     decoder.expectResponseTo(request.method());
-    channel.writeAndFlush(request);
+    written = channel.writeAndFlush(request);
+    written.addListener(result -> requestWritten(listener, result.cause()));
+  }
+
+  private void requestWritten(EndpointResponseListener writer, Throwable failure) {
+    if (failure != null && !writer.isEnded()) {
+      LOG.atInfo()
+          .addKeyValue("request", writer.requestId())
+          .addKeyValue("reason", String.valueOf(failure.getMessage()))
+          .log("request not written completely to its endpoint");
+    }
+    if (awaitingWrite) {
+      awaitingWrite = false;
+      if (failure == null) {
+        finish();
+      } else {
+        fail(AttemptOutcome.BROKEN, "connection lost before the request was written");
+      }
+    }
   }
 
   /** Keeps a new connection for a request to come. */
@@ -100,6 +125,7 @@
   /** Resets the connection without notifying the request in progress. */
   void cancel() {
     listener = null;
+    awaitingWrite = false;
     reset();
   }
 
@@ -219,8 +245,11 @@
       listener.onBody(ByteBufUtil.getBytes(content.content()));
     }
     if (last && listener != null) {
-      if (broken) {
+      if (!inputEnd.completesMessage()) {
         fail(AttemptOutcome.BROKEN, failureCause);
+      } else if (inputEnd.isOrderly() && !written.isDone()) {
+        // A crash of the endpoint may end its output first and reset what is written then.
+        awaitingWrite = true;
       } else {
         finish();
       }
@@ -232,11 +261,10 @@
     listener = null;
     usedBefore = true;
     limit.passedOn();
-    idleSince = clock.nanoTime();
-    if (reusable && channel.isActive()) {
-      idleConnections.add(this);
-    } else {
+    if (!reusable || inputEnd.isOrderly()) {
       channel.close();
+    } else {
+      becomeIdle();
     }
     finishedListener.onEnd();
   }
@@ -244,6 +272,7 @@
   private void fail(AttemptOutcome outcome, String cause) {
     final EndpointResponseListener failedListener = listener;
     listener = null;
+    awaitingWrite = false;
     idleConnections.remove(this);
     reset();
     if (failedListener != null) {
@@ -253,12 +282,17 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    // The end of the connection completes a body without a length, but not after a reset.
-    broken = true;
     failureCause = String.valueOf(cause.getMessage());
     reset();
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event == ChannelInputShutdownEvent.INSTANCE && !awaitingWrite) {
+      channel.close();
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     fail(AttemptOutcome.BROKEN, failureCause);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
@@ -21,6 +21,7 @@
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.gateway.RequestProtocol;
 import org.clementineford.serving.routing.EndpointState;
+import org.clementineford.transport.http.InputEnd;
 
 /** Pool of connections to endpoints that are reused between requests. Not thread-safe. */
 final class EndpointConnectionPool {
@@ -123,17 +124,22 @@
       BiConsumer<EndpointConnection, Throwable> onResult) {
     EndpointResponseDecoder decoder = new EndpointResponseDecoder();
     ResponseLimit limit = new ResponseLimit(receivedBytes);
-    EndpointConnection connection = new EndpointConnection(protocol, clock, idle, decoder, limit);
+    InputEnd inputEnd = new InputEnd();
+    EndpointConnection connection =
+        new EndpointConnection(protocol, clock, idle, decoder, limit, inputEnd);
     new Bootstrap()
         .group(eventLoops)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
         .handler(
             new ChannelInitializer<Channel>() {
               @Override
               protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(limit, decoder, new HttpRequestEncoder(), connection);
+                channel
+                    .pipeline()
+                    .addLast(inputEnd, limit, decoder, new HttpRequestEncoder(), connection);
               }
             })
         .connect(endpoint.endpoint().address().toSocketAddress())
