Keep a connection for reuse only once its request is written

A request waited behind the rest of an earlier one, for as long as the endpoint took to read that.

Cause: a connection went back into the pool when the response was complete, though an endpoint may answer before it has read a long body and read on later.

Change: the connection is added to the pool when the write is complete, and reset if the endpoint does not read on within the idle time of the connection, so that the rest of requests does not pile up in memory.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConnectionDelimitedResponseTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConnectionDelimitedResponseTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.net.http.HttpResponse;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -92,6 +93,46 @@
       assertThat(response.statusCode()).isEqualTo(200);
       assertThat(response.body()).isEqualTo("whole");
     }
+
+    // Guards against a request that waits behind the rest of an earlier one on its connection.
+    @Test
+    void theConnectionIsNotUsedAgainBeforeTheRequestIsWritten() throws Exception {
+      CountDownLatch nextAnswered = new CountDownLatch(1);
+      try (ScriptedHttpEndpoint endpoint =
+              ScriptedHttpEndpoint.answeringHeads(
+                  (request, connection) -> {
+                    connection.respond(200, request.id(), "proof: p\r\n", request.id());
+                    if (request.id().equals("1")) {
+                      Latches.await(nextAnswered);
+                    }
+                    connection.skipBody(request.bodyLength());
+                  });
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        assertThat(
+                fixture.sendBodyAsync("POST", "/post/a", "1", BODY).get(5, TimeUnit.SECONDS).body())
+            .isEqualTo("1");
+        assertThat(fixture.send("POST", "/post/a", "2").body()).isEqualTo("2");
+        nextAnswered.countDown();
+      }
+    }
+
+    // Guards against connections, each with the rest of a request in memory, that stay open because
+    // their endpoint does not read on.
+    @Test
+    void theConnectionIsClosedIfTheRestIsNotReadInTime() throws Exception {
+      CountDownLatch closed = new CountDownLatch(1);
+      try (ScriptedHttpEndpoint endpoint =
+              ScriptedHttpEndpoint.answeringHeads(
+                  (request, connection) -> {
+                    connection.write(HEAD + "Content-Length: 5\r\n\r\nwhole");
+                    new LoopbackDelivery(connection.socket()).awaitClose();
+                    closed.countDown();
+                  });
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        fixture.sendBodyAsync("POST", "/post/a", "1", BODY).get(5, TimeUnit.SECONDS);
+        Latches.await(closed);
+      }
+    }
   }
 
   @Nested
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -263,8 +263,11 @@
     limit.passedOn();
     if (!reusable || inputEnd.isOrderly()) {
       channel.close();
-    } else {
+    } else if (written.isDone()) {
       becomeIdle();
+    } else {
+      // The endpoint reads the rest of this request before any other one.
+      idleConnections.addWhenWritten(this, written, idleLimitMs);
     }
     finishedListener.onEnd();
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
@@ -16,10 +16,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.gateway.RequestProtocol;
+import org.clementineford.kernel.Scheduler;
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.transport.http.InputEnd;
 
@@ -199,6 +201,20 @@
       }
     }
 
+    /**
+     * Keeps a connection once the rest of an answered request is written. Closes it if the endpoint
+     * does not read the rest in time.
+     */
+    void addWhenWritten(EndpointConnection connection, ChannelFuture written, long limitMs) {
+      Scheduler.Cancellable limit =
+          input.schedule(connection::cancel, limitMs, TimeUnit.MILLISECONDS);
+      written.addListener(
+          result -> {
+            limit.cancel();
+            connection.becomeIdle();
+          });
+    }
+
     void remove(EndpointConnection connection) {
       connections.remove(connection);
     }
