Use a list of digests only if it is that of the version asked for

Cause: the list of digests that the origin sends was read with defaults for missing fields and compared with nothing. An empty list made a complete transfer, nothing was staged, and the order followed.

An answer for a named version cannot raise the target any more.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -46,7 +46,8 @@
   static final int MAX_CONNECTIONS = 10;
 
   private static final EngineProfile PROFILE =
-      new EngineProfile("m", 4, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119);
+      new EngineProfile(
+          "m", 4, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119, Optional.empty());
 
   private final MultiThreadIoEventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/EngineReportsTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/EngineReportsTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.replica.EngineStatus;
@@ -75,7 +76,7 @@
   @Test
   void haveNoTargetAgeIfTheNamingWasNotSeen() {
     reports.subscribe(entryVm);
-    rollout.setModel("m");
+    rollout.setModel("m", Optional.empty());
     rollout.updateTarget("m", 2, time.nanoTime(), false);
     status(1);
     assertThat(sent.get(0).getTargetAgeMs()).isEqualTo(-1);
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -21,6 +21,7 @@
 import org.clementineford.replica.LocalEngine;
 import org.clementineford.replica.WeightDigests;
 import org.clementineford.replica.WeightOrigin;
+import org.clementineford.serving.model.WeightLayout;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
@@ -31,10 +32,15 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class WeightRolloutTest {
   private static final int CHUNKS = 4;
 
+  /** Length of the chunks of versions below 10. */
+  private static final int CHUNK_BYTES = 3;
+
   private final VirtualTime time = new VirtualTime(0);
   private final MultiThreadIoEventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -72,7 +78,7 @@
 
   @BeforeEach
   void setModel() {
-    rollout.setModel("m");
+    rollout.setModel("m", Optional.of(new WeightLayout(CHUNKS, CHUNK_BYTES)));
   }
 
   @AfterEach
@@ -120,6 +126,81 @@
     }
   }
 
+  @Nested
+  class SpoiltDigests {
+    // Guards against an engine that is ordered to load what is staged, and against a target version
+    // that only one answer of the origin names.
+    @ParameterizedTest
+    @EnumSource
+    void areNotUsed(SpoiltList spoilt) {
+      for (int i = 0; i < CHUNKS; i++) {
+        engine.staged.put(i, chunk(1, i));
+      }
+      origin.spoilt = spoilt;
+      rollout.statusChanged(status(1, 1));
+      rollout.updateTarget("m", 2, 0, true);
+      advance(20_000);
+      assertThat(engine.loaded).isEmpty();
+      assertThat(rollout.target()).isEqualTo(2);
+      origin.spoilt = null;
+      advance(2_000);
+      assertThat(engine.loaded).isNotEmpty().containsOnly(2L);
+      for (int i = 0; i < CHUNKS; i++) {
+        assertThat(engine.staged.get(i)).isEqualTo(chunk(2, i));
+      }
+    }
+  }
+
+  /** Wrong lists of the digests of a version. */
+  private enum SpoiltList {
+    EMPTY {
+      @Override
+      WeightDigests of(WeightDigests right) {
+        return withDigests(right, List.of());
+      }
+    },
+    TOO_SHORT {
+      @Override
+      WeightDigests of(WeightDigests right) {
+        return withDigests(right, right.digests().subList(0, CHUNKS - 1));
+      }
+    },
+    NOT_HEXADECIMAL {
+      @Override
+      WeightDigests of(WeightDigests right) {
+        List<String> digests = new ArrayList<>(right.digests());
+        digests.set(1, "g" + digests.get(1).substring(1));
+        return withDigests(right, digests);
+      }
+    },
+    OTHER_VERSION {
+      @Override
+      WeightDigests of(WeightDigests right) {
+        return new WeightDigests(
+            right.model(), right.version() + 1, right.chunkBytes(), right.digests());
+      }
+    },
+    OTHER_MODEL {
+      @Override
+      WeightDigests of(WeightDigests right) {
+        return new WeightDigests("n", right.version(), right.chunkBytes(), right.digests());
+      }
+    },
+    OTHER_CHUNK_LENGTH {
+      @Override
+      WeightDigests of(WeightDigests right) {
+        return new WeightDigests(
+            right.model(), right.version(), right.chunkBytes() + 1, right.digests());
+      }
+    };
+
+    abstract WeightDigests of(WeightDigests right);
+
+    private static WeightDigests withDigests(WeightDigests right, List<String> digests) {
+      return new WeightDigests(right.model(), right.version(), right.chunkBytes(), digests);
+    }
+  }
+
   @Nested
   class Drain {
     private void startTransferDuringItsTurn() {
@@ -304,6 +385,7 @@
   private static final class FakeOrigin implements WeightOrigin {
     private final List<Runnable> delayedReads = new ArrayList<>();
     private boolean corrupt;
+    private SpoiltList spoilt;
     private int delayedChunks;
     private long withheldVersion;
     private int chunksRead;
@@ -322,8 +404,8 @@
       for (int i = 0; i < CHUNKS; i++) {
         digests.add(Digests.sha256Hex(WeightRolloutTest.chunk(version.orElse(1), i)));
       }
-      return CompletableFuture.completedFuture(
-          new WeightDigests(model, version.orElse(1), digests));
+      WeightDigests right = new WeightDigests(model, version.orElse(1), CHUNK_BYTES, digests);
+      return CompletableFuture.completedFuture(spoilt == null ? right : spoilt.of(right));
     }
 
     @Override
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -271,7 +271,7 @@
       configuration
           .service(settings.engineService())
           .flatMap(Service::engine)
-          .ifPresent(profile -> rollout.setModel(profile.model()));
+          .ifPresent(profile -> rollout.setModel(profile.model(), profile.weights()));
       readTargets();
     } catch (ClementinefordException e) {
       LOG.atError()
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -3,13 +3,14 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.replica.EngineStatus;
 import org.clementineford.replica.LocalEngine;
 import org.clementineford.replica.WeightDigests;
+import org.clementineford.serving.model.WeightLayout;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,12 +35,14 @@
 
   private final TransferContext context;
   private final LocalEngine engine;
+  private final DigestsReader digestsReader;
   private final ChunkStaging staging;
   private final ActivationSchedule schedule;
   private final EngineDrain drain;
   private final TreeMap<Long, ChunkTransfer> transfers = new TreeMap<>();
   private final Runnable onChanging;
   private String model;
+  private Optional<WeightLayout> layout = Optional.empty();
   private long target;
   private boolean targetTimeKnown;
 
@@ -61,6 +64,7 @@
       Runnable onChanging) {
     this.context = context;
     this.engine = engine;
+    this.digestsReader = new DigestsReader(context.weights());
     this.staging = new ChunkStaging(engine);
     this.schedule = schedule;
     this.drain = new EngineDrain(schedule);
@@ -98,10 +102,11 @@
   }
 
   /**
-   * Sets the model of the engine's service, once. Until a version of it is named, an engine without
-   * weights gets the newest one.
+   * Sets the model of the engine's service, once, and the configured layout of its weights. Until a
+   * version of it is named, an engine without weights gets the newest one.
    */
-  void setModel(String serviceModel) {
+  void setModel(String serviceModel, Optional<WeightLayout> configuredLayout) {
+    layout = configuredLayout;
     if (model == null) {
       model = serviceModel;
       proceed();
@@ -261,9 +266,8 @@
     }
     digestsPending = true;
     long wanted = target;
-    context
-        .weights()
-        .digests(origin, model, wanted == 0 ? OptionalLong.empty() : OptionalLong.of(wanted))
+    digestsReader
+        .read(origin, model, wanted, layout)
         .whenComplete(
             (digests, failure) -> {
               if (failure == null) {
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/RoutingFixture.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/RoutingFixture.java
@@ -7,7 +7,8 @@
 /** Creates endpoints, load reports and an engine profile for tests of routing. */
 final class RoutingFixture {
   static final EngineProfile PROFILE =
-      new EngineProfile("m", 4, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119);
+      new EngineProfile(
+          "m", 4, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119, Optional.empty());
 
   private RoutingFixture() {}
 
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/model/EngineProfile.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/model/EngineProfile.java
@@ -1,5 +1,7 @@
 package org.clementineford.serving.model;
 
+import java.util.Optional;
+
 /**
  * Speed and capacity of the engines of one service, as configured. It describes an engine with
  * continuous batching: each scheduling pass runs several decoding steps, which emit one token for
@@ -18,6 +20,7 @@
  *     prompt token and an earlier one, in milliseconds
  * @param meanPromptTokens mean number of tokens of a prompt
  * @param meanAnswerTokens mean number of tokens of an answer
+ * @param weights layout of the model's weights; empty if it is not configured
  */
 public record EngineProfile(
     String model,
@@ -30,4 +33,5 @@
     double prefillTokensPerMs,
     double attentionMsPerMillionPairs,
     double meanPromptTokens,
-    double meanAnswerTokens) {}
+    double meanAnswerTokens,
+    Optional<WeightLayout> weights) {}
