Confirm the newest version of weights by a second answer of the origin

The same cause where no version is named: an engine without weights got the version that one answer of the origin called the newest, and all VMs took it as the target. One spoilt digit would let entry VMs require a version that does not exist.

Change: the version is asked for by name in a second call, and used only if both answers are equal.

Result: versionThatIsNotNamedNeedsTwoAnswers failed before and passes.

--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -151,6 +151,18 @@
     }
   }
 
+  // Guards against a target version that one spoilt answer of the origin names, and that all VMs
+  // would follow, though the platform names none.
+  @Test
+  void versionThatIsNotNamedNeedsTwoAnswers() {
+    origin.spoilt = SpoiltList.OTHER_VERSION;
+    origin.spoiltAnswers = 1;
+    rollout.statusChanged(status(1, 0));
+    advance(2_000);
+    assertThat(rollout.target()).isEqualTo(1);
+    assertThat(engine.loaded).isNotEmpty().containsOnly(1L);
+  }
+
   /** Wrong lists of the digests of a version. */
   private enum SpoiltList {
     EMPTY {
@@ -386,6 +398,7 @@
     private final List<Runnable> delayedReads = new ArrayList<>();
     private boolean corrupt;
     private SpoiltList spoilt;
+    private int spoiltAnswers = Integer.MAX_VALUE;
     private int delayedChunks;
     private long withheldVersion;
     private int chunksRead;
@@ -405,7 +418,8 @@
         digests.add(Digests.sha256Hex(WeightRolloutTest.chunk(version.orElse(1), i)));
       }
       WeightDigests right = new WeightDigests(model, version.orElse(1), CHUNK_BYTES, digests);
-      return CompletableFuture.completedFuture(spoilt == null ? right : spoilt.of(right));
+      boolean isSpoilt = spoilt != null && spoiltAnswers-- > 0;
+      return CompletableFuture.completedFuture(isSpoilt ? spoilt.of(right) : right);
     }
 
     @Override
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/DigestsReader.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/DigestsReader.java
@@ -20,7 +20,9 @@
   }
 
   /**
-   * Reads the digests of a version.
+   * Reads the digests of a version. The newest version is taken from one answer and confirmed by a
+   * second one, for which it is named, since other VMs follow the version that a VM brings to its
+   * engine.
    *
    * @param origin address of the origin
    * @param model name of the model
@@ -30,10 +32,25 @@
    */
   CompletableFuture<WeightDigests> read(
       HostPort origin, String model, long version, Optional<WeightLayout> layout) {
-    OptionalLong wanted = version > 0 ? OptionalLong.of(version) : OptionalLong.empty();
+    if (version > 0) {
+      return weights
+          .digests(origin, model, OptionalLong.of(version))
+          .thenApply(digests -> checked(digests, model, version, layout));
+    }
     return weights
-        .digests(origin, model, wanted)
-        .thenApply(digests -> checked(digests, model, wanted.orElse(digests.version()), layout));
+        .digests(origin, model, OptionalLong.empty())
+        .thenApply(newest -> checked(newest, model, Math.max(1, newest.version()), layout))
+        .thenCompose(
+            newest ->
+                read(origin, model, newest.version(), layout)
+                    .thenApply(named -> confirmed(newest, named)));
+  }
+
+  private static WeightDigests confirmed(WeightDigests newest, WeightDigests named) {
+    if (!newest.equals(named)) {
+      throw corrupt("rejected the newest digests of " + named.model() + ": two answers differ");
+    }
+    return named;
   }
 
   private static WeightDigests checked(
