Read a list of digests again after chunks that do not match

A list may have one wrong digest and the right form. Its chunk never matched, whoever sent it, and the list was read once for a version: the engine of that VM kept its old version until the next one was named, and peers that sent the right bytes were avoided.

Change: after two mismatches of a chunk the list is read again. A held chunk has matched its digest, so that its digest stays; for the others the new list is taken, and bytes that were rejected are compared with it before they are fetched again. If a digest changed, penalties of peers end.

Result: wrongDigestIsReadAgain fails with the rereading taken out and passes; heldChunksStayWhateverTheListReadAgainSays covers a second list that is spoilt at another chunk.

--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.clementineford.kernel.DistributionPolicy;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
@@ -39,14 +40,15 @@
   private static final long BUSY_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
   private final TransferContext context;
-  private final WeightDigests digests;
   private final TransferState state;
   private final byte[][] chunks;
   private final Runnable onComplete;
+  private final DigestSuspicion suspicion;
   private final Map<Long, CompletableFuture<?>> reads = new HashMap<>();
   private final Map<String, Long> bytesBySource = new HashMap<>();
   private final Scheduler.Cancellable timer;
   private final long startedAt;
+  private WeightDigests digests;
   private long completedAt;
   private boolean stopped;
 
@@ -56,11 +58,13 @@
       Collection<VmIdentity> peers,
       ChunkTransfer reusable,
       Map<Integer, byte[]> staged,
-      Runnable onComplete) {
+      Runnable onComplete,
+      Consumer<ChunkTransfer> onDigestsSuspected) {
     this.context = context;
     this.digests = digests;
     this.chunks = new byte[digests.digests().size()][];
     this.onComplete = onComplete;
+    this.suspicion = new DigestSuspicion(() -> onDigestsSuspected.accept(this));
     this.startedAt = context.clock().nanoTime();
     this.state =
         new TransferState(
@@ -253,26 +257,68 @@
           .addKeyValue("source", fetch.kind())
           .log("chunk does not match its digest; dropped, to be fetched again");
       state.failed(fetch.id(), FetchFailure.CORRUPT, BUSY_RETRY_NANOS, context.clock().nanoTime());
+      suspicion.mismatched(fetch.chunk(), bytes);
       return;
     }
     chunks[fetch.chunk()] = bytes;
     bytesBySource.merge(fetch.kind().name(), (long) bytes.length, Long::sum);
     state.succeeded(fetch.id(), context.clock().nanoTime()).forEach(this::cancel);
-    state.markHeld(fetch.chunk());
+    held(fetch.chunk());
+  }
+
+  /**
+   * Replaces the digests of the chunks that are not held. A held chunk matched its digest, so that
+   * the digest is right whatever the other list says.
+   *
+   * @param reread the list as read again, of the same version and number of chunks
+   */
+  void correctDigests(WeightDigests reread) {
+    List<String> corrected = new ArrayList<>(reread.digests());
+    int changed = 0;
+    for (int chunk = 0; chunk < chunks.length; chunk++) {
+      if (chunks[chunk] != null) {
+        corrected.set(chunk, digests.digests().get(chunk));
+      } else if (!corrected.get(chunk).equals(digests.digests().get(chunk))) {
+        changed++;
+      }
+    }
+    digests =
+        new WeightDigests(digests.model(), digests.version(), digests.chunkBytes(), corrected);
+    LOG.atInfo()
+        .addKeyValue("version", digests.version())
+        .addKeyValue("changed", changed)
+        .log("digests read again after chunks that did not match");
+    if (changed > 0) {
+      state.forgivePeers();
+    }
+    suspicion.end().forEach(this::reuse);
+    if (!stopped && isComplete()) {
+      complete();
+    } else {
+      proceed();
+    }
+  }
+
+  private void held(int chunk) {
+    state.markHeld(chunk);
     if (isComplete()) {
-      completedAt = context.clock().nanoTime();
-      LOG.atInfo()
-          .addKeyValue("version", digests.version())
-          .addKeyValue("ms", TimeUnit.NANOSECONDS.toMillis(context.clock().nanoTime() - startedAt))
-          .addKeyValue("bytes", bytesBySource)
-          .log("transfer complete");
-      timer.cancel();
-      onComplete.run();
+      complete();
     } else {
       proceed();
     }
   }
 
+  private void complete() {
+    completedAt = context.clock().nanoTime();
+    LOG.atInfo()
+        .addKeyValue("version", digests.version())
+        .addKeyValue("ms", TimeUnit.NANOSECONDS.toMillis(completedAt - startedAt))
+        .addKeyValue("bytes", bytesBySource)
+        .log("transfer complete");
+    timer.cancel();
+    onComplete.run();
+  }
+
   private void failed(Fetch fetch, FetchFailure failure) {
     reads.remove(fetch.id());
     if (!stopped) {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.VmIdentity;
 import org.clementineford.replica.EngineStatus;
 import org.clementineford.replica.LocalEngine;
@@ -260,7 +262,7 @@
   }
 
   private void readDigests() {
-    var origin = context.origin().get();
+    HostPort origin = context.origin().get();
     if (origin == null) {
       return;
     }
@@ -290,6 +292,35 @@
             });
   }
 
+  /**
+   * Reads the digests of a transfer again, since chunks did not match, until an answer is right.
+   */
+  private void readDigestsAgain(ChunkTransfer transfer) {
+    if (!transfers.containsValue(transfer) || transfer.isComplete()) {
+      return;
+    }
+    HostPort origin = context.origin().get();
+    CompletableFuture<WeightDigests> read =
+        origin == null
+            ? CompletableFuture.failedFuture(new IllegalStateException("origin not known"))
+            : digestsReader.read(origin, model, transfer.digests().version(), layout);
+    read.whenComplete(
+        (digests, failure) -> {
+          if (failure == null) {
+            transfer.correctDigests(digests);
+          } else {
+            LOG.atWarn()
+                .addKeyValue("version", transfer.digests().version())
+                .addKeyValue("reason", failure.getMessage())
+                .log("failed to read chunk digests again; retrying");
+            context
+                .scheduler()
+                .schedule(
+                    () -> readDigestsAgain(transfer), DIGESTS_RETRY_MS, TimeUnit.MILLISECONDS);
+          }
+        });
+  }
+
   /**
    * Reads the chunks staged at the engine if they may be of the given version. After a restart of
    * the engine or of this process, the VM then needs no transfer and can serve peers that do.
@@ -316,7 +347,8 @@
       previous.stop();
     }
     ChunkTransfer transfer =
-        new ChunkTransfer(context, digests, peers, previous, staged, this::proceed);
+        new ChunkTransfer(
+            context, digests, peers, previous, staged, this::proceed, this::readDigestsAgain);
     transfers.put(digests.version(), transfer);
     while (transfers.size() > MAX_KEPT_VERSIONS) {
       transfers.pollFirstEntry().getValue().stop();
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/SwarmPeer.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/SwarmPeer.java
@@ -61,6 +61,10 @@
     lastResortFromNanos = now + lastResortDelay;
   }
 
+  void forgive() {
+    avoidedUntilNanos = Long.MIN_VALUE;
+  }
+
   boolean isAvoided(long now) {
     return now < avoidedUntilNanos;
   }
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/SwarmView.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/SwarmView.java
@@ -60,6 +60,10 @@
     replaceMap(peer, map);
   }
 
+  void forgivePeers() {
+    peers.values().forEach(SwarmPeer::forgive);
+  }
+
   /** Clears the chunks of a peer until its next chunk map. */
   void forgetMap(SwarmPeer peer) {
     replaceMap(peer, new ChunkBitmap(chunks));
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/TransferState.java
@@ -216,6 +216,11 @@
     }
   }
 
+  /** Ends the penalties of peers whose chunks were rejected because of a wrong digest. */
+  public void forgivePeers() {
+    swarm.forgivePeers();
+  }
+
   /**
    * Decides which fetches to start and to cancel. Called after each event and at least once in each
    * announce interval.
