Keep the last status of an engine when its report cannot be decoded

A report that cannot be decoded changes nothing, up to three in a row.

Tests of the platform's adapters and of the replica pass.

--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -86,7 +86,7 @@
 
   private final VmSettings settings;
   private final DirectoryDecoder decoder;
-  private final LocalEngine engine;
+  private final EngineStatusPoll statusPoll;
   private final EventLoopGroup eventLoops;
   private final NanoClock clock;
   private final Scheduler scheduler;
@@ -101,7 +101,6 @@
   private HostPort origin;
   private long refreshedAt;
   private DatagramLink datagrams;
-  private boolean statusPending;
   private boolean targetsListed;
 
   /**
@@ -129,7 +128,7 @@
       long incarnation) {
     this.settings = settings;
     this.decoder = decoder;
-    this.engine = engine;
+    this.statusPoll = new EngineStatusPoll(engine, this::statusRead);
     this.eventLoops = eventLoops;
     this.clock = clock;
     this.refreshedAt = clock.nanoTime();
@@ -343,23 +342,14 @@
   private void readStatus() {
     // The time at which a version became the target is known only after the first listing.
     targetsListed |= sync.copy(ObjectKind.WEIGHT_TARGETS).isLoaded() && rollout.model() != null;
-    if (statusPending) {
-      return;
-    }
-    statusPending = true;
     if (origin == null) {
       refresh(ObjectKind.CONFIGURATION);
     }
-    engine
-        .status()
-        .whenComplete(
-            (status, failure) -> {
-              statusPending = false;
-              if (failure != null) {
-                LOG.debug("engine did not answer the status request", failure);
-              }
-              rollout.statusChanged(failure == null ? status : EngineStatus.UNREACHABLE);
-              reports.send();
-            });
+    statusPoll.read();
+  }
+
+  private void statusRead(EngineStatus status) {
+    rollout.statusChanged(status);
+    reports.send();
   }
 }
