Keep the beginning of a second answer apart from the next answer

Cause: the beginning of a second answer, broken off in its head, stayed in the decoder of an idle connection, and joined the head of the next answer: status of the one, identity of the other.

Change: a connection is not used again if its decoder holds bytes after an answer; any byte while no response is expected closes it; a head with a second status line is rejected, and the outcome of its request is unknown.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/SecondCopyOfAnswerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/SecondCopyOfAnswerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.stream.Stream;
 import org.clementineford.testing.VirtualTime;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -80,4 +81,86 @@
       assertThat(fixture.send("POST", "/post/a", "one").body()).isEqualTo("good");
     }
   }
+
+  /** When the beginning of a second answer arrives. */
+  private enum Beginning {
+    WITH_THE_ANSWER {
+      @Override
+      void answer(
+          ScriptedHttpEndpoint.Request request,
+          ScriptedHttpEndpoint.Connection connection,
+          String part)
+          throws IOException {
+        connection.write(ANSWER.formatted(request.id()) + (isFirst(request) ? part : ""));
+      }
+    },
+    WHILE_THE_CONNECTION_IS_IDLE {
+      @Override
+      void answer(
+          ScriptedHttpEndpoint.Request request,
+          ScriptedHttpEndpoint.Connection connection,
+          String part)
+          throws IOException {
+        connection.write(ANSWER.formatted(request.id()));
+        if (isFirst(request)) {
+          new LoopbackDelivery(connection.socket()).awaitRead();
+          connection.write(part);
+        }
+      }
+    },
+    BEFORE_THE_NEXT_ANSWER {
+      @Override
+      void answer(
+          ScriptedHttpEndpoint.Request request,
+          ScriptedHttpEndpoint.Connection connection,
+          String part)
+          throws IOException {
+        if (!isFirst(request)) {
+          connection.write(part);
+          new LoopbackDelivery(connection.socket()).awaitRead();
+        }
+        connection.write(ANSWER.formatted(request.id()));
+      }
+    };
+
+    private static final String ANSWER =
+        "HTTP/1.1 200 X\r\nid: %s\r\nproof: p\r\nKeep-Alive: timeout=5\r\n"
+            + "Content-Length: 4\r\n\r\ngood";
+
+    abstract void answer(
+        ScriptedHttpEndpoint.Request request,
+        ScriptedHttpEndpoint.Connection connection,
+        String part)
+        throws IOException;
+
+    private static boolean isFirst(ScriptedHttpEndpoint.Request request) {
+      return request.id().equals("one");
+    }
+  }
+
+  // Guards against the beginning of a second answer that joins the head of the next one. Its status
+  // and "has not run" would count for a request that ran, which would then run again.
+  @ParameterizedTest
+  @EnumSource
+  void beginningDoesNotChangeTheNextAnswer(Beginning beginning) throws Exception {
+    String second = "HTTP/1.1 503 Gone\r\nnot-run: 1\r\nDate: Sat, 05 Dec 2026 1";
+    for (int length = 1; length <= second.length(); length++) {
+      String part = second.substring(0, length);
+      ScriptedHttpEndpoint.Script script =
+          (request, connection) -> beginning.answer(request, connection, part);
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
+          ScriptedHttpEndpoint other = new ScriptedHttpEndpoint(script);
+          GatewayFixture fixture = new GatewayFixture(endpoint, other)) {
+        fixture.send("POST", "/post/a", "one");
+        var answer = fixture.send("POST", "/post/a", "two");
+        assertThat(answer.statusCode()).as(part).isIn(200, 502);
+        long runs =
+            Stream.of(endpoint, other)
+                .flatMap(server -> server.requests().stream())
+                .filter(request -> request.id().equals("two"))
+                .count();
+        assertThat(runs).as(part).isEqualTo(1);
+      }
+    }
+  }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -21,6 +21,7 @@
 import org.clementineford.gateway.RequestProtocol;
 import org.clementineford.serving.routing.AttemptOutcome;
 import org.clementineford.transport.http.InputEnd;
+import org.clementineford.transport.http.UnsolicitedInput;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -48,6 +49,7 @@
   private final EndpointResponseDecoder decoder;
   private final ResponseLimit limit;
   private final InputEnd inputEnd;
+  private final UnsolicitedInput unsolicitedInput;
   private Channel channel;
   private ChannelFuture written;
   private EndpointResponseListener listener;
@@ -66,13 +68,15 @@
       EndpointConnectionPool.IdleConnections idleConnections,
       EndpointResponseDecoder decoder,
       ResponseLimit limit,
-      InputEnd inputEnd) {
+      InputEnd inputEnd,
+      UnsolicitedInput unsolicitedInput) {
     this.protocol = protocol;
     this.clock = clock;
     this.idleConnections = idleConnections;
     this.decoder = decoder;
     this.limit = limit;
     this.inputEnd = inputEnd;
+    this.unsolicitedInput = unsolicitedInput;
   }
 
   @Override
@@ -92,6 +96,7 @@
     this.skippingResponse = false;
     this.headAccepted = false;
     listener.onConnected(this);
+    unsolicitedInput.setResponseExpected(true);
     decoder.expectResponseTo(request.method());
     written = channel.writeAndFlush(request);
     written.addListener(result -> requestWritten(listener, result.cause()));
@@ -185,6 +190,10 @@
   }
 
   private void readHead(HttpResponse response) {
+    if (JoinedHeads.isJoined(response)) {
+      fail(AttemptOutcome.BROKEN, "bytes of another response before the response");
+      return;
+    }
     EndpointResponseHead head = protocol.decodeResponse(response);
     boolean otherRequest =
         head.requestId().map(id -> !id.equals(listener.requestId())).orElse(false);
@@ -261,7 +270,8 @@
     listener = null;
     usedBefore = true;
     limit.passedOn();
-    if (!reusable || inputEnd.isOrderly()) {
+    unsolicitedInput.setResponseExpected(false);
+    if (!reusable || inputEnd.isOrderly() || decoder.hasUndecodedBytes()) {
       channel.close();
     } else if (written.isDone()) {
       becomeIdle();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
@@ -24,6 +24,7 @@
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.transport.http.InputEnd;
+import org.clementineford.transport.http.UnsolicitedInput;
 
 /** Pool of connections to endpoints that are reused between requests. Not thread-safe. */
 final class EndpointConnectionPool {
@@ -127,8 +128,9 @@
     EndpointResponseDecoder decoder = new EndpointResponseDecoder();
     ResponseLimit limit = new ResponseLimit(receivedBytes);
     InputEnd inputEnd = new InputEnd();
+    UnsolicitedInput unsolicited = new UnsolicitedInput();
     EndpointConnection connection =
-        new EndpointConnection(protocol, clock, idle, decoder, limit, inputEnd);
+        new EndpointConnection(protocol, clock, idle, decoder, limit, inputEnd, unsolicited);
     new Bootstrap()
         .group(eventLoops)
         .channel(NioSocketChannel.class)
@@ -141,7 +143,13 @@
               protected void initChannel(Channel channel) {
                 channel
                     .pipeline()
-                    .addLast(inputEnd, limit, decoder, new HttpRequestEncoder(), connection);
+                    .addLast(
+                        inputEnd,
+                        unsolicited,
+                        limit,
+                        decoder,
+                        new HttpRequestEncoder(),
+                        connection);
               }
             })
         .connect(endpoint.endpoint().address().toSocketAddress())
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointResponseDecoder.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointResponseDecoder.java
@@ -16,6 +16,11 @@
     headRequested = method.equals(HttpMethod.HEAD);
   }
 
+  /** Returns whether bytes were received that belong to no message decoded so far. */
+  boolean hasUndecodedBytes() {
+    return actualReadableBytes() > 0;
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return headRequested || super.isContentAlwaysEmpty(message);
