Bound the receive buffers of test endpoints that do not read bodies

Traced from the missing line about the unwritten request.

The endpoint now has a receive buffer of 16 KB, so that the rest stays with the gateway. What the test requires is unchanged.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ScriptedHttpEndpoint.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ScriptedHttpEndpoint.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -19,6 +20,8 @@
 
 /** An HTTP endpoint on loopback that answers each request with the bytes of a test script. */
 final class ScriptedHttpEndpoint implements AutoCloseable {
+  private static final int SMALL_BUFFER_BYTES = 16_384;
+
   private final ServerSocket server;
   private final Script script;
   private final boolean readsBodies;
@@ -93,7 +96,12 @@
   private ScriptedHttpEndpoint(Script script, boolean readsBodies) throws IOException {
     this.script = script;
     this.readsBodies = readsBodies;
-    this.server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    this.server = new ServerSocket();
+    if (!readsBodies) {
+      // Otherwise the buffers of the connection may hold a body that is not read.
+      server.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+    }
+    server.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
     accepting.setDaemon(true);
     accepting.start();
   }
