Write answers to their end during a planned stop

Cause: a stop closes connections that are idle for more than 300 ms, and idle time counted from the moment at which an answer was handed to the channel. The close discards what waits in memory.

Change: a stop does not close a connection with an answer to write. The idle time of others counts from the last progress of their answer, so that callers that do not read are still closed.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -77,8 +77,59 @@
     }
   }
 
+  @Nested
+  class Answer {
+    // Guards against a stop that cuts off answers which wait in memory for their callers to read.
+    @Test
+    void isWrittenToItsEnd() throws Exception {
+      String body = "x".repeat(4_000_000);
+      try (ScriptedHttpEndpoint endpoint =
+              new ScriptedHttpEndpoint(
+                  (request, connection) ->
+                      connection.respond(200, request.id(), "proof: p\r\n", body));
+          GatewayFixture fixture = new GatewayFixture(time, endpoint);
+          Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        socket.setSoTimeout(5_000);
+        write(socket, HEAD + "id: 1\r\n\r\nbody" + HEAD + "id: 2\r\n\r\nbody");
+        await(fixture, () -> endpoint.requests().size() == 2);
+        awaitCounted(fixture, () -> fixture.gateway().requestsInProgress() == 0);
+        time.advance(1, TimeUnit.SECONDS);
+        stop(fixture);
+        assertThat(fixture.gateway().isDrained()).isFalse();
+        assertThat(socket.getInputStream().readNBytes(2 * body.length()))
+            .hasSize(2 * body.length());
+        time.advance(1, TimeUnit.SECONDS);
+        assertThat(socket.getInputStream().readAllBytes()).isNotEmpty();
+        await(fixture, fixture.gateway()::isDrained);
+      }
+    }
+  }
+
   @Nested
   class IdleConnection {
+    // Guards against connections, with answers in memory, that stay open because their callers do
+    // not read.
+    @Test
+    void isClosedIfItsCallerDoesNotRead() throws Exception {
+      String body = "x".repeat(4_000_000);
+      try (ScriptedHttpEndpoint endpoint =
+              new ScriptedHttpEndpoint(
+                  (request, connection) ->
+                      connection.respond(200, request.id(), "proof: p\r\n", body));
+          GatewayFixture fixture = new GatewayFixture(time, endpoint);
+          Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        write(socket, HEAD + "id: 1\r\n\r\nbody" + HEAD + "id: 2\r\n\r\nbody");
+        await(fixture, () -> endpoint.requests().size() == 2);
+        awaitCounted(fixture, () -> fixture.gateway().requestsInProgress() == 0);
+        awaitCounted(
+            fixture,
+            () -> {
+              time.advance(30, TimeUnit.SECONDS);
+              return fixture.gateway().openCallerConnections() == 0;
+            });
+      }
+    }
+
     // Guards against a stop that lasts until callers close their connections.
     @Test
     void isClosed() throws Exception {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -1,6 +1,8 @@
 package org.clementineford.gateway.internal;
 
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
@@ -25,6 +27,8 @@
   private ChannelHandlerContext context;
   private CallerExchange current;
   private long lastActivityAt;
+  private int unwrittenAnswers;
+  private long unwrittenBytes;
   private boolean closing;
 
   CallerConnection(
@@ -78,8 +82,18 @@
     }
   }
 
-  void onExchangeEnded(CallerExchange exchange, boolean close) {
-    lastActivityAt = clock.nanoTime();
+  /**
+   * Called when the answer of an exchange was handed to the channel.
+   *
+   * @param written completes when the whole answer has left this process
+   */
+  void onExchangeEnded(CallerExchange exchange, ChannelFuture written, boolean close) {
+    unwrittenAnswers++;
+    written.addListener(
+        result -> {
+          unwrittenAnswers--;
+          lastActivityAt = clock.nanoTime();
+        });
     closing |= close;
     if (exchange == current) {
       current = null;
@@ -91,9 +105,26 @@
     return closing || listener.isStopping();
   }
 
-  /** Returns the time since the last activity, in nanoseconds; 0 during a request. */
+  /** Returns whether a part of an answer waits for the caller to read. */
+  boolean isWriting() {
+    return unwrittenAnswers > 0;
+  }
+
+  /**
+   * Returns the time since the last activity, in nanoseconds; 0 during a request. While an answer
+   * is written, only its progress is an activity.
+   */
   long idleNanos() {
-    return current != null ? 0 : clock.nanoTime() - lastActivityAt;
+    if (current != null) {
+      return 0;
+    }
+    Channel channel = context.channel();
+    long bytes = channel.bytesBeforeWritable() - channel.bytesBeforeUnwritable();
+    if (bytes != unwrittenBytes) {
+      unwrittenBytes = bytes;
+      lastActivityAt = clock.nanoTime();
+    }
+    return clock.nanoTime() - lastActivityAt;
   }
 
   void close() {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
@@ -137,7 +137,7 @@
     if (close) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
-    connection.onExchangeEnded(this, close);
+    connection.onExchangeEnded(this, written, close);
   }
 
   void disconnected() {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -122,12 +122,20 @@
   /** Closes the connections that have been idle for longer than the configured timeout. */
   void closeIdle() {
     long limit = TimeUnit.MILLISECONDS.toNanos(limits.get().idleTimeoutMs()) + IDLE_MARGIN_NANOS;
-    closeIdle(limit);
+    for (CallerConnection connection : List.copyOf(connections)) {
+      if (connection.idleNanos() > limit) {
+        connection.close();
+      }
+    }
   }
 
-  void closeIdle(long limitNanos) {
+  /**
+   * Closes the connections that have been idle for longer than a limit and have no answer to write.
+   * An answer that its caller reads slowly moves in steps, as the buffers of the system let it.
+   */
+  void closeIdleWhileStopping(long limitNanos) {
     for (CallerConnection connection : List.copyOf(connections)) {
-      if (connection.idleNanos() > limitNanos) {
+      if (!connection.isWriting() && connection.idleNanos() > limitNanos) {
         connection.close();
       }
     }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -357,7 +357,7 @@
   }
 
   private void closeIdleWhileStopping() {
-    listener.closeIdle(STOP_IDLE_NANOS);
+    listener.closeIdleWhileStopping(STOP_IDLE_NANOS);
     countCallers();
   }
 
