Close the connection of a stream that fails after it has started

Cause: a failure wrote a second head into the answer that had begun. The encoder refused it, and nothing else ended the stream, since its deadline timer had been cancelled.

Change: a failure after the start of a stream closes the connection, as a refusal did.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -45,6 +45,9 @@
   /** Connection limit of each endpoint. */
   static final int MAX_CONNECTIONS = 10;
 
+  private static final Map<String, RoutingClientAccount> ACCOUNTS =
+      Map.of("secret", new RoutingClientAccount("lorient", OptionalInt.empty()));
+
   private static final EngineProfile PROFILE =
       new EngineProfile(
           "m", 4, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119, Optional.empty());
@@ -105,7 +108,7 @@
             new RequestQuarantine(clock),
             registry);
     address = gateway.start(any);
-    eventLoops.submit(() -> gateway.configure(configuration())).get();
+    eventLoops.submit(() -> gateway.configure(configuration(1, ACCOUNTS))).get();
     list(List.of(endpoints), 1);
   }
 
@@ -120,19 +123,26 @@
     eventLoops.submit(() -> gateway.updateEndpoints(listed)).get();
   }
 
-  private static RoutingConfiguration configuration() {
+  /** Puts a configuration into force that has no keys any more. */
+  void removeKeys() throws Exception {
+    eventLoops.submit(() -> gateway.configure(configuration(2, Map.of()))).get();
+  }
+
+  private static RoutingConfiguration configuration(
+      long version, Map<String, RoutingClientAccount> accounts) {
     return new RoutingConfiguration(
-        1,
+        version,
         List.of(
             route("/get/", RequestKind.IDEMPOTENT, "plain", 2, true),
             route("/post/", RequestKind.NON_IDEMPOTENT, "plain", 2, true),
             route("/stream/", RequestKind.STREAM, "pool", 2, true),
             patientRoute("/patient/"),
-            route("/keyed/", RequestKind.IDEMPOTENT, "plain", 2, false)),
+            route("/keyed/", RequestKind.IDEMPOTENT, "plain", 2, false),
+            route("/keyed-stream/", RequestKind.STREAM, "pool", 2, false)),
         List.of(
             new Service("plain", MAX_CONNECTIONS, Optional.empty(), Optional.empty()),
             new Service("pool", MAX_CONNECTIONS, Optional.of(PROFILE), Optional.empty())),
-        Map.of("secret", new RoutingClientAccount("lorient", OptionalInt.empty())),
+        accounts,
         true,
         CallerLimits.DEFAULT);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -333,12 +333,7 @@
    * have run it, the response is that the outcome is unknown. A stream that has started is aborted.
    */
   void refuse(FailureReason reason, double retryAfterSeconds) {
-    if (exchange.isResponseStarted()) {
-      exchange.abort();
-      finish("BROKEN_OFF");
-      return;
-    }
-    if (mayHaveRun) {
+    if (mayHaveRun || exchange.isResponseStarted()) {
       fail(FailureReason.OUTCOME_UNKNOWN);
       return;
     }
@@ -356,8 +351,16 @@
 
   private record FailureResponse(int status, HttpHeaders headers, byte[] body) {}
 
-  /** Ends the request with the failure response kept from an endpoint, else with the given one. */
+  /**
+   * Ends the request with the failure response kept from an endpoint, else with the given one. A
+   * stream that has started is aborted.
+   */
   void fail(FailureReason reason) {
+    if (exchange.isResponseStarted()) {
+      exchange.abort();
+      finish("BROKEN_OFF");
+      return;
+    }
     if (failureResponse != null) {
       forwardResponse(failureResponse.status, failureResponse.headers, failureResponse.body);
       return;
