Close idle connections of own calls at any byte

The cause of the beginning of a second answer on a related path: calls to the platform, the origin, peers and engines of the product's own interface kept it in the decoder of an idle connection.

Change: UnsolicitedInput, as on connections to endpoints.

Result: connectionIsClosedAtTheBeginningOfSecondResponse timed out before and passes. All tests of transport pass.

--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/CutResponseTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/CutResponseTest.java
@@ -1,5 +1,6 @@
 package org.clementineford.transport;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.netty.channel.EventLoopGroup;
@@ -9,7 +10,6 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -93,7 +93,7 @@
                         })
                     .get()
                     .body())
-            .asString(StandardCharsets.US_ASCII)
+            .asString(US_ASCII)
             .isEqualTo(CutResponse.BODY);
       }
     }
@@ -113,7 +113,7 @@
               UNREAD_BYTES,
               socket -> {
                 readHead(socket);
-                socket.getOutputStream().write(PART.getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream().write(PART.getBytes(US_ASCII));
                 awaitEventLoop();
                 socket.setSoLinger(true, 0);
                 socket.close();
@@ -130,7 +130,7 @@
               UNREAD_BYTES,
               socket -> {
                 readHead(socket);
-                socket.getOutputStream().write(PART.getBytes(StandardCharsets.US_ASCII));
+                socket.getOutputStream().write(PART.getBytes(US_ASCII));
                 socket.shutdownOutput();
                 awaitEventLoop();
                 socket.setSoLinger(true, 0);
@@ -163,8 +163,29 @@
                   .getOutputStream()
                   .write(
                       "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-                          .getBytes(StandardCharsets.US_ASCII));
+                          .getBytes(US_ASCII));
             });
     assertThat(received.get().status()).isEqualTo(200);
   }
+
+  // Guards against the beginning of a second response that stays in the decoder of an idle
+  // connection and joins the head of the next response.
+  @Test
+  void connectionIsClosedAtTheBeginningOfSecondResponse() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      HttpRequest request = new HttpRequest("GET", "/", Map.of(), new byte[0]);
+      var response =
+          client.call(new HostPort("127.0.0.1", server.getLocalPort()), request, TIMEOUT_MS);
+      try (Socket socket = server.accept()) {
+        socket.setSoTimeout((int) TIMEOUT_MS);
+        readHead(socket);
+        socket
+            .getOutputStream()
+            .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(US_ASCII));
+        response.get();
+        socket.getOutputStream().write("HTTP/1.1 503 X\r\nDate: Sat".getBytes(US_ASCII));
+        assertThat(socket.getInputStream().read()).isEqualTo(-1);
+      }
+    }
+  }
 }
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
@@ -78,9 +78,14 @@
               protected void initChannel(Channel channel) {
                 shaping.shape(channel.pipeline());
                 InputEnd inputEnd = new InputEnd();
+                UnsolicitedInput unsolicited = new UnsolicitedInput();
                 channel
                     .pipeline()
-                    .addLast(inputEnd, new HttpClientCodec(), new HttpClientConnection(inputEnd));
+                    .addLast(
+                        inputEnd,
+                        unsolicited,
+                        new HttpClientCodec(),
+                        new HttpClientConnection(inputEnd, unsolicited));
               }
             })
         .connect(address.toSocketAddress())
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientConnection.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientConnection.java
@@ -18,6 +18,7 @@
   private static final int MAX_INTERIM_RESPONSES = 10;
 
   private final InputEnd inputEnd;
+  private final UnsolicitedInput unsolicitedInput;
   private HttpClientCall call;
   private ChannelFuture written;
   private boolean keepAlive;
@@ -25,13 +26,15 @@
   private int interimResponses;
   private boolean awaitingWrite;
 
-  HttpClientConnection(InputEnd inputEnd) {
+  HttpClientConnection(InputEnd inputEnd, UnsolicitedInput unsolicitedInput) {
     this.inputEnd = inputEnd;
+    this.unsolicitedInput = unsolicitedInput;
   }
 
   /** Sets the call whose request is being written. */
   void setCall(HttpClientCall next, ChannelFuture requestWritten) {
     call = next;
+    unsolicitedInput.setResponseExpected(true);
     written = requestWritten;
     awaitingWrite = false;
     interimResponses = 0;
@@ -99,6 +102,7 @@
   private void end() {
     HttpClientCall ended = call;
     call = null;
+    unsolicitedInput.setResponseExpected(false);
     // The server reads the rest of a request that it has answered before any other one.
     boolean reusable = keepAlive && written.isDone() && !inputEnd.isOrderly();
     ended.handleEnd(written.channel(), reusable);
