--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/RoutingFixture.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/RoutingFixture.java
@@ -1,5 +1,6 @@
 package org.clementineford.serving.routing;
 
+import java.util.Optional;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.model.EngineProfile;
