--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -16,6 +16,9 @@
   private static final String HEAD =
       "POST /post/a HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 4\r\n";
 
+  /** Two answers of this length do not fit into the buffers of a connection. */
+  private static final String LONG_BODY = "x".repeat(4_000_000);
+
   private final VirtualTime time = new VirtualTime(0);
 
   private static void write(Socket socket, String text) throws IOException {
@@ -45,6 +48,21 @@
     awaitCounted(fixture, () -> fixture.gateway().openCallerConnections() == 1);
   }
 
+  private static ScriptedHttpEndpoint longAnswers() throws IOException {
+    return new ScriptedHttpEndpoint(
+        (request, connection) -> connection.respond(200, request.id(), "proof: p\r\n", LONG_BODY));
+  }
+
+  /**
+   * Sends two requests, and waits until their answers are handed to a caller that does not read.
+   */
+  private static void awaitAnswersInMemory(
+      GatewayFixture fixture, ScriptedHttpEndpoint endpoint, Socket socket) throws Exception {
+    write(socket, HEAD + "id: 1\r\n\r\nbody" + HEAD + "id: 2\r\n\r\nbody");
+    await(fixture, () -> endpoint.requests().size() == 2);
+    awaitCounted(fixture, () -> fixture.gateway().requestsInProgress() == 0);
+  }
+
   private void stop(GatewayFixture fixture) throws Exception {
     fixture.run(fixture.gateway()::beginStop);
     fixture.run(fixture.gateway()::stopAccepting);
@@ -82,22 +100,16 @@
     // Guards against a stop that cuts off answers which wait in memory for their callers to read.
     @Test
     void isWrittenToItsEnd() throws Exception {
-      String body = "x".repeat(4_000_000);
-      try (ScriptedHttpEndpoint endpoint =
-              new ScriptedHttpEndpoint(
-                  (request, connection) ->
-                      connection.respond(200, request.id(), "proof: p\r\n", body));
+      try (ScriptedHttpEndpoint endpoint = longAnswers();
           GatewayFixture fixture = new GatewayFixture(time, endpoint);
           Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
         socket.setSoTimeout(5_000);
-        write(socket, HEAD + "id: 1\r\n\r\nbody" + HEAD + "id: 2\r\n\r\nbody");
-        await(fixture, () -> endpoint.requests().size() == 2);
-        awaitCounted(fixture, () -> fixture.gateway().requestsInProgress() == 0);
+        awaitAnswersInMemory(fixture, endpoint, socket);
         time.advance(1, TimeUnit.SECONDS);
         stop(fixture);
         assertThat(fixture.gateway().isDrained()).isFalse();
-        assertThat(socket.getInputStream().readNBytes(2 * body.length()))
-            .hasSize(2 * body.length());
+        assertThat(socket.getInputStream().readNBytes(2 * LONG_BODY.length()))
+            .hasSize(2 * LONG_BODY.length());
         time.advance(1, TimeUnit.SECONDS);
         assertThat(socket.getInputStream().readAllBytes()).isNotEmpty();
         await(fixture, fixture.gateway()::isDrained);
@@ -111,16 +123,10 @@
     // not read.
     @Test
     void isClosedIfItsCallerDoesNotRead() throws Exception {
-      String body = "x".repeat(4_000_000);
-      try (ScriptedHttpEndpoint endpoint =
-              new ScriptedHttpEndpoint(
-                  (request, connection) ->
-                      connection.respond(200, request.id(), "proof: p\r\n", body));
+      try (ScriptedHttpEndpoint endpoint = longAnswers();
           GatewayFixture fixture = new GatewayFixture(time, endpoint);
           Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
-        write(socket, HEAD + "id: 1\r\n\r\nbody" + HEAD + "id: 2\r\n\r\nbody");
-        await(fixture, () -> endpoint.requests().size() == 2);
-        awaitCounted(fixture, () -> fixture.gateway().requestsInProgress() == 0);
+        awaitAnswersInMemory(fixture, endpoint, socket);
         awaitCounted(
             fixture,
             () -> {
