--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -6,7 +6,9 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.MetricSnapshot;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -200,6 +202,31 @@
     return gauge.getDataPoints().get(0).getValue();
   }
 
+  /** Returns the sum of a counter over the data points with a label value; "" sums all. */
+  long counter(String name, String labelValue) {
+    double sum = 0;
+    for (MetricSnapshot snapshot : registry.scrape()) {
+      if (snapshot instanceof CounterSnapshot counter
+          && name.equals(snapshot.getMetadata().getName() + "_total")) {
+        for (CounterSnapshot.CounterDataPointSnapshot point : counter.getDataPoints()) {
+          if (labelValue.isEmpty() || point.getLabels().getValue(0).equals(labelValue)) {
+            sum += point.getValue();
+          }
+        }
+      }
+    }
+    return Math.round(sum);
+  }
+
+  /** Waits until a counter of the gateway has a value. */
+  void awaitCounter(String name, String labelValue, long value) throws Exception {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (counter(name, labelValue) != value && System.nanoTime() - giveUpAt < 0) {
+      run(() -> {});
+    }
+    assertThat(counter(name, labelValue)).as(name).isEqualTo(value);
+  }
+
   /** Runs an action on the event loop, and waits for its end. */
   void run(Runnable action) throws Exception {
     eventLoops.submit(action).get();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -8,7 +8,10 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
 import org.slf4j.Logger;
@@ -20,22 +23,34 @@
   private static final int MAX_PIPELINED_REQUESTS = 16;
   private static final int BAD_REQUEST = 400;
 
+  /** Ending of a request that is not HTTP. */
+  private static final String MALFORMED = "MALFORMED";
+
+  /** Ending of a request whose connection closed during a request before it. */
+  private static final String NOT_STARTED = "NOT_STARTED";
+
   private final CallerListener listener;
   private final Consumer<CallerExchange> requestHandler;
   private final NanoClock clock;
+  private final GatewayMetrics metrics;
+  private final List<CallerExchange> unwritten = new ArrayList<>();
   private final ArrayDeque<CallerExchange> pipelined = new ArrayDeque<>();
   private ChannelHandlerContext context;
   private CallerExchange current;
   private long lastActivityAt;
-  private int unwrittenAnswers;
   private long unwrittenBytes;
   private boolean closing;
+  private CallerClose closeReason = CallerClose.BY_CALLER;
 
   CallerConnection(
-      CallerListener listener, Consumer<CallerExchange> requestHandler, NanoClock clock) {
+      CallerListener listener,
+      Consumer<CallerExchange> requestHandler,
+      NanoClock clock,
+      GatewayMetrics metrics) {
     this.listener = listener;
     this.requestHandler = requestHandler;
     this.clock = clock;
+    this.metrics = metrics;
   }
 
   @Override
@@ -49,10 +64,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     lastActivityAt = clock.nanoTime();
-    if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
-      context.close();
-      return;
-    }
+    metrics.recordRead();
     boolean malformed = request.decoderResult().isFailure();
     CallerExchange exchange =
         new CallerExchange(
@@ -62,14 +74,28 @@
             ByteBufUtil.getBytes(request.content()),
             !malformed && HttpUtil.isKeepAlive(request),
             lastActivityAt);
+    if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
+      pipelined.add(exchange);
+      close(CallerClose.TOO_MANY_PIPELINED);
+      return;
+    }
     if (malformed) {
-      exchange.respond(BAD_REQUEST, EmptyHttpHeaders.INSTANCE, new byte[0]);
+      refuseMalformed(exchange, request.decoderResult().cause());
       return;
     }
     pipelined.add(exchange);
     startNext();
   }
 
+  private void refuseMalformed(CallerExchange exchange, Throwable cause) {
+    LOG.atInfo()
+        .addKeyValue("caller", context.channel().remoteAddress())
+        .addKeyValue("reason", cause.getMessage())
+        .log("malformed request refused");
+    metrics.recordEnd(MALFORMED);
+    exchange.respond(BAD_REQUEST, EmptyHttpHeaders.INSTANCE, new byte[0]);
+  }
+
   /** Records that bytes arrived, which may be a part of a request. */
   void onBytes() {
     lastActivityAt = clock.nanoTime();
@@ -88,11 +114,16 @@
    * @param written completes when the whole answer has left this process
    */
   void onExchangeEnded(CallerExchange exchange, ChannelFuture written, boolean close) {
-    unwrittenAnswers++;
+    unwritten.add(exchange);
     written.addListener(
         result -> {
-          unwrittenAnswers--;
+          if (result.isSuccess()) {
+            unwritten.remove(exchange);
+          }
           lastActivityAt = clock.nanoTime();
+          if (close) {
+            close(CallerClose.AFTER_ANSWER);
+          }
         });
     closing |= close;
     if (exchange == current) {
@@ -107,7 +138,7 @@
 
   /** Returns whether a part of an answer waits for the caller to read. */
   boolean isWriting() {
-    return unwrittenAnswers > 0;
+    return !unwritten.isEmpty();
   }
 
   /**
@@ -127,7 +158,11 @@
     return clock.nanoTime() - lastActivityAt;
   }
 
-  void close() {
+  /** Closes the connection. If it is closing for another reason, that one counts. */
+  void close(CallerClose reason) {
+    if (closeReason == CallerClose.BY_CALLER) {
+      closeReason = reason;
+    }
     context.close();
   }
 
@@ -142,16 +177,45 @@
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     listener.onClosed(this);
+    metrics.recordClose(closeReason);
+    recordUnanswered();
+    pipelined.forEach(exchange -> metrics.recordEnd(NOT_STARTED));
     pipelined.clear();
     if (current != null) {
       current.disconnected();
     }
   }
 
+  private void recordUnanswered() {
+    List<CallerExchange> unanswered = new ArrayList<>(unwritten);
+    if (current != null) {
+      unanswered.add(current);
+    }
+    unanswered.addAll(pipelined);
+    if (!unanswered.isEmpty()) {
+      metrics.recordUnanswered(closeReason, unanswered.size());
+      LOG.atLevel(closeReason.levelIfUnanswered())
+          .addKeyValue("reason", closeReason)
+          .addKeyValue("requests", listener.requestIds(unanswered))
+          .addKeyValue("unwritten", unwritten.size())
+          .addKeyValue("notStarted", pipelined.size())
+          .log("connection closed with requests that were read and not answered");
+    }
+  }
+
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-    LOG.debug(
-        "closing the connection of {} after an error", context.channel().remoteAddress(), cause);
-    context.close();
+    if (cause instanceof IOException) {
+      LOG.debug("connection of {} lost", context.channel().remoteAddress(), cause);
+      close(CallerClose.LOST);
+      return;
+    }
+    LOG.atError()
+        .setCause(cause)
+        .addKeyValue("caller", context.channel().remoteAddress())
+        .addKeyValue(
+            "requests", listener.requestIds(current == null ? List.of() : List.of(current)))
+        .log("error while handling a request; closing its connection");
+    close(CallerClose.ERROR);
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -129,14 +128,11 @@
   void abort() {
     if (!ended) {
       ended = true;
-      context.close();
+      connection.close(CallerClose.BROKEN_OFF);
     }
   }
 
   private void end(ChannelFuture written, boolean close) {
-    if (close) {
-      written.addListener(ChannelFutureListener.CLOSE);
-    }
     connection.onExchangeEnded(this, written, close);
   }
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.agrona.concurrent.NanoClock;
+import org.clementineford.gateway.RequestProtocol;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
@@ -37,12 +38,16 @@
   private static final long IDLE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private final Supplier<CallerLimits> limits;
+  private final RequestProtocol protocol;
+  private final GatewayMetrics metrics;
   private final Set<CallerConnection> connections = new HashSet<>();
   private Channel channel;
   private boolean stopping;
 
-  CallerListener(Supplier<CallerLimits> limits) {
+  CallerListener(Supplier<CallerLimits> limits, RequestProtocol protocol, GatewayMetrics metrics) {
     this.limits = limits;
+    this.protocol = protocol;
+    this.metrics = metrics;
   }
 
   /** Starts accepting connections and returns the address in use. */
@@ -64,7 +69,7 @@
                   @Override
                   protected void initChannel(Channel accepted) {
                     CallerConnection connection =
-                        new CallerConnection(CallerListener.this, requestHandler, clock);
+                        new CallerConnection(CallerListener.this, requestHandler, clock, metrics);
                     ChannelInboundHandler activity =
                         new ChannelInboundHandlerAdapter() {
                           @Override
@@ -101,6 +106,13 @@
     connections.remove(connection);
   }
 
+  /** Returns the IDs that callers gave to their requests, for log lines. */
+  List<String> requestIds(List<CallerExchange> exchanges) {
+    return exchanges.stream()
+        .map(exchange -> protocol.decodeRequest(exchange.head()).id())
+        .toList();
+  }
+
   /** Returns the number of open connections of callers. */
   int openConnections() {
     return connections.size();
@@ -124,7 +136,7 @@
     long limit = TimeUnit.MILLISECONDS.toNanos(limits.get().idleTimeoutMs()) + IDLE_MARGIN_NANOS;
     for (CallerConnection connection : List.copyOf(connections)) {
       if (connection.idleNanos() > limit) {
-        connection.close();
+        connection.close(CallerClose.IDLE);
       }
     }
   }
@@ -136,7 +148,7 @@
   void closeIdleWhileStopping(long limitNanos) {
     for (CallerConnection connection : List.copyOf(connections)) {
       if (!connection.isWriting() && connection.idleNanos() > limitNanos) {
-        connection.close();
+        connection.close(CallerClose.IDLE_WHILE_STOPPING);
       }
     }
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -116,7 +116,9 @@
             () ->
                 state.configuration() == null
                     ? CallerLimits.DEFAULT
-                    : state.configuration().limits());
+                    : state.configuration().limits(),
+            protocol,
+            metrics);
   }
 
   /**
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
@@ -18,7 +18,10 @@
 
   private static final double[] LATENESS_BOUNDS_SECONDS = {0.1, 0.25, 0.5, 1, 2, 4};
 
+  private final Counter requestsRead;
   private final Counter requests;
+  private final Counter callerCloses;
+  private final Counter unansweredRequests;
   private final Counter failedAttempts;
   private final Gauge quarantinedParts;
   private final Gauge quarantinedRequests;
@@ -31,6 +34,23 @@
   private final Histogram eventLoopLateness;
 
   GatewayMetrics(PrometheusRegistry registry) {
+    requestsRead =
+        Counter.builder()
+            .name("clementineford_entry_requests_read_total")
+            .help("Requests that were read completely")
+            .register(registry);
+    callerCloses =
+        Counter.builder()
+            .name("clementineford_entry_caller_closes_total")
+            .help("Closes of callers' connections, by reason")
+            .labelNames("reason")
+            .register(registry);
+    unansweredRequests =
+        Counter.builder()
+            .name("clementineford_entry_requests_unanswered_total")
+            .help("Requests read completely whose connection closed before the end of their answer")
+            .labelNames("reason")
+            .register(registry);
     requests =
         Counter.builder()
             .name("clementineford_entry_requests_total")
@@ -97,6 +117,18 @@
             .register(registry);
   }
 
+  void recordRead() {
+    requestsRead.inc();
+  }
+
+  void recordClose(CallerClose reason) {
+    callerCloses.labelValues(reason.name()).inc();
+  }
+
+  void recordUnanswered(CallerClose reason, int count) {
+    unansweredRequests.labelValues(reason.name()).inc(count);
+  }
+
   void recordEnd(String ending) {
     requests.labelValues(ending).inc();
   }
