--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -241,6 +241,11 @@
     protocol.whileDecoding(requestId, action);
   }
 
+  /** Returns the protocol, in which a test can run actions. */
+  TestProtocol protocol() {
+    return protocol;
+  }
+
   /**
    * Waits until the gateway has no request in progress, and lets it close its connections to
    * endpoints.
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
@@ -10,6 +10,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.clementineford.gateway.EndpointRequestContext;
 import org.clementineford.gateway.EndpointResponseHead;
@@ -20,11 +21,25 @@
 final class TestProtocol implements RequestProtocol {
   private final Map<String, Runnable> actions = new ConcurrentHashMap<>();
 
+  private final Map<String, Runnable> actionsAfterFirstSend = new ConcurrentHashMap<>();
+  private final Set<String> sent = ConcurrentHashMap.newKeySet();
+
   /** Runs an action once, when the head of the request with this ID is decoded. */
   void whileDecoding(String requestId, Runnable action) {
     actions.put(requestId, action);
   }
 
+  /** Runs an action before each send of the request with this ID to an endpoint but the first. */
+  void whileEncodingAgain(String requestId, Runnable action) {
+    actionsAfterFirstSend.put(requestId, action);
+  }
+
+  /** Runs an action before each send of the request with this ID to an endpoint. */
+  void whileEncoding(String requestId, Runnable action) {
+    sent.add(requestId);
+    actionsAfterFirstSend.put(requestId, action);
+  }
+
   @Override
   public RequestMetadata decodeRequest(HttpRequest request) {
     Runnable action = actions.remove(request.headers().get("id", ""));
@@ -48,6 +63,10 @@
 
   @Override
   public void rewriteHeaders(HttpHeaders headers, EndpointRequestContext context) {
+    String id = headers.get("id", "");
+    if (!sent.add(id) && actionsAfterFirstSend.containsKey(id)) {
+      actionsAfterFirstSend.get(id).run();
+    }
     headers.remove("key");
     headers.set("remaining", context.remainingMs());
     headers.set("endpoint", context.endpointId());
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -121,7 +121,9 @@
             unwritten.remove(exchange);
           }
           lastActivityAt = clock.nanoTime();
-          if (close) {
+          if (!result.isSuccess()) {
+            close(CallerClose.ERROR);
+          } else if (close) {
             close(CallerClose.AFTER_ANSWER);
           }
         });
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
@@ -77,7 +77,6 @@
     if (ended) {
       return;
     }
-    ended = true;
     DefaultFullHttpResponse response =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
@@ -88,17 +87,18 @@
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
     }
     final boolean close = setConnectionHeader(response);
+    ended = true;
     end(context.writeAndFlush(response), close);
   }
 
   /** Sends the head of a response whose body follows in chunks. */
   void startResponse(int status, HttpHeaders headers) {
-    responseStarted = true;
     DefaultHttpResponse response =
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     response.headers().add(headers);
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     setConnectionHeader(response);
+    responseStarted = true;
     context.write(response);
   }
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -108,9 +108,15 @@
 
   /** Returns the IDs that callers gave to their requests, for log lines. */
   List<String> requestIds(List<CallerExchange> exchanges) {
-    return exchanges.stream()
-        .map(exchange -> protocol.decodeRequest(exchange.head()).id())
-        .toList();
+    return exchanges.stream().map(this::requestId).toList();
+  }
+
+  private String requestId(CallerExchange exchange) {
+    try {
+      return protocol.decodeRequest(exchange.head()).id();
+    } catch (RuntimeException e) {
+      return "unknown";
+    }
   }
 
   /** Returns the number of open connections of callers. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -75,7 +75,9 @@
     } else if (repeatable && proxiedRequest.route().maxAttempts() > 1) {
       restartSilenceTimer((long) (proxiedRequest.remainingMs() * IDEMPOTENT_TIMEOUT_FRACTION));
     }
-    router.pool().send(endpoint, request, repeatable, this);
+    EndpointResponseListener listener =
+        new GuardedResponseListener(this, action -> proxiedRequest.guarded(action).run());
+    router.pool().send(endpoint, request, repeatable, listener, proxiedRequest::guarded);
   }
 
   /**
@@ -93,7 +95,8 @@
         router
             .input()
             .schedule(
-                () -> abort(AttemptOutcome.SILENT, "no response within " + timeoutMs + " ms"),
+                proxiedRequest.guarded(
+                    () -> abort(AttemptOutcome.SILENT, "no response within " + timeoutMs + " ms")),
                 timeoutMs,
                 TimeUnit.MILLISECONDS);
   }
@@ -127,7 +130,7 @@
         router
             .input()
             .schedule(
-                () -> checkStream(silence, callerLeavesMs, silentSince),
+                proxiedRequest.guarded(() -> checkStream(silence, callerLeavesMs, silentSince)),
                 delayMs,
                 TimeUnit.MILLISECONDS);
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -109,6 +109,11 @@
           .addKeyValue("reason", String.valueOf(failure.getMessage()))
           .log("request not written completely to its endpoint");
     }
+    if (failure != null && writer == listener && channel.isActive()) {
+      // The channel closes by itself if a write fails, but not if the encoder does.
+      fail(AttemptOutcome.BROKEN, "request not written: " + failure.getMessage());
+      return;
+    }
     if (awaitingWrite) {
       awaitingWrite = false;
       if (failure == null) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnectionPool.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.gateway.RequestProtocol;
 import org.clementineford.kernel.Scheduler;
@@ -51,20 +52,24 @@
    * sockets are polled first, so that a request whose caller has left is not sent.
    *
    * @param repeatable true if the request may run more than once
+   * @param guard returns an action that ends the request if the given one throws
    */
   void send(
       EndpointState endpoint,
       FullHttpRequest request,
       boolean repeatable,
-      EndpointResponseListener listener) {
-    input.runAfterPoll(() -> sendUnlessEnded(endpoint, request, repeatable, listener));
+      EndpointResponseListener listener,
+      UnaryOperator<Runnable> guard) {
+    input.runAfterPoll(
+        guard.apply(() -> sendUnlessEnded(endpoint, request, repeatable, listener, guard)));
   }
 
   private void sendUnlessEnded(
       EndpointState endpoint,
       FullHttpRequest request,
       boolean repeatable,
-      EndpointResponseListener listener) {
+      EndpointResponseListener listener,
+      UnaryOperator<Runnable> guard) {
     if (listener.isEnded()) {
       request.release();
       return;
@@ -74,7 +79,7 @@
     if (reused != null) {
       reused.send(request, listener);
     } else {
-      connect(endpoint, idle, request, listener);
+      connect(endpoint, idle, request, listener, guard);
     }
   }
 
@@ -82,13 +87,14 @@
       EndpointState endpoint,
       IdleConnections idle,
       FullHttpRequest request,
-      EndpointResponseListener listener) {
+      EndpointResponseListener listener,
+      UnaryOperator<Runnable> guard) {
     open(
         endpoint,
         idle,
         (connection, failure) -> {
           if (connection != null) {
-            input.runAfterPoll(() -> connection.send(request, listener));
+            input.runAfterPoll(guard.apply(() -> connection.send(request, listener)));
           } else {
             request.release();
             listener.onConnectionFailure(isRefused(failure), failure.getMessage());
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -163,7 +163,13 @@
       Optional<WaitingRequest<ProxiedRequest>> next =
           queue.poll(now, TimeUnit.MILLISECONDS.toNanos(firstEventMs), isOverloaded());
       ProxiedRequest request = next.get().item();
-      Optional<EndpointState> engine = place(request, profile);
+      Optional<EndpointState> engine;
+      try {
+        engine = place(request, profile);
+      } catch (RuntimeException | Error e) {
+        request.failUnexpectedly(e);
+        continue;
+      }
       if (engine.isEmpty()) {
         if (refusedForPause(request)) {
           continue;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
@@ -35,6 +35,8 @@
    * given up.
    */
   NOT_SENT_IN_TIME(503),
+  /** The program failed while it handled the request, which was not sent to an endpoint. */
+  INTERNAL_ERROR(503),
   /** The request may have run, but its response was lost. */
   OUTCOME_UNKNOWN(502),
   /** The deadline passed after the request was sent to an endpoint that may have run it. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -29,6 +30,9 @@
 final class ProxiedRequest {
   private static final Logger LOG = LoggerFactory.getLogger(ProxiedRequest.class);
 
+  /** Message of the line that reports a defect of the program. */
+  static final String UNEXPECTED = "error while handling a request";
+
   /** Timeout of requests that do not specify one, in milliseconds. */
   private static final long DEFAULT_TIMEOUT_MS = 10_000;
 
@@ -70,8 +74,8 @@
     callerDeadlineAt = arrivedAt + TimeUnit.MILLISECONDS.toNanos(callerTimeoutMs);
     deadlineAt =
         arrivedAt + TimeUnit.MILLISECONDS.toNanos(Math.min(callerTimeoutMs, routeTimeoutMs));
-    exchange.onDisconnect(this::onCallerDisconnected);
-    exchange.onWritable(this::onCallerWritable);
+    exchange.onDisconnect(guarded(this::onCallerDisconnected));
+    exchange.onWritable(guarded(this::onCallerWritable));
     Optional<FailureReason> rejected = router.checkKey(this);
     if (rejected.isPresent()) {
       failOrRefuse(rejected.get());
@@ -84,7 +88,9 @@
     }
     router.quarantine().started(this);
     deadlineTimer =
-        router.input().schedule(this::onDeadline, deadlineAt - now(), TimeUnit.NANOSECONDS);
+        router
+            .input()
+            .schedule(guarded(this::onDeadline), deadlineAt - now(), TimeUnit.NANOSECONDS);
     router.state().retryBudget(service).countRequest(now());
     router.place(this);
   }
@@ -171,8 +177,48 @@
         costMs);
   }
 
+  /** Returns an action that ends this request, and no other one, if the given action throws. */
+  Runnable guarded(Runnable action) {
+    return () -> {
+      try {
+        action.run();
+      } catch (RuntimeException | Error e) {
+        failUnexpectedly(e);
+      }
+    };
+  }
+
+  /** Ends the request after an error in the program. */
+  void failUnexpectedly(Throwable error) {
+    LOG.atError()
+        .setCause(error)
+        .addKeyValue("request", metadata.id())
+        .addKeyValue("service", service)
+        .log(UNEXPECTED);
+    try {
+      EndpointAttempt failed = attempt;
+      attempt = null;
+      if (failed != null) {
+        mayHaveRun |= failed.isSent();
+        failed.cancel();
+      }
+      if (!finished) {
+        router.removeFromQueue(this);
+        refuse(FailureReason.INTERNAL_ERROR, SHORT_RETRY_SECONDS);
+      }
+    } catch (RuntimeException | Error e) {
+      LOG.atError().setCause(e).addKeyValue("request", metadata.id()).log(UNEXPECTED);
+      exchange.abort();
+      finish("BROKEN_OFF");
+    }
+  }
+
   /** Sends the request to an endpoint, or ends it if its key is no longer accepted. */
   void send(EndpointState endpoint) {
+    guarded(() -> sendUnguarded(endpoint)).run();
+  }
+
+  private void sendUnguarded(EndpointState endpoint) {
     Optional<FailureReason> rejected = router.checkKey(this);
     if (rejected.isPresent()) {
       failOrRefuse(rejected.get());
@@ -181,10 +227,11 @@
     attemptCount++;
     trace.recordSend(endpoint);
     triedEndpoints.add(endpoint.endpoint().id());
-    attempt = new EndpointAttempt(this, router, endpoint, lastEventId != null);
-    attempt.start(
+    FullHttpRequest message =
         EndpointRequestEncoder.encode(
-            exchange, router.protocol(), endpointRequestContext(endpoint)));
+            exchange, router.protocol(), endpointRequestContext(endpoint));
+    attempt = new EndpointAttempt(this, router, endpoint, lastEventId != null);
+    attempt.start(message);
   }
 
   private EndpointRequestContext endpointRequestContext(EndpointState endpoint) {
@@ -220,13 +267,18 @@
   void forwardEvent(byte[] bytes, String id) {
     exchange.write(bytes);
     if (id != null) {
-      lastEventId = id;
+      // A stream that went on after an earlier event would bring this one again.
+      lastEventId = canBeHeader(id) ? id : null;
     }
     if (!exchange.isWritable()) {
       attempt.setReadingPaused(true);
     }
   }
 
+  private static boolean canBeHeader(String id) {
+    return !id.isEmpty() && id.chars().allMatch(each -> each >= ' ' && each <= '~');
+  }
+
   private void onCallerWritable() {
     if (attempt != null) {
       attempt.setReadingPaused(false);
@@ -242,6 +294,7 @@
   void attemptFailed(EndpointState endpoint, AttemptOutcome outcome, String cause) {
     final long writingMs = attempt.writingMs();
     attempt = null;
+    mayHaveRun |= !outcome.provesNotRun();
     router.metrics().recordFailedAttempt(outcome);
     LOG.atInfo()
         .addKeyValue("request", metadata.id())
@@ -261,7 +314,6 @@
       // No endpoint received the request, so the attempt does not count towards the route's limit.
       attemptCount--;
     }
-    mayHaveRun |= !outcome.provesNotRun();
     boolean repeatable = outcome.provesNotRun() || route.mayRunAgain();
     if (repeatable
         && canContinueStream()
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/QuarantineGuard.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/QuarantineGuard.java
@@ -150,7 +150,9 @@
       }
     }
     for (ProxiedRequest request : List.copyOf(requests)) {
-      quarantinedSuspect(request).ifPresent(request::suspectQuarantined);
+      request
+          .guarded(() -> quarantinedSuspect(request).ifPresent(request::suspectQuarantined))
+          .run();
     }
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -1,5 +1,6 @@
 package org.clementineford.gateway.internal;
 
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -91,8 +92,26 @@
   /** Accepts a request that was read completely. */
   void accept(CallerExchange exchange) {
     requestsInProgress++;
-    RequestMetadata metadata = protocol.decodeRequest(exchange.head());
-    ProxiedRequest proxiedRequest = new ProxiedRequest(this, exchange, metadata);
+    ProxiedRequest proxiedRequest;
+    try {
+      RequestMetadata metadata = protocol.decodeRequest(exchange.head());
+      proxiedRequest = new ProxiedRequest(this, exchange, metadata);
+    } catch (RuntimeException | Error e) {
+      requestsInProgress--;
+      refuseUndecoded(exchange, e);
+      return;
+    }
+    proxiedRequest.guarded(() -> route(proxiedRequest)).run();
+  }
+
+  private void refuseUndecoded(CallerExchange exchange, Throwable error) {
+    LOG.atError().setCause(error).log(ProxiedRequest.UNEXPECTED);
+    metrics.recordEnd(FailureReason.INTERNAL_ERROR.name());
+    exchange.respond(FailureReason.INTERNAL_ERROR.status(), EmptyHttpHeaders.INSTANCE, new byte[0]);
+  }
+
+  private void route(ProxiedRequest proxiedRequest) {
+    RequestMetadata metadata = proxiedRequest.metadata();
     if (!hasConfiguration()) {
       proxiedRequest.refuse(FailureReason.NO_CONFIGURATION, state.admission().retryAfterSeconds(0));
       return;
@@ -203,7 +222,15 @@
   void dispatchWaiting(String service) {
     EngineQueue queue = queues.get(service);
     if (queue != null) {
-      engineProfile(service).ifPresent(queue::dispatchWaiting);
+      try {
+        engineProfile(service).ifPresent(queue::dispatchWaiting);
+      } catch (RuntimeException | Error e) {
+        // The caller may be another request, or the periodic task.
+        LOG.atError()
+            .setCause(e)
+            .addKeyValue("service", service)
+            .log("error while sending waiting requests");
+      }
     }
   }
 
