--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/CallerCountersTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/CallerCountersTest.java
@@ -116,5 +116,23 @@
         assertThat(field(unansweredLines().get(0), "reason")).isEqualTo("BY_CALLER");
       }
     }
+
+    // Guards against a caller that leaves an answer unread and counts as an error of the VM.
+    @Test
+    void isNotAnErrorIfTheCallerLeftItsAnswerUnread() throws Exception {
+      ScriptedHttpEndpoint.Script longAnswer =
+          (request, connection) ->
+              connection.respond(200, request.id(), "proof: p\r\n", "x".repeat(4_000_000));
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(longAnswer);
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        RawCaller caller = RawCaller.connect(fixture, 5_000);
+        caller.send("POST", "/post/a", "first", "second");
+        fixture.awaitCounter(ENDED, "ANSWERED_200", 2);
+        caller.socket().close();
+        fixture.awaitCounter(CLOSES, "", 1);
+        assertThat(fixture.counter(CLOSES, "ERROR")).isZero();
+        assertThat(fixture.counter(UNANSWERED, "")).isPositive();
+      }
+    }
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -121,7 +121,7 @@
             unwritten.remove(exchange);
           }
           lastActivityAt = clock.nanoTime();
-          if (!result.isSuccess()) {
+          if (!result.isSuccess() && context.channel().isActive()) {
             close(CallerClose.ERROR);
           } else if (close) {
             close(CallerClose.AFTER_ANSWER);
