--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Program.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Program.java
@@ -47,6 +47,7 @@
     }
     List<String> command = new ArrayList<>(JAVA);
     command.add(role);
+    command.addAll(List.of("--metrics-port", Integer.toString(RequestCounts.METRICS_PORT)));
     ProcessBuilder builder = new ProcessBuilder(command);
     builder.environment().putAll(Map.of(PlatformFiles.SETTINGS_VARIABLE, settings.toString()));
     builder.redirectErrorStream(true);
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
@@ -104,6 +104,7 @@
     List<String> broken = new ArrayList<>(promises.check(REMOVED_KEY, removal.acknowledgedAt));
     broken.addAll(promises.checkPlannedStops(series.periods()));
     broken.addAll(promises.checkRecovered(REMOVED_KEY, recoveredAt));
+    broken.addAll(new RequestCounts(fleet, clock).check());
     watch.broken.stream().filter(text -> !broken.contains(text)).forEach(broken::add);
     List<CallerRecord> records = callers.records();
     int served = (int) records.stream().filter(CallerRecord::isServed).count();
