--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -130,8 +130,18 @@
     eventLoops.submit(() -> gateway.configure(configuration(2, Map.of()))).get();
   }
 
+  /** Puts a configuration with other limits for callers into force. */
+  void limitCallers(long version, CallerLimits limits) throws Exception {
+    eventLoops.submit(() -> gateway.configure(configuration(version, ACCOUNTS, limits))).get();
+  }
+
   private static RoutingConfiguration configuration(
       long version, Map<String, RoutingClientAccount> accounts) {
+    return configuration(version, accounts, CallerLimits.DEFAULT);
+  }
+
+  private static RoutingConfiguration configuration(
+      long version, Map<String, RoutingClientAccount> accounts, CallerLimits limits) {
     return new RoutingConfiguration(
         version,
         List.of(
@@ -146,7 +156,7 @@
             new Service("pool", MAX_CONNECTIONS, Optional.of(PROFILE), Optional.empty())),
         accounts,
         true,
-        CallerLimits.DEFAULT);
+        limits);
   }
 
   private static Route route(
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -38,6 +38,7 @@
   private ChannelHandlerContext context;
   private CallerExchange current;
   private long lastActivityAt;
+  private long promisedIdleNanos;
   private long unwrittenBytes;
   private boolean closing;
   private CallerClose closeReason = CallerClose.BY_CALLER;
@@ -57,6 +58,7 @@
   public void channelActive(ChannelHandlerContext context) {
     this.context = context;
     lastActivityAt = clock.nanoTime();
+    promisedIdleNanos = listener.idleLimitNanos();
     listener.onOpened(this);
     context.fireChannelActive();
   }
@@ -144,11 +146,28 @@
   }
 
   /**
-   * Returns the time since the last activity, in nanoseconds; 0 during a request. While an answer
-   * is written, only its progress is an activity.
+   * Returns the configured idle time, in nanoseconds, and keeps it as the one that the caller goes
+   * by until its next answer.
+   */
+  long promiseIdleNanos() {
+    promisedIdleNanos = listener.idleLimitNanos();
+    return promisedIdleNanos;
+  }
+
+  /**
+   * Returns the idle time, in nanoseconds, that the caller went by when it got its last answer or
+   * connected.
+   */
+  long promisedIdleNanos() {
+    return promisedIdleNanos;
+  }
+
+  /**
+   * Returns the time since the last activity, in nanoseconds; 0 during a request or while one waits
+   * for its turn. While an answer is written, only its progress is an activity.
    */
   long idleNanos() {
-    if (current != null) {
+    if (current != null || (!pipelined.isEmpty() && !closing)) {
       return 0;
     }
     Channel channel = context.channel();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
@@ -14,9 +14,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.concurrent.TimeUnit;
 
 /** A caller's request and the means to respond to it. */
 final class CallerExchange {
+  private static final String KEEP_ALIVE = "Keep-Alive";
+  private static final String TIMEOUT_PARAMETER = "timeout=";
+
   private final CallerConnection connection;
   private final ChannelHandlerContext context;
   private final HttpRequest head;
@@ -106,6 +110,11 @@
     boolean close = !keepAlive || connection.isClosing();
     if (close) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    } else {
+      long seconds = TimeUnit.NANOSECONDS.toSeconds(connection.promiseIdleNanos());
+      if (seconds > 0) {
+        response.headers().set(KEEP_ALIVE, TIMEOUT_PARAMETER + seconds);
+      }
     }
     return close;
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.gateway.RequestProtocol;
@@ -40,14 +41,20 @@
   private final Supplier<CallerLimits> limits;
   private final RequestProtocol protocol;
   private final GatewayMetrics metrics;
+  private final EventLoopInput input;
   private final Set<CallerConnection> connections = new HashSet<>();
   private Channel channel;
   private boolean stopping;
 
-  CallerListener(Supplier<CallerLimits> limits, RequestProtocol protocol, GatewayMetrics metrics) {
+  CallerListener(
+      Supplier<CallerLimits> limits,
+      RequestProtocol protocol,
+      GatewayMetrics metrics,
+      EventLoopInput input) {
     this.limits = limits;
     this.protocol = protocol;
     this.metrics = metrics;
+    this.input = input;
   }
 
   /** Starts accepting connections and returns the address in use. */
@@ -137,14 +144,21 @@
     channel.close();
   }
 
-  /** Closes the connections that have been idle for longer than the configured timeout. */
+  /** Returns the idle time that the configuration sets, in nanoseconds. */
+  long idleLimitNanos() {
+    return TimeUnit.MILLISECONDS.toNanos(limits.get().idleTimeoutMs());
+  }
+
+  /**
+   * Closes the connections that have been idle for longer than both the configured timeout and the
+   * one that their callers were told.
+   */
   void closeIdle() {
-    long limit = TimeUnit.MILLISECONDS.toNanos(limits.get().idleTimeoutMs()) + IDLE_MARGIN_NANOS;
-    for (CallerConnection connection : List.copyOf(connections)) {
-      if (connection.idleNanos() > limit) {
-        connection.close(CallerClose.IDLE);
-      }
-    }
+    closeAfterPoll(
+        connection ->
+            connection.idleNanos()
+                > Math.max(idleLimitNanos(), connection.promisedIdleNanos()) + IDLE_MARGIN_NANOS,
+        CallerClose.IDLE);
   }
 
   /**
@@ -152,10 +166,17 @@
    * An answer that its caller reads slowly moves in steps, as the buffers of the system let it.
    */
   void closeIdleWhileStopping(long limitNanos) {
-    for (CallerConnection connection : List.copyOf(connections)) {
-      if (!connection.isWriting() && connection.idleNanos() > limitNanos) {
-        connection.close(CallerClose.IDLE_WHILE_STOPPING);
-      }
+    closeAfterPoll(
+        connection -> !connection.isWriting() && connection.idleNanos() > limitNanos,
+        CallerClose.IDLE_WHILE_STOPPING);
+  }
+
+  /** Closes idle connections, except those whose sockets turn out to hold bytes. */
+  private void closeAfterPoll(Predicate<CallerConnection> isIdle, CallerClose reason) {
+    List<CallerConnection> idle = connections.stream().filter(isIdle).toList();
+    if (!idle.isEmpty()) {
+      input.runAfterPoll(
+          () -> idle.stream().filter(isIdle).forEach(connection -> connection.close(reason)));
     }
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -118,7 +118,8 @@
                     ? CallerLimits.DEFAULT
                     : state.configuration().limits(),
             protocol,
-            metrics);
+            metrics,
+            input);
   }
 
   /**
