--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.testing.VirtualTime;
@@ -38,4 +40,79 @@
       }
     }
   }
+
+  @Nested
+  class ManyRequests {
+    // Guards against a close at the 17th waiting request that drops all those accepted before it.
+    @Test
+    void areAllAnsweredInTheirOrder() throws Exception {
+      ScriptedHttpEndpoint.Script script =
+          (request, connection) -> {
+            if (request.id().equals("r0")) {
+              firstArrived.countDown();
+              Latches.await(end);
+            }
+            connection.respond(200, request.id(), "proof: p\r\n", "<" + request.id() + ">");
+          };
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        RawCaller caller = RawCaller.connect(fixture, 5_000);
+        caller.socket().setSoTimeout(5_000);
+        for (int round = 0; round < 3; round++) {
+          for (int i = 0; i < 20; i++) {
+            caller.send("POST", "/post/a", "r" + (round * 20 + i));
+          }
+          if (round == 0) {
+            Latches.await(firstArrived);
+          }
+        }
+        end.countDown();
+        String answers = readUntil(caller, "<r59>");
+        for (int i = 1; i < 60; i++) {
+          assertThat(answers.indexOf("<r" + i + ">"))
+              .isGreaterThan(answers.indexOf("<r" + (i - 1) + ">"));
+        }
+      }
+    }
+  }
+
+  @Nested
+  class MalformedRequest {
+    // Guards against a refusal that overtakes the answers to the requests before it.
+    @Test
+    void isRefusedAfterThoseBeforeIt() throws Exception {
+      ScriptedHttpEndpoint.Script script =
+          (request, connection) -> {
+            firstArrived.countDown();
+            Latches.await(end);
+            connection.respond(200, request.id(), "proof: p\r\n", "good");
+          };
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        RawCaller caller = RawCaller.connect(fixture, 5_000);
+        caller.socket().setSoTimeout(5_000);
+        caller.send("POST", "/post/a", "first", "second");
+        caller
+            .socket()
+            .getOutputStream()
+            .write("what is this\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        Latches.await(firstArrived);
+        fixture.awaitCounter("clementineford_entry_requests_read_total", "", 3);
+        end.countDown();
+        String answers =
+            new String(caller.socket().getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertThat(answers).matches("(?s)HTTP/1.1 200.*HTTP/1.1 200.*HTTP/1.1 400.*");
+      }
+    }
+  }
+
+  private static String readUntil(RawCaller caller, String end) throws IOException {
+    StringBuilder answers = new StringBuilder();
+    int next = 0;
+    while (next >= 0 && answers.indexOf(end) < 0) {
+      next = caller.socket().getInputStream().read();
+      answers.append((char) next);
+    }
+    return answers.toString();
+  }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerClose.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerClose.java
@@ -19,8 +19,6 @@
   AFTER_ANSWER(Level.WARN),
   /** A streamed answer ended early, which only the close can tell the caller. */
   BROKEN_OFF(Level.INFO),
-  /** Its caller sent too many requests without waiting for their answers. */
-  TOO_MANY_PIPELINED(Level.WARN),
   /** The program failed while it handled input of the connection. */
   ERROR(Level.WARN);
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -20,7 +20,10 @@
 /** A caller's connection. Processes pipelined requests one after the other. */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final Logger LOG = LoggerFactory.getLogger(CallerConnection.class);
+
+  /** Waiting requests from which no further input is read until the queue is empty. */
   private static final int MAX_PIPELINED_REQUESTS = 16;
+
   private static final int BAD_REQUEST = 400;
 
   /** Ending of a request that is not HTTP. */
@@ -76,16 +79,10 @@
             ByteBufUtil.getBytes(request.content()),
             !malformed && HttpUtil.isKeepAlive(request),
             lastActivityAt);
+    pipelined.add(exchange);
     if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
-      pipelined.add(exchange);
-      close(CallerClose.TOO_MANY_PIPELINED);
-      return;
+      context.channel().config().setAutoRead(false);
     }
-    if (malformed) {
-      refuseMalformed(exchange, request.decoderResult().cause());
-      return;
-    }
-    pipelined.add(exchange);
     startNext();
   }
 
@@ -106,7 +103,14 @@
   private void startNext() {
     if (current == null && !pipelined.isEmpty() && !closing) {
       current = pipelined.poll();
-      requestHandler.accept(current);
+      if (pipelined.isEmpty()) {
+        context.channel().config().setAutoRead(true);
+      }
+      if (current.head().decoderResult().isFailure()) {
+        refuseMalformed(current, current.head().decoderResult().cause());
+      } else {
+        requestHandler.accept(current);
+      }
     }
   }
 
