--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.clementineford.testing.VirtualTime;
@@ -63,6 +64,16 @@
     awaitCounted(fixture, () -> fixture.gateway().requestsInProgress() == 0);
   }
 
+  private static String readUntil(Socket socket, String end) throws IOException {
+    StringBuilder text = new StringBuilder();
+    int next = 0;
+    while (next >= 0 && text.indexOf(end) < 0) {
+      next = socket.getInputStream().read();
+      text.append((char) next);
+    }
+    return text.toString();
+  }
+
   private void stop(GatewayFixture fixture) throws Exception {
     fixture.run(fixture.gateway()::beginStop);
     fixture.run(fixture.gateway()::stopAccepting);
@@ -97,6 +108,36 @@
 
   @Nested
   class Answer {
+    // Guards against a close at the end of a stream that did not announce it, when its caller may
+    // have sent the next request.
+    @Test
+    void closesItsConnectionOnlyIfAnnounced() throws Exception {
+      CountDownLatch stopped = new CountDownLatch(1);
+      ScriptedHttpEndpoint.Script script =
+          (request, connection) -> {
+            connection.startEventStream(request.id());
+            connection.writeChunk("id: 1\ndata: a\n\n");
+            Latches.await(stopped);
+            connection.write("0\r\n\r\n");
+          };
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
+          GatewayFixture fixture = new GatewayFixture(time, endpoint);
+          Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        socket.setSoTimeout(5_000);
+        RawCaller caller = new RawCaller(socket, 1_000);
+        caller.send("POST", "/stream/a", "1");
+        readUntil(socket, "data: a\n\n\r\n");
+        stop(fixture);
+        stopped.countDown();
+        assertThat(readUntil(socket, "0\r\n\r\n")).endsWith("0\r\n\r\n");
+        caller.send("POST", "/none/a", "2");
+        String answer =
+            new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertThat(answer).startsWith("HTTP/1.1 404").containsIgnoringCase("connection: close");
+        await(fixture, fixture.gateway()::isDrained);
+      }
+    }
+
     // Guards against a stop that cuts off answers which wait in memory for their callers to read.
     @Test
     void isWrittenToItsEnd() throws Exception {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
@@ -28,6 +28,7 @@
   private final boolean keepAlive;
   private final long receivedAt;
   private boolean responseStarted;
+  private boolean closeAnnounced;
   private boolean ended;
   private Runnable onDisconnect = () -> {};
   private Runnable onWritable = () -> {};
@@ -101,7 +102,7 @@
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     response.headers().add(headers);
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-    setConnectionHeader(response);
+    closeAnnounced = setConnectionHeader(response);
     responseStarted = true;
     context.write(response);
   }
@@ -128,8 +129,7 @@
   void finishResponse() {
     if (!ended) {
       ended = true;
-      boolean close = !keepAlive || connection.isClosing();
-      end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), close);
+      end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), closeAnnounced);
     }
   }
 
