--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -81,6 +81,30 @@
 
   @Nested
   class Request {
+    // Guards against a stop that drops requests which were read while one before them ran.
+    @Test
+    void isAnsweredIfItWaitsForItsTurn() throws Exception {
+      CountDownLatch stopped = new CountDownLatch(1);
+      ScriptedHttpEndpoint.Script script =
+          (request, connection) -> {
+            Latches.await(stopped);
+            connection.respond(200, request.id(), "proof: p\r\n", "good");
+          };
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
+          GatewayFixture fixture = new GatewayFixture(time, endpoint);
+          Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        socket.setSoTimeout(5_000);
+        new RawCaller(socket, 5_000).send("POST", "/post/a", "1", "2", "3");
+        fixture.awaitCounter("clementineford_entry_requests_read_total", "", 3);
+        stop(fixture);
+        stopped.countDown();
+        String answers =
+            new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertThat(answers.split("HTTP/1.1 200", -1)).hasSize(4);
+        await(fixture, fixture.gateway()::isDrained);
+      }
+    }
+
     // Guards against a stop that closes the connection of a request of which a part has arrived.
     @Test
     void isAnsweredIfItsHeadHadArrivedInPart() throws Exception {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -140,8 +140,9 @@
     }
   }
 
+  /** Returns whether the connection closes after the answer that is sent next. */
   boolean isClosing() {
-    return closing || listener.isStopping();
+    return closing || (listener.isStopping() && pipelined.isEmpty());
   }
 
   /** Returns whether a part of an answer waits for the caller to read. */
