--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -20,7 +20,10 @@
 /** A caller's connection. Processes pipelined requests one after the other. */
 final class CallerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
   private static final Logger LOG = LoggerFactory.getLogger(CallerConnection.class);
+
+  /** Waiting requests from which no further input is read until the queue is empty. */
   private static final int MAX_PIPELINED_REQUESTS = 16;
+
   private static final int BAD_REQUEST = 400;
 
   /** Ending of a request that is not HTTP. */
@@ -38,6 +41,7 @@
   private ChannelHandlerContext context;
   private CallerExchange current;
   private long lastActivityAt;
+  private long promisedIdleNanos;
   private long unwrittenBytes;
   private boolean closing;
   private CallerClose closeReason = CallerClose.BY_CALLER;
@@ -57,6 +61,7 @@
   public void channelActive(ChannelHandlerContext context) {
     this.context = context;
     lastActivityAt = clock.nanoTime();
+    promisedIdleNanos = listener.idleLimitNanos();
     listener.onOpened(this);
     context.fireChannelActive();
   }
@@ -74,16 +79,10 @@
             ByteBufUtil.getBytes(request.content()),
             !malformed && HttpUtil.isKeepAlive(request),
             lastActivityAt);
+    pipelined.add(exchange);
     if (pipelined.size() >= MAX_PIPELINED_REQUESTS) {
-      pipelined.add(exchange);
-      close(CallerClose.TOO_MANY_PIPELINED);
-      return;
+      context.channel().config().setAutoRead(false);
     }
-    if (malformed) {
-      refuseMalformed(exchange, request.decoderResult().cause());
-      return;
-    }
-    pipelined.add(exchange);
     startNext();
   }
 
@@ -104,7 +103,14 @@
   private void startNext() {
     if (current == null && !pipelined.isEmpty() && !closing) {
       current = pipelined.poll();
-      requestHandler.accept(current);
+      if (pipelined.isEmpty()) {
+        context.channel().config().setAutoRead(true);
+      }
+      if (current.head().decoderResult().isFailure()) {
+        refuseMalformed(current, current.head().decoderResult().cause());
+      } else {
+        requestHandler.accept(current);
+      }
     }
   }
 
@@ -134,8 +140,9 @@
     }
   }
 
+  /** Returns whether the connection closes after the answer that is sent next. */
   boolean isClosing() {
-    return closing || listener.isStopping();
+    return closing || (listener.isStopping() && pipelined.isEmpty());
   }
 
   /** Returns whether a part of an answer waits for the caller to read. */
@@ -144,11 +151,28 @@
   }
 
   /**
-   * Returns the time since the last activity, in nanoseconds; 0 during a request. While an answer
-   * is written, only its progress is an activity.
+   * Returns the configured idle time, in nanoseconds, and keeps it as the one that the caller goes
+   * by until its next answer.
+   */
+  long promiseIdleNanos() {
+    promisedIdleNanos = listener.idleLimitNanos();
+    return promisedIdleNanos;
+  }
+
+  /**
+   * Returns the idle time, in nanoseconds, that the caller went by when it got its last answer or
+   * connected.
+   */
+  long promisedIdleNanos() {
+    return promisedIdleNanos;
+  }
+
+  /**
+   * Returns the time since the last activity, in nanoseconds; 0 during a request or while one waits
+   * for its turn. While an answer is written, only its progress is an activity.
    */
   long idleNanos() {
-    if (current != null) {
+    if (current != null || (!pipelined.isEmpty() && !closing)) {
       return 0;
     }
     Channel channel = context.channel();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerExchange.java
@@ -14,9 +14,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.concurrent.TimeUnit;
 
 /** A caller's request and the means to respond to it. */
 final class CallerExchange {
+  private static final String KEEP_ALIVE = "Keep-Alive";
+  private static final String TIMEOUT_PARAMETER = "timeout=";
+
   private final CallerConnection connection;
   private final ChannelHandlerContext context;
   private final HttpRequest head;
@@ -24,6 +28,7 @@
   private final boolean keepAlive;
   private final long receivedAt;
   private boolean responseStarted;
+  private boolean closeAnnounced;
   private boolean ended;
   private Runnable onDisconnect = () -> {};
   private Runnable onWritable = () -> {};
@@ -97,7 +102,7 @@
         new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
     response.headers().add(headers);
     response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-    setConnectionHeader(response);
+    closeAnnounced = setConnectionHeader(response);
     responseStarted = true;
     context.write(response);
   }
@@ -106,6 +111,11 @@
     boolean close = !keepAlive || connection.isClosing();
     if (close) {
       response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    } else {
+      long seconds = TimeUnit.NANOSECONDS.toSeconds(connection.promiseIdleNanos());
+      if (seconds > 0) {
+        response.headers().set(KEEP_ALIVE, TIMEOUT_PARAMETER + seconds);
+      }
     }
     return close;
   }
@@ -119,8 +129,7 @@
   void finishResponse() {
     if (!ended) {
       ended = true;
-      boolean close = !keepAlive || connection.isClosing();
-      end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), close);
+      end(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), closeAnnounced);
     }
   }
 
