--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -16,25 +16,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.agrona.concurrent.NanoClock;
 import org.agrona.concurrent.SystemNanoClock;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
-import org.clementineford.serving.model.CallerLimits;
 import org.clementineford.serving.model.Endpoint;
-import org.clementineford.serving.model.EngineProfile;
-import org.clementineford.serving.model.RequestKind;
-import org.clementineford.serving.model.Route;
-import org.clementineford.serving.model.RoutingClientAccount;
-import org.clementineford.serving.model.RoutingConfiguration;
-import org.clementineford.serving.model.Service;
-import org.clementineford.serving.model.ServiceShare;
 import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.testing.VirtualTime;
@@ -45,13 +37,6 @@
   /** Connection limit of each endpoint. */
   static final int MAX_CONNECTIONS = 10;
 
-  private static final Map<String, RoutingClientAccount> ACCOUNTS =
-      Map.of("secret", new RoutingClientAccount("lorient", OptionalInt.empty()));
-
-  private static final EngineProfile PROFILE =
-      new EngineProfile(
-          "m", 4, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119, Optional.empty());
-
   private final MultiThreadIoEventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final AtomicLong configurationAge = new AtomicLong();
@@ -61,6 +46,7 @@
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Gateway gateway;
   private final HostPort address;
+  private long configurationVersion;
 
   GatewayFixture(ScriptedHttpEndpoint... endpoints) throws Exception {
     this(SystemNanoClock.INSTANCE, EventLoopScheduler::new, endpoints);
@@ -108,7 +94,7 @@
             new RequestQuarantine(clock),
             registry);
     address = gateway.start(any);
-    eventLoops.submit(() -> gateway.configure(configuration(1, ACCOUNTS))).get();
+    configure(draft -> {});
     list(List.of(endpoints), 1);
   }
 
@@ -120,65 +106,24 @@
       listed.add(new Endpoint(id, incarnation, "plain", endpoint.address(), "x", false, 0));
       listed.add(new Endpoint("m" + id, incarnation, "pool", endpoint.address(), "x", false, 1));
     }
-    eventLoops.submit(() -> gateway.updateEndpoints(listed)).get();
-  }
-
-  /** Puts a configuration into force that has no keys any more. */
-  void removeKeys() throws Exception {
-    eventLoops.submit(() -> gateway.configure(configuration(2, Map.of()))).get();
+    list(listed);
   }
 
-  private static RoutingConfiguration configuration(
-      long version, Map<String, RoutingClientAccount> accounts) {
-    return new RoutingConfiguration(
-        version,
-        List.of(
-            route("/get/", RequestKind.IDEMPOTENT, "plain", 2, true),
-            route("/post/", RequestKind.NON_IDEMPOTENT, "plain", 2, true),
-            route("/stream/", RequestKind.STREAM, "pool", 2, true),
-            patientRoute("/patient/"),
-            route("/keyed/", RequestKind.IDEMPOTENT, "plain", 2, false),
-            route("/keyed-stream/", RequestKind.STREAM, "pool", 2, false)),
-        List.of(
-            new Service("plain", MAX_CONNECTIONS, Optional.empty(), Optional.empty()),
-            new Service("pool", MAX_CONNECTIONS, Optional.of(PROFILE), Optional.empty())),
-        accounts,
-        true,
-        CallerLimits.DEFAULT);
+  void list(List<Endpoint> listed) throws Exception {
+    run(() -> gateway.updateEndpoints(listed));
   }
 
-  private static Route route(
-      String prefix, RequestKind kind, String service, int attempts, boolean anonymous) {
-    return new Route(
-        prefix,
-        "127.0.0.1",
-        prefix,
-        kind,
-        2_000,
-        200,
-        1,
-        List.of(new ServiceShare(service, 1)),
-        attempts,
-        anonymous,
-        true,
-        2_000);
+  /** Puts a configuration into force that differs from the default by the given change. */
+  void configure(Consumer<ConfigurationDraft> change) throws Exception {
+    ConfigurationDraft draft = new ConfigurationDraft();
+    change.accept(draft);
+    configurationVersion++;
+    run(() -> gateway.configure(draft.toConfiguration(configurationVersion)));
   }
 
-  /** Returns a route of streams whose callers wait for four seconds. */
-  private static Route patientRoute(String prefix) {
-    return new Route(
-        prefix,
-        "127.0.0.1",
-        prefix,
-        RequestKind.STREAM,
-        6_000,
-        200,
-        1,
-        List.of(new ServiceShare("pool", 1)),
-        2,
-        true,
-        true,
-        4_000);
+  /** Puts a configuration into force that has no keys any more. */
+  void removeKeys() throws Exception {
+    configure(draft -> draft.accounts().clear());
   }
 
   /** Runs an action on the event loop without waiting for its end. */
