--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConfigurationChangeTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConfigurationChangeTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 
 class ConfigurationChangeTest {
@@ -88,5 +89,22 @@
         assertAnswered(gateway, change.waitingStatus());
       }
     }
+
+    // Guards against a request that waits on though the configuration excludes that it is served.
+    @ParameterizedTest
+    @EnumSource(
+        names = {
+          "SERVICE_DROPPED",
+          "SERVICE_AND_ROUTE_DROPPED",
+          "SERVICE_DROPPED_AND_ROUTE_MOVED",
+          "SERVICE_LOSES_ENGINE",
+          "KEY_REMOVED"
+        })
+    void isServedElsewhereOrRefusedAtOnce(ConfigurationChange change) throws Exception {
+      try (ChangingGateway gateway = new ChangingGateway(RequestState.WAITING)) {
+        gateway.apply(change);
+        assertAnswered(gateway, change.waitingStatus());
+      }
+    }
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -175,6 +175,29 @@
     }
   }
 
+  /**
+   * Ends the requests whose keys are no longer accepted. The others wait on, with the priorities
+   * and costs that are in force now.
+   *
+   * @param profile profile of the engines; empty if the service is gone or has no engines any more
+   * @return the requests that do not wait here any more, and are to be placed
+   */
+  List<ProxiedRequest> review(Optional<EngineProfile> profile) {
+    List<ProxiedRequest> unqueued = new ArrayList<>();
+    for (WaitingRequest<ProxiedRequest> waiting : queue.removeAll()) {
+      ProxiedRequest request = waiting.item();
+      if (request.endIfKeyIsRejected()) {
+        continue;
+      }
+      if (profile.isPresent()) {
+        queue.add(request.toWaitingRequest(costMs(request, profile.get())));
+      } else {
+        unqueued.add(request);
+      }
+    }
+    return unqueued;
+  }
+
   private boolean isOverloaded() {
     double costMs = queue.costMs();
     return costMs > OVERLOAD_WAIT_MS * effectiveEngines(costMs / Math.max(1, queue.size()));
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -160,7 +160,7 @@
     if (state.configure(configuration)) {
       LOG.atInfo().addKeyValue("version", configuration.version()).log("configuration in force");
       indexEnginesByHost();
-      router.dispatchAllWaiting();
+      router.reviewWaiting();
     }
   }
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -72,9 +72,7 @@
         arrivedAt + TimeUnit.MILLISECONDS.toNanos(Math.min(callerTimeoutMs, routeTimeoutMs));
     exchange.onDisconnect(this::onCallerDisconnected);
     exchange.onWritable(this::onCallerWritable);
-    Optional<FailureReason> rejected = router.checkKey(this);
-    if (rejected.isPresent()) {
-      failOrRefuse(rejected.get());
+    if (endIfKeyIsRejected()) {
       return;
     }
     Optional<Suspect> quarantined = router.quarantine().quarantinedSuspect(this);
@@ -89,6 +87,28 @@
     router.place(this);
   }
 
+  /** Ends the request if its key is not accepted, and returns whether it did. */
+  boolean endIfKeyIsRejected() {
+    Optional<FailureReason> rejected = router.checkKey(this);
+    rejected.ifPresent(this::failOrRefuse);
+    return rejected.isPresent();
+  }
+
+  /** Returns whether the request may still go to another service, since it has not run. */
+  boolean mayChangeService() {
+    return !mayHaveRun && !exchange.isResponseStarted();
+  }
+
+  /** Follows a route that is in force now. The deadline stays that of the route on arrival. */
+  void changeRoute(Route routeInForce, String chosenService) {
+    route = routeInForce;
+    service = chosenService;
+  }
+
+  boolean isFinished() {
+    return finished;
+  }
+
   private long now() {
     return router.state().clock().nanoTime();
   }
@@ -173,9 +193,7 @@
 
   /** Sends the request to an endpoint, or ends it if its key is no longer accepted. */
   void send(EndpointState endpoint) {
-    Optional<FailureReason> rejected = router.checkKey(this);
-    if (rejected.isPresent()) {
-      failOrRefuse(rejected.get());
+    if (endIfKeyIsRejected()) {
       return;
     }
     attemptCount++;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -1,5 +1,6 @@
 package org.clementineford.gateway.internal;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,7 @@
   private final GatewayMetrics metrics;
   private final QuarantineGuard quarantine;
   private final Map<String, EngineQueue> queues = new HashMap<>();
+  private final ServiceChange serviceChange;
   private int requestsInProgress;
 
   RequestRouter(
@@ -47,6 +49,7 @@
     this.configurationAge = configurationAge;
     this.metrics = metrics;
     this.quarantine = quarantine;
+    this.serviceChange = new ServiceChange(state, quarantine);
   }
 
   GatewayState state() {
@@ -134,6 +137,9 @@
 
   /** Chooses an endpoint and sends the request to it, or queues or refuses the request. */
   void place(ProxiedRequest request) {
+    if (!serviceChange.followIfServiceIsGone(request)) {
+      return;
+    }
     Optional<Service> service = state.configuration().service(request.service());
     if (service.isEmpty()) {
       request.refuse(FailureReason.NO_ENDPOINT, state.admission().retryAfterSeconds(0));
@@ -208,7 +214,15 @@
   }
 
   void dispatchAllWaiting() {
-    queues.keySet().forEach(this::dispatchWaiting);
+    List.copyOf(queues.keySet()).forEach(this::dispatchWaiting);
+  }
+
+  /** Applies a configuration that came into force to the waiting requests. */
+  void reviewWaiting() {
+    List<ProxiedRequest> unqueued = new ArrayList<>();
+    queues.forEach((service, queue) -> unqueued.addAll(queue.review(engineProfile(service))));
+    unqueued.forEach(this::place);
+    dispatchAllWaiting();
   }
 
   private Optional<EngineProfile> engineProfile(String service) {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/WaitingQueue.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/queueing/WaitingQueue.java
@@ -116,6 +116,17 @@
         && now - request.arrivedAt() > MAX_WAIT_FRACTION * timeToDeadline;
   }
 
+  /**
+   * Removes all requests.
+   *
+   * @return the removed requests, in the order in which they were added
+   */
+  public List<WaitingRequest<T>> removeAll() {
+    List<WaitingRequest<T>> all = List.copyOf(waiting);
+    waiting.clear();
+    return all;
+  }
+
   /**
    * Returns the sum of the engine times that the waiting requests need.
    *
