--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ChangingGateway.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ChangingGateway.java
@@ -143,6 +143,19 @@
     fixture.run(fixture.gateway()::closeIdle);
   }
 
+  /** Lists the engine alone, as one that has restarted. */
+  void restartEngine(long incarnation, long weightVersion) throws Exception {
+    fixture.list(
+        List.of(
+            new Endpoint("me0", incarnation, "pool", engine.address(), "x", false, weightVersion)));
+  }
+
+  /** Fails if the examined request is not in progress any more. */
+  void assertStillWaiting() throws Exception {
+    awaitRequestsInProgress(SLOTS + 1);
+    assertThat(arrivals()).isZero();
+  }
+
   /** Lets the endpoints go on. */
   void release() {
     released.countDown();
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConfigurationChangeTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConfigurationChangeTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -106,5 +107,26 @@
         assertAnswered(gateway, change.waitingStatus());
       }
     }
+
+    // Guards against a request that waits though no listed engine will serve it.
+    @ParameterizedTest
+    @EnumSource(names = {"ENDPOINT_REMOVED", "ENDPOINT_LEAVING"})
+    void isRefusedAtOnceWithoutEngines(ConfigurationChange change) throws Exception {
+      try (ChangingGateway gateway = new ChangingGateway(RequestState.WAITING)) {
+        gateway.apply(change);
+        assertAnswered(gateway, change.waitingStatus());
+      }
+    }
+
+    // Guards against a refusal though an engine that loads weights is back soon.
+    @Test
+    void waitsForEngineThatLoadsWeights() throws Exception {
+      try (ChangingGateway gateway = new ChangingGateway(RequestState.WAITING)) {
+        gateway.restartEngine(2, 0);
+        gateway.assertStillWaiting();
+        gateway.restartEngine(2, 1);
+        assertAnswered(gateway, 200);
+      }
+    }
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -151,12 +151,18 @@
     return effective;
   }
 
-  /** Sends waiting requests while engines have free slots, and refuses those that are too late. */
+  /**
+   * Sends waiting requests while engines have free slots. Refuses those that are too late, and all
+   * that have not run if no engine is listed, except leaving ones.
+   */
   void dispatchWaiting(EngineProfile profile) {
     long now = state.clock().nanoTime();
     for (WaitingRequest<ProxiedRequest> expired : queue.removeUnanswerable(now)) {
       expired.item().refuse(FailureReason.NOT_SENT_IN_TIME, state.admission().retryAfterSeconds(0));
     }
+    if (state.endpoints().ofService(service).stream().noneMatch(EndpointState::acceptsRequests)) {
+      refuseNotRun();
+    }
     while (queue.size() > 0) {
       long firstEventMs =
           (long) (FIRST_EVENT_PASSES * EngineLatencyModel.passMs(profile, profile.slots()));
@@ -175,6 +181,19 @@
     }
   }
 
+  /** Refuses the requests that have not run; the others wait for an engine that may be listed. */
+  private void refuseNotRun() {
+    for (WaitingRequest<ProxiedRequest> waiting : queue.removeAll()) {
+      ProxiedRequest request = waiting.item();
+      if (request.hasNotRun()) {
+        request.trace().recordMarks(state.marks(service));
+        request.refuse(FailureReason.NO_ENDPOINT, state.admission().retryAfterSeconds(0));
+      } else {
+        queue.add(waiting);
+      }
+    }
+  }
+
   /**
    * Ends the requests whose keys are no longer accepted. The others wait on, with the priorities
    * and costs that are in force now.
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -94,8 +94,8 @@
     return rejected.isPresent();
   }
 
-  /** Returns whether the request may still go to another service, since it has not run. */
-  boolean mayChangeService() {
+  /** Returns whether the request may go to another service or be refused, since it has not run. */
+  boolean hasNotRun() {
     return !mayHaveRun && !exchange.isResponseStarted();
   }
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ServiceChange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ServiceChange.java
@@ -21,7 +21,7 @@
    */
   boolean followIfServiceIsGone(ProxiedRequest request) {
     boolean configured = state.configuration().service(request.service()).isPresent();
-    if (configured || !request.mayChangeService()) {
+    if (configured || !request.hasNotRun()) {
       return true;
     }
     Optional<Route> route =
