--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/IdleCallerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/IdleCallerTest.java
@@ -77,7 +77,7 @@
     @Test
     void doesNotHoldForConnectionsWithAnEarlierAnswer() throws Exception {
       exchange("1");
-      fixture.limitCallers(2, SHORT);
+      fixture.limitCallers(SHORT);
       closeIdleAfter(48_000);
       assertThat(exchange("2")).startsWith("HTTP/1.1 200");
       closeIdleAfter(1_600);
@@ -90,7 +90,7 @@
       while (fixture.gateway().openCallerConnections() == 0) {
         fixture.run(fixture.gateway()::closeIdle);
       }
-      fixture.limitCallers(2, SHORT);
+      fixture.limitCallers(SHORT);
       closeIdleAfter(48_000);
       assertThat(exchange("1")).startsWith("HTTP/1.1 200");
     }
@@ -141,9 +141,9 @@
     @Test
     void statesTheIdleTimeInWholeSeconds() throws Exception {
       assertThat(exchange("1")).containsIgnoringCase("keep-alive: timeout=60\r\n");
-      fixture.limitCallers(2, new CallerLimits(4 << 20, 1_900));
+      fixture.limitCallers(new CallerLimits(4 << 20, 1_900));
       assertThat(exchange("2")).containsIgnoringCase("keep-alive: timeout=1\r\n");
-      fixture.limitCallers(3, new CallerLimits(4 << 20, 900));
+      fixture.limitCallers(new CallerLimits(4 << 20, 900));
       assertThat(exchange("3")).doesNotContainIgnoringCase("keep-alive");
     }
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -76,9 +76,7 @@
         arrivedAt + TimeUnit.MILLISECONDS.toNanos(Math.min(callerTimeoutMs, routeTimeoutMs));
     exchange.onDisconnect(guarded(this::onCallerDisconnected));
     exchange.onWritable(guarded(this::onCallerWritable));
-    Optional<FailureReason> rejected = router.checkKey(this);
-    if (rejected.isPresent()) {
-      failOrRefuse(rejected.get());
+    if (endIfKeyIsRejected()) {
       return;
     }
     Optional<Suspect> quarantined = router.quarantine().quarantinedSuspect(this);
@@ -95,6 +93,28 @@
     router.place(this);
   }
 
+  /** Ends the request if its key is not accepted, and returns whether it did. */
+  boolean endIfKeyIsRejected() {
+    Optional<FailureReason> rejected = router.checkKey(this);
+    rejected.ifPresent(this::failOrRefuse);
+    return rejected.isPresent();
+  }
+
+  /** Returns whether the request may go to another service or be refused, since it has not run. */
+  boolean hasNotRun() {
+    return !mayHaveRun && !exchange.isResponseStarted();
+  }
+
+  /** Follows a route that is in force now. The deadline stays that of the route on arrival. */
+  void changeRoute(Route routeInForce, String chosenService) {
+    route = routeInForce;
+    service = chosenService;
+  }
+
+  boolean isFinished() {
+    return finished;
+  }
+
   private long now() {
     return router.state().clock().nanoTime();
   }
@@ -219,9 +239,7 @@
   }
 
   private void sendUnguarded(EndpointState endpoint) {
-    Optional<FailureReason> rejected = router.checkKey(this);
-    if (rejected.isPresent()) {
-      failOrRefuse(rejected.get());
+    if (endIfKeyIsRejected()) {
       return;
     }
     attemptCount++;
