--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/IdleCallerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/IdleCallerTest.java
@@ -122,7 +122,7 @@
 
     // Guards against a planned stop that closes a connection whose request had arrived.
     @Test
-    void keepsItsConnectionOpenInAPlannedStop() throws Exception {
+    void keepsItsConnectionOpenDuringStop() throws Exception {
       exchange("1");
       time.advance(1, TimeUnit.SECONDS);
       fixture.run(fixture.gateway()::beginStop);
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnexpectedErrorTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnexpectedErrorTest.java
@@ -170,13 +170,13 @@
     // Guards against a stream that stays open until its deadline after its engine failed.
     @Test
     void endsWithItsEngine() throws Exception {
-      assertCutAfter("2\u000b3");
+      assertCutAfter("2" + (char) 11 + "3");
     }
 
     // Guards against a stream that is continued at an event other than the one passed on last.
     @Test
     void isNotContinuedAtAnEarlierEvent() throws Exception {
-      assertCutAfter("2\u0000");
+      assertCutAfter("2" + (char) 0);
     }
   }
 }
