--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -36,6 +37,7 @@
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.model.ServiceShare;
 import org.clementineford.serving.quarantine.RequestQuarantine;
+import org.clementineford.serving.quarantine.Suspect;
 import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.transport.EventLoopScheduler;
@@ -48,9 +50,18 @@
   private static final Map<String, RoutingClientAccount> ACCOUNTS =
       Map.of("secret", new RoutingClientAccount("lorient", OptionalInt.empty()));
 
+  /** Number of requests that an engine runs at the same time. */
+  static final int SLOTS = 4;
+
   private static final EngineProfile PROFILE =
       new EngineProfile(
-          "m", 4, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119, Optional.empty());
+          "m", SLOTS, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119, Optional.empty());
+
+  private static final Service PLAIN =
+      new Service("plain", MAX_CONNECTIONS, Optional.empty(), Optional.empty());
+
+  private static final Service ENGINES =
+      new Service("pool", MAX_CONNECTIONS, Optional.of(PROFILE), Optional.empty());
 
   private final MultiThreadIoEventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -59,6 +70,7 @@
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final TestProtocol protocol = new TestProtocol();
   private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final RequestQuarantine quarantine;
   private final Gateway gateway;
   private final HostPort address;
 
@@ -94,6 +106,7 @@
             1,
             new VmSettings.Bounds(
                 1_000, 5_000, true, 8_000, 0.2, 100, 10, 3_600, 2_000, 2_000, 3_000));
+    quarantine = new RequestQuarantine(clock);
     gateway =
         new Gateway(
             settings,
@@ -105,7 +118,7 @@
             () -> 0,
             configurationAge::get,
             () -> new EntryVmPosition(1, 0),
-            new RequestQuarantine(clock),
+            quarantine,
             registry);
     address = gateway.start(any);
     eventLoops.submit(() -> gateway.configure(configuration(1, ACCOUNTS))).get();
@@ -128,20 +141,30 @@
     eventLoops.submit(() -> gateway.configure(configuration(2, Map.of()))).get();
   }
 
+  /** Puts a configuration into force that has no service of engines any more. */
+  void removeEngineService() throws Exception {
+    eventLoops.submit(() -> gateway.configure(configuration(2, ACCOUNTS, List.of(PLAIN)))).get();
+  }
+
   private static RoutingConfiguration configuration(
       long version, Map<String, RoutingClientAccount> accounts) {
+    return configuration(version, accounts, List.of(PLAIN, ENGINES));
+  }
+
+  private static RoutingConfiguration configuration(
+      long version, Map<String, RoutingClientAccount> accounts, List<Service> services) {
     return new RoutingConfiguration(
         version,
         List.of(
             route("/get/", RequestKind.IDEMPOTENT, "plain", 2, true),
             route("/post/", RequestKind.NON_IDEMPOTENT, "plain", 2, true),
             route("/stream/", RequestKind.STREAM, "pool", 2, true),
-            patientRoute("/patient/"),
+            patientRoute("/patient/", 2, true),
+            patientRoute("/once/", 1, true),
+            patientRoute("/patient-keyed/", 2, false),
             route("/keyed/", RequestKind.IDEMPOTENT, "plain", 2, false),
             route("/keyed-stream/", RequestKind.STREAM, "pool", 2, false)),
-        List.of(
-            new Service("plain", MAX_CONNECTIONS, Optional.empty(), Optional.empty()),
-            new Service("pool", MAX_CONNECTIONS, Optional.of(PROFILE), Optional.empty())),
+        services,
         accounts,
         true,
         CallerLimits.DEFAULT);
@@ -165,7 +188,7 @@
   }
 
   /** Returns a route of streams whose callers wait for four seconds. */
-  private static Route patientRoute(String prefix) {
+  private static Route patientRoute(String prefix, int attempts, boolean anonymous) {
     return new Route(
         prefix,
         "127.0.0.1",
@@ -175,8 +198,8 @@
         200,
         1,
         List.of(new ServiceShare("pool", 1)),
-        2,
-        true,
+        attempts,
+        anonymous,
         true,
         4_000);
   }
@@ -195,6 +218,22 @@
     assertThat(gauge(name)).as(name).isEqualTo(value);
   }
 
+  /** Waits until this many requests have got an answer or the first event of a stream. */
+  void awaitFirstAnswers(long count) throws Exception {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (firstAnswers() < count && System.nanoTime() - giveUpAt < 0) {
+      run(() -> {});
+    }
+    run(() -> {});
+    assertThat(firstAnswers()).isEqualTo(count);
+  }
+
+  private long firstAnswers() {
+    String name = "clementineford_entry_first_answer_seconds";
+    HistogramSnapshot histogram = (HistogramSnapshot) registry.scrape(name::equals).get(0);
+    return histogram.getDataPoints().stream().mapToLong(point -> point.getCount()).sum();
+  }
+
   private double gauge(String name) {
     GaugeSnapshot gauge = (GaugeSnapshot) registry.scrape(name::equals).get(0);
     return gauge.getDataPoints().get(0).getValue();
@@ -205,6 +244,33 @@
     eventLoops.submit(action).get();
   }
 
+  /** Advances a virtual time in steps, and runs the timers that are due after each step. */
+  void advance(VirtualTime time, long durationMs) throws Exception {
+    for (long ms = 0; ms < durationMs; ms += 100) {
+      time.advance(100, TimeUnit.MILLISECONDS);
+      runDueTimers();
+    }
+  }
+
+  /** Waits until timers that are due have run, each after a poll of the sockets. */
+  void runDueTimers() throws Exception {
+    for (int i = 0; i < 6; i++) {
+      run(() -> {});
+      eventLoops.schedule(() -> {}, 0, TimeUnit.NANOSECONDS).get();
+    }
+  }
+
+  /** Records that two engines crashed while they held requests with this part in their prompts. */
+  void suspect(String promptPart) throws Exception {
+    run(
+        () -> {
+          for (String engine : List.of("lost-1", "lost-2")) {
+            quarantine.interrupted(engine, engine, Suspect.parts("pool", List.of(promptPart)));
+            quarantine.crashed(engine);
+          }
+        });
+  }
+
   void setConfigurationAge(long millis) {
     configurationAge.set(TimeUnit.MILLISECONDS.toNanos(millis));
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.io.ByteArrayOutputStream;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.gateway.EndpointResponseHead;
 import org.clementineford.kernel.Scheduler;
@@ -11,6 +12,7 @@
 import org.clementineford.serving.routing.AttemptOutcome;
 import org.clementineford.serving.routing.EndpointState;
 import org.clementineford.serving.streams.EventSplitter;
+import org.clementineford.serving.streams.SilenceAction;
 import org.clementineford.serving.streams.StreamEvent;
 import org.clementineford.serving.streams.StreamSilence;
 
@@ -22,10 +24,13 @@
    */
   private static final long HEARD_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
-  /** Interval at which a silent stream of an engine that is heard is checked, in milliseconds. */
+  /** Interval at which a silent attempt is checked, in milliseconds. */
   private static final long SILENCE_CHECK_MS = 250;
 
-  /** Part of the remaining time after which an idempotent request is retried elsewhere. */
+  /**
+   * Part of the remaining time after which an idempotent request is retried elsewhere, if another
+   * endpoint can take it.
+   */
   private static final double IDEMPOTENT_TIMEOUT_FRACTION = 0.45;
 
   /**
@@ -52,6 +57,7 @@
   private boolean writing;
   private boolean sound;
   private boolean complete;
+  private boolean silenceRecorded;
   private long firstEventAt;
   private Scheduler.Cancellable silenceTimer;
 
@@ -73,29 +79,18 @@
     if (proxiedRequest.route().kind() == RequestKind.STREAM) {
       restartStreamTimer(StreamSilence.FIRST_EVENT, proxiedRequest.callerLeavesMs());
     } else if (repeatable && proxiedRequest.route().maxAttempts() > 1) {
-      restartSilenceTimer((long) (proxiedRequest.remainingMs() * IDEMPOTENT_TIMEOUT_FRACTION));
+      long timeoutMs = (long) (proxiedRequest.remainingMs() * IDEMPOTENT_TIMEOUT_FRACTION);
+      scheduleSilenceCheck(() -> checkResponse(timeoutMs), timeoutMs);
     }
     router.pool().send(endpoint, request, repeatable, this);
   }
 
-  /**
-   * Restarts the timer that fails the attempt if nothing arrives in time. Requests that must not
-   * run again have no such timer.
-   */
-  private void restartSilenceTimer(long timeoutMs) {
-    if (silenceTimer != null) {
-      silenceTimer.cancel();
-    }
-    if (!proxiedRequest.route().mayRunAgain()) {
-      return;
-    }
-    silenceTimer =
-        router
-            .input()
-            .schedule(
-                () -> abort(AttemptOutcome.SILENT, "no response within " + timeoutMs + " ms"),
-                timeoutMs,
-                TimeUnit.MILLISECONDS);
+  private void scheduleSilenceCheck(Runnable check, long delayMs) {
+    silenceTimer = router.input().schedule(check, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  private void checkResponse(long silentMs) {
+    onSilence(silentMs, () -> checkResponse(silentMs + SILENCE_CHECK_MS));
   }
 
   /** Restarts the timer that continues a silent stream at another endpoint. */
@@ -115,7 +110,7 @@
     long silentMs = TimeUnit.NANOSECONDS.toMillis(now - silentSince);
     long leftMs = silence.limitMs(heard, callerLeavesMs) - silentMs;
     if (leftMs <= 0) {
-      abort(AttemptOutcome.SILENT, "no response within " + silentMs + " ms");
+      onSilence(silentMs, () -> checkStream(silence, callerLeavesMs, silentSince));
       return;
     }
     boolean beforeShortLimit = silentMs < silence.limitMs(false, callerLeavesMs);
@@ -123,13 +118,43 @@
         beforeShortLimit
             ? silence.limitMs(false, callerLeavesMs) - silentMs
             : Math.min(leftMs, SILENCE_CHECK_MS);
-    silenceTimer =
-        router
-            .input()
-            .schedule(
-                () -> checkStream(silence, callerLeavesMs, silentSince),
-                delayMs,
-                TimeUnit.MILLISECONDS);
+    scheduleSilenceCheck(() -> checkStream(silence, callerLeavesMs, silentSince), delayMs);
+  }
+
+  /**
+   * Begins another attempt if one can begin now. Otherwise this one goes on, since a silent
+   * endpoint may be sound, or fails if its caller should return soon.
+   */
+  private void onSilence(long silentMs, Runnable checkAgain) {
+    if (!proxiedRequest.isMoving()) {
+      Optional<EndpointState> other = proxiedRequest.findOtherEndpoint();
+      SilenceAction action =
+          SilenceAction.of(
+              proxiedRequest.route().kind(),
+              proxiedRequest.exchange().isResponseStarted(),
+              other.isPresent());
+      if (action == SilenceAction.FAIL) {
+        abort(AttemptOutcome.SILENT, silenceCause(silentMs));
+        return;
+      }
+      recordSilence();
+      if (action == SilenceAction.BEGIN_ANOTHER_ATTEMPT) {
+        proxiedRequest.moveTo(other.get(), silenceCause(silentMs));
+      }
+    }
+    scheduleSilenceCheck(checkAgain, SILENCE_CHECK_MS);
+  }
+
+  private static String silenceCause(long silentMs) {
+    return "no response within " + silentMs + " ms";
+  }
+
+  private void recordSilence() {
+    if (!silenceRecorded) {
+      silenceRecorded = true;
+      router.pool().closeIdle(endpoint);
+      endpoint.failed(AttemptOutcome.SILENT, router.state().clock().nanoTime());
+    }
   }
 
   private void abort(AttemptOutcome outcome, String cause) {
@@ -151,12 +176,15 @@
       closeConnection();
       finish();
       if (head == null) {
-        router.pool().closeIdle(endpoint);
-        endpoint.failed(AttemptOutcome.SILENT, router.state().clock().nanoTime());
+        recordSilence();
       }
     }
   }
 
+  EndpointState endpoint() {
+    return endpoint;
+  }
+
   /** Returns whether the request was written to a connection, so that the endpoint may run it. */
   boolean isSent() {
     return connection != null;
@@ -232,6 +260,7 @@
   @Override
   public void onConnected(EndpointConnection connection) {
     this.connection = connection;
+    proxiedRequest.attemptConnected(this);
   }
 
   @Override
@@ -355,12 +384,13 @@
     }
     finish();
     if (outcome == AttemptOutcome.SILENT) {
-      router.pool().closeIdle(endpoint);
+      recordSilence();
+    } else {
+      endpoint.failed(outcome, router.state().clock().nanoTime());
     }
-    endpoint.failed(outcome, router.state().clock().nanoTime());
     if (outcome == AttemptOutcome.BROKEN && !complete && !sound) {
       router.quarantine().interrupted(proxiedRequest, endpoint);
     }
-    proxiedRequest.attemptFailed(endpoint, outcome, cause);
+    proxiedRequest.attemptFailed(this, outcome, cause);
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -47,7 +47,7 @@
   /** Sends a request to an engine, or queues it, or refuses it if its wait would be too long. */
   void submit(ProxiedRequest request, EngineProfile profile) {
     if (queue.size() == 0) {
-      Optional<EndpointState> engine = place(request, profile);
+      Optional<EndpointState> engine = findEngine(request, profile);
       if (engine.isPresent()) {
         request.send(engine.get());
         return;
@@ -101,7 +101,8 @@
         + passes * EngineLatencyModel.passMs(profile, profile.slots()) / profile.slots();
   }
 
-  private Optional<EndpointState> place(ProxiedRequest request, EngineProfile profile) {
+  /** Returns the engine to which a request would be sent now; empty if none has a free slot. */
+  Optional<EndpointState> findEngine(ProxiedRequest request, EngineProfile profile) {
     long now = state.clock().nanoTime();
     List<EndpointState> engines = state.endpoints().ofService(service);
     return state
@@ -163,7 +164,7 @@
       Optional<WaitingRequest<ProxiedRequest>> next =
           queue.poll(now, TimeUnit.MILLISECONDS.toNanos(firstEventMs), isOverloaded());
       ProxiedRequest request = next.get().item();
-      Optional<EndpointState> engine = place(request, profile);
+      Optional<EndpointState> engine = findEngine(request, profile);
       if (engine.isEmpty()) {
         if (refusedForPause(request)) {
           continue;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -47,6 +48,8 @@
   private long callerDeadlineAt;
   private Scheduler.Cancellable deadlineTimer;
   private EndpointAttempt attempt;
+  private EndpointAttempt successor;
+  private String silenceCause = "";
   private int attemptCount;
   private boolean mayHaveRun;
   private String lastEventId;
@@ -178,13 +181,72 @@
       failOrRefuse(rejected.get());
       return;
     }
+    attempt = newAttempt(endpoint);
+    attempt.start(encodedFor(endpoint));
+  }
+
+  private EndpointAttempt newAttempt(EndpointState endpoint) {
     attemptCount++;
     trace.recordSend(endpoint);
     triedEndpoints.add(endpoint.endpoint().id());
-    attempt = new EndpointAttempt(this, router, endpoint, lastEventId != null);
-    attempt.start(
-        EndpointRequestEncoder.encode(
-            exchange, router.protocol(), endpointRequestContext(endpoint)));
+    return new EndpointAttempt(this, router, endpoint, lastEventId != null);
+  }
+
+  private FullHttpRequest encodedFor(EndpointState endpoint) {
+    return EndpointRequestEncoder.encode(
+        exchange, router.protocol(), endpointRequestContext(endpoint));
+  }
+
+  /**
+   * Returns an endpoint that can take the request now, while an attempt is silent. Changes nothing.
+   */
+  Optional<EndpointState> findOtherEndpoint() {
+    boolean allowed =
+        route.mayRunAgain()
+            && mayTryAgain()
+            && router.checkKey(this).isEmpty()
+            && router.state().retryBudget(service).mayRetry(now());
+    return allowed ? router.findEndpoint(this) : Optional.empty();
+  }
+
+  /**
+   * Begins an attempt at another endpoint. The silent one goes on until the request can be written
+   * to the other, which may not be reachable.
+   */
+  void moveTo(EndpointState endpoint, String cause) {
+    router.state().retryBudget(service).tryRetry(now());
+    silenceCause = cause;
+    successor = newAttempt(endpoint);
+    successor.start(encodedFor(endpoint));
+  }
+
+  /** Returns whether another attempt takes over from a silent one once it is connected. */
+  boolean isMoving() {
+    return successor != null;
+  }
+
+  /** Ends the silent attempt if the one that takes over from it is connected. */
+  void attemptConnected(EndpointAttempt connected) {
+    if (connected != successor) {
+      return;
+    }
+    EndpointAttempt silent = attempt;
+    attempt = successor;
+    successor = null;
+    mayHaveRun |= silent.isSent();
+    silent.cancel();
+    recordFailedAttempt(silent, AttemptOutcome.SILENT, silenceCause);
+  }
+
+  /** Withdraws the attempt that was to take over from one that is no longer silent. */
+  private void cancelMove() {
+    if (successor != null) {
+      EndpointAttempt unsent = successor;
+      successor = null;
+      attemptCount--;
+      triedEndpoints.remove(unsent.endpoint().endpoint().id());
+      unsent.cancel();
+    }
   }
 
   private EndpointRequestContext endpointRequestContext(EndpointState endpoint) {
@@ -218,6 +280,7 @@
   }
 
   void forwardEvent(byte[] bytes, String id) {
+    cancelMove();
     exchange.write(bytes);
     if (id != null) {
       lastEventId = id;
@@ -238,22 +301,33 @@
     finish("STREAMED");
   }
 
-  /** Retries the request or ends it, after an attempt without a complete response. */
-  void attemptFailed(EndpointState endpoint, AttemptOutcome outcome, String cause) {
-    final long writingMs = attempt.writingMs();
-    attempt = null;
+  private void recordFailedAttempt(EndpointAttempt failed, AttemptOutcome outcome, String cause) {
     router.metrics().recordFailedAttempt(outcome);
     LOG.atInfo()
         .addKeyValue("request", metadata.id())
-        .addKeyValue("endpoint", endpoint.endpoint().id())
+        .addKeyValue("endpoint", failed.endpoint().endpoint().id())
         .addKeyValue("outcome", outcome)
         .addKeyValue("cause", cause)
         .addKeyValue("attempt", attemptCount)
-        .addKeyValue("failureScore", Math.round(endpoint.failureScore(now()) * 100) / 100.0)
-        .addKeyValue("writingMs", writingMs)
+        .addKeyValue(
+            "failureScore", Math.round(failed.endpoint().failureScore(now()) * 100) / 100.0)
+        .addKeyValue("writingMs", failed.writingMs())
         .addKeyValue("promptParts", String.join(",", metadata.sharedPromptParts()))
         .addKeyValue("identity", outcome.provesNotRun() ? "" : identity().asSuspect(service).id())
         .log("attempt failed");
+  }
+
+  /** Retries the request or ends it, after an attempt without a complete response. */
+  void attemptFailed(EndpointAttempt failed, AttemptOutcome outcome, String cause) {
+    recordFailedAttempt(failed, outcome, cause);
+    if (failed == successor) {
+      // The silent attempt goes on.
+      successor = null;
+      attemptCount--;
+      return;
+    }
+    attempt = successor;
+    successor = null;
     if (finished) {
       return;
     }
@@ -262,13 +336,11 @@
       attemptCount--;
     }
     mayHaveRun |= !outcome.provesNotRun();
+    if (attempt != null) {
+      return;
+    }
     boolean repeatable = outcome.provesNotRun() || route.mayRunAgain();
-    if (repeatable
-        && canContinueStream()
-        && callerWaitsForAnswer()
-        && router.quarantine().mayRetry(this)
-        && attemptCount < route.maxAttempts()
-        && hasRetryBudget(outcome)) {
+    if (repeatable && mayTryAgain() && hasRetryBudget(outcome)) {
       router.place(this);
     } else if (exchange.isResponseStarted()) {
       exchange.abort();
@@ -306,6 +378,13 @@
         || leavesAt() - now() >= WaitingQueue.MIN_ANSWER_NANOS;
   }
 
+  private boolean mayTryAgain() {
+    return canContinueStream()
+        && callerWaitsForAnswer()
+        && router.quarantine().mayRetry(this)
+        && attemptCount < route.maxAttempts();
+  }
+
   private boolean canContinueStream() {
     return !exchange.isResponseStarted() || lastEventId != null;
   }
@@ -317,7 +396,8 @@
 
   /** Returns whether the request may be retried after a response that reports a failure. */
   boolean mayRetryFailureResponse() {
-    return route.kind() == RequestKind.IDEMPOTENT && attemptCount < route.maxAttempts();
+    return route.kind() == RequestKind.IDEMPOTENT
+        && (isMoving() || attemptCount < route.maxAttempts());
   }
 
   private void failOrRefuse(FailureReason reason) {
@@ -405,6 +485,7 @@
       return;
     }
     finished = true;
+    cancelMove();
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -1,7 +1,6 @@
 package org.clementineford.gateway.internal;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -146,17 +145,31 @@
     placePlain(request, state.connectionLimit(service.get()));
   }
 
+  /** Returns the endpoint to which a request would be sent now; empty if there is none. */
+  Optional<EndpointState> findEndpoint(ProxiedRequest request) {
+    Optional<Service> service = state.configuration().service(request.service());
+    if (service.isEmpty()) {
+      return Optional.empty();
+    }
+    Optional<EngineProfile> engine = service.get().engine();
+    return engine.isPresent()
+        ? queue(request.service()).findEngine(request, engine.get())
+        : findPlainEndpoint(request, state.connectionLimit(service.get()));
+  }
+
+  private Optional<EndpointState> findPlainEndpoint(ProxiedRequest request, int connectionLimit) {
+    return state
+        .placement()
+        .choosePlainEndpoint(
+            state.endpoints().ofService(request.service()),
+            request.triedEndpoints(),
+            connectionLimit,
+            request.route().mayRunAgain(),
+            state.clock().nanoTime());
+  }
+
   private void placePlain(ProxiedRequest request, int connectionLimit) {
-    List<EndpointState> endpoints = state.endpoints().ofService(request.service());
-    Optional<EndpointState> endpoint =
-        state
-            .placement()
-            .choosePlainEndpoint(
-                endpoints,
-                request.triedEndpoints(),
-                connectionLimit,
-                request.route().mayRunAgain(),
-                state.clock().nanoTime());
+    Optional<EndpointState> endpoint = findPlainEndpoint(request, connectionLimit);
     if (endpoint.isPresent()) {
       request.send(endpoint.get());
       return;
@@ -172,7 +185,9 @@
       request.refuse(FailureReason.OVERLOADED, waitSeconds * (1 + state.random() / 4));
       return;
     }
-    boolean full = endpoints.stream().anyMatch(each -> each.outstanding() >= connectionLimit);
+    boolean full =
+        state.endpoints().ofService(request.service()).stream()
+            .anyMatch(each -> each.outstanding() >= connectionLimit);
     request.refuse(
         full ? FailureReason.OVERLOADED : FailureReason.NO_ENDPOINT,
         state.admission().retryAfterSeconds(0));
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/SharedRetryBudget.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/SharedRetryBudget.java
@@ -59,6 +59,20 @@
    * @return false if the budget is used up
    */
   public boolean tryRetry(long now) {
+    boolean allowed = mayRetry(now);
+    if (allowed) {
+      retries[sliceIndex()]++;
+    }
+    return allowed;
+  }
+
+  /**
+   * Returns whether a retry could be taken from the budget, without taking it.
+   *
+   * @param now monotonic time in nanoseconds
+   * @return false if the budget is used up
+   */
+  public boolean mayRetry(long now) {
     advance(now);
     long totalRequests = 0;
     long totalRetries = 0;
@@ -66,11 +80,7 @@
       totalRequests += requests[i];
       totalRetries += retries[i];
     }
-    if (totalRetries + 1 > ratio * totalRequests + fixed / entryVms.getAsInt()) {
-      return false;
-    }
-    retries[sliceIndex()]++;
-    return true;
+    return totalRetries + 1 <= ratio * totalRequests + fixed / entryVms.getAsInt();
   }
 
   private int sliceIndex() {
