--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConfigurationDraft.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ConfigurationDraft.java
@@ -20,7 +20,18 @@
 final class ConfigurationDraft {
   private static final EngineProfile PROFILE =
       new EngineProfile(
-          "m", 4, 1_640_000, 6, 6.73, 0.0219, 0.0068, 30.6, 0.647, 964, 119, Optional.empty());
+          "m",
+          GatewayFixture.SLOTS,
+          1_640_000,
+          6,
+          6.73,
+          0.0219,
+          0.0068,
+          30.6,
+          0.647,
+          964,
+          119,
+          Optional.empty());
 
   private final List<Route> routes = new ArrayList<>();
   private final Map<String, Service> services = new HashMap<>();
@@ -31,8 +42,10 @@
     addRoute("/get/", RequestKind.IDEMPOTENT, "plain", true);
     addRoute("/post/", RequestKind.NON_IDEMPOTENT, "plain", true);
     addRoute("/stream/", RequestKind.STREAM, "pool", true);
-    // Callers of this route wait for four seconds.
-    routes.add(route("/patient/", RequestKind.STREAM, "pool", true, 6_000, 4_000));
+    // Callers of these routes wait for four seconds.
+    routes.add(patientRoute("/patient/", 2, true));
+    routes.add(patientRoute("/once/", 1, true));
+    routes.add(patientRoute("/patient-keyed/", 2, false));
     addRoute("/keyed/", RequestKind.IDEMPOTENT, "plain", false);
     addRoute("/keyed-stream/", RequestKind.STREAM, "pool", false);
     putService("plain", Optional.empty());
@@ -41,13 +54,18 @@
   }
 
   private void addRoute(String prefix, RequestKind kind, String service, boolean anonymous) {
-    routes.add(route(prefix, kind, service, anonymous, 2_000, 2_000));
+    routes.add(route(prefix, kind, service, 2, anonymous, 2_000, 2_000));
+  }
+
+  private static Route patientRoute(String prefix, int attempts, boolean anonymous) {
+    return route(prefix, RequestKind.STREAM, "pool", attempts, anonymous, 6_000, 4_000);
   }
 
   private static Route route(
       String prefix,
       RequestKind kind,
       String service,
+      int attempts,
       boolean anonymous,
       int timeoutMs,
       int patienceMs) {
@@ -60,7 +78,7 @@
         200,
         1,
         List.of(new ServiceShare(service, 1)),
-        2,
+        attempts,
         anonymous,
         true,
         patienceMs);
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -8,6 +8,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
 import io.prometheus.metrics.model.snapshots.MetricSnapshot;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -28,8 +29,10 @@
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
+import org.clementineford.serving.model.CallerLimits;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.quarantine.RequestQuarantine;
+import org.clementineford.serving.quarantine.Suspect;
 import org.clementineford.serving.routing.EntryVmPosition;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.transport.EventLoopScheduler;
@@ -39,6 +42,9 @@
   /** Connection limit of each endpoint. */
   static final int MAX_CONNECTIONS = 10;
 
+  /** Number of requests that an engine runs at the same time. */
+  static final int SLOTS = 4;
+
   private final MultiThreadIoEventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final AtomicLong configurationAge = new AtomicLong();
@@ -46,6 +52,7 @@
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final TestProtocol protocol = new TestProtocol();
   private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final RequestQuarantine quarantine;
   private final Gateway gateway;
   private final HostPort address;
   private long configurationVersion;
@@ -82,6 +89,7 @@
             1,
             new VmSettings.Bounds(
                 1_000, 5_000, true, 8_000, 0.2, 100, 10, 3_600, 2_000, 2_000, 3_000));
+    quarantine = new RequestQuarantine(clock);
     gateway =
         new Gateway(
             settings,
@@ -93,7 +101,7 @@
             () -> 0,
             configurationAge::get,
             () -> new EntryVmPosition(1, 0),
-            new RequestQuarantine(clock),
+            quarantine,
             registry);
     address = gateway.start(any);
     configure(draft -> {});
@@ -133,6 +141,11 @@
     configure(draft -> draft.setLimits(limits));
   }
 
+  /** Puts a configuration into force that has no service of engines any more. */
+  void removeEngineService() throws Exception {
+    configure(draft -> draft.services().remove("pool"));
+  }
+
   /** Runs an action on the event loop without waiting for its end. */
   void runUnchecked(Runnable action) {
     eventLoops.execute(action);
@@ -147,6 +160,22 @@
     assertThat(gauge(name)).as(name).isEqualTo(value);
   }
 
+  /** Waits until this many requests have got an answer or the first event of a stream. */
+  void awaitFirstAnswers(long count) throws Exception {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (firstAnswers() < count && System.nanoTime() - giveUpAt < 0) {
+      run(() -> {});
+    }
+    run(() -> {});
+    assertThat(firstAnswers()).isEqualTo(count);
+  }
+
+  private long firstAnswers() {
+    String name = "clementineford_entry_first_answer_seconds";
+    HistogramSnapshot histogram = (HistogramSnapshot) registry.scrape(name::equals).get(0);
+    return histogram.getDataPoints().stream().mapToLong(point -> point.getCount()).sum();
+  }
+
   private double gauge(String name) {
     GaugeSnapshot gauge = (GaugeSnapshot) registry.scrape(name::equals).get(0);
     return gauge.getDataPoints().get(0).getValue();
@@ -182,6 +211,33 @@
     eventLoops.submit(action).get();
   }
 
+  /** Advances a virtual time in steps, and runs the timers that are due after each step. */
+  void advance(VirtualTime time, long durationMs) throws Exception {
+    for (long ms = 0; ms < durationMs; ms += 100) {
+      time.advance(100, TimeUnit.MILLISECONDS);
+      runDueTimers();
+    }
+  }
+
+  /** Waits until timers that are due have run, each after a poll of the sockets. */
+  void runDueTimers() throws Exception {
+    for (int i = 0; i < 6; i++) {
+      run(() -> {});
+      eventLoops.schedule(() -> {}, 0, TimeUnit.NANOSECONDS).get();
+    }
+  }
+
+  /** Records that two engines crashed while they held requests with this part in their prompts. */
+  void suspect(String promptPart) throws Exception {
+    run(
+        () -> {
+          for (String engine : List.of("lost-1", "lost-2")) {
+            quarantine.interrupted(engine, engine, Suspect.parts("pool", List.of(promptPart)));
+            quarantine.crashed(engine);
+          }
+        });
+  }
+
   void setConfigurationAge(long millis) {
     configurationAge.set(TimeUnit.MILLISECONDS.toNanos(millis));
   }
