--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -85,12 +84,14 @@
                             context.fireChannelRead(bytes);
                           }
                         };
+                    RequestBodyLimit bodyLimit = new RequestBodyLimit(limits);
                     accepted
                         .pipeline()
                         .addLast(
                             activity,
                             new HttpServerCodec(8192, MAX_HEADER_BYTES, 8192),
-                            new HttpObjectAggregator(limits.get().maxBodyBytes()),
+                            bodyLimit,
+                            bodyLimit.aggregator(),
                             connection);
                   }
                 });
