--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -81,6 +81,20 @@
 
   @Nested
   class Request {
+    // Guards against a process that ends on counts from before its last caller connected.
+    @Test
+    void isAwaitedIfItsCallerHasJustConnected() throws Exception {
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint((request, connection) -> {});
+          GatewayFixture fixture = new GatewayFixture(time, endpoint);
+          Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        write(socket, HEAD);
+        assertThat(fixture.gateway().isDrained()).isFalse();
+        stop(fixture);
+        socket.close();
+        await(fixture, fixture.gateway()::isDrained);
+      }
+    }
+
     // Guards against a stop that drops requests which were read while one before them ran.
     @Test
     void isAnsweredIfItWaitsForItsTurn() throws Exception {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -68,6 +68,7 @@
   private boolean stopping;
   private volatile int requestsInProgress;
   private volatile int openCallerConnections;
+  private volatile boolean accepting = true;
 
   /**
    * Creates a gateway.
@@ -352,6 +353,7 @@
   public void stopAccepting() {
     listener.stopAccepting();
     closeIdleWhileStopping();
+    accepting = false;
     eventLoops.scheduleWithFixedDelay(
         this::closeIdleWhileStopping,
         STOP_CHECK_INTERVAL_MS,
@@ -373,10 +375,11 @@
    * Returns whether all callers have their answers: no request is in progress, and each connection
    * has closed, which it does once its last answer is written. May be called from any thread.
    *
-   * @return true if the process may end; only after {@link #stopAccepting}
+   * @return true if the process may end; false until {@link #stopAccepting} has run, since the
+   *     counts are older
    */
   public boolean isDrained() {
-    return requestsInProgress == 0 && openCallerConnections == 0;
+    return !accepting && requestsInProgress == 0 && openCallerConnections == 0;
   }
 
   /**
