--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -43,6 +43,7 @@
   private final boolean continuesStream;
   private final EventSplitter eventSplitter = new EventSplitter();
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+  private final OldWeightsRecall recall;
   private EndpointConnection connection;
   private EndpointResponseHead head;
   private HttpHeaders headers;
@@ -64,6 +65,7 @@
     this.router = router;
     this.endpoint = endpoint;
     this.continuesStream = continuesStream;
+    this.recall = new OldWeightsRecall(router.state(), router.input(), endpoint, this::recall);
   }
 
   void start(FullHttpRequest request) {
@@ -75,9 +77,16 @@
     } else if (repeatable && proxiedRequest.route().maxAttempts() > 1) {
       restartSilenceTimer((long) (proxiedRequest.remainingMs() * IDEMPOTENT_TIMEOUT_FRACTION));
     }
+    if (repeatable) {
+      recall.start();
+    }
     router.pool().send(endpoint, request, repeatable, this);
   }
 
+  private void recall() {
+    abort(AttemptOutcome.OLD_WEIGHTS, "no event before its weights become too old");
+  }
+
   /**
    * Restarts the timer that fails the attempt if nothing arrives in time. Requests that must not
    * run again have no such timer.
@@ -181,6 +190,7 @@
     if (silenceTimer != null) {
       silenceTimer.cancel();
     }
+    recall.cancel();
     markPromptRead();
     endpoint.ended();
     router.dispatchWaiting(proxiedRequest.service());
@@ -196,6 +206,7 @@
   private void recordEvent() {
     if (!writing) {
       writing = true;
+      recall.cancel();
       firstEventAt = router.state().clock().nanoTime();
     } else if (!sound && writingMs() >= SOUND_WRITING_MS) {
       recordSound();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -60,7 +60,7 @@
     double waitMs =
         QueueAdmissionPolicy.predictWaitMs(
             queue.costMs() + waiting.costMs(),
-            effectiveEngines((queue.costMs() + waiting.costMs()) / (queue.size() + 1)));
+            effectiveEngines(profile, (queue.costMs() + waiting.costMs()) / (queue.size() + 1)));
     request.trace().recordPredictedWait(waitMs);
     OptionalDouble refusal = state.admission().retryAfterIfRefused(waitMs, request.remainingMs());
     if (refusal.isPresent()) {
@@ -95,6 +95,15 @@
     return minimum;
   }
 
+  /** Returns the lowest version with which an engine may answer, given the wait there. */
+  private long minimumVersion(
+      EndpointState engine, EngineProfile profile, int promptTokens, long now) {
+    double firstTokenMs =
+        EngineLatencyModel.firstTokenAmongOthersMs(profile, engine, promptTokens, state.entryVms());
+    return Math.max(
+        minimumVersion(now), state.minimumWeightVersion(service).minimumFor(now, firstTokenMs));
+  }
+
   private double costMs(ProxiedRequest request, EngineProfile profile) {
     double passes = Math.max(1, request.expectedAnswerTokens(profile) / profile.stepsPerPass());
     return EngineLatencyModel.prefillMs(profile, request.promptTokens())
@@ -111,7 +120,7 @@
             request.triedEndpoints(),
             profile,
             request.promptTokens(),
-            minimumVersion(now),
+            engine -> minimumVersion(engine, profile, request.promptTokens(), now),
             request.route().mayRunAgain(),
             now);
   }
@@ -121,11 +130,12 @@
    * share of their requests. One that limits its requests counts as no more than the engine time of
    * those that this VM may send.
    *
+   * @param profile profile of the engines
    * @param requestCostMs mean engine time that a request needs, in milliseconds
    */
-  private double effectiveEngines(double requestCostMs) {
+  private double effectiveEngines(EngineProfile profile, double requestCostMs) {
     long now = state.clock().nanoTime();
-    long minimum = minimumVersion(now);
+    int promptTokens = (int) profile.meanPromptTokens();
     int unlimited = 0;
     List<RequestRateLimit> limits = new ArrayList<>();
     int load = 0;
@@ -133,7 +143,7 @@
     for (EndpointState engine : state.endpoints().ofService(service)) {
       if (engine.acceptsRequests()
           && engine.pause().waitNanos(now) == 0
-          && Placement.isServing(engine, minimum)) {
+          && Placement.isServing(engine, minimumVersion(engine, profile, promptTokens, now))) {
         if (engine.requestLimit().isLimited()) {
           limits.add(engine.requestLimit());
         } else {
@@ -161,7 +171,7 @@
       long firstEventMs =
           (long) (FIRST_EVENT_PASSES * EngineLatencyModel.passMs(profile, profile.slots()));
       Optional<WaitingRequest<ProxiedRequest>> next =
-          queue.poll(now, TimeUnit.MILLISECONDS.toNanos(firstEventMs), isOverloaded());
+          queue.poll(now, TimeUnit.MILLISECONDS.toNanos(firstEventMs), isOverloaded(profile));
       ProxiedRequest request = next.get().item();
       Optional<EndpointState> engine = place(request, profile);
       if (engine.isEmpty()) {
@@ -175,9 +185,10 @@
     }
   }
 
-  private boolean isOverloaded() {
+  private boolean isOverloaded(EngineProfile profile) {
     double costMs = queue.costMs();
-    return costMs > OVERLOAD_WAIT_MS * effectiveEngines(costMs / Math.max(1, queue.size()));
+    return costMs
+        > OVERLOAD_WAIT_MS * effectiveEngines(profile, costMs / Math.max(1, queue.size()));
   }
 
   void remove(ProxiedRequest request) {
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/MinimumWeightVersionTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/MinimumWeightVersionTest.java
@@ -68,4 +68,22 @@
     minimumVersion.addTarget(2, 0);
     assertThat(minimumVersion.minimum(ms(2 * BOUND_MS))).isEqualTo(3);
   }
+
+  // Guards against requests that are sent in time, and wait at their engine until after the bound.
+  @Test
+  void isRequiredSoonerForRequestsThatWait() {
+    minimumVersion.addTarget(2, 0);
+    assertThat(minimumVersion.minimumFor(ms(6_500), 100)).isZero();
+    assertThat(minimumVersion.minimumFor(ms(6_500), 1_400)).isEqualTo(2);
+    assertThat(minimumVersion.minimum(ms(6_500))).isZero();
+  }
+
+  // Guards against a recall of requests at engines that have the newest version.
+  @Test
+  void recallsOnlyFromOlderVersions() {
+    minimumVersion.addTarget(2, 0);
+    assertThat(minimumVersion.recallDelayNanos(2, ms(6_500))).isEmpty();
+    assertThat(minimumVersion.recallDelayNanos(1, ms(6_500)).orElseThrow())
+        .isBetween(ms(1_000), ms(1_500));
+  }
 }
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/PlacementTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/PlacementTest.java
@@ -17,7 +17,13 @@
 
   private Optional<EndpointState> engine(long minimumVersion, String... tried) {
     return placement.chooseEngine(
-        List.of(near, far), Set.of(tried), RoutingFixture.PROFILE, 500, minimumVersion, true, now);
+        List.of(near, far),
+        Set.of(tried),
+        RoutingFixture.PROFILE,
+        500,
+        engine -> minimumVersion,
+        true,
+        now);
   }
 
   @Nested
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/AttemptOutcome.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/AttemptOutcome.java
@@ -11,7 +11,9 @@
   /** The connection closed, or the answer was invalid, before the answer was complete. */
   BROKEN(false, 0.5),
   /** No answer arrived within the timeout. */
-  SILENT(false, 1.0);
+  SILENT(false, 1.0),
+  /** The weights of the endpoint become too old before its first event; it is not at fault. */
+  OLD_WEIGHTS(false, 0.0);
 
   private final boolean notRun;
   private final double failureWeight;
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EndpointState.java
@@ -222,6 +222,16 @@
     return Math.max(0, report.running() + report.waiting() - outstandingAtReport) + outstanding;
   }
 
+  /**
+   * Returns by how many requests the load that this entry VM causes has grown since the last load
+   * report.
+   *
+   * @return number of requests; 0 if more have ended than were sent
+   */
+  public int sentSinceReport() {
+    return Math.max(0, outstanding - outstandingAtReport);
+  }
+
   /**
    * Returns the number of requests of this entry VM at the endpoint.
    *
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EngineLatencyModel.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EngineLatencyModel.java
@@ -71,4 +71,26 @@
             + prefillMs(profile, promptTokens);
     return (waitForSlot + work) * slowdown;
   }
+
+  /**
+   * Predicts the time from sending a request to its first token, if all entry VMs send to the
+   * engine as this one does. An engine that becomes free gets the waiting requests of all of them
+   * at once, before it reports any.
+   *
+   * @param profile profile of the engine
+   * @param state state of the engine as this entry VM knows it
+   * @param promptTokens number of prompt tokens
+   * @param entryVms number of entry VMs
+   * @return milliseconds; not less than {@link #firstTokenMs}
+   */
+  public static double firstTokenAmongOthersMs(
+      EngineProfile profile, EndpointState state, int promptTokens, int entryVms) {
+    int others = Math.max(0, entryVms - 1);
+    int load = state.load() + others * state.sentSinceReport();
+    int slotsOfOthers = Math.max(0, load + 1 - Math.max(profile.slots(), state.load() + 1));
+    double waitForSlot = slotsOfOthers * slotOccupancyMs(profile) / profile.slots();
+    double prefillOfOthers = others * prefillMs(profile, state.pendingPrefillTokens());
+    double slowdown = Math.max(0.1, state.report().slowdown());
+    return firstTokenMs(profile, state, promptTokens) + (waitForSlot + prefillOfOthers) * slowdown;
+  }
 }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/MinimumWeightVersion.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/MinimumWeightVersion.java
@@ -1,11 +1,14 @@
 package org.clementineford.serving.routing;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
 /**
  * The lowest version of the weights that may answer requests. A new target version, which an
  * operator sets, becomes the minimum after a delay, so that engines can load it one after the
- * other.
+ * other. A request that would wait long at its engine needs it sooner, and one that still waits
+ * shortly before the bound is recalled. This answers a load at which an engine becomes free shortly
+ * before the bound and all entry VMs send it their waiting requests at once.
  */
 public final class MinimumWeightVersion {
   /**
@@ -20,6 +23,22 @@
    */
   private static final long SET_TIME_REPORT_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+  private static final double NANOS_PER_MS = 1e6;
+
+  /**
+   * Time before the bound at which a waiting request is recalled, in milliseconds; an estimate of
+   * the time that the reset needs to reach the engine. The first VM learns of a version a few
+   * milliseconds after its confirmation.
+   */
+  private static final long RECALL_MS = 200;
+
+  /**
+   * Factor by which a wait may exceed its prediction, since prompts may be longer than the mean; an
+   * estimate. Larger differences are left to the recall.
+   */
+  private static final double WAIT_MARGIN = 1.5;
+
+  private final long recallAfterNanos;
   private final long requiredAfterNanos;
   private long minimum;
   private Target next = Target.NONE;
@@ -46,6 +65,8 @@
    */
   public MinimumWeightVersion(long boundMs) {
     this.requiredAfterNanos = TimeUnit.MILLISECONDS.toNanos((long) (boundMs * REQUIRED_FRACTION));
+    this.recallAfterNanos =
+        Math.max(requiredAfterNanos, TimeUnit.MILLISECONDS.toNanos(boundMs - RECALL_MS));
   }
 
   /**
@@ -112,4 +133,40 @@
     }
     return minimum;
   }
+
+  /**
+   * Returns the lowest version of the weights that may answer a request sent now.
+   *
+   * @param now monotonic time in nanoseconds
+   * @param firstTokenMs predicted time until the first token, in milliseconds
+   * @return a version number, not lower than {@link #minimum}
+   */
+  public long minimumFor(long now, double firstTokenMs) {
+    long required = minimum(now);
+    long afterNanos = recallAfterNanos - (long) (WAIT_MARGIN * firstTokenMs * NANOS_PER_MS);
+    for (Target target : new Target[] {next, later}) {
+      if (target.version() > required && now - target.setAt() >= afterNanos) {
+        required = target.version();
+      }
+    }
+    return required;
+  }
+
+  /**
+   * Returns when a request without a first event is to be recalled from an engine, if the engine
+   * still has weights below the minimum then.
+   *
+   * @param version version of the engine's weights
+   * @param now monotonic time in nanoseconds
+   * @return delay in nanoseconds; empty if no newer version is pending
+   */
+  public OptionalLong recallDelayNanos(long version, long now) {
+    minimum(now);
+    for (Target target : new Target[] {next, later}) {
+      if (target.version() > Math.max(version, minimum)) {
+        return OptionalLong.of(Math.max(0, target.setAt() + recallAfterNanos - now));
+      }
+    }
+    return OptionalLong.empty();
+  }
 }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/Placement.java
@@ -6,6 +6,7 @@
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.function.ToLongFunction;
 import org.clementineford.serving.model.EngineProfile;
 
 /**
@@ -55,7 +56,8 @@
    * @param tried IDs of the endpoints to which this request was sent before
    * @param profile profile of the engines
    * @param promptTokens number of prompt tokens
-   * @param minimumVersion lowest version of the weights that may answer
+   * @param minimumVersion returns the lowest version of the weights with which an engine may answer
+   *     this request, which depends on the wait there
    * @param repeatable true if the request may be sent again, and so may be the trial request of a
    *     suspended engine
    * @param now monotonic time in nanoseconds
@@ -66,16 +68,16 @@
       Set<String> tried,
       EngineProfile profile,
       int promptTokens,
-      long minimumVersion,
+      ToLongFunction<EndpointState> minimumVersion,
       boolean repeatable,
       long now) {
     return cheapest(
         engines,
         engine ->
             isCandidate(engine, tried, now)
-                && isServing(engine, minimumVersion)
                 && engine.load() < profile.slots()
-                && engine.hasAllowance(),
+                && engine.hasAllowance()
+                && isServing(engine, minimumVersion.applyAsLong(engine)),
         engine -> {
           double ms = EngineLatencyModel.firstTokenMs(profile, engine, promptTokens);
           return (ms * (1 + JITTER * random.getAsDouble()) + remotePenaltyMs(engine))
