--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ChangedBodyLimitTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/ChangedBodyLimitTest.java
@@ -41,11 +41,11 @@
         GatewayFixture fixture = new GatewayFixture(endpoint);
         Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
       socket.setSoTimeout(5_000);
-      fixture.limitCallers(2, new CallerLimits(3_000, IDLE_MS));
+      fixture.limitCallers(new CallerLimits(3_000, IDLE_MS));
       assertThat(exchange(socket, "1")).startsWith("HTTP/1.1 200");
-      fixture.limitCallers(3, new CallerLimits(1_000, IDLE_MS));
+      fixture.limitCallers(new CallerLimits(1_000, IDLE_MS));
       assertThat(exchange(socket, "2")).startsWith("HTTP/1.1 413");
-      fixture.limitCallers(4, new CallerLimits(3_000, IDLE_MS));
+      fixture.limitCallers(new CallerLimits(3_000, IDLE_MS));
       assertThat(exchange(socket, "3")).startsWith("HTTP/1.1 200");
     }
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -48,6 +48,7 @@
   private final boolean continuesStream;
   private final EventSplitter eventSplitter = new EventSplitter();
   private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+  private final OldWeightsRecall recall;
   private EndpointConnection connection;
   private EndpointResponseHead head;
   private HttpHeaders headers;
@@ -70,6 +71,9 @@
     this.router = router;
     this.endpoint = endpoint;
     this.continuesStream = continuesStream;
+    this.recall =
+        new OldWeightsRecall(
+            router.state(), router.input(), endpoint, proxiedRequest.guarded(this::recall));
   }
 
   void start(FullHttpRequest request) {
@@ -82,11 +86,18 @@
       long timeoutMs = (long) (proxiedRequest.remainingMs() * IDEMPOTENT_TIMEOUT_FRACTION);
       scheduleSilenceCheck(() -> checkResponse(timeoutMs), timeoutMs);
     }
+    if (repeatable) {
+      recall.start();
+    }
     EndpointResponseListener listener =
         new GuardedResponseListener(this, action -> proxiedRequest.guarded(action).run());
     router.pool().send(endpoint, request, repeatable, listener, proxiedRequest::guarded);
   }
 
+  private void recall() {
+    abort(AttemptOutcome.OLD_WEIGHTS, "no event before its weights become too old");
+  }
+
   private void scheduleSilenceCheck(Runnable check, long delayMs) {
     silenceTimer =
         router.input().schedule(proxiedRequest.guarded(check), delayMs, TimeUnit.MILLISECONDS);
@@ -212,6 +223,7 @@
     if (silenceTimer != null) {
       silenceTimer.cancel();
     }
+    recall.cancel();
     markPromptRead();
     endpoint.ended();
     router.dispatchWaiting(proxiedRequest.service());
@@ -227,6 +239,7 @@
   private void recordEvent() {
     if (!writing) {
       writing = true;
+      recall.cancel();
       firstEventAt = router.state().clock().nanoTime();
     } else if (!sound && writingMs() >= SOUND_WRITING_MS) {
       recordSound();
