--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
 import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
 import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
 import java.net.URI;
@@ -228,6 +229,22 @@
     assertThat(firstAnswers()).isEqualTo(count);
   }
 
+  /** Waits until this many attempts of requests have failed. */
+  void awaitFailedAttempts(long count) throws Exception {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (failedAttempts() < count && System.nanoTime() - giveUpAt < 0) {
+      run(() -> {});
+    }
+    run(() -> {});
+    assertThat(failedAttempts()).isEqualTo(count);
+  }
+
+  private double failedAttempts() {
+    String name = "clementineford_entry_failed_attempts";
+    CounterSnapshot counter = (CounterSnapshot) registry.scrape(name::equals).get(0);
+    return counter.getDataPoints().stream().mapToDouble(point -> point.getValue()).sum();
+  }
+
   private long firstAnswers() {
     String name = "clementineford_entry_first_answer_seconds";
     HistogramSnapshot histogram = (HistogramSnapshot) registry.scrape(name::equals).get(0);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -44,9 +44,12 @@
     this.service = service;
   }
 
-  /** Sends a request to an engine, or queues it, or refuses it if its wait would be too long. */
+  /**
+   * Sends a request to an engine, or queues it, or refuses it if its wait would be too long. A
+   * started stream goes ahead of waiting requests, and is not refused.
+   */
   void submit(ProxiedRequest request, EngineProfile profile) {
-    if (queue.size() == 0) {
+    if (queue.size() == 0 || request.isStarted()) {
       Optional<EndpointState> engine = findEngine(request, profile);
       if (engine.isPresent()) {
         request.send(engine.get());
@@ -63,7 +66,7 @@
             effectiveEngines((queue.costMs() + waiting.costMs()) / (queue.size() + 1)));
     request.trace().recordPredictedWait(waitMs);
     OptionalDouble refusal = state.admission().retryAfterIfRefused(waitMs, request.remainingMs());
-    if (refusal.isPresent()) {
+    if (refusal.isPresent() && !request.isStarted()) {
       request.trace().recordMarks(state.marks(service));
       request.refuse(FailureReason.OVERLOADED, refusal.getAsDouble());
       return;
@@ -72,9 +75,12 @@
     dispatchWaiting(profile);
   }
 
-  /** Refuses a request if all engines asked for a pause, and returns whether it did. */
+  /**
+   * Refuses a request that has not begun if all engines asked for a pause, and returns whether it
+   * did.
+   */
   private boolean refusedForPause(ProxiedRequest request) {
-    long pauseNanos = state.pauseNanos(service);
+    long pauseNanos = request.isStarted() ? 0 : state.pauseNanos(service);
     if (pauseNanos > 0) {
       request.trace().recordMarks(state.marks(service));
       request.refuse(
@@ -158,22 +164,24 @@
     for (WaitingRequest<ProxiedRequest> expired : queue.removeUnanswerable(now)) {
       expired.item().refuse(FailureReason.NOT_SENT_IN_TIME, state.admission().retryAfterSeconds(0));
     }
-    while (queue.size() > 0) {
+    List<WaitingRequest<ProxiedRequest>> passedOver = new ArrayList<>();
+    boolean mayHaveRoom = true;
+    while (mayHaveRoom && queue.size() > 0) {
       long firstEventMs =
           (long) (FIRST_EVENT_PASSES * EngineLatencyModel.passMs(profile, profile.slots()));
       Optional<WaitingRequest<ProxiedRequest>> next =
           queue.poll(now, TimeUnit.MILLISECONDS.toNanos(firstEventMs), isOverloaded());
       ProxiedRequest request = next.get().item();
       Optional<EndpointState> engine = findEngine(request, profile);
-      if (engine.isEmpty()) {
-        if (refusedForPause(request)) {
-          continue;
-        }
-        queue.add(next.get());
-        return;
+      if (engine.isPresent()) {
+        request.send(engine.get());
+      } else if (!refusedForPause(request)) {
+        // A started stream may not return to engines that others can use.
+        passedOver.add(next.get());
+        mayHaveRoom = request.isStarted();
       }
-      request.send(engine.get());
     }
+    passedOver.forEach(queue::add);
   }
 
   private boolean isOverloaded() {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -53,6 +53,7 @@
   private int attemptCount;
   private boolean mayHaveRun;
   private String lastEventId;
+  private long lastEventAt;
   private RequestIdentity identity;
   private FailureResponse failureResponse;
   private boolean finished;
@@ -147,9 +148,8 @@
   /** Returns the time at which the caller leaves if it receives nothing until then. */
   private long leavesAt() {
     long patienceNanos = TimeUnit.MILLISECONDS.toNanos(route.callerPatienceMs());
-    return exchange.isResponseStarted()
-        ? deadlineAt
-        : Math.min(deadlineAt, arrivedAt + patienceNanos);
+    long silentSince = exchange.isResponseStarted() ? lastEventAt : arrivedAt;
+    return Math.min(deadlineAt, silentSince + patienceNanos);
   }
 
   /** Returns the time until the caller leaves if it receives nothing, in milliseconds. */
@@ -157,7 +157,15 @@
     return TimeUnit.NANOSECONDS.toMillis(leavesAt() - now());
   }
 
+  /** Returns whether the caller has received a part of a stream, which another endpoint may end. */
+  boolean isStarted() {
+    return exchange.isResponseStarted();
+  }
+
   WaitingRequest<ProxiedRequest> toWaitingRequest(double costMs) {
+    if (isStarted()) {
+      return WaitingRequest.startedStream(this, arrivedAt, deadlineAt, leavesAt(), costMs);
+    }
     Optional<RoutingClientAccount> account = router.clientAccount(this);
     int priority = route.priority();
     if (account.isPresent()) {
@@ -272,6 +280,7 @@
   /** Forwards the head of a streamed response to the caller. */
   void startStream(int status, HttpHeaders headers) {
     recordFirstAnswer();
+    lastEventAt = now();
     exchange.startResponse(status, HopByHopHeaders.copyWithout(headers));
   }
 
@@ -281,6 +290,7 @@
 
   void forwardEvent(byte[] bytes, String id) {
     cancelMove();
+    lastEventAt = now();
     exchange.write(bytes);
     if (id != null) {
       lastEventId = id;
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/queueing/WaitingQueueTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/queueing/WaitingQueueTest.java
@@ -32,6 +32,25 @@
     return queue.poll(ms(nowMs), FIRST_EVENT, false).get().item();
   }
 
+  @Nested
+  class StartedStream {
+    // Guards against a stream that is cut while its caller waits, for the age of its request.
+    @Test
+    void goesFirstAndWaitsUntilItsCallerLeaves() {
+      add("in time", 2_900, 0);
+      queue.add(WaitingRequest.startedStream("started", 0, ms(6_000), ms(4_000), 50));
+      assertThat(queue.removeUnanswerable(ms(3_200))).isEmpty();
+      assertThat(poll(3_000)).isEqualTo("started");
+    }
+
+    // Guards against a wait for a caller that has left.
+    @Test
+    void isRemovedWhenItsCallerLeavesSoon() {
+      queue.add(WaitingRequest.startedStream("started", 0, ms(6_000), ms(4_000), 50));
+      assertThat(queue.removeUnanswerable(ms(3_600))).hasSize(1);
+    }
+  }
+
   @Nested
   class Order {
     // Guards against making every request late once the wait exceeds the latency goal.
