--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -170,6 +170,22 @@
     assertThat(firstAnswers()).isEqualTo(count);
   }
 
+  /** Waits until this many attempts of requests have failed. */
+  void awaitFailedAttempts(long count) throws Exception {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (failedAttempts() < count && System.nanoTime() - giveUpAt < 0) {
+      run(() -> {});
+    }
+    run(() -> {});
+    assertThat(failedAttempts()).isEqualTo(count);
+  }
+
+  private double failedAttempts() {
+    String name = "clementineford_entry_failed_attempts";
+    CounterSnapshot counter = (CounterSnapshot) registry.scrape(name::equals).get(0);
+    return counter.getDataPoints().stream().mapToDouble(point -> point.getValue()).sum();
+  }
+
   private long firstAnswers() {
     String name = "clementineford_entry_first_answer_seconds";
     HistogramSnapshot histogram = (HistogramSnapshot) registry.scrape(name::equals).get(0);
@@ -222,8 +238,10 @@
   /** Waits until timers that are due have run, each after a poll of the sockets. */
   void runDueTimers() throws Exception {
     for (int i = 0; i < 6; i++) {
-      run(() -> {});
-      eventLoops.schedule(() -> {}, 0, TimeUnit.NANOSECONDS).get();
+      CompletableFuture<Void> polled = new CompletableFuture<>();
+      // Timers that the event loop sets itself run in their order, unlike those of other threads.
+      run(() -> eventLoops.schedule(() -> polled.complete(null), 0, TimeUnit.NANOSECONDS));
+      polled.get(5, TimeUnit.SECONDS);
     }
   }
 
