--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -240,6 +240,69 @@
     }
   }
 
+  @Nested
+  class SilentConnections {
+    private final List<Long> changesAfter = new ArrayList<>();
+    private final DirectorySync probing =
+        new DirectorySync(
+            directory, time, time, 3_600, kind -> changesAfter.add(changesAfter()), () -> {});
+
+    private long changesAfter() {
+      return probing.changesAfter();
+    }
+
+    /** Watches with a wait of 30 s, and loses the connections 1 s after the last answer. */
+    private void startAndFallSilent() {
+      probing.start();
+      probing.watch(KIND, 30_000, 0);
+      probing.probe(KIND, 2_500);
+      directory.answerFirst(new DirectoryEntries(List.of(entry("a", 1)), 2));
+      changesAfter.clear();
+      time.advance(3_500, TimeUnit.MILLISECONDS);
+    }
+
+    // Guards against changes that arrive only after the wait of a watch whose connection is silent.
+    @Test
+    void areNoticedLongBeforeTheWaitOfTheWatchEnds() {
+      startAndFallSilent();
+      assertThat(directory.calls).containsExactly("list", "watch 2", "list");
+      directory.failLast(failure(ErrorKind.OUTCOME_UNKNOWN));
+      assertThat(directory.calls).endsWith("watch 2").hasSize(4);
+    }
+
+    // Guards against a bound that counts from when a VM learned of a version too late.
+    @Test
+    void doNotMakeChangesLookNewer() {
+      startAndFallSilent();
+      directory.failLast(failure(ErrorKind.OUTCOME_UNKNOWN));
+      directory.answerLast(new DirectoryEntries(List.of(entry("b", 3)), 3));
+      assertThat(changesAfter).containsExactly(0L);
+    }
+
+    // Guards against a version that counts as old because connections were silent long before it.
+    @Test
+    void areForgottenOnceTheNextWatchWaits() {
+      startAndFallSilent();
+      directory.failLast(failure(ErrorKind.OUTCOME_UNKNOWN));
+      time.advance(1_200, TimeUnit.MILLISECONDS);
+      directory.answerLast(new DirectoryEntries(List.of(entry("b", 3)), 3));
+      assertThat(changesAfter).containsExactly(time.nanoTime());
+    }
+
+    // Guards against calls that add nothing while the platform answers others.
+    @Test
+    void areNotProbedWhileOtherCallsAreAnswered() {
+      probing.start();
+      probing.poll(ObjectKind.ENTRY_VMS, 2_000);
+      probing.probe(KIND, 2_500);
+      for (int i = 0; i < 10; i++) {
+        directory.answerLast(new DirectoryEntries(List.of(), 2));
+        time.advance(2_000, TimeUnit.MILLISECONDS);
+      }
+      assertThat(directory.calls).hasSize(11);
+    }
+  }
+
   @Nested
   class Age {
     // Guards against accepting keys that no watch has confirmed for seconds.
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -61,6 +61,12 @@
    */
   private static final long WATCH_LAG_NANOS = TimeUnit.MILLISECONDS.toNanos(1_100);
 
+  /**
+   * Longest time without an answer that is taken for connections that went silent, and not for an
+   * outage: the probe's interval, its timeout and another one of a call that follows it.
+   */
+  private static final long MAX_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(5_000);
+
   private final ObjectDirectory directory;
   private final Scheduler scheduler;
   private final NanoClock clock;
@@ -75,6 +81,10 @@
   private long answeredAt;
 
   private boolean failedSinceAnswer;
+  private SilenceProbe probe = SilenceProbe.NONE;
+
+  /** Earliest time of the changes that are being reported; empty if they were reported at once. */
+  private OptionalLong changesAfter = OptionalLong.empty();
 
   /**
    * Creates an object that does not read anything yet.
@@ -132,6 +142,32 @@
     sync.sendCall();
   }
 
+  /**
+   * Asks for a kind whenever the platform has not answered any call for a while, and replaces the
+   * watches if it does not answer: connections that were open may have gone silent.
+   *
+   * @param kind a kind with few objects
+   * @param silenceMs time without an answer after which to ask, in milliseconds
+   */
+  public void probe(ObjectKind kind, long silenceMs) {
+    probe =
+        new SilenceProbe(
+            () -> directory.list(kind, false),
+            TimeUnit.MILLISECONDS.toNanos(silenceMs),
+            () -> answered(clock.nanoTime()),
+            () -> kinds.values().forEach(sync -> sync.restartWatch(answeredAt)));
+  }
+
+  /**
+   * Returns the earliest time at which the changes that are being reported may have been made. It
+   * is in the past if they were found by a watch that replaced a silent one.
+   *
+   * @return monotonic nanoseconds
+   */
+  public long changesAfter() {
+    return changesAfter.orElse(clock.nanoTime());
+  }
+
   /**
    * Lists a polled kind now, unless a call for it is pending.
    *
@@ -172,6 +208,9 @@
 
   private void expire() {
     kinds.values().forEach(KindSync::expire);
+    if (!stopped) {
+      probe.checkSilence(clock.nanoTime() - answeredAt);
+    }
   }
 
   /** Sends no further calls to the platform. */
@@ -305,6 +344,9 @@
     private int relists;
     private boolean suspended;
 
+    /** Time of the last answer before the watch was replaced; empty if it was not. */
+    private OptionalLong interruptedAt = OptionalLong.empty();
+
     /** Time up to which the last answer was current, apart from changes that are withheld. */
     private long confirmedAt;
 
@@ -324,8 +366,11 @@
     }
 
     /** Replaces a pending watch, which the platform may have dropped during an outage. */
-    void restartWatch() {
+    void restartWatch(long lastAnswerAt) {
       if (watching && callPending) {
+        if (interruptedAt.isEmpty()) {
+          interruptedAt = OptionalLong.of(lastAnswerAt);
+        }
         sendCall();
       }
     }
@@ -412,11 +457,14 @@
     private void succeeded(
         boolean list, DirectoryEntries listing, long sentAt, long callWaitMs, long copyEra) {
       long now = clock.nanoTime();
+      long answeredBefore = answeredAt;
       answered(now);
       if (failures > 0) {
         LOG.atInfo().addKeyValue("kind", kind).log("platform reached again");
         failures = 0;
-        kinds.values().stream().filter(other -> other != this).forEach(KindSync::restartWatch);
+        kinds.values().stream()
+            .filter(other -> other != this)
+            .forEach(other -> other.restartWatch(answeredBefore));
       }
       switch (history.read(listing.era(), watching, sentAt, now)) {
         case OUTDATED -> {
@@ -456,8 +504,11 @@
             .addKeyValue("kind", kind)
             .addKeyValue("position", copy.position().toText())
             .log("copy of platform objects changed");
+        changesAfter = changesAfter(sentAt, now);
         onChange.accept(kind);
+        changesAfter = OptionalLong.empty();
       }
+      interruptedAt = OptionalLong.empty();
       if (watching && (!changed || batchDelayMs == 0)) {
         sendCall();
       } else {
@@ -474,6 +525,19 @@
       return answer.entries().isEmpty() && now - sentAt >= waitNanos ? sentAt + waitNanos : sentAt;
     }
 
+    /**
+     * Returns the time of the last answer before this one if the changes may be as old: a watch
+     * that replaces a silent one reports at once what the silent one would have.
+     */
+    private OptionalLong changesAfter(long sentAt, long now) {
+      boolean atOnce = now - sentAt <= WATCH_LAG_NANOS;
+      return interruptedAt.isPresent()
+              && atOnce
+              && now - interruptedAt.getAsLong() <= MAX_SILENCE_NANOS
+          ? interruptedAt
+          : OptionalLong.empty();
+    }
+
     /** Lists again as soon as the answer proves the copy current. */
     private void listWhenSettled() {
       long settlingNanos = copy.settlingNanos(clock.nanoTime());
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -45,12 +45,15 @@
 public final class EndpointVmProcess {
   private static final Logger LOG = LoggerFactory.getLogger(EndpointVmProcess.class);
 
+  /** Wait of a watch for target versions, the longest that the platform allows. */
+  private static final long TARGETS_WATCH_MS = 30_000;
+
   /**
-   * Longest wait of a watch for target versions. Peers announce new versions to each other
-   * immediately, so a lost watch causes little delay; the waits of VMs differ, so that not all
-   * watches are lost for as long.
+   * Time without an answer of the platform after which it is asked whether connections went silent:
+   * half of the interval at which endpoints are listed. A silent watch is replaced after this time
+   * and a timeout of 1 s, which leaves more than half of the 8 s for a switch of versions.
    */
-  private static final long MAX_TARGETS_WATCH_MS = 30_000;
+  private static final long SILENCE_PROBE_MS = 2_500;
 
   private static final long CONFIGURATION_POLL_MS = 20_000;
   private static final long ENDPOINTS_POLL_MS = 5_000;
@@ -227,9 +230,8 @@
   private void startSync() {
     directoryExchange.addPeers(settings.seeds());
     sync.start();
-    long waitMs =
-        MAX_TARGETS_WATCH_MS / 2 + ThreadLocalRandom.current().nextLong(MAX_TARGETS_WATCH_MS / 2);
-    sync.watch(ObjectKind.WEIGHT_TARGETS, waitMs, 0);
+    sync.watch(ObjectKind.WEIGHT_TARGETS, TARGETS_WATCH_MS, 0);
+    sync.probe(ObjectKind.WEIGHT_TARGETS, SILENCE_PROBE_MS);
     sync.poll(ObjectKind.CONFIGURATION, CONFIGURATION_POLL_MS);
     sync.poll(ObjectKind.ENDPOINTS, ENDPOINTS_POLL_MS);
     sync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_MS);
@@ -296,7 +298,7 @@
   }
 
   private void updateTarget(WeightTarget target) {
-    rollout.updateTarget(target.model(), target.version(), clock.nanoTime(), targetsListed);
+    rollout.updateTarget(target.model(), target.version(), sync.changesAfter(), targetsListed);
   }
 
   private void datagramReceived(HostPort sender, FleetDatagram datagram) {
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
@@ -24,7 +24,9 @@
 
 /**
  * HTTP/1.1 client that keeps idle connections for later requests to the same address. A connection
- * on which a request timed out, was cancelled or failed is closed and not reused.
+ * on which a request timed out, was cancelled or failed is closed and not reused. After a call
+ * without any part of a response, idle connections to the address are closed too, since they may
+ * have become unresponsive at the same time.
  */
 public final class HttpClient implements AutoCloseable {
   private static final MessageCatalog MESSAGES = MessageCatalog.of(PeerNetwork.class);
@@ -141,11 +143,25 @@
           deadline.cancel(false);
           if (failure != null) {
             call.cancel();
+            if (collector.status == 0 && !collector.future.isCancelled()) {
+              closeIdleConnections(address);
+            }
           }
         });
     return collector.future;
   }
 
+  private void closeIdleConnections(HostPort address) {
+    ArrayDeque<Channel> connections = idleConnections.get(address);
+    if (connections == null) {
+      return;
+    }
+    synchronized (connections) {
+      connections.forEach(Channel::close);
+      connections.clear();
+    }
+  }
+
   private Channel pollIdleConnection(HostPort address) {
     ArrayDeque<Channel> connections = idleConnections.get(address);
     if (connections == null) {
@@ -175,12 +191,7 @@
   @Override
   public void close() {
     closed = true;
-    for (ArrayDeque<Channel> connections : idleConnections.values()) {
-      synchronized (connections) {
-        connections.forEach(Channel::close);
-        connections.clear();
-      }
-    }
+    idleConnections.keySet().forEach(this::closeIdleConnections);
   }
 
   private static final class ResponseCollector implements HttpResponseListener {
