--- a/org.clementineford.node.test/src/test/java/org/clementineford/node/NodeTest.java
+++ b/org.clementineford.node.test/src/test/java/org/clementineford/node/NodeTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.configuration.Document;
@@ -16,8 +17,10 @@
 import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.kernel.timeline.TimelineEvent;
 import org.clementineford.node.internal.ConfigurationAgent;
+import org.clementineford.node.internal.MembershipAgent;
 import org.clementineford.node.internal.StoredRevision;
 import org.clementineford.standins.StandInFaultKind;
+import org.clementineford.transport.PeerNetwork;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -163,6 +166,25 @@
       assertThat(phase(first, "endpoint-1")).isEqualTo(MembershipView.Phase.LEAVING);
     }
 
+    /** Guards against a notice that is lost with a connection that was closed as unneeded. */
+    @Test
+    void showsStoppingProcessesAsLeavingAlthoughTheirConnectionCloses() throws Exception {
+      final Node first = fleet.entry("entry-1", "a");
+      final Node endpoint = fleet.endpoint("endpoint-1", "a", first);
+      assertThat(fleet.advanceUntil(() -> hasMembers(first, 2) && hasMembers(endpoint, 2)))
+          .isTrue();
+      PeerNetwork network = endpoint.context().network();
+      assertThat(fleet.advanceUntil(() -> network.peer(first.peerAddress()).identity() != null))
+          .isTrue();
+      CountDownLatch noticeSent = new CountDownLatch(1);
+      fleet.holdEventLoops(noticeSent);
+      network.closeIfIdle(first.peerAddress());
+      CompletableFuture<Void> notices = ((MembershipAgent) endpoint.context().membership()).leave();
+      noticeSent.countDown();
+      notices.get(10, TimeUnit.SECONDS);
+      assertThat(phase(first, "endpoint-1")).isEqualTo(MembershipView.Phase.LEAVING);
+    }
+
     /** Guards against giving work to a VM on the leaving list of the document. */
     @Test
     void showsLeavingVmsOfTheDocument() throws Exception {
--- a/org.clementineford.node.test/src/test/java/org/clementineford/node/TestFleet.java
+++ b/org.clementineford.node.test/src/test/java/org/clementineford/node/TestFleet.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.clementineford.configuration.DocumentEdit;
@@ -120,6 +121,19 @@
     return result;
   }
 
+  /** Lets the event loops do nothing until the latch is released. */
+  void holdEventLoops(CountDownLatch released) {
+    eventLoops.forEach(loop -> loop.execute(() -> awaitUninterruptibly(released)));
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch released) {
+    try {
+      released.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   void stop(Node node) {
     nodes.remove(node);
     node.stop();
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/MembershipAgent.java
@@ -39,6 +39,8 @@
   private static final int PAGE_SIZE = 12;
   private static final long SEED_PERIOD_TICKS = 30;
   private static final long URGENT_DELAY_MS = 50;
+  // A connection may be closed as unneeded while a notice is sent; the next attempt opens another.
+  private static final int LEAVE_ATTEMPTS = 3;
   // Limits the connections that one read of a long list opens.
   private static final int MAX_CONTACTS_PER_LIST = 8;
 
@@ -121,7 +123,19 @@
       table.leave(clock.nanoTime());
     }
     publishChanges();
-    return notifySubjects();
+    return CompletableFuture.allOf(
+        subjectsOrSeeds().stream()
+            .map(address -> notifyOfLeaving(address, LEAVE_ATTEMPTS))
+            .toArray(CompletableFuture[]::new));
+  }
+
+  private CompletableFuture<Boolean> notifyOfLeaving(HostPort address, int attempts) {
+    return exchange(address, "", false)
+        .thenCompose(
+            answered ->
+                answered || attempts == 1
+                    ? CompletableFuture.completedFuture(answered)
+                    : notifyOfLeaving(address, attempts - 1));
   }
 
   @Override
@@ -241,7 +255,8 @@
     }
   }
 
-  private CompletableFuture<Void> exchange(HostPort address, String probedVm, boolean wantAll) {
+  /** Returns a future of whether the peer answered. */
+  private CompletableFuture<Boolean> exchange(HostPort address, String probedVm, boolean wantAll) {
     Probe probe = new Probe(probedVm);
     if (!probedVm.isEmpty()) {
       scheduler.schedule(probe::timeOut, timing.tickNanos(), TimeUnit.NANOSECONDS);
@@ -260,7 +275,7 @@
             (reply, failure) -> {
               if (failure != null || !reply.isSetMembersExchange()) {
                 probe.timeOut();
-                return null;
+                return false;
               }
               probe.answered();
               if (wantAll) {
@@ -270,7 +285,7 @@
               if (probedVm.isEmpty()) {
                 closeUnlessNeeded(address);
               }
-              return null;
+              return true;
             });
   }
 
@@ -347,17 +362,14 @@
   }
 
   /** Propagates joining and leaving immediately instead of at the next ticks. */
-  private CompletableFuture<Void> notifySubjects() {
-    List<HostPort> addresses;
-    synchronized (this) {
-      urgentExchangeScheduled = false;
-      // A process that stops right after its start may not know any member yet.
-      addresses = receivers().isEmpty() ? seeds : receivers();
-    }
-    return CompletableFuture.allOf(
-        addresses.stream()
-            .map(address -> exchange(address, "", false))
-            .toArray(CompletableFuture[]::new));
+  private void notifySubjects() {
+    subjectsOrSeeds().forEach(address -> exchange(address, "", false));
+  }
+
+  private synchronized List<HostPort> subjectsOrSeeds() {
+    urgentExchangeScheduled = false;
+    // A process that stops right after its start may not know any member yet.
+    return receivers().isEmpty() ? seeds : receivers();
   }
 
   /**
