--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/weights/WeightsComponentTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/weights/WeightsComponentTest.java
@@ -43,6 +43,21 @@
           0,
           TimeUnit.SECONDS.toNanos(1));
 
+  private static final TransferLimits LONG_TIMEOUTS_WITH_FREQUENT_MAPS =
+      new TransferLimits(
+          4,
+          4,
+          2,
+          2,
+          4,
+          4,
+          24,
+          TimeUnit.MILLISECONDS.toNanos(50),
+          TimeUnit.SECONDS.toNanos(5),
+          TimeUnit.SECONDS.toNanos(30),
+          0,
+          TimeUnit.SECONDS.toNanos(5));
+
   private final EventLoopGroup eventLoops =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final VirtualTime time = new VirtualTime(0);
@@ -233,6 +248,49 @@
     }
   }
 
+  // Guards against reads of the origin while the answer of a peer that holds the chunks is on its
+  // way.
+  @Test
+  void lateVmWaitsForTheMapOfBusyPeer() throws Exception {
+    EventLoopGroup peerLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    EventLoopScheduler scheduler = new EventLoopScheduler(eventLoops);
+    TransferLimits patient = LONG_TIMEOUTS_WITH_FREQUENT_MAPS;
+    try (WeightsTestNode first =
+            node("vm-1", peerLoops, new EventLoopScheduler(peerLoops), patient);
+        WeightsTestNode late = node("vm-2", eventLoops, scheduler, patient)) {
+      first.setTarget(1, "v1", false);
+      first.setMembers(List.of(first, late));
+      late.setMembers(List.of(first, late));
+      CountDownLatch released = new CountDownLatch(1);
+      peerLoops.execute(() -> awaitUninterruptibly(released));
+      late.setTarget(1, "v1", false);
+      // Four intervals of the chunk maps.
+      Thread.sleep(200);
+      released.countDown();
+      CountDownLatch served = new CountDownLatch(1);
+      late.served().onChange(version -> served.countDown());
+      orderUntilServed(served, List.of(first, late));
+      assertThat(origin.bytesRead()).isEqualTo(LENGTH);
+    } finally {
+      peerLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
+  private WeightsTestNode node(
+      String name, EventLoopGroup loops, EventLoopScheduler scheduler, TransferLimits limits)
+      throws Exception {
+    return new WeightsTestNode(
+        name, loops, scheduler, SystemNanoClock.INSTANCE, origin, engine, Runnable::run, limits);
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch released) {
+    try {
+      released.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void orderUntilServed(CountDownLatch served, List<WeightsTestNode> nodes)
       throws Exception {
     ActivateOrder order =
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/MapAnnouncer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/MapAnnouncer.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.VmIdentity;
@@ -49,10 +50,12 @@
   private final SplittableRandom random;
   private final Map<HostPort, Exchange> exchanges = new HashMap<>();
   private final Set<HostPort> closedReceivers = new HashSet<>();
+  private final Set<HostPort> unanswered = ConcurrentHashMap.newKeySet();
   private final List<Integer> readFromOrigin = new ArrayList<>();
   private int announcedChunks = -1;
   private boolean announcedComplete;
   private boolean membersChanged;
+  private boolean first = true;
   private long lastRepairNanos;
   private long nextAnnouncementNanos = Long.MIN_VALUE;
 
@@ -79,17 +82,27 @@
     send(held, complete, List.of(receiver));
   }
 
-  /** Sends the chunk map to the peers that need an update; returns the number of receivers. */
-  int announce(ChunkBitmap held, OriginAssignment assignment, boolean complete) {
+  /** Records that a peer sent its chunk map. */
+  void mapReceived(HostPort peer) {
+    unanswered.remove(peer);
+  }
+
+  /** Returns whether receivers of the first chunk map have not answered it. */
+  boolean awaitsAnswers() {
+    return !unanswered.isEmpty();
+  }
+
+  /** Sends the chunk map to the peers that need an update. */
+  void announce(ChunkBitmap held, OriginAssignment assignment, boolean complete) {
     long now = services.context().nanoClock().nanoTime();
     if (now < nextAnnouncementNanos && !complete) {
-      return 0;
+      return;
     }
     boolean changed =
         held.count() != announcedChunks || complete != announcedComplete || membersChanged;
     boolean repair = now - lastRepairNanos >= REPAIR_NANOS;
     if (!changed && !repair) {
-      return 0;
+      return;
     }
     Map<String, VmIdentity> receivers = new LinkedHashMap<>();
     if (changed) {
@@ -111,9 +124,9 @@
     announcedComplete = complete;
     membersChanged = false;
     send(held, complete, receivers.values());
+    first = false;
     long bytes = (long) receivers.size() * (held.toBytes().length + MAP_OVERHEAD_BYTES);
     nextAnnouncementNanos = now + bytes * TimeUnit.SECONDS.toNanos(1) / MAX_BYTES_PER_SECOND;
-    return receivers.size();
   }
 
   private void send(ChunkBitmap held, boolean complete, Collection<VmIdentity> receivers) {
@@ -137,6 +150,9 @@
         exchanges.remove(receiver);
       }
     }
+    if (first) {
+      unanswered.add(receiver);
+    }
     Exchange open = exchanges.get(receiver);
     if (open != null) {
       open.send(payload);
@@ -194,6 +210,7 @@
 
     @Override
     public void onPayload(Payload payload, boolean last) {
+      unanswered.remove(receiver);
       if (last) {
         markClosed();
       }
@@ -201,6 +218,7 @@
 
     @Override
     public void onFailure(ExchangeFailure failure) {
+      unanswered.remove(receiver);
       markClosed();
     }
 
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ModelRollout.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ModelRollout.java
@@ -235,15 +235,16 @@
    * Processes a chunk map of a peer.
    *
    * @param opening whether the map opened the exchange; the peer may then have no map of this VM
+   * @return true if the peer is sent the map of this VM
    */
-  void mapReceived(VmIdentity sender, ChunkMap map, boolean opening) {
+  boolean mapReceived(VmIdentity sender, ChunkMap map, boolean opening) {
     VersionTransfer current;
     synchronized (this) {
       current = transfer;
     }
-    if (current != null && current.address().equals(map.getManifestDigest())) {
-      current.mapReceived(sender, map.getBitmap(), opening);
-    }
+    return current != null
+        && current.address().equals(map.getManifestDigest())
+        && current.mapReceived(sender, map.getBitmap(), opening);
   }
 
   /**
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/VersionTransfer.java
@@ -36,6 +36,7 @@
   private final MapAnnouncer announcer;
   private Scheduler.Cancellable timer;
   private boolean fetchingEnabled;
+  private long startedAt;
   private boolean verifyingDigest;
   private boolean stopped;
   private volatile boolean complete;
@@ -56,6 +57,7 @@
   }
 
   synchronized void start() {
+    startedAt = now();
     services.store().pin(manifest);
     record(EventKind.TRANSFER_STARTED);
     for (int chunk = 0; chunk < manifest.chunks(); chunk++) {
@@ -72,10 +74,17 @@
                 this::tick, services.limits().announceNanos(), TimeUnit.NANOSECONDS);
     // A VM that joins late waits for the chunk maps of its peers; otherwise it would read chunks
     // from the origin that its peers hold.
-    fetchingEnabled = announcer.announce(state.held(), state.assignment(), false) == 0;
+    announcer.announce(state.held(), state.assignment(), false);
+    enableFetching();
     planFetches();
   }
 
+  /** Begins to fetch once the peers have answered, or one that did not would count as silent. */
+  private void enableFetching() {
+    fetchingEnabled |=
+        !announcer.awaitsAnswers() || now() - startedAt >= services.limits().progressTimeoutNanos();
+  }
+
   /** Stops fetching. The chunks stay in the store until their space is needed. */
   synchronized void stop() {
     stopped = true;
@@ -116,17 +125,22 @@
     planFetches();
   }
 
-  synchronized void mapReceived(VmIdentity sender, byte[] bitmap, boolean opening) {
+  /** Processes a chunk map of a peer; returns whether the peer is sent the one of this VM. */
+  synchronized boolean mapReceived(VmIdentity sender, byte[] bitmap, boolean opening) {
     state.setPeerChunks(sender, ChunkBitmap.fromBytes(bitmap, manifest.chunks()));
-    if (opening && !stopped) {
+    announcer.mapReceived(sender.address());
+    boolean answering = opening && !stopped;
+    if (answering) {
       announcer.announceTo(sender, state.held(), complete);
     }
+    enableFetching();
     planFetches();
+    return answering;
   }
 
   private synchronized void tick() {
     if (!stopped) {
-      fetchingEnabled = true;
+      enableFetching();
       announcer.announce(state.held(), state.assignment(), complete);
       planFetches();
     }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponent.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponent.java
@@ -22,6 +22,7 @@
 import org.clementineford.weights.ChunkStore;
 import org.clementineford.weights.FencingGuard;
 import org.clementineford.weights.TransferLimits;
+import org.clementineford.wire.Acknowledgement;
 import org.clementineford.wire.ChunkMap;
 import org.clementineford.wire.ModelStatus;
 import org.clementineford.wire.Payload;
@@ -115,23 +116,28 @@
 
   private void mapOpened(Payload opening, IncomingExchange exchange) {
     exchange.onPayload(payload -> mapReceived(payload, false));
-    mapReceived(opening, true);
+    if (!mapReceived(opening, true)) {
+      // The peer waits for the maps of others before it reads the origin.
+      exchange.send(Payload.acknowledgement(new Acknowledgement()));
+    }
   }
 
-  private void mapReceived(Payload payload, boolean opening) {
+  /** Processes a chunk map; returns whether its sender is sent the one of this VM. */
+  private boolean mapReceived(Payload payload, boolean opening) {
     if (!payload.isSetChunkMap()) {
-      return;
+      return false;
     }
     ChunkMap map = payload.getChunkMap();
     ModelRollout rollout = rollouts.get(map.getModel());
     if (rollout == null) {
-      return;
+      return false;
     }
     try {
       VmIdentity sender = Payloads.fromWire(map.getSender());
-      rollout.mapReceived(sender, map, opening);
+      return rollout.mapReceived(sender, map, opening);
     } catch (SettingException e) {
       LOG.warn("ignoring a chunk map with an invalid sender: {}", e.getMessage());
+      return false;
     }
   }
 
