--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -214,6 +214,11 @@
     protocol.whileDecoding(requestId, action);
   }
 
+  /** Lets the proof of the keys run out once a request was checked, before it is written. */
+  void expireKeysAfterCheckOf(String requestId) {
+    protocol.whileEncoding(requestId, () -> setConfigurationAge(4_900));
+  }
+
   /**
    * Waits until the gateway has no request in progress, and lets it close its connections to
    * endpoints.
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayTest.java
@@ -329,6 +329,21 @@
       }
     }
 
+    // Guards against a VM that is paused between the check of a key and the write of its request.
+    @Test
+    void isCheckedAgainWhenTheRequestIsWritten() throws Exception {
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(good());
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        fixture.expireKeysAfterCheckOf("1");
+        assertThat(fixture.send("GET", "/keyed/a", "1", "key", "secret").statusCode())
+            .isEqualTo(503);
+        assertThat(endpoint.requests()).isEmpty();
+        fixture.setConfigurationAge(0);
+        assertThat(fixture.send("GET", "/keyed/a", "2", "key", "secret").statusCode())
+            .isEqualTo(200);
+      }
+    }
+
     // Guards against a VM that starts after a restoration of the platform and answers from its old
     // configuration: with 404 where a route was added, or at all where a key was removed.
     @Test
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
@@ -19,12 +19,18 @@
 /** Maps requests and responses to short header names that only these tests use. */
 final class TestProtocol implements RequestProtocol {
   private final Map<String, Runnable> actions = new ConcurrentHashMap<>();
+  private final Map<String, Runnable> encodingActions = new ConcurrentHashMap<>();
 
   /** Runs an action once, when the head of the request with this ID is decoded. */
   void whileDecoding(String requestId, Runnable action) {
     actions.put(requestId, action);
   }
 
+  /** Runs an action once, when the request with this ID is encoded for an endpoint. */
+  void whileEncoding(String requestId, Runnable action) {
+    encodingActions.put(requestId, action);
+  }
+
   @Override
   public RequestMetadata decodeRequest(HttpRequest request) {
     Runnable action = actions.remove(request.headers().get("id", ""));
@@ -48,6 +54,10 @@
 
   @Override
   public void rewriteHeaders(HttpHeaders headers, EndpointRequestContext context) {
+    Runnable action = encodingActions.remove(headers.get("id", ""));
+    if (action != null) {
+      action.run();
+    }
     headers.remove("key");
     headers.set("remaining", context.remainingMs());
     headers.set("endpoint", context.endpointId());
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -229,6 +229,18 @@
     return finished;
   }
 
+  @Override
+  public boolean isPermitted() {
+    return router.checkKey(proxiedRequest).isEmpty();
+  }
+
+  @Override
+  public void onPermissionLost() {
+    finish();
+    proxiedRequest.attemptFailed(
+        endpoint, AttemptOutcome.NOT_CONNECTED, "key no longer accepted before the request");
+  }
+
   @Override
   public void onConnected(EndpointConnection connection) {
     this.connection = connection;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointConnection.java
@@ -92,6 +92,12 @@
       listener.onFailure(AttemptOutcome.NOT_CONNECTED, "connection closed before the request");
       return;
     }
+    if (!listener.isPermitted()) {
+      request.release();
+      channel.close();
+      listener.onPermissionLost();
+      return;
+    }
     this.listener = listener;
     this.skippingResponse = false;
     this.headAccepted = false;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointResponseListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointResponseListener.java
@@ -12,6 +12,12 @@
   /** Returns whether the response is no longer wanted, so that the request must not be written. */
   boolean isEnded();
 
+  /** Returns whether the permission on which the request was sent still holds. */
+  boolean isPermitted();
+
+  /** Called when the permission ran out before the request was written. */
+  void onPermissionLost();
+
   /** Called before the request is written to a connection. */
   void onConnected(EndpointConnection connection);
 
