--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -270,6 +270,11 @@
     return protocol;
   }
 
+  /** Lets the proof of the keys run out once a request was checked, before it is written. */
+  void expireKeysAfterCheckOf(String requestId) {
+    protocol.whileEncoding(requestId, () -> setConfigurationAge(4_900));
+  }
+
   /**
    * Waits until the gateway has no request in progress, and lets it close its connections to
    * endpoints.
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -273,6 +273,18 @@
     return finished;
   }
 
+  @Override
+  public boolean isPermitted() {
+    return router.checkKey(proxiedRequest).isEmpty();
+  }
+
+  @Override
+  public void onPermissionLost() {
+    finish();
+    proxiedRequest.attemptFailed(
+        this, AttemptOutcome.NOT_CONNECTED, "key no longer accepted before the request");
+  }
+
   @Override
   public void onConnected(EndpointConnection connection) {
     this.connection = connection;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GuardedResponseListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GuardedResponseListener.java
@@ -30,6 +30,16 @@
     return listener.isEnded();
   }
 
+  @Override
+  public boolean isPermitted() {
+    return listener.isPermitted();
+  }
+
+  @Override
+  public void onPermissionLost() {
+    guard.accept(listener::onPermissionLost);
+  }
+
   @Override
   public void onConnected(EndpointConnection connection) {
     listener.onConnected(connection);
