--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/CallerCountersTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/CallerCountersTest.java
@@ -130,6 +130,7 @@
         fixture.awaitCounter(ENDED, "ANSWERED_200", 2);
         caller.socket().close();
         fixture.awaitCounter(CLOSES, "", 1);
+        fixture.run(() -> {});
         assertThat(fixture.counter(CLOSES, "ERROR")).isZero();
         assertThat(fixture.counter(UNANSWERED, "")).isPositive();
       }
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnexpectedErrorTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnexpectedErrorTest.java
@@ -60,8 +60,8 @@
   }
 
   private static void assertNothingLeft(GatewayFixture fixture) throws Exception {
-    assertThat(fixture.counter(ENDED, "")).isEqualTo(fixture.counter(READ, ""));
     fixture.closeIdleGateway();
+    assertThat(fixture.counter(ENDED, "")).isEqualTo(fixture.counter(READ, ""));
   }
 
   @Nested
