--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/SilentStreamTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/SilentStreamTest.java
@@ -41,10 +41,7 @@
         report(fixture);
       }
       time.advance(100, TimeUnit.MILLISECONDS);
-      // Timers that are due run after a poll.
-      for (int i = 0; i < 3; i++) {
-        fixture.run(() -> {});
-      }
+      fixture.runDueTimers();
     }
   }
 
