--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -140,7 +140,7 @@
    * endpoint may be sound, or fails if its caller should return soon.
    */
   private void onSilence(long silentMs, Runnable checkAgain) {
-    if (!proxiedRequest.isMoving()) {
+    if (!proxiedRequest.attempts().isMoving()) {
       Optional<EndpointState> other = proxiedRequest.findOtherEndpoint();
       SilenceAction action =
           SilenceAction.of(
@@ -153,7 +153,7 @@
       }
       recordSilence();
       if (action == SilenceAction.BEGIN_ANOTHER_ATTEMPT) {
-        proxiedRequest.moveTo(other.get(), silenceCause(silentMs));
+        proxiedRequest.attempts().moveTo(other.get(), silenceCause(silentMs));
       }
     }
     scheduleSilenceCheck(checkAgain, SILENCE_CHECK_MS);
@@ -288,7 +288,7 @@
   @Override
   public void onConnected(EndpointConnection connection) {
     this.connection = connection;
-    proxiedRequest.attemptConnected(this);
+    proxiedRequest.attempts().connected(this);
   }
 
   @Override
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
@@ -44,17 +43,12 @@
   private final RequestMetadata metadata;
   private final long arrivedAt;
   private final RequestTrace trace;
-  private final Set<String> triedEndpoints = new HashSet<>();
+  private final RequestAttempts attempts;
   private Route route;
   private String service = "";
   private long deadlineAt;
   private long callerDeadlineAt;
   private Scheduler.Cancellable deadlineTimer;
-  private EndpointAttempt attempt;
-  private EndpointAttempt successor;
-  private String silenceCause = "";
-  private int attemptCount;
-  private boolean mayHaveRun;
   private String lastEventId;
   private long lastEventAt;
   private RequestIdentity identity;
@@ -67,6 +61,7 @@
     this.metadata = metadata;
     this.arrivedAt = exchange.receivedAt();
     this.trace = new RequestTrace(router.state().clock(), arrivedAt);
+    this.attempts = new RequestAttempts(this, router);
   }
 
   void start(Route matchedRoute, String chosenService) {
@@ -105,7 +100,7 @@
 
   /** Returns whether the request may go to another service or be refused, since it has not run. */
   boolean hasNotRun() {
-    return !mayHaveRun && !exchange.isResponseStarted();
+    return !attempts.mayHaveRun() && !exchange.isResponseStarted();
   }
 
   /** Follows a route that is in force now. The deadline stays that of the route on arrival. */
@@ -151,8 +146,12 @@
     return service;
   }
 
+  RequestAttempts attempts() {
+    return attempts;
+  }
+
   Set<String> triedEndpoints() {
-    return triedEndpoints;
+    return attempts.triedEndpoints();
   }
 
   int promptTokens() {
@@ -226,12 +225,7 @@
         .addKeyValue("service", service)
         .log(UNEXPECTED);
     try {
-      EndpointAttempt failed = attempt;
-      attempt = null;
-      if (failed != null) {
-        mayHaveRun |= failed.isSent();
-        failed.cancel();
-      }
+      attempts.cancel();
       if (!finished) {
         router.removeFromQueue(this);
         refuse(FailureReason.INTERNAL_ERROR, SHORT_RETRY_SECONDS);
@@ -252,19 +246,11 @@
     if (endIfKeyIsRejected()) {
       return;
     }
-    FullHttpRequest message = encodedFor(endpoint);
-    attempt = newAttempt(endpoint);
-    attempt.start(message);
-  }
-
-  private EndpointAttempt newAttempt(EndpointState endpoint) {
-    attemptCount++;
-    trace.recordSend(endpoint);
-    triedEndpoints.add(endpoint.endpoint().id());
-    return new EndpointAttempt(this, router, endpoint, lastEventId != null);
+    attempts.begin(endpoint);
   }
 
-  private FullHttpRequest encodedFor(EndpointState endpoint) {
+  /** Returns the request for an attempt at an endpoint. */
+  FullHttpRequest encodedFor(EndpointState endpoint) {
     return EndpointRequestEncoder.encode(
         exchange, router.protocol(), endpointRequestContext(endpoint));
   }
@@ -281,47 +267,6 @@
     return allowed ? router.findEndpoint(this) : Optional.empty();
   }
 
-  /**
-   * Begins an attempt at another endpoint. The silent one goes on until the request can be written
-   * to the other, which may not be reachable.
-   */
-  void moveTo(EndpointState endpoint, String cause) {
-    final FullHttpRequest message = encodedFor(endpoint);
-    router.state().retryBudget(service).tryRetry(now());
-    silenceCause = cause;
-    successor = newAttempt(endpoint);
-    successor.start(message);
-  }
-
-  /** Returns whether another attempt takes over from a silent one once it is connected. */
-  boolean isMoving() {
-    return successor != null;
-  }
-
-  /** Ends the silent attempt if the one that takes over from it is connected. */
-  void attemptConnected(EndpointAttempt connected) {
-    if (connected != successor) {
-      return;
-    }
-    EndpointAttempt silent = attempt;
-    attempt = successor;
-    successor = null;
-    mayHaveRun |= silent.isSent();
-    silent.cancel();
-    recordFailedAttempt(silent, AttemptOutcome.SILENT, silenceCause);
-  }
-
-  /** Withdraws the attempt that was to take over from one that is no longer silent. */
-  private void cancelMove() {
-    if (successor != null) {
-      EndpointAttempt unsent = successor;
-      successor = null;
-      attemptCount--;
-      triedEndpoints.remove(unsent.endpoint().endpoint().id());
-      unsent.cancel();
-    }
-  }
-
   private EndpointRequestContext endpointRequestContext(EndpointState endpoint) {
     return new EndpointRequestContext(
         Math.max(1, TimeUnit.NANOSECONDS.toMillis(callerDeadlineAt - now())),
@@ -354,7 +299,7 @@
   }
 
   void forwardEvent(byte[] bytes, String id) {
-    cancelMove();
+    attempts.cancelMove();
     lastEventAt = now();
     exchange.write(bytes);
     if (id != null) {
@@ -362,18 +307,21 @@
       lastEventId = canBeHeader(id) ? id : null;
     }
     if (!exchange.isWritable()) {
-      attempt.setReadingPaused(true);
+      attempts.setReadingPaused(true);
     }
   }
 
+  /** Returns whether the next attempt continues a stream after its last event. */
+  boolean continuesStream() {
+    return lastEventId != null;
+  }
+
   private static boolean canBeHeader(String id) {
     return !id.isEmpty() && id.chars().allMatch(each -> each >= ' ' && each <= '~');
   }
 
   private void onCallerWritable() {
-    if (attempt != null) {
-      attempt.setReadingPaused(false);
-    }
+    attempts.setReadingPaused(false);
   }
 
   void endStream() {
@@ -381,42 +329,9 @@
     finish("STREAMED");
   }
 
-  private void recordFailedAttempt(EndpointAttempt failed, AttemptOutcome outcome, String cause) {
-    router.metrics().recordFailedAttempt(outcome);
-    LOG.atInfo()
-        .addKeyValue("request", metadata.id())
-        .addKeyValue("endpoint", failed.endpoint().endpoint().id())
-        .addKeyValue("outcome", outcome)
-        .addKeyValue("cause", cause)
-        .addKeyValue("attempt", attemptCount)
-        .addKeyValue(
-            "failureScore", Math.round(failed.endpoint().failureScore(now()) * 100) / 100.0)
-        .addKeyValue("writingMs", failed.writingMs())
-        .addKeyValue("promptParts", String.join(",", metadata.sharedPromptParts()))
-        .addKeyValue("identity", outcome.provesNotRun() ? "" : identity().asSuspect(service).id())
-        .log("attempt failed");
-  }
-
   /** Retries the request or ends it, after an attempt without a complete response. */
   void attemptFailed(EndpointAttempt failed, AttemptOutcome outcome, String cause) {
-    mayHaveRun |= !outcome.provesNotRun();
-    recordFailedAttempt(failed, outcome, cause);
-    if (failed == successor) {
-      // The silent attempt goes on.
-      successor = null;
-      attemptCount--;
-      return;
-    }
-    attempt = successor;
-    successor = null;
-    if (finished) {
-      return;
-    }
-    if (outcome == AttemptOutcome.NOT_CONNECTED) {
-      // No endpoint received the request, so the attempt does not count towards the route's limit.
-      attemptCount--;
-    }
-    if (attempt != null) {
+    if (attempts.failed(failed, outcome, cause) || finished) {
       return;
     }
     boolean repeatable = outcome.provesNotRun() || route.mayRunAgain();
@@ -425,7 +340,7 @@
     } else if (exchange.isResponseStarted()) {
       exchange.abort();
       finish("BROKEN_OFF");
-    } else if (mayHaveRun) {
+    } else if (attempts.mayHaveRun()) {
       fail(FailureReason.OUTCOME_UNKNOWN);
     } else {
       refuse(FailureReason.REJECTED, SHORT_RETRY_SECONDS);
@@ -434,14 +349,10 @@
 
   /** Ends the request, unless an endpoint has shown that it is sound. */
   void suspectQuarantined(Suspect suspect) {
-    if (finished || (attempt != null && attempt.isSound())) {
+    if (finished || attempts.isSound()) {
       return;
     }
-    if (attempt != null) {
-      mayHaveRun |= attempt.isSent();
-      attempt.cancel();
-      attempt = null;
-    }
+    attempts.cancel();
     router.removeFromQueue(this);
     refuseQuarantined(suspect);
   }
@@ -462,7 +373,7 @@
     return canContinueStream()
         && callerWaitsForAnswer()
         && router.quarantine().mayRetry(this)
-        && attemptCount < route.maxAttempts();
+        && attempts.count() < route.maxAttempts();
   }
 
   private boolean canContinueStream() {
@@ -477,7 +388,7 @@
   /** Returns whether the request may be retried after a response that reports a failure. */
   boolean mayRetryFailureResponse() {
     return route.kind() == RequestKind.IDEMPOTENT
-        && (isMoving() || attemptCount < route.maxAttempts());
+        && (attempts.isMoving() || attempts.count() < route.maxAttempts());
   }
 
   private void failOrRefuse(FailureReason reason) {
@@ -493,7 +404,7 @@
    * have run it, the response is that the outcome is unknown. A stream that has started is aborted.
    */
   void refuse(FailureReason reason, double retryAfterSeconds) {
-    if (mayHaveRun || exchange.isResponseStarted()) {
+    if (attempts.mayHaveRun() || exchange.isResponseStarted()) {
       fail(FailureReason.OUTCOME_UNKNOWN);
       return;
     }
@@ -533,16 +444,12 @@
     if (finished) {
       return;
     }
-    if (attempt != null) {
-      attempt.onDeadline();
-      attempt = null;
-      mayHaveRun = true;
-    }
+    attempts.onDeadline();
     router.removeFromQueue(this);
     if (exchange.isResponseStarted()) {
       exchange.abort();
       finish("CUT_AT_DEADLINE");
-    } else if (mayHaveRun) {
+    } else if (attempts.mayHaveRun()) {
       fail(FailureReason.TIMED_OUT);
     } else {
       refuse(FailureReason.NOT_SENT_IN_TIME, SHORT_RETRY_SECONDS);
@@ -553,9 +460,7 @@
     if (finished) {
       return;
     }
-    if (attempt != null && (route.kind() != RequestKind.NON_IDEMPOTENT || !attempt.isSent())) {
-      attempt.cancel();
-    }
+    attempts.onCallerDisconnected();
     router.removeFromQueue(this);
     finish("CALLER_GONE");
   }
@@ -565,7 +470,7 @@
       return;
     }
     finished = true;
-    cancelMove();
+    attempts.cancelMove();
     if (deadlineTimer != null) {
       deadlineTimer.cancel();
     }
@@ -575,7 +480,7 @@
         .addTo(LOG.atInfo().addKeyValue("request", metadata.id()).addKeyValue("ending", ending))
         .addKeyValue("route", route == null ? "" : route.name())
         .addKeyValue("service", service)
-        .addKeyValue("attempts", attemptCount)
+        .addKeyValue("attempts", attempts.count())
         .addKeyValue("promptTokens", promptTokens())
         .addKeyValue(
             "configuration",
