--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/DepartedCallerTest.java
@@ -126,6 +126,30 @@
       }
     }
 
+    // Guards against a request that must run once and holds its connection for ever.
+    @Test
+    void thatMustRunOnceEndsAtItsDeadline() throws Exception {
+      CompletableFuture<String> end = new CompletableFuture<>();
+      CountDownLatch arrived = new CountDownLatch(1);
+      ScriptedHttpEndpoint.Script script =
+          (request, connection) -> {
+            connection.skipBody(request.bodyLength());
+            arrived.countDown();
+            end.complete(endOf(connection.socket()));
+          };
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
+          GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
+        RawCaller caller = RawCaller.connect(fixture, 1_000);
+        caller.send("POST", "/post/a", "left");
+        Latches.await(arrived);
+        caller.close();
+        fixture.closeIdleGateway();
+        assertThat(end).isNotDone();
+        fixture.advance(time, 2_100);
+        assertThat(end.get(5, TimeUnit.SECONDS)).isEqualTo("Connection reset");
+      }
+    }
+
     private String endOf(Socket socket) {
       try {
         return "read " + socket.getInputStream().read();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -441,10 +441,10 @@
   }
 
   private void onDeadline() {
+    attempts.onDeadline();
     if (finished) {
       return;
     }
-    attempts.onDeadline();
     router.removeFromQueue(this);
     if (exchange.isResponseStarted()) {
       exchange.abort();
@@ -471,7 +471,7 @@
     }
     finished = true;
     attempts.cancelMove();
-    if (deadlineTimer != null) {
+    if (deadlineTimer != null && !attempts.isInProgress()) {
       deadlineTimer.cancel();
     }
     router.requestEnded(this);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestAttempts.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestAttempts.java
@@ -50,6 +50,11 @@
     return current != null && current.isSound();
   }
 
+  /** Returns whether an endpoint may still be at work on the request. */
+  boolean isInProgress() {
+    return current != null && !current.isEnded();
+  }
+
   /** Begins an attempt. */
   void begin(EndpointState endpoint) {
     FullHttpRequest message = request.encodedFor(endpoint);
