--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/OldWeightsAfterTheBoundTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/OldWeightsAfterTheBoundTest.java
@@ -84,6 +84,28 @@
     }
   }
 
+  // Guards against a request that is not recalled since its version was named after it was sent.
+  @Test
+  void streamSentBeforeItsVersionWasNamedIsRecalledToo() throws Exception {
+    try (ScriptedHttpEndpoint old = new ScriptedHttpEndpoint(this::keepWaiting);
+        ScriptedHttpEndpoint next =
+            new ScriptedHttpEndpoint((r, c) -> answer(r, c, "id: 1\ndata: new\n\n"));
+        GatewayFixture fixture = new GatewayFixture(time)) {
+      List<Endpoint> engines = new ArrayList<>(List.of(engine(old, "old", 1)));
+      fixture.run(() -> fixture.gateway().updateEndpoints(List.copyOf(engines)));
+      final CompletableFuture<HttpResponse<String>> answer =
+          fixture.sendAsync("POST", "/patient/a", "r", "timeout", "6000");
+      Latches.await(arrived);
+      nameVersion(fixture, BOUND_MS - 1_200);
+      engines.add(engine(next, "next", 2));
+      fixture.run(() -> fixture.gateway().updateEndpoints(List.copyOf(engines)));
+      advance(fixture, 1_200);
+      assertThat(answer.get(5, TimeUnit.SECONDS).body()).contains("data: new");
+    } finally {
+      released.countDown();
+    }
+  }
+
   // Guards against cutting a stream that the old weights have begun in time.
   @Test
   void streamThatHasBegunIsNotCut() throws Exception {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/OldWeightsRecall.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/OldWeightsRecall.java
@@ -11,6 +11,9 @@
  * thread-safe.
  */
 final class OldWeightsRecall {
+  /** Longest time between two looks at the version that is required, in nanoseconds. */
+  private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
   private final GatewayState state;
   private final EventLoopInput input;
   private final EndpointState engine;
@@ -25,23 +28,33 @@
     this.recall = recall;
   }
 
-  /** Waits for the moment of the recall, if a newer version of the weights is pending. */
+  /** Waits for the moment of the recall. An endpoint without weights needs none. */
   void start() {
-    long now = state.clock().nanoTime();
-    OptionalLong delay = minimumVersion().recallDelayNanos(engine.weightVersion(), now);
-    if (delay.isPresent()) {
-      timer = input.schedule(this::check, delay.getAsLong(), TimeUnit.NANOSECONDS);
+    if (engine.weightVersion() > 0) {
+      schedule(delayNanos());
     }
   }
 
+  private void schedule(OptionalLong delayNanos) {
+    // The version may be named, or turn out to be older, while the request waits.
+    long nextNanos = Math.min(CHECK_NANOS, delayNanos.orElse(CHECK_NANOS));
+    timer = input.schedule(this::check, nextNanos, TimeUnit.NANOSECONDS);
+  }
+
   private void check() {
-    if (engine.weightVersion() < minimumVersion().minimum(state.clock().nanoTime())) {
+    OptionalLong delayNanos = delayNanos();
+    boolean due = delayNanos.isPresent() && delayNanos.getAsLong() == 0;
+    if (due && engine.weightVersion() > 0) {
       recall.run();
     } else {
-      start();
+      schedule(due ? OptionalLong.empty() : delayNanos);
     }
   }
 
+  private OptionalLong delayNanos() {
+    return minimumVersion().recallDelayNanos(engine.weightVersion(), state.clock().nanoTime());
+  }
+
   private MinimumWeightVersion minimumVersion() {
     return state.minimumWeightVersion(engine.endpoint().service());
   }
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/MinimumWeightVersionTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/MinimumWeightVersionTest.java
@@ -86,4 +86,15 @@
     assertThat(minimumVersion.recallDelayNanos(1, ms(6_500)).orElseThrow())
         .isBetween(ms(1_000), ms(1_500));
   }
+
+  // Guards against a recall that is forgotten once the newer version is required.
+  @Test
+  void recallsAfterTheVersionIsRequiredToo() {
+    minimumVersion.addTarget(2, 0);
+    assertThat(minimumVersion.minimum(ms(7_300))).isEqualTo(2);
+    assertThat(minimumVersion.recallDelayNanos(1, ms(7_300)).orElseThrow())
+        .isBetween(ms(300), ms(600));
+    assertThat(minimumVersion.recallDelayNanos(1, ms(9_000))).hasValue(0);
+    assertThat(minimumVersion.recallDelayNanos(2, ms(9_000))).isEmpty();
+  }
 }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/MinimumWeightVersion.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/MinimumWeightVersion.java
@@ -41,6 +41,7 @@
   private final long recallAfterNanos;
   private final long requiredAfterNanos;
   private long minimum;
+  private long minimumSetAt;
   private Target next = Target.NONE;
   private Target later = Target.NONE;
 
@@ -128,6 +129,7 @@
   public long minimum(long now) {
     if (next.version() > minimum && now - next.setAt() >= requiredAfterNanos) {
       minimum = next.version();
+      minimumSetAt = next.setAt();
       next = later;
       later = Target.NONE;
     }
@@ -158,15 +160,21 @@
    *
    * @param version version of the engine's weights
    * @param now monotonic time in nanoseconds
-   * @return delay in nanoseconds; empty if no newer version is pending
+   * @return delay in nanoseconds; empty if no newer version is pending or required
    */
   public OptionalLong recallDelayNanos(long version, long now) {
-    minimum(now);
+    if (version < minimum(now)) {
+      return recallDelay(minimumSetAt, now);
+    }
     for (Target target : new Target[] {next, later}) {
-      if (target.version() > Math.max(version, minimum)) {
-        return OptionalLong.of(Math.max(0, target.setAt() + recallAfterNanos - now));
+      if (target.version() > version) {
+        return recallDelay(target.setAt(), now);
       }
     }
     return OptionalLong.empty();
   }
+
+  private OptionalLong recallDelay(long setAt, long now) {
+    return OptionalLong.of(Math.max(0, setAt + recallAfterNanos - now));
+  }
 }
