--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -219,14 +219,18 @@
     for (WaitingRequest<ProxiedRequest> waiting : queue.removeAll()) {
       ProxiedRequest request = waiting.item();
       if (request.hasNotRun()) {
-        request.trace().recordMarks(state.marks(service));
-        request.refuse(FailureReason.NO_ENDPOINT, state.admission().retryAfterSeconds(0));
+        request.guarded(() -> refuseWithoutEndpoint(request)).run();
       } else {
         queue.add(waiting);
       }
     }
   }
 
+  private void refuseWithoutEndpoint(ProxiedRequest request) {
+    request.trace().recordMarks(state.marks(service));
+    request.refuse(FailureReason.NO_ENDPOINT, state.admission().retryAfterSeconds(0));
+  }
+
   /**
    * Ends the requests whose keys are no longer accepted. The others wait on, with the priorities
    * and costs that are in force now.
