--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ServiceChange.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ServiceChange.java
@@ -15,7 +15,8 @@
 
   /**
    * Changes the route and the service of a request if its service is gone, or ends it if there is
-   * no route any more. A request that may have run keeps its service.
+   * no route any more. A request that may have run keeps its service, and so does one that must run
+   * once if its route now allows repeats.
    *
    * @return whether the request is still to be placed
    */
@@ -30,6 +31,9 @@
       request.fail(FailureReason.NO_ROUTE);
       return false;
     }
+    if (route.get().mayRunAgain() && !request.route().mayRunAgain()) {
+      return true;
+    }
     request.changeRoute(route.get(), route.get().chooseService(state.random()));
     if (request.endIfKeyIsRejected()) {
       return false;
