--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.testing.VirtualTime;
@@ -11,6 +13,8 @@
 import org.junit.jupiter.api.Test;
 
 class PipelinedRequestTest {
+  private static final String READ = "clementineford_entry_requests_read_total";
+
   private final VirtualTime time = new VirtualTime(0);
   private final CountDownLatch firstArrived = new CountDownLatch(1);
   private final CountDownLatch secondArrived = new CountDownLatch(1);
@@ -74,6 +78,49 @@
         }
       }
     }
+
+    // Guards against bodies of waiting requests that are read past the limit of waiting requests.
+    @Test
+    void areNotReadBeyondTheLimitIfTheyHaveBodies() throws Exception {
+      ScriptedHttpEndpoint.Script script =
+          (request, connection) -> {
+            if (request.id().equals("r0")) {
+              firstArrived.countDown();
+              Latches.await(end);
+            }
+            connection.respond(200, request.id(), "proof: p\r\n", "<" + request.id() + ">");
+          };
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(script);
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        RawCaller caller = RawCaller.connect(fixture, 5_000);
+        caller.socket().setSoTimeout(5_000);
+        final CompletableFuture<Void> sent =
+            CompletableFuture.runAsync(() -> sendLarge(caller, 128));
+        Latches.await(firstArrived);
+        // Time in which all of the requests are read if reading goes on.
+        Thread.sleep(1_000);
+        assertThat(fixture.counter(READ, "")).isBetween(2L, 40L);
+        assertThat(sent).isNotDone();
+        end.countDown();
+        String answers = readUntil(caller, "<r127>");
+        sent.get(5, TimeUnit.SECONDS);
+        for (int i = 1; i < 128; i++) {
+          assertThat(answers.indexOf("<r" + i + ">"))
+              .isGreaterThan(answers.indexOf("<r" + (i - 1) + ">"));
+        }
+      }
+    }
+
+    private static void sendLarge(RawCaller caller, int count) {
+      String body = "x".repeat(200_000);
+      try {
+        for (int i = 0; i < count; i++) {
+          write(caller, post("r" + i, "Content-Length: 200000\r\n") + body);
+        }
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
   }
 
   @Nested
@@ -97,7 +144,7 @@
             .getOutputStream()
             .write("what is this\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
         Latches.await(firstArrived);
-        fixture.awaitCounter("clementineford_entry_requests_read_total", "", 3);
+        fixture.awaitCounter(READ, "", 3);
         end.countDown();
         String answers =
             new String(caller.socket().getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
@@ -106,6 +153,14 @@
     }
   }
 
+  private static String post(String id, String headers) {
+    return "POST /post/a HTTP/1.1\r\nHost: 127.0.0.1\r\nid: " + id + "\r\n" + headers + "\r\n";
+  }
+
+  private static void write(RawCaller caller, String text) throws IOException {
+    caller.socket().getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+  }
+
   private static String readUntil(RawCaller caller, String end) throws IOException {
     StringBuilder answers = new StringBuilder();
     int next = 0;
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -2,10 +2,9 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandler;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -76,13 +75,21 @@
                   protected void initChannel(Channel accepted) {
                     CallerConnection connection =
                         new CallerConnection(CallerListener.this, requestHandler, clock, metrics);
-                    ChannelInboundHandler activity =
-                        new ChannelInboundHandlerAdapter() {
+                    ChannelDuplexHandler activity =
+                        new ChannelDuplexHandler() {
                           @Override
                           public void channelRead(ChannelHandlerContext context, Object bytes) {
                             connection.onBytes();
                             context.fireChannelRead(bytes);
                           }
+
+                          @Override
+                          public void read(ChannelHandlerContext context) {
+                            // The aggregator asks for the rest of a body despite the limit.
+                            if (context.channel().config().isAutoRead()) {
+                              context.read();
+                            }
+                          }
                         };
                     RequestBodyLimit bodyLimit = new RequestBodyLimit(limits);
                     accepted
