--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/OldWeightsAfterTheBoundTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/OldWeightsAfterTheBoundTest.java
@@ -55,10 +55,7 @@
   private void advance(GatewayFixture fixture, long durationMs) throws Exception {
     for (long ms = 0; ms < durationMs; ms += 50) {
       time.advance(50, TimeUnit.MILLISECONDS);
-      // Timers that are due run after a poll.
-      for (int i = 0; i < 3; i++) {
-        fixture.run(() -> {});
-      }
+      fixture.runDueTimers();
     }
   }
 
@@ -92,7 +89,6 @@
                 (request, connection) -> {
                   connection.startEventStream(request.id());
                   connection.writeChunk("id: 1\ndata: old\n\n");
-                  arrived.countDown();
                   Latches.await(ended);
                   connection.writeChunk("id: 2\ndata: end\n\n");
                   connection.writeChunk("");
@@ -102,9 +98,8 @@
       nameVersion(fixture, BOUND_MS - 1_200);
       final CompletableFuture<HttpResponse<String>> answer =
           fixture.sendAsync("POST", "/patient/a", "r", "timeout", "6000");
-      Latches.await(arrived);
-      // The event was written; the loop reads it in one of the turns before the recall.
-      advance(fixture, 900);
+      fixture.awaitFirstAnswers(1);
+      advance(fixture, 1_300);
       ended.countDown();
       assertThat(answer.get(5, TimeUnit.SECONDS).body()).contains("data: old", "data: end");
     }
