--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/PipelinedRequestTest.java
@@ -97,8 +97,10 @@
         final CompletableFuture<Void> sent =
             CompletableFuture.runAsync(() -> sendLarge(caller, 128));
         Latches.await(firstArrived);
-        // Time in which all of the requests are read if reading goes on.
-        Thread.sleep(1_000);
+        // Turns of the event loop in which more requests are read if reading goes on.
+        for (int turn = 0; turn < 20_000 && fixture.counter(READ, "") <= 40; turn++) {
+          fixture.run(() -> {});
+        }
         assertThat(fixture.counter(READ, "")).isBetween(2L, 40L);
         assertThat(sent).isNotDone();
         end.countDown();
