--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -7,7 +7,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -25,10 +27,14 @@
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
   private static final int BAD_REQUEST = 400;
+  private static final int CONTENT_TOO_LARGE = 413;
 
   /** Ending of a request that is not HTTP. */
   private static final String MALFORMED = "MALFORMED";
 
+  /** Ending of a request whose body is above the limit. */
+  private static final String TOO_LARGE = "TOO_LARGE";
+
   /** Ending of a request whose connection closed during a request before it. */
   private static final String NOT_STARTED = "NOT_STARTED";
 
@@ -70,7 +76,7 @@
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     lastActivityAt = clock.nanoTime();
     metrics.recordRead();
-    boolean malformed = request.decoderResult().isFailure();
+    boolean malformed = request.decoderResult().isFailure() && !isTooLarge(request);
     CallerExchange exchange =
         new CallerExchange(
             this,
@@ -95,6 +101,19 @@
     exchange.respond(BAD_REQUEST, EmptyHttpHeaders.INSTANCE, new byte[0]);
   }
 
+  private void refuseTooLarge(CallerExchange exchange, Throwable cause) {
+    LOG.atInfo()
+        .addKeyValue("caller", context.channel().remoteAddress())
+        .addKeyValue("reason", cause.getMessage())
+        .log("too large request refused");
+    metrics.recordEnd(TOO_LARGE);
+    exchange.respond(CONTENT_TOO_LARGE, EmptyHttpHeaders.INSTANCE, new byte[0]);
+  }
+
+  private static boolean isTooLarge(HttpRequest request) {
+    return request.decoderResult().cause() instanceof TooLongHttpContentException;
+  }
+
   /** Records that bytes arrived, which may be a part of a request. */
   void onBytes() {
     lastActivityAt = clock.nanoTime();
@@ -106,7 +125,9 @@
       if (pipelined.isEmpty()) {
         context.channel().config().setAutoRead(true);
       }
-      if (current.head().decoderResult().isFailure()) {
+      if (isTooLarge(current.head())) {
+        refuseTooLarge(current, current.head().decoderResult().cause());
+      } else if (current.head().decoderResult().isFailure()) {
         refuseMalformed(current, current.head().decoderResult().cause());
       } else {
         requestHandler.accept(current);
@@ -145,6 +166,11 @@
     return closing || (listener.isStopping() && pipelined.isEmpty());
   }
 
+  /** Returns whether a request is in progress or waits for its turn, or the connection closes. */
+  boolean isBusy() {
+    return current != null || !pipelined.isEmpty() || closing;
+  }
+
   /** Returns whether a part of an answer waits for the caller to read. */
   boolean isWriting() {
     return !unwritten.isEmpty();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -91,7 +91,7 @@
                             }
                           }
                         };
-                    RequestBodyLimit bodyLimit = new RequestBodyLimit(limits);
+                    RequestBodyLimit bodyLimit = new RequestBodyLimit(limits, connection);
                     accepted
                         .pipeline()
                         .addLast(
