--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/SilentAttemptTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/SilentAttemptTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.net.http.HttpResponse;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,8 +25,10 @@
   private final VirtualTime time = new VirtualTime(0);
   private final CountDownLatch arrived = new CountDownLatch(1);
   private final CountDownLatch released = new CountDownLatch(1);
+  private final CountDownLatch ended = new CountDownLatch(1);
   private final List<ScriptedHttpEndpoint> engines = new ArrayList<>();
   private GatewayFixture fixture;
+  private volatile Socket silentSocket;
 
   @BeforeEach
   void start() throws Exception {
@@ -36,6 +40,7 @@
   @AfterEach
   void stop() throws IOException {
     released.countDown();
+    ended.countDown();
     fixture.close();
     for (ScriptedHttpEndpoint engine : engines) {
       engine.close();
@@ -58,10 +63,14 @@
     }
     connection.startEventStream(request.id());
     if (!request.headers().containsKey("resume")) {
+      silentSocket = connection.socket();
       connection.writeChunk("id: 1\ndata: a\n\n");
       Latches.await(released);
     }
     connection.writeChunk("id: 2\ndata: b\n\n");
+    if (request.headers().containsKey("hold") && !request.headers().containsKey("resume")) {
+      Latches.await(ended);
+    }
     connection.writeChunk("");
   }
 
@@ -162,6 +171,53 @@
       assertThat(requests()).isEqualTo(2);
     }
 
+    /** Lets the silent engine send an event, which arrives before the next poll of the loop. */
+    private void sendEventOfSilentEngine() {
+      released.countDown();
+      try {
+        new LoopbackDelivery(silentSocket).awaitUnreadBytes();
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+
+    // Guards against a stream that is joined from pieces of two runs.
+    @Test
+    void isWithdrawnIfTheSilentEngineSendsAnEvent() throws Exception {
+      fixture.protocol().whileEncodingAgain("s", this::sendEventOfSilentEngine);
+      final CompletableFuture<HttpResponse<String>> answer =
+          startStream("/patient/a", "s", "hold", "1");
+      fixture.advance(time, 1_100);
+      assertThat(released.getCount()).as("another attempt began").isZero();
+      assertThat(requests()).isEqualTo(1);
+      ended.countDown();
+      assertThat(answer.get(5, TimeUnit.SECONDS).body()).isEqualTo(WHOLE);
+    }
+
+    // Guards against silent engines that multiply the load by more than the retry budget.
+    @Test
+    void isChargedToTheRetryBudget() throws Exception {
+      // 93 retries, when 0.8 * (0.2 * (93 + 4) + 100) = 95.5 are allowed, leave two.
+      for (int i = 0; i < 93; i++) {
+        fixture.send("POST", "/patient/a", "r" + i, "reject", "1");
+      }
+      assertThat(requests()).isEqualTo(2 * 93);
+      fixture.list(engines.subList(0, 1), 2);
+      List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+      for (int i = 0; i < GatewayFixture.SLOTS; i++) {
+        answers.add(fixture.sendAsync("POST", "/patient/a", "s" + i, "timeout", "6000"));
+      }
+      fixture.awaitFirstAnswers(answers.size());
+      fixture.list(engines, 2);
+      final int before = engines.get(1).requests().size();
+      fixture.advance(time, SILENCE_MS);
+      released.countDown();
+      for (CompletableFuture<HttpResponse<String>> answer : answers) {
+        assertThat(answer.get(5, TimeUnit.SECONDS).body()).isEqualTo(WHOLE);
+      }
+      assertThat(engines.get(1).requests()).hasSize(before + 2);
+    }
+
     // Guards against the loss of a sound stream for an engine that cannot be reached.
     @Test
     void thatCannotConnectEndsNoStream() throws Exception {
