--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import org.clementineford.testing.VirtualTime;
 import org.junit.jupiter.api.Nested;
@@ -198,6 +199,29 @@
 
   @Nested
   class IdleConnection {
+    // Guards against a process that ends on counts from before the stop, with a caller connected.
+    @Test
+    void isCountedWhenTheStopBegins() throws Exception {
+      try (GatewayFixture fixture = new GatewayFixture(time);
+          Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        socket.setSoTimeout(5_000);
+        // The answer proves that the connection was accepted, which no count shows yet.
+        new RawCaller(socket, 1_000).send("POST", "/none/a", "1");
+        assertThat(readUntil(socket, "\r\n\r\n")).startsWith("HTTP/1.1 404");
+        assertThat(fixture.gateway().openCallerConnections()).isZero();
+        fixture.run(fixture.gateway()::beginStop);
+        AtomicBoolean drained = new AtomicBoolean(true);
+        fixture.run(
+            () -> {
+              fixture.gateway().stopAccepting();
+              drained.set(fixture.gateway().isDrained());
+            });
+        assertThat(drained).isFalse();
+        socket.close();
+        await(fixture, fixture.gateway()::isDrained);
+      }
+    }
+
     // Guards against connections, with answers in memory, that stay open because their callers do
     // not read.
     @Test
