--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/OldWeightsAfterTheBoundTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/OldWeightsAfterTheBoundTest.java
@@ -59,48 +59,42 @@
     }
   }
 
-  // Guards against a request that waits at an engine with old weights until after the bound.
-  @Test
-  void waitingStreamIsSentToNewWeightsBeforeTheBound() throws Exception {
+  /** Returns the answer to a stream that waits at old weights, with new ones listed meanwhile. */
+  private String answerToWaitingStream(boolean namedBeforeItIsSent) throws Exception {
     try (ScriptedHttpEndpoint old = new ScriptedHttpEndpoint(this::keepWaiting);
         ScriptedHttpEndpoint next =
             new ScriptedHttpEndpoint((r, c) -> answer(r, c, "id: 1\ndata: new\n\n"));
         GatewayFixture fixture = new GatewayFixture(time)) {
       List<Endpoint> engines = new ArrayList<>(List.of(engine(old, "old", 1)));
-      fixture.run(() -> fixture.gateway().updateEndpoints(List.copyOf(engines)));
-      nameVersion(fixture, BOUND_MS - 1_200);
+      fixture.list(List.copyOf(engines));
+      if (namedBeforeItIsSent) {
+        nameVersion(fixture, BOUND_MS - 1_200);
+      }
       final CompletableFuture<HttpResponse<String>> answer =
           fixture.sendAsync("POST", "/patient/a", "r", "timeout", "6000");
       Latches.await(arrived);
+      if (!namedBeforeItIsSent) {
+        nameVersion(fixture, BOUND_MS - 1_200);
+      }
       engines.add(engine(next, "next", 2));
-      fixture.run(() -> fixture.gateway().updateEndpoints(List.copyOf(engines)));
+      fixture.list(List.copyOf(engines));
       advance(fixture, 1_200);
-      assertThat(answer.get(5, TimeUnit.SECONDS).body()).contains("data: new");
+      return answer.get(5, TimeUnit.SECONDS).body();
     } finally {
       released.countDown();
     }
   }
 
+  // Guards against a request that waits at an engine with old weights until after the bound.
+  @Test
+  void waitingStreamIsSentToNewWeightsBeforeTheBound() throws Exception {
+    assertThat(answerToWaitingStream(true)).contains("data: new");
+  }
+
   // Guards against a request that is not recalled since its version was named after it was sent.
   @Test
   void streamSentBeforeItsVersionWasNamedIsRecalledToo() throws Exception {
-    try (ScriptedHttpEndpoint old = new ScriptedHttpEndpoint(this::keepWaiting);
-        ScriptedHttpEndpoint next =
-            new ScriptedHttpEndpoint((r, c) -> answer(r, c, "id: 1\ndata: new\n\n"));
-        GatewayFixture fixture = new GatewayFixture(time)) {
-      List<Endpoint> engines = new ArrayList<>(List.of(engine(old, "old", 1)));
-      fixture.run(() -> fixture.gateway().updateEndpoints(List.copyOf(engines)));
-      final CompletableFuture<HttpResponse<String>> answer =
-          fixture.sendAsync("POST", "/patient/a", "r", "timeout", "6000");
-      Latches.await(arrived);
-      nameVersion(fixture, BOUND_MS - 1_200);
-      engines.add(engine(next, "next", 2));
-      fixture.run(() -> fixture.gateway().updateEndpoints(List.copyOf(engines)));
-      advance(fixture, 1_200);
-      assertThat(answer.get(5, TimeUnit.SECONDS).body()).contains("data: new");
-    } finally {
-      released.countDown();
-    }
+    assertThat(answerToWaitingStream(false)).contains("data: new");
   }
 
   // Guards against cutting a stream that the old weights have begun in time.
