Log the requests that an entry VM leaves at the end of a stop

Callers saw streams without an end at VMs that were stopped; no line named them, so that it could not be told when they arrived nor how often they were sent. Each request that is left now gets a line, with the fields of its last line, and the line `stopped` carries the numbers of requests read and ended. No decision has changed.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -80,6 +80,9 @@
   /** Part of the stop time that is reserved for the exit of the process, in milliseconds. */
   private static final long STOP_MARGIN_MS = 700;
 
+  /** Longest time that the end of a stop waits for an action on the event loop, in milliseconds. */
+  private static final long LAST_ACTION_MS = 100;
+
   private static final int MAX_PEER_BODY_BYTES = 1 << 16;
 
   private final VmSettings settings;
@@ -359,7 +362,16 @@
     await(startedAt, NOT_READY_PERIOD_MS, false);
     eventLoops.execute(gateway::stopAccepting);
     await(startedAt, settings.bounds().stopTimeoutMs() - STOP_MARGIN_MS, true);
-    LOG.atInfo().addKeyValue("running", gateway.requestsInProgress()).log("stopped");
+    runOnEventLoop(gateway::logRequestsInProgress);
+    LOG.atInfo()
+        .addKeyValue("running", gateway.requestsInProgress())
+        .addKeyValue("read", gateway.requestsRead())
+        .addKeyValue("ended", gateway.requestsEnded())
+        .log("stopped");
+  }
+
+  private void runOnEventLoop(Runnable action) {
+    eventLoops.submit(action).awaitUninterruptibly(LAST_ACTION_MS);
   }
 
   private void await(long startedAt, long limitMs, boolean untilIdle) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -366,6 +366,11 @@
     countCallers();
   }
 
+  /** Logs a line for each request that this process leaves at its end. */
+  public void logRequestsInProgress() {
+    router.logRequestsInProgress();
+  }
+
   private void countCallers() {
     requestsInProgress = router.requestsInProgress();
     openCallerConnections = listener.openConnections();
@@ -391,6 +396,24 @@
     return openCallerConnections;
   }
 
+  /**
+   * Returns the number of requests that were read completely. May be called from any thread.
+   *
+   * @return number of requests since the start
+   */
+  public long requestsRead() {
+    return metrics.read();
+  }
+
+  /**
+   * Returns the number of requests that ended. May be called from any thread.
+   *
+   * @return number of requests since the start; that of the requests read once all have ended
+   */
+  public long requestsEnded() {
+    return metrics.ended();
+  }
+
   /**
    * Returns the number of requests in progress. May be called from any thread.
    *
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import org.clementineford.serving.quarantine.Suspect;
 import org.clementineford.serving.routing.AttemptOutcome;
 import org.clementineford.serving.routing.EndpointMark;
@@ -18,6 +19,8 @@
 
   private static final double[] LATENESS_BOUNDS_SECONDS = {0.1, 0.25, 0.5, 1, 2, 4};
 
+  private final AtomicLong readCount = new AtomicLong();
+  private final AtomicLong endedCount = new AtomicLong();
   private final Counter requestsRead;
   private final Counter requests;
   private final Counter callerCloses;
@@ -117,7 +120,18 @@
             .register(registry);
   }
 
+  /** Returns the number of requests that were read. May be called from any thread. */
+  long read() {
+    return readCount.get();
+  }
+
+  /** Returns the number of requests that ended. May be called from any thread. */
+  long ended() {
+    return endedCount.get();
+  }
+
   void recordRead() {
+    readCount.incrementAndGet();
     requestsRead.inc();
   }
 
@@ -130,6 +144,7 @@
   }
 
   void recordEnd(String ending) {
+    endedCount.incrementAndGet();
     requests.labelValues(ending).inc();
   }
 
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -24,6 +24,7 @@
 import org.clementineford.serving.routing.EndpointState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /** A caller's request, from its arrival to its final response. Not thread-safe. */
 final class ProxiedRequest {
@@ -476,8 +477,18 @@
     }
     router.requestEnded(this);
     router.metrics().recordEnd(ending);
-    trace
-        .addTo(LOG.atInfo().addKeyValue("request", metadata.id()).addKeyValue("ending", ending))
+    describe(LOG.atInfo().addKeyValue("request", metadata.id()).addKeyValue("ending", ending))
+        .log("request ended");
+  }
+
+  /** Logs that the process ends before this request. */
+  void logLeft() {
+    describe(LOG.atWarn().addKeyValue("request", metadata.id())).log("request left by the stop");
+  }
+
+  private LoggingEventBuilder describe(LoggingEventBuilder line) {
+    return trace
+        .addTo(line)
         .addKeyValue("route", route == null ? "" : route.name())
         .addKeyValue("service", service)
         .addKeyValue("attempts", attempts.count())
@@ -485,7 +496,6 @@
         .addKeyValue(
             "configuration",
             router.state().configuration() == null ? 0 : router.state().configuration().version())
-        .addKeyValue("configurationAgeMs", router.configurationAgeMs())
-        .log("request ended");
+        .addKeyValue("configurationAgeMs", router.configurationAgeMs());
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -3,9 +3,11 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.clementineford.gateway.RequestProtocol;
@@ -33,7 +35,7 @@
   private final QuarantineGuard quarantine;
   private final Map<String, EngineQueue> queues = new HashMap<>();
   private final ServiceChange serviceChange;
-  private int requestsInProgress;
+  private final Set<ProxiedRequest> requestsInProgress = new LinkedHashSet<>();
 
   RequestRouter(
       GatewayState state,
@@ -79,11 +81,16 @@
 
   /** Returns the number of requests without a final response. */
   int requestsInProgress() {
-    return requestsInProgress;
+    return requestsInProgress.size();
+  }
+
+  /** Logs a line for each request without a final response. */
+  void logRequestsInProgress() {
+    List.copyOf(requestsInProgress).forEach(ProxiedRequest::logLeft);
   }
 
   void requestEnded(ProxiedRequest request) {
-    requestsInProgress--;
+    requestsInProgress.remove(request);
     quarantine.ended(request);
   }
 
@@ -94,16 +101,15 @@
 
   /** Accepts a request that was read completely. */
   void accept(CallerExchange exchange) {
-    requestsInProgress++;
     ProxiedRequest proxiedRequest;
     try {
       RequestMetadata metadata = protocol.decodeRequest(exchange.head());
       proxiedRequest = new ProxiedRequest(this, exchange, metadata);
     } catch (RuntimeException | Error e) {
-      requestsInProgress--;
       refuseUndecoded(exchange, e);
       return;
     }
+    requestsInProgress.add(proxiedRequest);
     proxiedRequest.guarded(() -> route(proxiedRequest)).run();
   }
 
