Answer or cut at the end of a stop what the process would leave

At the end of its time, the process now ends each request with what is true of it: 503 if it was not sent, 502 if it may have run, and the close of the connection for a stream that has begun. Each has its line, and requests read equal requests ended.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -256,6 +256,16 @@
         });
   }
 
+  /** Begins a planned stop. */
+  void beginStop() throws Exception {
+    run(gateway::beginStop);
+  }
+
+  /** Ends a planned stop as the process does that reaches the end of its time. */
+  void endStop() throws Exception {
+    run(gateway::endRequests);
+  }
+
   void setConfigurationAge(long millis) {
     configurationAge.set(TimeUnit.MILLISECONDS.toNanos(millis));
   }
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/IdleCallerTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/IdleCallerTest.java
@@ -125,7 +125,7 @@
     void keepsItsConnectionOpenDuringStop() throws Exception {
       exchange("1");
       time.advance(1, TimeUnit.SECONDS);
-      fixture.run(fixture.gateway()::beginStop);
+      fixture.beginStop();
       fixture.run(
           () -> {
             sendUnread("2");
--- /dev/null
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RequestOutlastingStopTest.java
@@ -0,0 +1,152 @@
+package org.clementineford.gateway.internal;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.clementineford.testing.VirtualTime;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Requests that would last longer than the process that stops. It ends 7.3 s after the begin. */
+class RequestOutlastingStopTest {
+  private static final int TIMEOUT_MS = 6_000;
+  private static final String WHOLE = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+  private final VirtualTime time = new VirtualTime(0);
+  private final CountDownLatch released = new CountDownLatch(1);
+  private final List<ScriptedHttpEndpoint> engines = new ArrayList<>();
+  private GatewayFixture fixture;
+
+  @BeforeEach
+  void start() throws Exception {
+    engines.add(new ScriptedHttpEndpoint(this::answer));
+    engines.add(new ScriptedHttpEndpoint(this::answer));
+    fixture = new GatewayFixture(time, engines.toArray(ScriptedHttpEndpoint[]::new));
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    released.countDown();
+    fixture.close();
+    for (ScriptedHttpEndpoint engine : engines) {
+      engine.close();
+    }
+  }
+
+  /** Answers, unless the ID of a request says otherwise, when the test releases it. */
+  private void answer(
+      ScriptedHttpEndpoint.Request request, ScriptedHttpEndpoint.Connection connection)
+      throws IOException {
+    if (request.id().startsWith("short")) {
+      connection.respond(200, request.id(), "proof: p\r\n", "good");
+      return;
+    }
+    if (request.id().startsWith("silent")) {
+      Latches.await(released);
+    }
+    if (request.id().startsWith("rejected")) {
+      Latches.await(released);
+      connection.respond(503, request.id(), "not-run: 1\r\n", "");
+      return;
+    }
+    connection.startEventStream(request.id());
+    if (!request.headers().containsKey("resume")) {
+      connection.writeChunk("id: 1\ndata: a\n\n");
+      Latches.await(released);
+      if (request.id().startsWith("broken")) {
+        connection.reset();
+        return;
+      }
+    }
+    connection.writeChunk("id: 2\ndata: b\n\n");
+    connection.writeChunk("");
+  }
+
+  private CompletableFuture<HttpResponse<String>> send(String path, String id) {
+    return fixture.sendAsync("POST", path, id, "timeout", Integer.toString(TIMEOUT_MS));
+  }
+
+  private int requests() {
+    return engines.stream().mapToInt(engine -> engine.requests().size()).sum();
+  }
+
+  private void awaitRequests(int count) throws Exception {
+    long giveUpAt = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+    while (requests() < count && System.nanoTime() - giveUpAt < 0) {
+      fixture.run(() -> {});
+    }
+    assertThat(requests()).isEqualTo(count);
+  }
+
+  private static void assertRefused(HttpResponse<String> answer) {
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.headers().firstValue("Retry-After")).contains("0.05");
+  }
+
+  /** Sends requests that no engine has room for, once streams take all slots. */
+  private CompletableFuture<HttpResponse<String>> sendToFullEngines(String path, String id)
+      throws Exception {
+    for (int i = 0; i < 2 * GatewayFixture.SLOTS; i++) {
+      send("/once/a", "full-" + i);
+    }
+    fixture.awaitFirstAnswers(2 * GatewayFixture.SLOTS);
+    CompletableFuture<HttpResponse<String>> answer = send(path, id);
+    fixture.awaitCounter(
+        "clementineford_entry_requests_read_total", "", 2 * GatewayFixture.SLOTS + 1);
+    return answer;
+  }
+
+  private void assertCounted() throws Exception {
+    long read = fixture.gateway().requestsRead();
+    fixture.awaitCounter("clementineford_entry_requests_total", "", read);
+    assertThat(fixture.gateway().requestsEnded()).isEqualTo(read);
+  }
+
+  @Nested
+  class AtTheEndOfTheStop {
+    // Guards against requests that end with the process, without a line or an answer.
+    @Test
+    void streamIsClosedWithoutItsEndAndCounted() throws Exception {
+      try (Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        socket.setSoTimeout(5_000);
+        new RawCaller(socket, TIMEOUT_MS).send("POST", "/patient/a", "stream");
+        fixture.awaitFirstAnswers(1);
+        fixture.beginStop();
+        fixture.endStop();
+        String text = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        assertThat(text).contains("data: a").doesNotContain("\r\n0\r\n");
+        assertCounted();
+        fixture.awaitCounter("clementineford_entry_requests_total", "CUT_BY_STOP", 1);
+      }
+    }
+
+    @Test
+    void requestThatMayHaveRunIsToldSo() throws Exception {
+      final CompletableFuture<HttpResponse<String>> answer = send("/post/a", "silent");
+      awaitRequests(1);
+      fixture.beginStop();
+      fixture.endStop();
+      assertThat(answer.get(5, TimeUnit.SECONDS).statusCode()).isEqualTo(502);
+      assertCounted();
+    }
+
+    @Test
+    void requestThatWasNotSentIsRefused() throws Exception {
+      CompletableFuture<HttpResponse<String>> waiting = sendToFullEngines("/patient/a", "waiting");
+      fixture.beginStop();
+      fixture.endStop();
+      assertRefused(waiting.get(5, TimeUnit.SECONDS));
+      assertCounted();
+    }
+  }
+}
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -76,7 +76,7 @@
   }
 
   private void stop(GatewayFixture fixture) throws Exception {
-    fixture.run(fixture.gateway()::beginStop);
+    fixture.beginStop();
     fixture.run(fixture.gateway()::stopAccepting);
   }
 
@@ -209,7 +209,7 @@
         new RawCaller(socket, 1_000).send("POST", "/none/a", "1");
         assertThat(readUntil(socket, "\r\n\r\n")).startsWith("HTTP/1.1 404");
         assertThat(fixture.gateway().openCallerConnections()).isZero();
-        fixture.run(fixture.gateway()::beginStop);
+        fixture.beginStop();
         AtomicBoolean drained = new AtomicBoolean(true);
         fixture.run(
             () -> {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -80,6 +80,9 @@
   /** Part of the stop time that is reserved for the exit of the process, in milliseconds. */
   private static final long STOP_MARGIN_MS = 700;
 
+  /** Longest time in which the last answers are written, in milliseconds. */
+  private static final long LAST_ANSWERS_MS = 200;
+
   /** Longest time that the end of a stop waits for an action on the event loop, in milliseconds. */
   private static final long LAST_ACTION_MS = 100;
 
@@ -352,17 +355,20 @@
 
   /**
    * Stops gracefully: reports "not ready" until the platform sends no new callers, then stops
-   * accepting connections and waits for the requests in progress. Returns when all have ended or
-   * the stop time is over.
+   * accepting connections and waits for the requests in progress. Those that last longer than the
+   * stop time are ended. Returns when all have ended.
    */
   public void stop() {
     long startedAt = clock.nanoTime();
     LOG.atInfo().addKeyValue("running", gateway.requestsInProgress()).log("stopping");
+    final long limitMs = settings.bounds().stopTimeoutMs() - STOP_MARGIN_MS;
     eventLoops.execute(gateway::beginStop);
     await(startedAt, NOT_READY_PERIOD_MS, false);
     eventLoops.execute(gateway::stopAccepting);
-    await(startedAt, settings.bounds().stopTimeoutMs() - STOP_MARGIN_MS, true);
-    runOnEventLoop(gateway::logRequestsInProgress);
+    await(startedAt, limitMs, true);
+    runOnEventLoop(gateway::endRequests);
+    await(startedAt, limitMs + LAST_ANSWERS_MS, true);
+    runOnEventLoop(gateway::closeCallers);
     LOG.atInfo()
         .addKeyValue("running", gateway.requestsInProgress())
         .addKeyValue("read", gateway.requestsRead())
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerClose.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerClose.java
@@ -15,6 +15,8 @@
   IDLE(Level.WARN),
   /** Nothing happened on it during a planned stop. */
   IDLE_WHILE_STOPPING(Level.WARN),
+  /** The process ends. */
+  END_OF_STOP(Level.WARN),
   /** Its last answer, which announced the close or whose request asked for it, was written. */
   AFTER_ANSWER(Level.WARN),
   /** A streamed answer ended early, which only the close can tell the caller. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -152,6 +152,11 @@
     channel.close();
   }
 
+  /** Closes all connections, because the process ends. */
+  void closeAll() {
+    List.copyOf(connections).forEach(connection -> connection.close(CallerClose.END_OF_STOP));
+  }
+
   /** Returns the idle time that the configuration sets, in nanoseconds. */
   long idleLimitNanos() {
     return TimeUnit.MILLISECONDS.toNanos(limits.get().idleTimeoutMs());
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/FailureReason.java
@@ -37,6 +37,12 @@
   NOT_SENT_IN_TIME(503),
   /** The program failed while it handled the request, which was not sent to an endpoint. */
   INTERNAL_ERROR(503),
+  /**
+   * This process stops, and the request was not sent, since it would not end before the process.
+   */
+  STOPPING(503),
+  /** This process stops before the end of the request, which an endpoint may have run. */
+  STOPPED(502),
   /** The request may have run, but its response was lost. */
   OUTCOME_UNKNOWN(502),
   /** The deadline passed after the request was sent to an endpoint that may have run it. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -366,9 +366,16 @@
     countCallers();
   }
 
-  /** Logs a line for each request that this process leaves at its end. */
-  public void logRequestsInProgress() {
-    router.logRequestsInProgress();
+  /** Ends all requests, each with the response that is true of it, because the process ends. */
+  public void endRequests() {
+    router.endForStop();
+    countCallers();
+  }
+
+  /** Closes the connections that are still open, because the process ends. */
+  public void closeCallers() {
+    listener.closeAll();
+    countCallers();
   }
 
   private void countCallers() {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -24,7 +24,6 @@
 import org.clementineford.serving.routing.EndpointState;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.slf4j.spi.LoggingEventBuilder;
 
 /** A caller's request, from its arrival to its final response. Not thread-safe. */
 final class ProxiedRequest {
@@ -39,6 +38,9 @@
   /** Retry delay of callers that should retry soon, in seconds. */
   private static final double SHORT_RETRY_SECONDS = 0.2;
 
+  /** Retry delay of callers that another entry VM can serve at once, in seconds. */
+  private static final double RETRY_ELSEWHERE_SECONDS = 0.05;
+
   private final RequestRouter router;
   private final CallerExchange exchange;
   private final RequestMetadata metadata;
@@ -441,6 +443,26 @@
     finish(reason.name());
   }
 
+  /**
+   * Ends the request with what is known of it, because it would not end before this process. A
+   * caller that is told so can go to another entry VM at once.
+   */
+  void endForStop() {
+    if (finished) {
+      return;
+    }
+    attempts.cancel();
+    router.removeFromQueue(this);
+    if (exchange.isResponseStarted()) {
+      exchange.abort();
+      finish("CUT_BY_STOP");
+    } else if (attempts.mayHaveRun()) {
+      fail(FailureReason.STOPPED);
+    } else {
+      refuse(FailureReason.STOPPING, RETRY_ELSEWHERE_SECONDS);
+    }
+  }
+
   private void onDeadline() {
     attempts.onDeadline();
     if (finished) {
@@ -477,18 +499,8 @@
     }
     router.requestEnded(this);
     router.metrics().recordEnd(ending);
-    describe(LOG.atInfo().addKeyValue("request", metadata.id()).addKeyValue("ending", ending))
-        .log("request ended");
-  }
-
-  /** Logs that the process ends before this request. */
-  void logLeft() {
-    describe(LOG.atWarn().addKeyValue("request", metadata.id())).log("request left by the stop");
-  }
-
-  private LoggingEventBuilder describe(LoggingEventBuilder line) {
-    return trace
-        .addTo(line)
+    trace
+        .addTo(LOG.atInfo().addKeyValue("request", metadata.id()).addKeyValue("ending", ending))
         .addKeyValue("route", route == null ? "" : route.name())
         .addKeyValue("service", service)
         .addKeyValue("attempts", attempts.count())
@@ -496,6 +508,7 @@
         .addKeyValue(
             "configuration",
             router.state().configuration() == null ? 0 : router.state().configuration().version())
-        .addKeyValue("configurationAgeMs", router.configurationAgeMs());
+        .addKeyValue("configurationAgeMs", router.configurationAgeMs())
+        .log("request ended");
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -84,9 +84,9 @@
     return requestsInProgress.size();
   }
 
-  /** Logs a line for each request without a final response. */
-  void logRequestsInProgress() {
-    List.copyOf(requestsInProgress).forEach(ProxiedRequest::logLeft);
+  /** Ends all requests, because the process ends. */
+  void endForStop() {
+    List.copyOf(requestsInProgress).forEach(request -> request.guarded(request::endForStop).run());
   }
 
   void requestEnded(ProxiedRequest request) {
