Refuse during a stop what would last longer than the process

What callers saw: a stream with a status and no end, at an entry VM that was stopped as planned. It was sent seconds after SIGTERM on a connection whose last answer had begun before it and so announced no close, was given to an engine, and was cut 7.3 s after SIGTERM.

The deadline of a request is that of its caller and its route; the end of the process was not among them, neither on arrival nor for what waits in the queue for an engine, is retried, moves away from a silent engine or continues a stream.

Now each attempt of a stopping process is asked for first (StopAdmission, Drain). A request whose deadline is before the end is served. Another one is served only while its caller may reach this VM again (2.6 s), and only if the longest answer of the last 30 to 60 s, and a full engine's time for the longest answer that the request allows, would end in time by a margin of a quarter. The rest is refused at once, with the close announced and a retry delay of 0.05 s; 502 or the close of the connection if an endpoint may have run it. A silent engine keeps its request.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/GatewayFixture.java
@@ -29,6 +29,7 @@
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.Scheduler;
+import org.clementineford.serving.draining.Drain;
 import org.clementineford.serving.model.CallerLimits;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.quarantine.RequestQuarantine;
@@ -52,6 +53,7 @@
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final TestProtocol protocol = new TestProtocol();
   private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final NanoClock clock;
   private final RequestQuarantine quarantine;
   private final Gateway gateway;
   private final HostPort address;
@@ -71,6 +73,7 @@
       Function<EventLoopGroup, Scheduler> schedulers,
       ScriptedHttpEndpoint... endpoints)
       throws Exception {
+    this.clock = clock;
     HostPort any = new HostPort("127.0.0.1", 0);
     VmSettings settings =
         new VmSettings(
@@ -256,9 +259,16 @@
         });
   }
 
-  /** Begins a planned stop. */
+  /**
+   * Begins a planned stop, in which new connections reach other entry VMs from 2.6 s on, and which
+   * ends after 7.3 s.
+   */
   void beginStop() throws Exception {
-    run(gateway::beginStop);
+    long now = clock.nanoTime();
+    Drain drain =
+        new Drain(
+            now + TimeUnit.MILLISECONDS.toNanos(2_600), now + TimeUnit.MILLISECONDS.toNanos(7_300));
+    run(() -> gateway.beginStop(drain));
   }
 
   /** Ends a planned stop as the process does that reaches the end of its time. */
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RequestOutlastingStopTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RequestOutlastingStopTest.java
@@ -1,7 +1,9 @@
 package org.clementineford.gateway.internal;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.Socket;
 import java.net.http.HttpResponse;
@@ -112,6 +114,132 @@
     assertThat(fixture.gateway().requestsEnded()).isEqualTo(read);
   }
 
+  @Nested
+  class OnKeptConnection {
+    // Guards against streams that are accepted behind one that began before the stop, and cut.
+    @Test
+    void isRefusedBehindStreamThatBeganBeforeTheStop() throws Exception {
+      try (Socket socket = new Socket("127.0.0.1", fixture.address().port())) {
+        socket.setSoTimeout(5_000);
+        RawCaller caller = new RawCaller(socket, TIMEOUT_MS);
+        caller.send("POST", "/once/a", "first");
+        fixture.awaitFirstAnswers(1);
+        fixture.beginStop();
+        fixture.advance(time, 3_800);
+        released.countDown();
+        RawAnswer first = RawAnswer.read(socket.getInputStream());
+        assertThat(first.body()).isEqualTo(WHOLE);
+        assertThat(first.headers().get("Connection")).isNull();
+        caller.send("POST", "/patient/a", "second");
+        RawAnswer second = RawAnswer.read(socket.getInputStream());
+        assertThat(second.status()).isEqualTo(503);
+        assertThat(second.headers())
+            .containsEntry("Connection", "close")
+            .containsEntry("Retry-After", "0.05");
+        assertThat(socket.getInputStream().read()).isEqualTo(-1);
+        assertThat(requests()).isEqualTo(1);
+      }
+    }
+
+    // Guards against refusals of requests that end in time in any case.
+    @Test
+    void isServedIfItsDeadlineIsBeforeTheEndOfTheProcess() throws Exception {
+      fixture.beginStop();
+      fixture.advance(time, 5_200);
+      HttpResponse<String> answer =
+          fixture.send("POST", "/post/a", "short", "timeout", Integer.toString(TIMEOUT_MS));
+      assertThat(answer.statusCode()).isEqualTo(200);
+    }
+  }
+
+  @Nested
+  class WhileCallersMayReachThisVmAgain {
+    // Guards against refusals of answers that are likely to be complete in time.
+    @Test
+    void isServedIfItIsExpectedToEndInTime() throws Exception {
+      fixture.beginStop();
+      fixture.advance(time, 2_000);
+      released.countDown();
+      assertThat(send("/patient/a", "stream").get(5, TimeUnit.SECONDS).body()).isEqualTo(WHOLE);
+    }
+
+    // Guards against an estimate that ignores how long answers took.
+    @Test
+    void isRefusedIfRecentAnswersLastedLonger() throws Exception {
+      final CompletableFuture<HttpResponse<String>> before = send("/once/a", "before");
+      fixture.awaitFirstAnswers(1);
+      fixture.advance(time, 3_900);
+      released.countDown();
+      before.get(5, TimeUnit.SECONDS);
+      fixture.beginStop();
+      fixture.advance(time, 2_500);
+      assertRefused(send("/patient/a", "stream").get(5, TimeUnit.SECONDS));
+      assertThat(requests()).isEqualTo(1);
+    }
+  }
+
+  @Nested
+  class WaitingForAnEngine {
+    // Guards against requests that are sent from the queue when no time is left for their answers.
+    @Test
+    void isRefusedOnceItsCallerCanGoElsewhere() throws Exception {
+      fixture.beginStop();
+      fixture.advance(time, 1_500);
+      CompletableFuture<HttpResponse<String>> waiting = sendToFullEngines("/patient/a", "waiting");
+      fixture.advance(time, 1_000);
+      assertThat(waiting).isNotDone();
+      fixture.advance(time, 200);
+      assertRefused(waiting.get(5, TimeUnit.SECONDS));
+      assertThat(requests()).isEqualTo(2 * GatewayFixture.SLOTS);
+    }
+  }
+
+  @Nested
+  class FailedAttempt {
+    // Guards against a second attempt that is cut with the process.
+    @Test
+    void isNotFollowedByAnotherOneAfterRejection() throws Exception {
+      final CompletableFuture<HttpResponse<String>> answer = sendLate("/patient/a", "rejected");
+      awaitRequests(1);
+      fixture.advance(time, 800);
+      released.countDown();
+      assertRefused(answer.get(5, TimeUnit.SECONDS));
+      assertThat(requests()).isEqualTo(1);
+    }
+
+    // Guards against a refusal as not run of a request that may have run.
+    @Test
+    void endsContinuedStreamAtOnce() throws Exception {
+      final CompletableFuture<HttpResponse<String>> answer = sendLate("/patient/a", "broken");
+      fixture.awaitFirstAnswers(1);
+      fixture.advance(time, 800);
+      released.countDown();
+      assertThatThrownBy(() -> answer.get(5, TimeUnit.SECONDS))
+          .hasRootCauseInstanceOf(EOFException.class);
+      assertThat(requests()).isEqualTo(1);
+      fixture.awaitCounter("clementineford_entry_requests_total", "CUT_BY_STOP", 1);
+    }
+
+    // Guards against a move from a silent engine, which may be sound, to one that has no time.
+    @Test
+    void goesOnIfItIsSilent() throws Exception {
+      final CompletableFuture<HttpResponse<String>> answer = sendLate("/patient/a", "stream");
+      fixture.awaitFirstAnswers(1);
+      fixture.advance(time, 1_800);
+      assertThat(requests()).isEqualTo(1);
+      released.countDown();
+      assertThat(answer.get(5, TimeUnit.SECONDS).body()).isEqualTo(WHOLE);
+    }
+
+    /** Sends a request that is accepted, and whose deadline is behind the end of the process. */
+    private CompletableFuture<HttpResponse<String>> sendLate(String path, String id)
+        throws Exception {
+      fixture.beginStop();
+      fixture.advance(time, 2_000);
+      return send(path, id);
+    }
+  }
+
   @Nested
   class AtTheEndOfTheStop {
     // Guards against requests that end with the process, without a line or an answer.
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -30,6 +30,7 @@
 import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.serving.directory.ObserverDuty;
+import org.clementineford.serving.draining.Drain;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.serving.routing.EntryVmPosition;
@@ -362,7 +363,11 @@
     long startedAt = clock.nanoTime();
     LOG.atInfo().addKeyValue("running", gateway.requestsInProgress()).log("stopping");
     final long limitMs = settings.bounds().stopTimeoutMs() - STOP_MARGIN_MS;
-    eventLoops.execute(gateway::beginStop);
+    Drain drain =
+        new Drain(
+            startedAt + TimeUnit.MILLISECONDS.toNanos(NOT_READY_PERIOD_MS),
+            startedAt + TimeUnit.MILLISECONDS.toNanos(limitMs));
+    eventLoops.execute(() -> gateway.beginStop(drain));
     await(startedAt, NOT_READY_PERIOD_MS, false);
     eventLoops.execute(gateway::stopAccepting);
     await(startedAt, limitMs, true);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EndpointAttempt.java
@@ -59,6 +59,7 @@
   private boolean sound;
   private boolean complete;
   private boolean silenceRecorded;
+  private long startedAt;
   private long firstEventAt;
   private Scheduler.Cancellable silenceTimer;
 
@@ -77,6 +78,7 @@
   }
 
   void start(FullHttpRequest request) {
+    startedAt = router.state().clock().nanoTime();
     endpoint.sent(proxiedRequest.promptTokens());
     endpoint.requestLimit().sent(router.state().clock().nanoTime());
     boolean repeatable = proxiedRequest.route().mayRunAgain();
@@ -246,6 +248,12 @@
     }
   }
 
+  private void recordAnswered() {
+    long now = router.state().clock().nanoTime();
+    endpoint.answered(now);
+    router.state().stopAdmission().recordAnswer(proxiedRequest.service(), now - startedAt);
+  }
+
   private void recordSound() {
     sound = true;
     router.quarantine().answered(proxiedRequest);
@@ -370,7 +378,7 @@
       return;
     }
     finish();
-    endpoint.answered(router.state().clock().nanoTime());
+    recordAnswered();
     if (complete && !failure) {
       recordSound();
     }
@@ -390,7 +398,7 @@
       proxiedRequest.startStream(head.status(), headers);
     }
     finish();
-    endpoint.answered(router.state().clock().nanoTime());
+    recordAnswered();
     if (complete) {
       recordSound();
     }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/EngineQueue.java
@@ -177,6 +177,9 @@
     for (WaitingRequest<ProxiedRequest> expired : queue.removeUnanswerable(now)) {
       expired.item().refuse(FailureReason.NOT_SENT_IN_TIME, state.admission().retryAfterSeconds(0));
     }
+    if (state.stopAdmission().isStopping()) {
+      endOutlasting();
+    }
     if (state.endpoints().ofService(service).stream().noneMatch(EndpointState::acceptsRequests)) {
       refuseNotRun();
     }
@@ -214,6 +217,18 @@
     }
   }
 
+  /** Ends the requests that would not end before this process. */
+  private void endOutlasting() {
+    for (WaitingRequest<ProxiedRequest> waiting : queue.removeAll()) {
+      ProxiedRequest request = waiting.item();
+      if (state.stopAdmission().admits(request)) {
+        queue.add(waiting);
+      } else {
+        request.guarded(request::endForStop).run();
+      }
+    }
+  }
+
   /** Refuses the requests that have not run; the others wait for an engine that may be listed. */
   private void refuseNotRun() {
     for (WaitingRequest<ProxiedRequest> waiting : queue.removeAll()) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -20,6 +20,7 @@
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.serving.directory.DirectoryCopyState;
 import org.clementineford.serving.directory.ObjectKind;
+import org.clementineford.serving.draining.Drain;
 import org.clementineford.serving.model.CallerLimits;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.model.EngineProfile;
@@ -339,11 +340,15 @@
 
   /**
    * Reports this VM as not ready and closes each connection after its next response, so that
-   * callers connect to other VMs. Requests are still served.
+   * callers connect to other VMs. Requests are still served if they end before this process.
+   *
+   * @param drain the stop
    */
-  public void beginStop() {
+  public void beginStop(Drain drain) {
     stopping = true;
+    state.stopAdmission().begin(drain);
     listener.beginStop();
+    router.dispatchAllWaiting();
   }
 
   /**
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/GatewayState.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,7 @@
 import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.fleet.VmSettings;
+import org.clementineford.serving.model.EngineProfile;
 import org.clementineford.serving.model.RoutingConfiguration;
 import org.clementineford.serving.model.Service;
 import org.clementineford.serving.queueing.QueueAdmissionPolicy;
@@ -49,6 +51,7 @@
   private final QueueAdmissionPolicy admission;
   private final Map<String, MinimumWeightVersion> minimumWeightVersions = new HashMap<>();
   private final Map<String, SharedRetryBudget> retryBudgets = new HashMap<>();
+  private final StopAdmission stopAdmission;
   private final Set<EndpointState> paused = new HashSet<>();
   private RoutingConfiguration configuration;
 
@@ -65,6 +68,7 @@
     this.position = position;
     this.placement = new Placement(settings.dataCentre(), random);
     this.admission = new QueueAdmissionPolicy(random);
+    this.stopAdmission = new StopAdmission(clock, this::engineProfile);
   }
 
   NanoClock clock() {
@@ -87,6 +91,15 @@
     return admission;
   }
 
+  StopAdmission stopAdmission() {
+    return stopAdmission;
+  }
+
+  /** Returns the profile of the engines of a service; empty if it has none or is not configured. */
+  Optional<EngineProfile> engineProfile(String service) {
+    return configuration.service(service).flatMap(Service::engine);
+  }
+
   /** Returns the minimum weight version of a service; each service has its own weights. */
   MinimumWeightVersion minimumWeightVersion(String service) {
     return minimumWeightVersions.computeIfAbsent(
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -168,6 +168,16 @@
         : expected;
   }
 
+  /** Returns the largest number of tokens of the answer, or the mean if there is no limit. */
+  double mostAnswerTokens(EngineProfile profile) {
+    return metadata.maxAnswerTokens() > 0 ? metadata.maxAnswerTokens() : profile.meanAnswerTokens();
+  }
+
+  /** Returns the time at which the request ends at the latest, on the monotonic clock. */
+  long deadlineAt() {
+    return deadlineAt;
+  }
+
   double remainingMs() {
     return (deadlineAt - now()) / (double) TimeUnit.MILLISECONDS.toNanos(1);
   }
@@ -265,6 +275,7 @@
     boolean allowed =
         route.mayRunAgain()
             && mayTryAgain()
+            && router.state().stopAdmission().admits(this)
             && router.checkKey(this).isEmpty()
             && router.state().retryBudget(service).mayRetry(now());
     return allowed ? router.findEndpoint(this) : Optional.empty();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -160,8 +160,15 @@
     return TimeUnit.NANOSECONDS.toMillis(configurationAge.getAsLong());
   }
 
-  /** Chooses an endpoint and sends the request to it, or queues or refuses the request. */
+  /**
+   * Chooses an endpoint and sends the request to it, or queues or refuses the request. Each attempt
+   * of a request begins here, except a move away from a silent endpoint.
+   */
   void place(ProxiedRequest request) {
+    if (!state.stopAdmission().admits(request)) {
+      request.endForStop();
+      return;
+    }
     if (!serviceChange.followIfServiceIsGone(request)) {
       return;
     }
@@ -251,7 +258,7 @@
     EngineQueue queue = queues.get(service);
     if (queue != null) {
       try {
-        engineProfile(service).ifPresent(queue::dispatchWaiting);
+        state.engineProfile(service).ifPresent(queue::dispatchWaiting);
       } catch (RuntimeException | Error e) {
         // The caller may be another request, or the periodic task.
         LOG.atError()
@@ -269,12 +276,8 @@
   /** Applies a configuration that came into force to the waiting requests. */
   void reviewWaiting() {
     List<ProxiedRequest> unqueued = new ArrayList<>();
-    queues.forEach((service, queue) -> unqueued.addAll(queue.review(engineProfile(service))));
+    queues.forEach((service, queue) -> unqueued.addAll(queue.review(state.engineProfile(service))));
     unqueued.forEach(request -> request.guarded(() -> place(request)).run());
     dispatchAllWaiting();
   }
-
-  private Optional<EngineProfile> engineProfile(String service) {
-    return state.configuration().service(service).flatMap(Service::engine);
-  }
 }
--- /dev/null
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/draining/package-info.java
@@ -0,0 +1,2 @@
+/** Which requests a process still takes once its planned stop has begun. */
+package org.clementineford.serving.draining;
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EngineLatencyModel.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/EngineLatencyModel.java
@@ -49,6 +49,19 @@
     return passes * passMs(profile, profile.slots()) + prefillOfOthers;
   }
 
+  /**
+   * Returns the time for which an engine whose slots are all in use works on a request.
+   *
+   * @param profile profile of the engine
+   * @param promptTokens number of prompt tokens
+   * @param answerTokens number of tokens of the answer
+   * @return milliseconds from the prefill to the last token
+   */
+  public static double answerMs(EngineProfile profile, int promptTokens, double answerTokens) {
+    double meanAnswers = answerTokens / Math.max(1, profile.meanAnswerTokens());
+    return prefillMs(profile, promptTokens) + meanAnswers * slotOccupancyMs(profile);
+  }
+
   /**
    * Predicts the time from sending a request to its first token.
    *
