Accept what is already connected before a stop closes the listener

What callers saw: a reset right after they had connected and sent their request, at the moment at which a stopping entry VM stops accepting. Cause: closing the listening socket resets the connections that the system has established and the process has not accepted yet, all the more when the event loop is busy. The listener is now closed after a poll, which accepts all of them, not 16 at a time.

StoppingGatewayTest$EstablishedConnection failed with a reset before (one caller), and again with only one half of the change (40 callers, 16 accepted at a time). It passes now with the others of its class, one run.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -3,8 +3,11 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -145,6 +148,49 @@
     }
   }
 
+  @Nested
+  class EstablishedConnection {
+    private static final int CALLERS = 40;
+
+    // Guards against callers that are reset because the process had not accepted them yet.
+    @Test
+    void isAcceptedAndItsRequestIsAnsweredOrRefused() throws Exception {
+      try (ScriptedHttpEndpoint endpoint =
+              new ScriptedHttpEndpoint(
+                  (request, connection) ->
+                      connection.respond(200, request.id(), "proof: p\r\n", "good"));
+          GatewayFixture fixture = new GatewayFixture(time, endpoint)) {
+        fixture.beginStop();
+        List<RawCaller> callers = new ArrayList<>();
+        fixture.run(
+            () -> {
+              for (int i = 0; i < CALLERS; i++) {
+                callers.add(connectAndSend(fixture));
+              }
+              fixture.gateway().stopAccepting();
+            });
+        for (RawCaller caller : callers) {
+          RawAnswer answer = RawAnswer.read(caller.socket().getInputStream());
+          assertThat(answer.status()).isIn(200, 503);
+          assertThat(answer.headers()).containsEntry("Connection", "close");
+        }
+        await(fixture, fixture.gateway()::isDrained);
+      }
+    }
+
+    /** Connects and sends while the event loop is busy, so that it cannot accept. */
+    private RawCaller connectAndSend(GatewayFixture fixture) {
+      try {
+        RawCaller caller = RawCaller.connect(fixture, 2_000);
+        caller.socket().setSoTimeout(5_000);
+        caller.send("POST", "/post/a", "1");
+        return caller;
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
   @Nested
   class Answer {
     // Guards against a close at the end of a stream that did not announce it, when its caller may
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -68,6 +69,9 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<Channel>() {
@@ -148,8 +152,18 @@
     stopping = true;
   }
 
-  void stopAccepting() {
-    channel.close();
+  /**
+   * Accepts no connections any more, after those that the system has established, since it resets
+   * what it has not handed over.
+   *
+   * @param whenClosed runs on the event loop once the last of them was accepted
+   */
+  void stopAccepting(Runnable whenClosed) {
+    input.runAfterPoll(
+        () -> {
+          channel.close();
+          whenClosed.run();
+        });
   }
 
   /** Closes all connections, because the process ends. */
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -356,7 +356,10 @@
    * bytes arrived just before may hold a part of a request.
    */
   public void stopAccepting() {
-    listener.stopAccepting();
+    listener.stopAccepting(this::acceptedLast);
+  }
+
+  private void acceptedLast() {
     closeIdleWhileStopping();
     accepting = false;
     eventLoops.scheduleWithFixedDelay(
