Let the test of unread answers wait for the check that closes its connection

No change for callers. StoppingGatewayTest$Answer#isWrittenToItsEnd failed once beside load (read timed out). The idle time of a connection counts from the first check after its last write, and the test advanced the paused clock once, perhaps before that check; then no time passed any more. Shown: with checks at intervals of 500 ms in place of 10 ms, the test fails on in the same way. It now advances the clock until the gateway is drained, and demands the rest of the answer and the close as before.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -236,9 +236,14 @@
         assertThat(fixture.gateway().isDrained()).isFalse();
         assertThat(socket.getInputStream().readNBytes(2 * LONG_BODY.length()))
             .hasSize(2 * LONG_BODY.length());
-        time.advance(1, TimeUnit.SECONDS);
+        // The idle time counts from the first check after the last write.
+        await(
+            fixture,
+            () -> {
+              time.advance(1, TimeUnit.SECONDS);
+              return fixture.gateway().isDrained();
+            });
         assertThat(socket.getInputStream().readAllBytes()).isNotEmpty();
-        await(fixture, fixture.gateway()::isDrained);
       }
     }
   }
