Handle signals before a VM's program starts

A VM's program that got SIGTERM right after it began to listen ended at once, with what it had accepted; one that got SIGHUP before the end of its start ended too. Callers saw connections closed without an answer.

Cause: the shutdown hook was added after listening, and the handler of SIGHUP after that. Until then the virtual machine acts by its defaults, which end the process.

Both are now set in the first lines of main. A stop that arrives while the VM starts waits for the end of the start and then stops it gracefully; one that arrives before leaves nothing that listens. SIGHUP before the settings are read is kept and answered once they are. A signal before the first line of main still ends the process; nothing listens then.

--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/ClassArchive.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/ClassArchive.java
@@ -27,12 +27,14 @@
   /** Runs both programs, sends one request, and ends the process. */
   static void loadClasses(EventLoopGroup eventLoops) throws ClementinefordException {
     VmSettings settings = settings();
-    Main.startEntryVm(settings, eventLoops);
-    Main.startEndpointVm(settings, eventLoops);
+    final Runnable stopEntryVm = VmStart.startEntryVm(settings, eventLoops);
+    final Runnable stopEndpointVm = VmStart.startEndpointVm(settings, eventLoops);
     HttpClient client = new HttpClient(eventLoops, LinkShaping.NONE);
     HttpRequest request = new HttpRequest("GET", "/", Map.of("host", "localhost"), new byte[0]);
     client.call(settings.callerAddress().orElseThrow(), request, 500);
     LockSupport.parkNanos(RUN_NANOS);
+    stopEndpointVm.run();
+    stopEntryVm.run();
     Runtime.getRuntime().exit(0);
   }
 
--- /dev/null
+++ b/org.clementineford.launcher/src/test/java/org/clementineford/launcher/ProcessLifecycleTest.java
@@ -0,0 +1,93 @@
+package org.clementineford.launcher;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.clementineford.kernel.errors.SettingException;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class ProcessLifecycleTest {
+  private final ProcessLifecycle lifecycle = new ProcessLifecycle();
+  private final List<String> steps = Collections.synchronizedList(new ArrayList<>());
+  private final Thread stopping = new Thread(lifecycle::stop);
+
+  private Runnable started() {
+    steps.add("started");
+    return () -> steps.add("stopped");
+  }
+
+  /** Begins a stop in another thread and returns once it waits for this one. */
+  private void beginStop() {
+    stopping.start();
+    while (stopping.getState() != Thread.State.BLOCKED) {
+      Thread.onSpinWait();
+    }
+  }
+
+  @Nested
+  class Stop {
+    @Test
+    void duringTheStartWaitsAndStopsWhatWasStarted() throws Exception {
+      boolean ran =
+          lifecycle.start(
+              () -> {
+                beginStop();
+                return started();
+              });
+      stopping.join();
+      assertThat(ran).isTrue();
+      assertThat(steps).containsExactly("started", "stopped");
+    }
+
+    @Test
+    void beforeTheStartLeavesNothingThatAcceptsWork() throws Exception {
+      lifecycle.stop();
+      assertThat(lifecycle.start(ProcessLifecycleTest.this::started)).isFalse();
+      assertThat(steps).isEmpty();
+    }
+
+    @Test
+    void calledTwiceStopsOnceAndIsNotCutShortByTheSecond() throws Exception {
+      lifecycle.start(
+          () ->
+              () -> {
+                beginStop();
+                steps.add("stopped");
+              });
+      lifecycle.stop();
+      stopping.join();
+      assertThat(steps).containsExactly("stopped");
+    }
+
+    @Test
+    void doesNotWaitForeverForStartThatFailed() throws Exception {
+      assertThatThrownBy(
+              () ->
+                  lifecycle.start(
+                      () -> {
+                        beginStop();
+                        throw new SettingException("invalid");
+                      }))
+          .isInstanceOf(SettingException.class);
+      stopping.join();
+      assertThat(lifecycle.start(ProcessLifecycleTest.this::started)).isFalse();
+    }
+  }
+
+  @Test
+  void settingsCheckRequestedBeforeTheSettingsIsNotLost() {
+    SettingsCheck check = new SettingsCheck();
+    check.request();
+    assertThat(steps).isEmpty();
+    check.enable(() -> steps.add("checked"));
+    assertThat(steps).containsExactly("checked");
+    check.request();
+    assertThat(steps).hasSize(2);
+  }
+}
