Name channels by random numbers

Each start of a program logged a warning of Netty's MacAddressUtil on VMs without a suitable network interface, and asked the system for the process id and the interfaces, only to name channels in logs.

Cause: Netty derives its channel ids from the machine and the process unless the system properties io.netty.machineId and io.netty.processId are set. Both are now random numbers, set by the launcher and the daemons before the first channel.

The daemons set the same properties; no test of their own shows it.

--- a/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
@@ -23,6 +23,7 @@
 import org.clementineford.node.NodeSettings;
 import org.clementineford.platform.HttpObjectStore;
 import org.clementineford.platform.HttpVmList;
+import org.clementineford.transport.ChannelNames;
 import org.clementineford.transport.EventLoopScheduler;
 import org.clementineford.transport.LinkShaping;
 
@@ -39,6 +40,7 @@
    * process.
    */
   static void run(String name, VmRole role, String[] arguments) {
+    ChannelNames.useRandomNumbers();
     int exitCode = start(name, role, arguments, System.err);
     if (exitCode != 0) {
       System.exit(exitCode);
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
@@ -2,6 +2,7 @@
 
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
+import org.clementineford.transport.ChannelNames;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
@@ -22,6 +23,7 @@
     Signal.handle(new Signal("HUP"), signal -> settingsCheck.request());
     ProcessLifecycle lifecycle = new ProcessLifecycle();
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(lifecycle), "stop"));
+    ChannelNames.useRandomNumbers();
     LogConfiguration.apply();
     Logger log = LoggerFactory.getLogger(Main.class);
     try {
