Bound the overhead of responses to own calls

A server that sent a body in chunks of one byte without end was read until the bound of the body, 8 MB: 54 MB received, 3.3 s of processor time of the event loop and 4.5 s until the call failed, on a machine with a load of 25. Other calls of the event loop waited as long. Responses to send, which have no bound of the body, were read without end.

The bounds counted the bytes of the body, and a chunk of one byte costs as much to decode as a large one. Extensions of chunks were bounded by nothing but the length of a line for each chunk.

A handler before the decoder now counts the received bytes, and a response fails when more than 1 MB, beside one byte for each byte of its body, is not part of the body.

--- a/org.clementineford.testing/src/main/java/org/clementineford/testing/EndlessResponse.java
+++ b/org.clementineford.testing/src/main/java/org/clementineford/testing/EndlessResponse.java
@@ -22,6 +22,10 @@
   BODY_WITH_LENGTH("HTTP/1.1 200 OK\r\nproof: p\r\nContent-Length: 99999999999\r\n\r\n", "x"),
   /** A body in chunks without a last one. */
   BODY_CHUNKS("HTTP/1.1 200 OK\r\nproof: p\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"),
+  /** A body in chunks with long extensions, without a last one. */
+  CHUNK_EXTENSIONS(
+      "HTTP/1.1 200 OK\r\nproof: p\r\nTransfer-Encoding: chunked\r\n\r\n",
+      "1;" + "e".repeat(100) + "\r\nx\r\n"),
   /** The length of a chunk without an end. */
   CHUNK_LENGTH("HTTP/1.1 200 OK\r\nproof: p\r\nTransfer-Encoding: chunked\r\n\r\n", "0"),
   /** Trailer fields without an end. */
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
@@ -49,7 +49,8 @@
   }
 
   /**
-   * Sends a request and passes the response to a listener in parts.
+   * Sends a request and passes the response to a listener in parts. Bounds the overhead of the
+   * response but not its body, so the listener cancels a body that is too long.
    *
    * @param address address of the server
    * @param request the request
@@ -81,13 +82,15 @@
                 shaping.shape(channel.pipeline());
                 InputEnd inputEnd = new InputEnd();
                 UnsolicitedInput unsolicited = new UnsolicitedInput();
+                ResponseOverhead overhead = new ResponseOverhead();
                 channel
                     .pipeline()
                     .addLast(
                         inputEnd,
                         unsolicited,
+                        overhead,
                         new HttpClientCodec(),
-                        new HttpClientConnection(inputEnd, unsolicited));
+                        new HttpClientConnection(inputEnd, unsolicited, overhead));
               }
             })
         .connect(address.toSocketAddress())
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientConnection.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClientConnection.java
@@ -5,12 +5,14 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import org.clementineford.transport.ExchangeFailure;
 
 /** Passes the parts of a response to the call that is in progress on the connection. */
 final class HttpClientConnection extends SimpleChannelInboundHandler<HttpObject> {
@@ -19,6 +21,7 @@
 
   private final InputEnd inputEnd;
   private final UnsolicitedInput unsolicitedInput;
+  private final ResponseOverhead overhead;
   private HttpClientCall call;
   private ChannelFuture written;
   private boolean keepAlive;
@@ -26,15 +29,18 @@
   private int interimResponses;
   private boolean awaitingWrite;
 
-  HttpClientConnection(InputEnd inputEnd, UnsolicitedInput unsolicitedInput) {
+  HttpClientConnection(
+      InputEnd inputEnd, UnsolicitedInput unsolicitedInput, ResponseOverhead overhead) {
     this.inputEnd = inputEnd;
     this.unsolicitedInput = unsolicitedInput;
+    this.overhead = overhead;
   }
 
   /** Sets the call whose request is being written. */
   void setCall(HttpClientCall next, ChannelFuture requestWritten) {
     call = next;
     unsolicitedInput.setResponseExpected(true);
+    overhead.startResponse();
     written = requestWritten;
     awaitingWrite = false;
     interimResponses = 0;
@@ -77,6 +83,7 @@
       return;
     }
     if (message instanceof HttpContent content && content.content().isReadable()) {
+      overhead.addBody(content.content().readableBytes());
       call.handleBody(ByteBufUtil.getBytes(content.content()));
     }
     if (message instanceof LastHttpContent) {
@@ -100,9 +107,10 @@
   }
 
   private void end() {
-    HttpClientCall ended = call;
+    final HttpClientCall ended = call;
     call = null;
     unsolicitedInput.setResponseExpected(false);
+    overhead.endResponse();
     // The server reads the rest of a request that it has answered before any other one.
     boolean reusable = keepAlive && written.isDone() && !inputEnd.isOrderly();
     ended.handleEnd(written.channel(), reusable);
@@ -130,6 +138,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (call != null && cause instanceof TooLongFrameException) {
+      call.fail(ExchangeFailure.UNKNOWN, cause.getMessage());
+    }
     context.close();
   }
 }
