Check an order to load weights again after staging

What callers saw: an engine could be ordered to load a version that had been superseded, or that it was already loading, so that it took no requests for a switch that brought nothing. After a restart of the engine, or a pause of this process, between staging and the order, it could load chunks that were missing or had become corrupt. Cause: the target, the incarnation and the state of the engine were checked before a notice of 120 ms and the writing of all chunks, and the order was sent after them whatever had changed. Change: LoadOrder stages the chunks, asks the engine for its status and checks all of it again right before the order. An order that is no longer due is not sent; the status that was read decides what is due. The engine of WeightRolloutTest now reports the status that the test gave.

--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -13,6 +13,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.VmIdentity;
@@ -78,6 +79,7 @@
 
   @BeforeEach
   void setModel() {
+    engine.status = rollout::status;
     rollout.setModel("m", Optional.of(new WeightLayout(CHUNKS, CHUNK_BYTES)));
   }
 
@@ -410,10 +412,11 @@
     private final Map<Integer, byte[]> staged = new HashMap<>();
     private final List<Long> loaded = new ArrayList<>();
     private Runnable onLoad = () -> {};
+    private Supplier<EngineStatus> status = () -> EngineStatus.UNREACHABLE;
 
     @Override
     public CompletableFuture<EngineStatus> status() {
-      return CompletableFuture.completedFuture(EngineStatus.UNREACHABLE);
+      return CompletableFuture.completedFuture(status.get());
     }
 
     @Override
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -36,9 +36,9 @@
   private static final long DIGESTS_RETRY_MS = 300;
 
   private final TransferContext context;
-  private final LocalEngine engine;
   private final DigestsReader digestsReader;
   private final ChunkStaging staging;
+  private final LoadOrder loadOrder;
   private final ActivationSchedule schedule;
   private final EngineDrain drain;
   private final TreeMap<Long, ChunkTransfer> transfers = new TreeMap<>();
@@ -65,9 +65,9 @@
       ActivationSchedule schedule,
       Runnable onChanging) {
     this.context = context;
-    this.engine = engine;
     this.digestsReader = new DigestsReader(context.weights());
     this.staging = new ChunkStaging(engine);
+    this.loadOrder = new LoadOrder(engine, staging, context.clock());
     this.schedule = schedule;
     this.drain = new EngineDrain(schedule);
     this.onChanging = onChanging;
@@ -358,7 +358,7 @@
 
   private void activateIfDue() {
     ChunkTransfer complete = newestComplete();
-    if (complete == null || activating || status.busy() || status == EngineStatus.UNREACHABLE) {
+    if (complete == null || activating || !isLoadDue(complete, status)) {
       return;
     }
     long version = complete.digests().version();
@@ -366,16 +366,13 @@
     boolean ordered =
         orderedVersion == version
             && now - orderedAt < TimeUnit.MILLISECONDS.toNanos(ORDER_RETRY_MS);
-    if (status.weightVersion() >= version || ordered) {
+    if (ordered) {
       return;
     }
     boolean serving = isServing(now);
     if (now - beginAt(complete, serving) < 0) {
       return;
     }
-    if (version < target && !isWorthSwitching(complete, now)) {
-      return;
-    }
     activating = true;
     boolean alreadyDraining = drain.isActive();
     drain.end();
@@ -426,45 +423,58 @@
         namedAt(superseded.digests().version()), nextBeginsAt, status.running() == 0, now);
   }
 
-  /**
-   * Stages all chunks right before the order, since staged bytes may become corrupt over time and
-   * the engine does not verify them.
-   */
+  /** Stages all chunks and orders the engine to load them if it still should. */
   private void stage(ChunkTransfer transfer) {
-    staging
-        .write(model, transfer.allChunks())
+    long version = transfer.digests().version();
+    long incarnation = status.incarnation();
+    loadOrder
+        .send(
+            model,
+            version,
+            transfer.allChunks(),
+            next -> next.incarnation() == incarnation && isLoadDue(transfer, next))
         .whenComplete(
-            (done, failure) -> {
-              if (failure == null) {
-                orderLoad(transfer);
+            (notDue, failure) -> {
+              if (failure != null) {
+                activationFailed(failure);
+              } else if (notDue.isPresent()) {
+                orderWithheld(version, notDue.get());
               } else {
-                activationFailed("staging", failure);
+                orderAccepted(version);
               }
             });
   }
 
-  private void orderLoad(ChunkTransfer transfer) {
-    long version = transfer.digests().version();
-    engine
-        .load(model, version)
-        .whenComplete(
-            (done, failure) -> {
-              if (failure != null) {
-                activationFailed("order", failure);
-                return;
-              }
-              activating = false;
-              orderedVersion = version;
-              orderedAt = context.clock().nanoTime();
-              LOG.atInfo()
-                  .addKeyValue("version", version)
-                  .log("engine accepted the order to load weights");
-            });
+  /** Returns whether the engine may be ordered to load a version, apart from its turn. */
+  private boolean isLoadDue(ChunkTransfer complete, EngineStatus engineStatus) {
+    long version = complete.digests().version();
+    return engineStatus != EngineStatus.UNREACHABLE
+        && !engineStatus.busy()
+        && engineStatus.weightVersion() < version
+        && (version >= target || isWorthSwitching(complete, context.clock().nanoTime()));
+  }
+
+  private void orderWithheld(long version, EngineStatus next) {
+    LOG.atInfo()
+        .addKeyValue("version", version)
+        .addKeyValue("target", target)
+        .addKeyValue("incarnation", next.incarnation())
+        .addKeyValue("weights", next.weightVersion())
+        .addKeyValue("busy", next.busy())
+        .log("order to load weights not sent, since the engine or the target changed meanwhile");
+    activating = false;
+    statusChanged(next);
+  }
+
+  private void orderAccepted(long version) {
+    activating = false;
+    orderedVersion = version;
+    orderedAt = context.clock().nanoTime();
+    LOG.atInfo().addKeyValue("version", version).log("engine accepted the order to load weights");
   }
 
-  private void activationFailed(String step, Throwable failure) {
+  private void activationFailed(Throwable failure) {
     LOG.atWarn()
-        .addKeyValue("step", step)
         .addKeyValue("reason", failure.getMessage())
         .log("failed to activate weights; retrying");
     context
