Go on after an error in a step towards loaded weights

What callers saw: after one unexpected error, such as one for lack of memory while chunks are staged or read, an engine got no weights any more until its process was restarted, and in some steps it took no requests either. Cause: flags say that a list is being read, an order is being made or a status is awaited. They were reset by futures only, so a step that threw instead of failing its future left them set for good. Change: each step is started within a future, which fails if the step throws; then the retry for failures applies. Result: WeightOrderTest lets each of five steps throw once, and EngineStatusPollTest lets the read of the status throw.

--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/EngineStatusPollTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/EngineStatusPollTest.java
@@ -24,6 +24,9 @@
           new LocalEngine() {
             @Override
             public CompletableFuture<EngineStatus> status() {
+              if (next == null) {
+                throw new StackOverflowError("by the test");
+              }
               return next;
             }
 
@@ -86,4 +89,17 @@
     fail(new PlatformException(ErrorKind.UNAVAILABLE, "refused"));
     assertThat(received).containsExactly(SOUND, EngineStatus.UNREACHABLE);
   }
+
+  // Guards against a poll that ends for good because one read could not be sent.
+  @Test
+  void readsOnAfterAnError() {
+    next = null;
+    try {
+      poll.read();
+    } catch (StackOverflowError e) {
+      assertThat(e).hasMessage("by the test");
+    }
+    read(SOUND);
+    assertThat(received).endsWith(SOUND);
+  }
 }
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/SimulatedEngine.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/SimulatedEngine.java
@@ -8,7 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.LongFunction;
+import java.util.function.IntUnaryOperator;
 import java.util.stream.IntStream;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.replica.EngineStatus;
@@ -29,8 +29,15 @@
 
   final Map<Integer, byte[]> staged = new HashMap<>();
   EngineStatus status = statusOf(1, 1, false);
+
+  /** Number of chunks in the lists of digests, by the number of the list, from 1. */
+  IntUnaryOperator chunksInList = list -> CHUNKS;
+
   Runnable afterStaging = () -> {};
-  LongFunction<Integer> chunksInList = version -> CHUNKS;
+
+  /** Number of the list in which the digest of the last chunk is wrong; 0 for none. */
+  int wrongDigestInList;
+
   int writes;
   int listsRead;
 
@@ -106,8 +113,12 @@
     listsRead++;
     long wanted = version.orElse(1);
     List<String> digests =
-        IntStream.range(0, chunksInList.apply(wanted))
-            .mapToObj(i -> Digests.sha256Hex(chunkOf(wanted, i)))
+        IntStream.range(0, chunksInList.applyAsInt(listsRead))
+            .mapToObj(
+                i ->
+                    Digests.sha256Hex(
+                        chunkOf(
+                            listsRead == wrongDigestInList && i == CHUNKS - 1 ? 99 : wanted, i)))
             .toList();
     return CompletableFuture.completedFuture(new WeightDigests(model, wanted, 3, digests));
   }
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightOrderTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightOrderTest.java
@@ -139,6 +139,23 @@
     }
   }
 
+  // Guards against an engine that takes no requests and no weights for good after one error.
+  @ParameterizedTest
+  @EnumSource(FailingStep.class)
+  void versionIsLoadedAfterAnError(FailingStep step) {
+    step.fail(engine, new StackOverflowError(FAILURE));
+    if (step == FailingStep.READING_STAGED_CHUNKS) {
+      engine.status = SimulatedEngine.statusOf(1, 0, false);
+      rollout.statusChanged(engine.status);
+    }
+    nameVersion(2);
+    advance(10_000);
+    assertThat(engine.loaded).isNotEmpty().containsOnly(2L);
+    engine.status = SimulatedEngine.statusOf(1, 2, false);
+    advance(200);
+    assertThat(rollout.isChanging()).isFalse();
+  }
+
   /** State that the order of another process leaves the engine in. */
   private enum OtherOrder {
     LOADING(SimulatedEngine.statusOf(1, 1, true)),
@@ -150,4 +167,40 @@
       this.status = status;
     }
   }
+
+  /** Step towards an order that fails once. */
+  private enum FailingStep {
+    READING_DIGESTS {
+      @Override
+      void fail(SimulatedEngine engine, Error error) {
+        engine.digestsError = error;
+      }
+    },
+    READING_STAGED_CHUNKS {
+      @Override
+      void fail(SimulatedEngine engine, Error error) {
+        engine.stagedError = error;
+      }
+    },
+    STAGING {
+      @Override
+      void fail(SimulatedEngine engine, Error error) {
+        engine.stageError = error;
+      }
+    },
+    READING_STATUS {
+      @Override
+      void fail(SimulatedEngine engine, Error error) {
+        engine.statusError = error;
+      }
+    },
+    ORDERING {
+      @Override
+      void fail(SimulatedEngine engine, Error error) {
+        engine.loadError = error;
+      }
+    };
+
+    abstract void fail(SimulatedEngine engine, Error error);
+  }
 }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkStaging.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkStaging.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
 import org.clementineford.replica.LocalEngine;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,42 +29,40 @@
    *
    * @param model name of the model
    * @param chunks number of chunks of the model
-   * @param done receives the chunks read, not verified, by chunk number
+   * @return future of the chunks read, not verified, by chunk number; does not fail
    */
-  void read(String model, int chunks, Consumer<Map<Integer, byte[]>> done) {
-    readFrom(model, chunks, new HashMap<>(), 0, done);
+  CompletableFuture<Map<Integer, byte[]>> read(String model, int chunks) {
+    Map<Integer, byte[]> staged = new HashMap<>();
+    return CompletableFuture.completedFuture(0)
+        .thenCompose(first -> readFrom(model, chunks, staged, first))
+        .handle(
+            (read, failure) -> {
+              if (failure != null) {
+                LOG.atInfo()
+                    .addKeyValue("reason", failure.getMessage())
+                    .log("failed to read staged chunks; fetching them instead");
+              }
+              return staged;
+            });
   }
 
-  private void readFrom(
-      String model,
-      int chunks,
-      Map<Integer, byte[]> staged,
-      int first,
-      Consumer<Map<Integer, byte[]>> done) {
+  private CompletableFuture<Void> readFrom(
+      String model, int chunks, Map<Integer, byte[]> staged, int first) {
     int end = Math.min(chunks, first + MAX_CONCURRENT);
     List<CompletableFuture<Optional<byte[]>>> group = new ArrayList<>();
     for (int i = first; i < end; i++) {
       group.add(engine.staged(model, i));
     }
-    CompletableFuture.allOf(group.toArray(new CompletableFuture<?>[0]))
-        .whenComplete(
-            (read, failure) -> {
-              if (failure != null) {
-                LOG.atInfo()
-                    .addKeyValue("reason", failure.getMessage())
-                    .log("failed to read staged chunks; fetching them instead");
-                done.accept(staged);
-                return;
-              }
+    return CompletableFuture.allOf(group.toArray(new CompletableFuture<?>[0]))
+        .thenCompose(
+            read -> {
               for (int i = first; i < end; i++) {
                 int chunk = i;
                 group.get(i - first).join().ifPresent(bytes -> staged.put(chunk, bytes));
               }
-              if (end < chunks && staged.size() > first) {
-                readFrom(model, chunks, staged, end, done);
-              } else {
-                done.accept(staged);
-              }
+              return end < chunks && staged.size() > first
+                  ? readFrom(model, chunks, staged, end)
+                  : CompletableFuture.completedFuture(null);
             });
   }
 
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EngineStatusPoll.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EngineStatusPoll.java
@@ -1,5 +1,6 @@
 package org.clementineford.replica.internal;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.Consumer;
 import org.clementineford.kernel.errors.ClementinefordException;
@@ -36,8 +37,9 @@
       return;
     }
     pending = true;
-    engine
-        .status()
+    // A read that throws fails the future too, or no other one would ever be sent.
+    CompletableFuture.completedFuture(engine)
+        .thenCompose(LocalEngine::status)
         .whenComplete(
             (status, failure) -> {
               pending = false;
@@ -47,6 +49,11 @@
               } else {
                 failed(failure);
               }
+            })
+        .exceptionally(
+            failure -> {
+              LOG.debug("the status of the engine was not read or not processed", failure);
+              return null;
             });
   }
 
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -268,13 +268,14 @@
     }
     digestsPending = true;
     long wanted = target;
-    digestsReader
-        .read(origin, model, wanted, layout)
+    // A step that throws fails the future too, or no transfer would ever begin again.
+    CompletableFuture.completedFuture(wanted)
+        .thenCompose(version -> digestsReader.read(origin, model, version, layout))
+        .thenCompose(
+            digests -> readStaged(digests).thenAccept(staged -> startTransfer(digests, staged)))
         .whenComplete(
-            (digests, failure) -> {
-              if (failure == null) {
-                readStaged(digests);
-              } else {
+            (done, failure) -> {
+              if (failure != null) {
                 LOG.atWarn()
                     .addKeyValue("version", wanted)
                     .addKeyValue("reason", failure.getMessage())
@@ -300,38 +301,36 @@
       return;
     }
     HostPort origin = context.origin().get();
-    CompletableFuture<WeightDigests> read =
-        origin == null
-            ? CompletableFuture.failedFuture(new IllegalStateException("origin not known"))
-            : digestsReader.read(origin, model, transfer.digests().version(), layout);
-    read.whenComplete(
-        (digests, failure) -> {
-          if (failure == null) {
-            transfer.correctDigests(digests);
-          } else {
-            LOG.atWarn()
-                .addKeyValue("version", transfer.digests().version())
-                .addKeyValue("reason", failure.getMessage())
-                .log("failed to read chunk digests again; retrying");
-            context
-                .scheduler()
-                .schedule(
-                    () -> readDigestsAgain(transfer), DIGESTS_RETRY_MS, TimeUnit.MILLISECONDS);
-          }
-        });
+    CompletableFuture.completedFuture(transfer.digests().version())
+        .thenCompose(
+            version ->
+                origin == null
+                    ? CompletableFuture.failedFuture(new IllegalStateException("origin not known"))
+                    : digestsReader.read(origin, model, version, layout))
+        .thenAccept(transfer::correctDigests)
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                LOG.atWarn()
+                    .addKeyValue("version", transfer.digests().version())
+                    .addKeyValue("reason", failure.getMessage())
+                    .log("failed to read chunk digests again; retrying");
+                context
+                    .scheduler()
+                    .schedule(
+                        () -> readDigestsAgain(transfer), DIGESTS_RETRY_MS, TimeUnit.MILLISECONDS);
+              }
+            });
   }
 
   /**
    * Reads the chunks staged at the engine if they may be of the given version. After a restart of
    * the engine or of this process, the VM then needs no transfer and can serve peers that do.
    */
-  private void readStaged(WeightDigests digests) {
-    if (status.weightVersion() != digests.version() && status.weightVersion() != 0) {
-      startTransfer(digests, Map.of());
-    } else {
-      staging.read(
-          digests.model(), digests.digests().size(), staged -> startTransfer(digests, staged));
-    }
+  private CompletableFuture<Map<Integer, byte[]>> readStaged(WeightDigests digests) {
+    return status.weightVersion() != digests.version() && status.weightVersion() != 0
+        ? CompletableFuture.completedFuture(Map.of())
+        : staging.read(digests.model(), digests.digests().size());
   }
 
   private void startTransfer(WeightDigests digests, Map<Integer, byte[]> staged) {
