Reject a list of digests of another length when it is read again

What callers saw: an engine kept its old weights until a newer version was named, so that it was refused as too old. It needs two answers of the origin with errors, and a configuration that does not state the layout of the weights: a list with a wrong digest, then one with fewer chunks. Cause: the list that is read again was taken without regard to its length. A shorter one ended in an exception that nobody saw, and the list was never read again; a longer one was kept. Change: a list of another length counts as a failed read, which is repeated.

--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightOrderTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightOrderTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class WeightOrderTest {
   private static final String FAILURE = "by the test";
@@ -156,6 +157,21 @@
     assertThat(rollout.isChanging()).isFalse();
   }
 
+  // Guards against a transfer that never ends because the list that was read again, instead of one
+  // with a wrong digest, had another length; the configuration states no layout here.
+  @ParameterizedTest
+  @ValueSource(ints = {SimulatedEngine.CHUNKS - 1, SimulatedEngine.CHUNKS + 1})
+  void versionIsLoadedAfterListOfOtherLength(int length) {
+    rollout.setModel("m", Optional.empty());
+    engine.wrongDigestInList = 1;
+    engine.chunksInList = list -> list == 2 ? length : SimulatedEngine.CHUNKS;
+    nameVersion(2);
+    advance(10_000);
+    assertThat(engine.listsRead).isEqualTo(3);
+    assertThat(engine.loaded).isNotEmpty().containsOnly(2L);
+    assertWhole(engine.stagedAtOrders.get(0), 2);
+  }
+
   /** State that the order of another process leaves the engine in. */
   private enum OtherOrder {
     LOADING(SimulatedEngine.statusOf(1, 1, true)),
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkTransfer.java
@@ -270,9 +270,14 @@
    * Replaces the digests of the chunks that are not held. A held chunk matched its digest, so that
    * the digest is right whatever the other list says.
    *
-   * @param reread the list as read again, of the same version and number of chunks
+   * @param reread the list as read again, of the same version
+   * @throws IllegalArgumentException if it has another number of chunks
    */
   void correctDigests(WeightDigests reread) {
+    if (reread.digests().size() != chunks.length) {
+      throw new IllegalArgumentException(
+          "the list has " + reread.digests().size() + " chunks instead of " + chunks.length);
+    }
     List<String> corrected = new ArrayList<>(reread.digests());
     int changed = 0;
     for (int chunk = 0; chunk < chunks.length; chunk++) {
