Go on calling the platform after a call that could not be sent

What callers saw: a process no longer learned of a kind of objects (configuration, endpoints, named versions), or its VM was never registered, after one call of it threw an error instead of failing. Cause: a call was counted as pending before it was sent, or the next attempt was set up by its future only, so an error in sending ended the watch, the poll, the probe or the registration. Change: each call is sent within a future, which fails if sending throws; the retries apply. Result: DirectorySyncTest#readsOnAfterCallThatThrows (watch and poll), #areNoticedIfTheCallThatAsksThrows and EntryVmRegistrationTest#isRepeatedAfterCallThatThrows were seen to fail before and pass now.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -270,6 +270,22 @@
       assertThat(directory.calls).endsWith("watch 2").hasSize(4);
     }
 
+    // Guards against a silent watch that stays, since the call that asks could not be sent.
+    @Test
+    void areNoticedIfTheCallThatAsksThrows() {
+      probing.start();
+      probing.watch(KIND, 30_000, 0);
+      probing.probe(KIND, 2_500);
+      directory.answerFirst(new DirectoryEntries(List.of(entry("a", 1)), 2));
+      directory.error = new StackOverflowError("by the test");
+      try {
+        time.advance(3_500, TimeUnit.MILLISECONDS);
+      } catch (StackOverflowError e) {
+        assertThat(e).hasMessage("by the test");
+      }
+      assertThat(directory.calls).containsExactly("list", "watch 2", "watch 2");
+    }
+
     // Guards against a bound that counts from when a VM learned of a version too late.
     @Test
     void doNotMakeChangesLookNewer() {
@@ -350,6 +366,25 @@
     assertThat(directory.calls).containsExactly("list", "watch 2");
   }
 
+  // Guards against a watch that ends for good because a call could not be sent.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void readsOnAfterCallThatThrows(boolean watching) {
+    directory.error = new StackOverflowError("by the test");
+    try {
+      if (watching) {
+        sync.watch(KIND, 1_000, BATCH_DELAY_MS);
+      } else {
+        sync.poll(KIND, 1_000);
+      }
+    } catch (StackOverflowError e) {
+      assertThat(e).hasMessage("by the test");
+    }
+    time.advance(2, TimeUnit.SECONDS);
+    sync.refresh(KIND);
+    assertThat(directory.calls).containsExactly("list");
+  }
+
   // Guards against replacing the local copy with an older one from a peer.
   @Test
   void peerCopyReplacesOnlyAnOlderCopy() {
@@ -363,6 +398,7 @@
   /** Records calls; the test completes them. */
   private static final class FakeDirectory implements ObjectDirectory {
     private final List<String> calls = new ArrayList<>();
+    private Error error;
     private final ArrayDeque<CompletableFuture<DirectoryEntries>> pending = new ArrayDeque<>();
 
     void answerFirst(DirectoryEntries listing) {
@@ -382,6 +418,11 @@
     }
 
     private CompletableFuture<DirectoryEntries> startCall(String call) {
+      if (error != null) {
+        Error thrown = error;
+        error = null;
+        throw thrown;
+      }
       calls.add(call);
       CompletableFuture<DirectoryEntries> future = new CompletableFuture<>();
       pending.add(future);
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/EntryVmRegistrationTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/EntryVmRegistrationTest.java
@@ -5,7 +5,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.clementineford.serving.directory.DirectoryEntries;
+import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.testing.VirtualTime;
 import org.junit.jupiter.api.Test;
@@ -79,4 +82,42 @@
       }
     }
   }
+
+  // Guards against a VM that peers never find, because one call could not be sent.
+  @Test
+  void isRepeatedAfterCallThatThrows() {
+    List<Error> errors = new ArrayList<>(List.of(new StackOverflowError("by the test")));
+    List<String> registered = new ArrayList<>();
+    ObjectDirectory directory =
+        new ObjectDirectory() {
+          @Override
+          public CompletableFuture<DirectoryEntries> list(ObjectKind kind, boolean current) {
+            throw new AssertionError();
+          }
+
+          @Override
+          public CompletableFuture<DirectoryEntries> watch(
+              ObjectKind kind, long revision, long waitMs) {
+            throw new AssertionError();
+          }
+
+          @Override
+          public CompletableFuture<Void> register(String name, String address, String dataCentre) {
+            if (!errors.isEmpty()) {
+              throw errors.remove(0);
+            }
+            registered.add(name);
+            return CompletableFuture.completedFuture(null);
+          }
+        };
+    EntryVmRegistration registration =
+        new EntryVmRegistration(directory, time, () -> 0, "front-1", "a:1", "north-a");
+    try {
+      registration.start();
+    } catch (StackOverflowError e) {
+      assertThat(e).hasMessage("by the test");
+    }
+    advanceMs(1_000);
+    assertThat(registered).containsExactly("front-1");
+  }
 }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
@@ -422,10 +423,14 @@
       final boolean list = listNeeded || !watching;
       final long callWaitMs = callWaitMs(sentAt);
       final long copyEra = copy.position().era();
+      // A call that throws fails the future too, or no other one would ever be sent.
       var result =
-          list
-              ? directory.list(kind, watching)
-              : directory.watch(kind, copy.position().revision(), callWaitMs);
+          CompletableFuture.completedFuture(kind)
+              .thenCompose(
+                  wanted ->
+                      list
+                          ? directory.list(wanted, watching)
+                          : directory.watch(wanted, copy.position().revision(), callWaitMs));
       result.whenComplete(
           (listing, failure) -> {
             if (call != callCount) {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/EntryVmRegistration.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/EntryVmRegistration.java
@@ -1,5 +1,6 @@
 package org.clementineford.fleet;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 import org.clementineford.kernel.Scheduler;
@@ -79,7 +80,9 @@
   }
 
   private void attempt() {
-    directory.register(name, address, dataCentre).whenComplete((done, failure) -> ended(failure));
+    CompletableFuture.completedFuture(name)
+        .thenCompose(vm -> directory.register(vm, address, dataCentre))
+        .whenComplete((done, failure) -> ended(failure));
   }
 
   private void ended(Throwable failure) {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/SilenceProbe.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/SilenceProbe.java
@@ -48,6 +48,8 @@
       return;
     }
     sent = true;
-    call.get().whenComplete((answer, failure) -> (failure == null ? onAnswer : onSilence).run());
+    CompletableFuture.completedFuture(call)
+        .<Object>thenCompose(next -> next.get().thenApply(answer -> answer))
+        .whenComplete((answer, failure) -> (failure == null ? onAnswer : onSilence).run());
   }
 }
