Report a change of platform objects again if its user failed

What callers saw: a process did not act on a change, such as a new configuration or a named version of weights, until the same kind of objects changed again, if its processing threw one error. Cause: the copy took the change before it was reported, so the next answers showed no change. Change: a report that fails is repeated after 0.8 s and then at doubled delays of up to 25.6 s, with the time of the first one for bounds that count from a change. It no longer delays the watch, and the error of a change that came from a peer does not reach whoever passed the copy on. Result: DirectorySyncTest#reportsChangeAgainAfterAnErrorOfItsUser was seen to fail before for changes from the platform and from a peer, and passes now.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class DirectorySyncTest {
@@ -366,6 +367,55 @@
     assertThat(directory.calls).containsExactly("list", "watch 2");
   }
 
+  // Guards against a change that is never used, since its user failed once: the copy has it
+  // already,
+  // so that no later answer brings it again.
+  @ParameterizedTest
+  @EnumSource(ChangeSource.class)
+  void reportsChangeAgainAfterAnErrorOfItsUser(ChangeSource source) {
+    List<Long> reportedAfter = new ArrayList<>();
+    List<Error> errors = new ArrayList<>(List.of(new StackOverflowError()));
+    DirectorySync[] failing = new DirectorySync[1];
+    failing[0] =
+        new DirectorySync(
+            directory,
+            time,
+            time,
+            3_600,
+            kind -> {
+              if (!errors.isEmpty()) {
+                throw errors.remove(0);
+              }
+              reportedAfter.add(failing[0].changesAfter());
+            },
+            () -> {});
+    time.advance(1, TimeUnit.SECONDS);
+    failing[0].watch(KIND, 30_000, BATCH_DELAY_MS);
+    source.change(failing[0], directory);
+    time.advance(1, TimeUnit.SECONDS);
+    assertThat(errors).isEmpty();
+    assertThat(reportedAfter).containsExactly(TimeUnit.SECONDS.toNanos(1));
+  }
+
+  /** Where a change comes from. */
+  private enum ChangeSource {
+    PLATFORM {
+      @Override
+      void change(DirectorySync sync, FakeDirectory directory) {
+        directory.answerFirst(new DirectoryEntries(List.of(entry("a", 1)), 2));
+      }
+    },
+    PEER {
+      @Override
+      void change(DirectorySync sync, FakeDirectory directory) {
+        List<DirectoryEntry> entries = List.of(entry("a", 1));
+        sync.applyPeerCopy(KIND, new HistoryPosition(0, 2), entries, Map.of(), 0);
+      }
+    };
+
+    abstract void change(DirectorySync sync, FakeDirectory directory);
+  }
+
   // Guards against a watch that ends for good because a call could not be sent.
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -42,6 +42,9 @@
   /** Longest delay before a retry, in milliseconds. */
   private static final long MAX_RETRY_DELAY_MS = 800;
 
+  /** Times that the delay before a change is reported again doubles, if each report fails. */
+  private static final int MAX_REPORT_DOUBLINGS = 5;
+
   /** Shortest wait of a watch, in milliseconds. */
   private static final long MIN_WATCH_MS = 200;
 
@@ -248,7 +251,7 @@
     KindSync sync = kinds.get(kind);
     if (sync != null && sync.copy.addHigherVersions(newer)) {
       DirectoryCopyLog.kept(kind, sync.copy, clock.nanoTime());
-      onChange.accept(kind);
+      sync.reportChange(OptionalLong.empty());
     }
   }
 
@@ -288,7 +291,7 @@
           .addKeyValue("position", position.toText())
           .addKeyValue("ageMs", TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - provenAt))
           .log("replaced the copy of platform objects with a newer one from a peer");
-      onChange.accept(kind);
+      sync.reportChange(OptionalLong.empty());
     }
   }
 
@@ -344,6 +347,10 @@
     private int failures;
     private int relists;
     private boolean suspended;
+    private int failedReports;
+
+    /** Repeats a report that failed; null if the last one did not fail. */
+    private Scheduler.Cancellable reportTimer;
 
     /** Time of the last answer before the watch was replaced; empty if it was not. */
     private OptionalLong interruptedAt = OptionalLong.empty();
@@ -509,9 +516,7 @@
             .addKeyValue("kind", kind)
             .addKeyValue("position", copy.position().toText())
             .log("copy of platform objects changed");
-        changesAfter = changesAfter(sentAt, now);
-        onChange.accept(kind);
-        changesAfter = OptionalLong.empty();
+        reportChange(changesAfter(sentAt, now));
       }
       interruptedAt = OptionalLong.empty();
       if (watching && (!changed || batchDelayMs == 0)) {
@@ -589,7 +594,36 @@
         LOG.atInfo()
             .addKeyValue("kind", kind)
             .log("entries changed at the end of the time to register again after an outage");
+        reportChange(OptionalLong.empty());
+      }
+    }
+
+    /**
+     * Reports a change of the copy. The copy has the change already, so no later answer shows it
+     * again: a report that fails is repeated, with the time of the first one.
+     */
+    void reportChange(OptionalLong after) {
+      if (reportTimer != null) {
+        reportTimer.cancel();
+        reportTimer = null;
+      }
+      long firstAt = clock.nanoTime();
+      changesAfter = after;
+      try {
         onChange.accept(kind);
+        failedReports = 0;
+      } catch (RuntimeException | Error e) {
+        long delay = MAX_RETRY_DELAY_MS << Math.min(failedReports, MAX_REPORT_DOUBLINGS);
+        failedReports++;
+        LOG.atError()
+            .addKeyValue("kind", kind)
+            .addKeyValue("retryMs", delay)
+            .log("failed to process platform objects; reading on, and processing them again", e);
+        OptionalLong earliest = OptionalLong.of(after.orElse(firstAt));
+        reportTimer =
+            scheduler.schedule(() -> reportChange(earliest), delay, TimeUnit.MILLISECONDS);
+      } finally {
+        changesAfter = OptionalLong.empty();
       }
     }
   }
