--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class DirectorySyncTest {
@@ -270,6 +271,22 @@
       assertThat(directory.calls).endsWith("watch 2").hasSize(4);
     }
 
+    // Guards against a silent watch that stays, since the call that asks could not be sent.
+    @Test
+    void areNoticedIfTheCallThatAsksThrows() {
+      probing.start();
+      probing.watch(KIND, 30_000, 0);
+      probing.probe(KIND, 2_500);
+      directory.answerFirst(new DirectoryEntries(List.of(entry("a", 1)), 2));
+      directory.error = new StackOverflowError("by the test");
+      try {
+        time.advance(3_500, TimeUnit.MILLISECONDS);
+      } catch (StackOverflowError e) {
+        assertThat(e).hasMessage("by the test");
+      }
+      assertThat(directory.calls).containsExactly("list", "watch 2", "watch 2");
+    }
+
     // Guards against a bound that counts from when a VM learned of a version too late.
     @Test
     void doNotMakeChangesLookNewer() {
@@ -350,6 +367,74 @@
     assertThat(directory.calls).containsExactly("list", "watch 2");
   }
 
+  // Guards against a change that is never used, since its user failed once: the copy has it
+  // already,
+  // so that no later answer brings it again.
+  @ParameterizedTest
+  @EnumSource(ChangeSource.class)
+  void reportsChangeAgainAfterAnErrorOfItsUser(ChangeSource source) {
+    List<Long> reportedAfter = new ArrayList<>();
+    List<Error> errors = new ArrayList<>(List.of(new StackOverflowError()));
+    DirectorySync[] failing = new DirectorySync[1];
+    failing[0] =
+        new DirectorySync(
+            directory,
+            time,
+            time,
+            3_600,
+            kind -> {
+              if (!errors.isEmpty()) {
+                throw errors.remove(0);
+              }
+              reportedAfter.add(failing[0].changesAfter());
+            },
+            () -> {});
+    time.advance(1, TimeUnit.SECONDS);
+    failing[0].watch(KIND, 30_000, BATCH_DELAY_MS);
+    source.change(failing[0], directory);
+    time.advance(1, TimeUnit.SECONDS);
+    assertThat(errors).isEmpty();
+    assertThat(reportedAfter).containsExactly(TimeUnit.SECONDS.toNanos(1));
+  }
+
+  /** Where a change comes from. */
+  private enum ChangeSource {
+    PLATFORM {
+      @Override
+      void change(DirectorySync sync, FakeDirectory directory) {
+        directory.answerFirst(new DirectoryEntries(List.of(entry("a", 1)), 2));
+      }
+    },
+    PEER {
+      @Override
+      void change(DirectorySync sync, FakeDirectory directory) {
+        List<DirectoryEntry> entries = List.of(entry("a", 1));
+        sync.applyPeerCopy(KIND, new HistoryPosition(0, 2), entries, Map.of(), 0);
+      }
+    };
+
+    abstract void change(DirectorySync sync, FakeDirectory directory);
+  }
+
+  // Guards against a watch that ends for good because a call could not be sent.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void readsOnAfterCallThatThrows(boolean watching) {
+    directory.error = new StackOverflowError("by the test");
+    try {
+      if (watching) {
+        sync.watch(KIND, 1_000, BATCH_DELAY_MS);
+      } else {
+        sync.poll(KIND, 1_000);
+      }
+    } catch (StackOverflowError e) {
+      assertThat(e).hasMessage("by the test");
+    }
+    time.advance(2, TimeUnit.SECONDS);
+    sync.refresh(KIND);
+    assertThat(directory.calls).containsExactly("list");
+  }
+
   // Guards against replacing the local copy with an older one from a peer.
   @Test
   void peerCopyReplacesOnlyAnOlderCopy() {
@@ -363,6 +448,7 @@
   /** Records calls; the test completes them. */
   private static final class FakeDirectory implements ObjectDirectory {
     private final List<String> calls = new ArrayList<>();
+    private Error error;
     private final ArrayDeque<CompletableFuture<DirectoryEntries>> pending = new ArrayDeque<>();
 
     void answerFirst(DirectoryEntries listing) {
@@ -382,6 +468,11 @@
     }
 
     private CompletableFuture<DirectoryEntries> startCall(String call) {
+      if (error != null) {
+        Error thrown = error;
+        error = null;
+        throw thrown;
+      }
       calls.add(call);
       CompletableFuture<DirectoryEntries> future = new CompletableFuture<>();
       pending.add(future);
