End the work of an endpoint VM before its process stops

An endpoint VM that got SIGTERM ended within milliseconds. Fetches of peers that it had accepted were cut off, and so was the answer to an order to its engine. If it stopped after it had announced that its engine changes weights, entry VMs sent that engine no requests until that report expired, after 1.5 s and more. In the time until its end its timers went on, and an order could still be sent.

Cause: the stop ended the directory sync and closed the datagram socket, and waited for nothing.

WorkStop now begins no transfer, no staging and no order, refuses further fetches of peers with 503, and waits for those that it accepted, for the answer to an order, and for its effect, so that the engine is reported with its new weights. An order that was announced and not sent is withdrawn in a last report. The wait ends 0.7 s before the stop time, as on entry VMs, and one line says what was left.

The tests of WeightRollout#stop could not run before, since the method is new.

--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/WeightRolloutTest.java
@@ -126,6 +126,53 @@
     }
   }
 
+  @Nested
+  class Stop {
+    // Guards against an engine that entry VMs avoid for an order that its VM no longer sends.
+    @Test
+    void beforeTheOrderLetsTheEngineTakeRequestsAgain() {
+      rollout.statusChanged(status(1, 1));
+      rollout.updateTarget("m", 2, 0, true);
+      while (!rollout.isChanging()) {
+        advance(50);
+      }
+      rollout.stop();
+      assertThat(rollout.isChanging()).isFalse();
+      advance(20_000);
+      assertThat(rollout.isChanging()).isFalse();
+      assertThat(engine.loaded).isEmpty();
+    }
+
+    // Guards against requests that are sent to an engine while it loads.
+    @Test
+    void afterTheOrderLeavesTheEngineWithoutRequestsUntilItLoaded() {
+      rollout.statusChanged(status(1, 1));
+      rollout.updateTarget("m", 2, 0, true);
+      while (engine.loaded.isEmpty()) {
+        advance(50);
+      }
+      rollout.stop();
+      assertThat(rollout.isChanging()).isTrue();
+      rollout.statusChanged(status(1, 2));
+      assertThat(rollout.isChanging()).isFalse();
+    }
+
+    // Guards against fetches that take links of peers for a VM that ends.
+    @Test
+    void endsTransfersAndBeginsNone() {
+      rollout.statusChanged(status(1, 1));
+      origin.delayedChunks = 1;
+      rollout.updateTarget("m", 2, 0, true);
+      rollout.stop();
+      final int reads = origin.chunksRead;
+      origin.release();
+      rollout.updateTarget("m", 3, 0, true);
+      advance(20_000);
+      assertThat(origin.chunksRead).isEqualTo(reads);
+      assertThat(engine.loaded).isEmpty();
+    }
+  }
+
   @Nested
   class SpoiltDigests {
     // Guards against an engine that is ordered to load what is staged, and against a target version
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/EndpointVm.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/EndpointVm.java
@@ -60,7 +60,11 @@
     process.start();
   }
 
-  /** Stops the process. Peers fetch chunks from other sources; the engine keeps running. */
+  /**
+   * Stops the process within the stop time of its settings: begins nothing new, and ends uploads to
+   * peers and an order to the engine. Peers then fetch chunks from other sources; the engine keeps
+   * running.
+   */
   public void stop() {
     process.stop();
   }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkServer.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkServer.java
@@ -28,6 +28,7 @@
   private final ArrayDeque<Upload> waiting = new ArrayDeque<>();
   private long linkFreeAt;
   private boolean timerSet;
+  private boolean stopping;
 
   ChunkServer(ChunkSource source, Scheduler scheduler, NanoClock clock, long linkBytesPerSecond) {
     this.source = source;
@@ -45,7 +46,7 @@
     byte[] bytes = find(exchange.request().path());
     if (bytes == null) {
       exchange.respond(404, Map.of(), new byte[0]);
-    } else if (waiting.size() >= MAX_WAITING) {
+    } else if (stopping || waiting.size() >= MAX_WAITING) {
       exchange.respond(503, Map.of(), new byte[0]);
     } else {
       waiting.add(new Upload(exchange, bytes));
@@ -53,6 +54,21 @@
     }
   }
 
+  /** Refuses further requests with status 503; those that wait are answered. */
+  void stop() {
+    stopping = true;
+  }
+
+  /** Returns the number of requests that wait for an answer. */
+  int waitingRequests() {
+    return waiting.size();
+  }
+
+  /** Returns whether all requests were answered and the link had the time to send the answers. */
+  boolean isIdle() {
+    return waiting.isEmpty() && linkFreeAt - clock.nanoTime() <= 0;
+  }
+
   private void send() {
     long now = clock.nanoTime();
     if (waiting.isEmpty() || timerSet) {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkStaging.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkStaging.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.clementineford.replica.LocalEngine;
@@ -19,6 +20,7 @@
   private static final int MAX_CONCURRENT = 8;
 
   private final LocalEngine engine;
+  private boolean stopped;
 
   ChunkStaging(LocalEngine engine) {
     this.engine = engine;
@@ -42,6 +44,9 @@
       Map<Integer, byte[]> staged,
       int first,
       Consumer<Map<Integer, byte[]>> done) {
+    if (stopped) {
+      return;
+    }
     int end = Math.min(chunks, first + MAX_CONCURRENT);
     List<CompletableFuture<Optional<byte[]>>> group = new ArrayList<>();
     for (int i = first; i < end; i++) {
@@ -80,7 +85,15 @@
     return writeFrom(model, chunks, 0);
   }
 
+  /** Begins no further reads and writes; those in progress end. */
+  void stop() {
+    stopped = true;
+  }
+
   private CompletableFuture<Void> writeFrom(String model, List<byte[]> chunks, int first) {
+    if (stopped) {
+      return CompletableFuture.failedFuture(new CancellationException("this VM stops"));
+    }
     if (first >= chunks.size()) {
       return CompletableFuture.completedFuture(null);
     }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EndpointVmProcess.java
@@ -4,8 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.fleet.DatagramLink;
 import org.clementineford.fleet.DirectoryDecoder;
@@ -65,6 +68,12 @@
   /** Minimum time between two reads outside the polling interval. */
   private static final long REFRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
 
+  /** Part of the stop time that is reserved for the exit of the process, in milliseconds. */
+  private static final long STOP_MARGIN_MS = 700;
+
+  /** Time in which the event loop notices that the time of a stop is over, in milliseconds. */
+  private static final long EVENT_LOOP_LAG_MS = 200;
+
   private static final int MAX_PEER_BODY_BYTES = 1 << 16;
 
   /**
@@ -104,6 +113,8 @@
   private HostPort origin;
   private long refreshedAt;
   private DatagramLink datagrams;
+  private Scheduler.Cancellable statusTimer;
+  private Scheduler.Cancellable announceTimer;
   private boolean targetsListed;
 
   /**
@@ -216,11 +227,13 @@
         });
     datagrams = new DatagramLink(eventLoops, settings.datagramAddress(), this::datagramReceived);
     eventLoops.execute(this::startSync);
-    scheduler.scheduleWithFixedDelay(this::readStatus, STATUS_POLL_MS, TimeUnit.MILLISECONDS);
-    scheduler.scheduleWithFixedDelay(
-        () -> holdingsAnnouncer.announce(replicas.values()),
-        ANNOUNCE_INTERVAL_MS,
-        TimeUnit.MILLISECONDS);
+    statusTimer =
+        scheduler.scheduleWithFixedDelay(this::readStatus, STATUS_POLL_MS, TimeUnit.MILLISECONDS);
+    announceTimer =
+        scheduler.scheduleWithFixedDelay(
+            () -> holdingsAnnouncer.announce(replicas.values()),
+            ANNOUNCE_INTERVAL_MS,
+            TimeUnit.MILLISECONDS);
     LOG.atInfo()
         .addKeyValue("vm", settings.vm())
         .addKeyValue("engine", settings.engineAddress().orElse(null))
@@ -238,14 +251,34 @@
     directoryExchange.start();
   }
 
-  /** Stops the directory sync and the datagram socket. */
+  /**
+   * Begins nothing new, and waits for uploads to peers and an order to the engine. Returns when
+   * they have ended or the stop time is over.
+   */
   public void stop() {
-    LOG.info("endpoint VM stopped");
-    eventLoops.execute(
-        () -> {
-          sync.stop();
-          datagrams.close();
-        });
+    long limitMs = Math.max(0, settings.bounds().stopTimeoutMs() - STOP_MARGIN_MS);
+    CompletableFuture<Void> ended = new CompletableFuture<>();
+    eventLoops.execute(() -> beginStop(limitMs, ended));
+    try {
+      ended.get(limitMs + EVENT_LOOP_LAG_MS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException | ExecutionException e) {
+      LOG.warn("the work of this VM did not end in time; it is cut off", e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private void beginStop(long limitMs, CompletableFuture<Void> ended) {
+    sync.stop();
+    announceTimer.cancel();
+    new WorkStop(rollout, chunkServer, scheduler, clock, limitMs)
+        .begin()
+        .thenRun(
+            () -> {
+              statusTimer.cancel();
+              datagrams.close();
+              ended.complete(null);
+            });
   }
 
   private void directoryChanged(ObjectKind kind) {
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -56,6 +56,8 @@
   private boolean digestsPending;
   private boolean activating;
   private boolean changing;
+  private boolean ordering;
+  private boolean stopped;
   private long orderedVersion;
   private long orderedAt;
 
@@ -203,9 +205,29 @@
     }
   }
 
+  /**
+   * Ends the transfers and begins no further step. The engine takes requests again unless an order
+   * was sent to it, since it keeps running.
+   */
+  void stop() {
+    stopped = true;
+    staging.stop();
+    transfers.values().forEach(ChunkTransfer::stop);
+    drain.end();
+    activating = ordering;
+    if (!ordering && orderedVersion <= status.weightVersion()) {
+      setChanging(false);
+    }
+  }
+
+  /** Returns whether an order was sent to the engine and not answered yet. */
+  boolean isOrdering() {
+    return ordering;
+  }
+
   /** Starts the steps that are due. Called after each event and each status of the engine. */
   void proceed() {
-    if (model == null) {
+    if (stopped || model == null) {
       return;
     }
     ChunkTransfer newest = transfers.isEmpty() ? null : transfers.lastEntry().getValue();
@@ -296,7 +318,7 @@
    * Reads the digests of a transfer again, since chunks did not match, until an answer is right.
    */
   private void readDigestsAgain(ChunkTransfer transfer) {
-    if (!transfers.containsValue(transfer) || transfer.isComplete()) {
+    if (stopped || !transfers.containsValue(transfer) || transfer.isComplete()) {
       return;
     }
     HostPort origin = context.origin().get();
@@ -335,6 +357,9 @@
   }
 
   private void startTransfer(WeightDigests digests, Map<Integer, byte[]> staged) {
+    if (stopped) {
+      return;
+    }
     digestsPending = false;
     if (digests.version() > target) {
       updateTarget(digests.model(), digests.version(), context.clock().nanoTime(), false);
@@ -431,6 +456,9 @@
    * the engine does not verify them.
    */
   private void stage(ChunkTransfer transfer) {
+    if (stopped) {
+      return;
+    }
     staging
         .write(model, transfer.allChunks())
         .whenComplete(
@@ -444,11 +472,16 @@
   }
 
   private void orderLoad(ChunkTransfer transfer) {
+    if (stopped) {
+      return;
+    }
     long version = transfer.digests().version();
+    ordering = true;
     engine
         .load(model, version)
         .whenComplete(
             (done, failure) -> {
+              ordering = false;
               if (failure != null) {
                 activationFailed("order", failure);
                 return;
@@ -463,6 +496,10 @@
   }
 
   private void activationFailed(String step, Throwable failure) {
+    if (stopped) {
+      setChanging(false);
+      return;
+    }
     LOG.atWarn()
         .addKeyValue("step", step)
         .addKeyValue("reason", failure.getMessage())
