--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkStaging.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/ChunkStaging.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import org.clementineford.replica.LocalEngine;
 import org.slf4j.Logger;
@@ -17,7 +18,10 @@
   /** Maximum number of concurrent reads or writes. */
   private static final int MAX_CONCURRENT = 8;
 
+  private static final String STOPPED = "this VM stops";
+
   private final LocalEngine engine;
+  private boolean stopped;
 
   ChunkStaging(LocalEngine engine) {
     this.engine = engine;
@@ -48,6 +52,9 @@
 
   private CompletableFuture<Void> readFrom(
       String model, int chunks, Map<Integer, byte[]> staged, int first) {
+    if (stopped) {
+      return CompletableFuture.failedFuture(new CancellationException(STOPPED));
+    }
     int end = Math.min(chunks, first + MAX_CONCURRENT);
     List<CompletableFuture<Optional<byte[]>>> group = new ArrayList<>();
     for (int i = first; i < end; i++) {
@@ -77,7 +84,15 @@
     return writeFrom(model, chunks, 0);
   }
 
+  /** Begins no further reads and writes; those in progress end. */
+  void stop() {
+    stopped = true;
+  }
+
   private CompletableFuture<Void> writeFrom(String model, List<byte[]> chunks, int first) {
+    if (stopped) {
+      return CompletableFuture.failedFuture(new CancellationException(STOPPED));
+    }
     if (first >= chunks.size()) {
       return CompletableFuture.completedFuture(null);
     }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/LoadOrder.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/LoadOrder.java
@@ -30,6 +30,7 @@
   private final LocalEngine engine;
   private final ChunkStaging staging;
   private final NanoClock clock;
+  private boolean ordering;
 
   LoadOrder(LocalEngine engine, ChunkStaging staging, NanoClock clock) {
     this.engine = engine;
@@ -37,6 +38,11 @@
     this.clock = clock;
   }
 
+  /** Returns whether an order was sent and not answered yet. */
+  boolean isOrdering() {
+    return ordering;
+  }
+
   /**
    * Stages all chunks, then sends the order if it is still due.
    *
@@ -69,7 +75,9 @@
               if (clock.nanoTime() - startedAt > MAX_STAGED_NANOS && stagings < MAX_STAGINGS) {
                 return send(model, version, chunks, isDue, stagings + 1);
               }
+              ordering = true;
               return step("order", () -> engine.load(model, version))
+                  .whenComplete((accepted, failure) -> ordering = false)
                   .thenApply(accepted -> Optional.empty());
             });
   }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -56,6 +56,7 @@
   private boolean digestsPending;
   private boolean activating;
   private boolean changing;
+  private boolean stopped;
   private long orderedVersion;
   private long orderedAt;
 
@@ -203,9 +204,29 @@
     }
   }
 
+  /**
+   * Ends the transfers and begins no further step. The engine takes requests again unless an order
+   * was sent to it, since it keeps running.
+   */
+  void stop() {
+    stopped = true;
+    staging.stop();
+    transfers.values().forEach(ChunkTransfer::stop);
+    drain.end();
+    activating = isOrdering();
+    if (!isOrdering() && orderedVersion <= status.weightVersion()) {
+      setChanging(false);
+    }
+  }
+
+  /** Returns whether an order was sent to the engine and not answered yet. */
+  boolean isOrdering() {
+    return loadOrder.isOrdering();
+  }
+
   /** Starts the steps that are due. Called after each event and each status of the engine. */
   void proceed() {
-    if (model == null) {
+    if (stopped || model == null) {
       return;
     }
     ChunkTransfer newest = transfers.isEmpty() ? null : transfers.lastEntry().getValue();
@@ -297,7 +318,7 @@
    * Reads the digests of a transfer again, since chunks did not match, until an answer is right.
    */
   private void readDigestsAgain(ChunkTransfer transfer) {
-    if (!transfers.containsValue(transfer) || transfer.isComplete()) {
+    if (stopped || !transfers.containsValue(transfer) || transfer.isComplete()) {
       return;
     }
     HostPort origin = context.origin().get();
@@ -334,6 +355,9 @@
   }
 
   private void startTransfer(WeightDigests digests, Map<Integer, byte[]> staged) {
+    if (stopped) {
+      return;
+    }
     digestsPending = false;
     if (digests.version() > target) {
       updateTarget(digests.model(), digests.version(), context.clock().nanoTime(), false);
@@ -424,6 +448,9 @@
 
   /** Stages all chunks and orders the engine to load them if it still should. */
   private void stage(ChunkTransfer transfer) {
+    if (stopped) {
+      return;
+    }
     long version = transfer.digests().version();
     long incarnation = status.incarnation();
     loadOrder
@@ -431,7 +458,7 @@
             model,
             version,
             transfer.allChunks(),
-            next -> next.incarnation() == incarnation && isLoadDue(transfer, next))
+            next -> !stopped && next.incarnation() == incarnation && isLoadDue(transfer, next))
         .whenComplete(
             (notDue, failure) -> {
               if (failure != null) {
@@ -454,6 +481,9 @@
   }
 
   private void orderWithheld(long version, EngineStatus next) {
+    if (stopped) {
+      return;
+    }
     LOG.atInfo()
         .addKeyValue("version", version)
         .addKeyValue("target", target)
@@ -473,6 +503,10 @@
   }
 
   private void activationFailed(Throwable failure) {
+    if (stopped) {
+      setChanging(false);
+      return;
+    }
     LOG.atWarn()
         .addKeyValue("reason", failure.getMessage())
         .log("failed to activate weights; retrying");
