Open the datagram socket again after an error in reading closed it

What callers saw: a VM neither sent nor received datagrams until its process was restarted: no load reports, chunk holdings, suspects or positions of copies, while it seemed to run. Cause: Netty closes a datagram channel on any failure to read that is not an exception of the socket, such as one error for lack of memory when it takes a buffer, and nobody opened it again. Change: a socket that closes without being told to is bound again at its address after 100 ms. Result: DatagramLinkTest#receivesAfterAnErrorInReading lets the allocation of one buffer fail. It was seen to fail on this code without the reopening (nothing arrived for 10 s) and passes with it.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DatagramLink.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DatagramLink.java
@@ -1,15 +1,21 @@
 package org.clementineford.fleet;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
@@ -21,7 +27,13 @@
 public final class DatagramLink implements AutoCloseable {
   private static final Logger LOG = LoggerFactory.getLogger(DatagramLink.class);
 
-  private final Channel channel;
+  /** Time after which a socket that closed is opened again, in milliseconds. */
+  private static final long REOPEN_DELAY_MS = 100;
+
+  private final EventLoopGroup eventLoops;
+  private final Bootstrap bootstrap;
+  private volatile Channel channel;
+  private volatile boolean closed;
 
   /** Callback for received datagrams. */
   @FunctionalInterface
@@ -45,20 +57,75 @@
    */
   public DatagramLink(EventLoopGroup eventLoops, HostPort address, Receiver receiver)
       throws ClementinefordException {
-    ChannelFuture bound =
+    this(eventLoops, address, receiver, ByteBufAllocator.DEFAULT);
+  }
+
+  DatagramLink(
+      EventLoopGroup eventLoops, HostPort address, Receiver receiver, ByteBufAllocator allocator)
+      throws ClementinefordException {
+    this.eventLoops = eventLoops;
+    this.bootstrap =
         new Bootstrap()
             .group(eventLoops)
             .channel(NioDatagramChannel.class)
-            .handler(new Decoder(receiver))
-            .bind(address.toSocketAddress())
-            .awaitUninterruptibly();
+            .option(ChannelOption.ALLOCATOR, allocator)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel opened) {
+                    opened.pipeline().addLast(new Decoder(receiver));
+                  }
+                });
+    ChannelFuture bound = bootstrap.bind(address.toSocketAddress()).awaitUninterruptibly();
     if (!bound.isSuccess()) {
       throw new ClementinefordException(
           ErrorKind.LOCAL_RESOURCE,
           "cannot receive datagrams at " + address + "; free the port or set another",
           bound.cause());
     }
-    channel = bound.channel();
+    use(bound.channel());
+  }
+
+  private void use(Channel opened) {
+    channel = opened;
+    if (closed) {
+      opened.close();
+    }
+    SocketAddress address = opened.localAddress();
+    opened.closeFuture().addListener(done -> reopenLater(address));
+  }
+
+  /**
+   * Opens the socket again unless it was to be closed. Netty closes it on any failure to read that
+   * is not an exception of the socket, such as an error for lack of memory.
+   */
+  private void reopenLater(SocketAddress address) {
+    if (closed || eventLoops.isShuttingDown()) {
+      return;
+    }
+    LOG.atWarn().addKeyValue("address", address).log("datagram socket closed; opening it again");
+    eventLoops.schedule(() -> reopen(address), REOPEN_DELAY_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void reopen(SocketAddress address) {
+    if (closed) {
+      return;
+    }
+    bootstrap
+        .bind(address)
+        .addListener(
+            (ChannelFuture bound) -> {
+              if (bound.isSuccess()) {
+                use(bound.channel());
+              } else {
+                reopenLater(address);
+              }
+            });
+  }
+
+  HostPort address() {
+    InetSocketAddress local = (InetSocketAddress) channel.localAddress();
+    return new HostPort(local.getAddress().getHostAddress(), local.getPort());
   }
 
   /**
@@ -75,6 +142,7 @@
 
   @Override
   public void close() {
+    closed = true;
     channel.close();
   }
 
