Ignore copies of peers whose age cannot be

What callers saw: after one malformed message of a peer, with a negative age, a VM could take its copy of the configuration for current without end, and accept keys that were removed meanwhile. Cause: the time at which a copy was last proven only grows, and a time in the future was taken. Change: a peer's copy that would have been current only in the future is ignored, proof and objects, with a warning; it does not count for the soundness of an observer either. Result: DirectorySyncTest$Age#isNotTakenFromPeerIfItCannotBe was seen to fail before for an age of -1 s; its two cases of the largest and the smallest number passed before too. No sender of such a message is known; it was found by reading.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -331,6 +331,21 @@
           .isGreaterThanOrEqualTo(TimeUnit.SECONDS.toNanos(4));
     }
 
+    // Guards against keys that are accepted for good after one malformed message of a peer.
+    @ParameterizedTest
+    @ValueSource(longs = {-1_000, Long.MIN_VALUE, Long.MAX_VALUE})
+    void isNotTakenFromPeerIfItCannotBe(long peerAgeMs) {
+      start();
+      time.advance(4, TimeUnit.SECONDS);
+      long provenAt = time.nanoTime() - TimeUnit.MILLISECONDS.toNanos(peerAgeMs);
+      sync.applyPeerCopy(KIND, new HistoryPosition(0, 2), null, Map.of(), provenAt);
+      sync.applyPeerCopy(
+          KIND, new HistoryPosition(0, 3), List.of(entry("c", 3)), Map.of(), provenAt);
+      time.advance(4, TimeUnit.SECONDS);
+      assertThat(sync.copy(KIND).ageNanos(time.nanoTime()))
+          .isGreaterThanOrEqualTo(TimeUnit.SECONDS.toNanos(8));
+    }
+
     // Guards against an empty answer to a watch that counts as proof up to its arrival: the
     // platform may have withheld changes.
     @Test
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -263,7 +263,8 @@
    * @param position position of the peer's copy
    * @param entries the entries; null if the peer's copy is not newer than the local one
    * @param keptUntil times until which the peer keeps entries that the platform lacks, by name
-   * @param provenAt time at which the peer's copy was last known to be current
+   * @param provenAt time at which the peer's copy was last known to be current; a copy for which it
+   *     is in the future is ignored
    */
   public void applyPeerCopy(
       ObjectKind kind,
@@ -276,6 +277,14 @@
       return;
     }
     long now = clock.nanoTime();
+    if (provenAt - now > 0) {
+      // One such proof would make the copy current for good.
+      LOG.atWarn()
+          .addKeyValue("kind", kind)
+          .addKeyValue("position", position.toText())
+          .log("the copy of a peer has an age that cannot be; ignored it");
+      return;
+    }
     if (sync.isOverdue(now) && now - provenAt <= maxAgeNanos(kind)) {
       outageEnded(now);
     }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
@@ -247,7 +247,7 @@
         continue;
       }
       long ageNanos = TimeUnit.MILLISECONDS.toNanos(position.getProvenAgeMs());
-      if (ageNanos <= sync.maxAgeNanos(kind)) {
+      if (ageNanos >= 0 && ageNanos <= sync.maxAgeNanos(kind)) {
         sound.add(kind);
       }
       if (!duty.isObserving()) {
