Acquire a lease again after its object was deleted

What callers saw: after the lease object of a data centre was deleted, as the message for a corrupt one asks, no running process held the lease again, so no order to load weights was sent until one restarted; VMs loaded on their own, later. Cause: a read that shows a lower version counts as stale, and no object counts as version 0. Change: what reads show for a whole lease length is believed also with a lower version. The write that follows depends on that version, so a wrong belief only conflicts. Fencing numbers go on from the highest that the process has seen, so that VMs do not refuse the orders of the next holder. Result: LeaseTest#isAcquiredAgainAfterItsObjectWasDeleted was seen to fail before and passes now; #ignoresStaleReads and the other tests of the class pass unchanged.

--- a/org.clementineford.configuration.test/src/test/java/org/clementineford/configuration/lease/LeaseTest.java
+++ b/org.clementineford.configuration.test/src/test/java/org/clementineford/configuration/lease/LeaseTest.java
@@ -161,4 +161,17 @@
     runSeconds(30, first, second);
     assertThat(first.fencingNumber(time.nanoTime())).hasValue(1);
   }
+
+  /** Guards against a data centre without a holder for good after its lease object was deleted. */
+  @Test
+  void isAcquiredAgainAfterItsObjectWasDeleted() throws Exception {
+    runSeconds(20, first, second);
+    object = null;
+    runSeconds(30, first, second);
+    Lease holder = first.fencingNumber(time.nanoTime()).isPresent() ? first : second;
+    assertThat(holder.fencingNumber(time.nanoTime())).hasValue(2);
+    Lease next = holder == first ? second : first;
+    runSeconds(30, next);
+    assertThat(next.fencingNumber(time.nanoTime())).hasValue(3);
+  }
 }
--- a/org.clementineford.configuration/src/main/java/org/clementineford/configuration/lease/Lease.java
+++ b/org.clementineford.configuration/src/main/java/org/clementineford/configuration/lease/Lease.java
@@ -28,6 +28,12 @@
   private long attempts;
   private LeaseValue pending;
   private long pendingSentNanos;
+  private long highestFencingNumber;
+
+  /**
+   * Time since which all reads show a lower version than the last; empty if the last one did not.
+   */
+  private OptionalLong lowerVersionSince = OptionalLong.empty();
 
   /**
    * Creates a candidate that has not read the lease yet.
@@ -79,7 +85,7 @@
       return renewalDue ? write(candidate, lastValue.fencingNumber(), nowNanos) : LeaseCall.none();
     }
     if (available || expired) {
-      return write(candidate, lastValue == null ? 1 : lastValue.fencingNumber() + 1, nowNanos);
+      return write(candidate, highestFencingNumber + 1, nowNanos);
     }
     return LeaseCall.read();
   }
@@ -121,20 +127,35 @@
       return;
     }
     pending = null;
-    if (version < lastVersion) {
+    if (version < lastVersion && !hasLowerVersionForLong(nowNanos)) {
       // A stale read does not show the current holder.
       return;
     }
+    lowerVersionSince = OptionalLong.empty();
     if (version != lastVersion || lastValue == null) {
       lastChangeSeenNanos = nowNanos;
       // Another candidate wrote the object, so the lease is lost even if its term has not ended.
       holding = false;
     }
+    if (value != null) {
+      highestFencingNumber = Math.max(highestFencingNumber, value.fencingNumber());
+    }
     lastValue = value;
     lastVersion = version;
     state = State.KNOWN;
   }
 
+  /**
+   * Returns whether reads have shown a lower version for the full lease length, so that the object
+   * was deleted, or created again. A write that follows is conditional on that version.
+   */
+  private boolean hasLowerVersionForLong(long nowNanos) {
+    if (lowerVersionSince.isEmpty()) {
+      lowerVersionSince = OptionalLong.of(nowNanos);
+    }
+    return nowNanos - lowerVersionSince.getAsLong() >= timing.lengthNanos();
+  }
+
   /**
    * Handles a successful write.
    *
@@ -142,6 +163,8 @@
    * @param nowNanos monotonic time after the reply arrived
    */
   public void onWritten(long version, long nowNanos) {
+    lowerVersionSince = OptionalLong.empty();
+    highestFencingNumber = Math.max(highestFencingNumber, pending.fencingNumber());
     lastValue = pending;
     lastVersion = version;
     lastChangeSeenNanos = nowNanos;
