End the term of a lease also while its holder's VM is suspended

What callers saw: nothing wrong was loaded, since VMs refuse orders that were overtaken; but until its next renewal, up to 3 s, a holder that was suspended for longer than its term could order more VMs to load at once than the configured share, beside the orders of the next holder. Cause: the term is counted by the monotonic clock, which stands still while a VM is suspended. Change: the term ends also when the wall clock says so. A forward step of that clock ends it early, until the next renewal. Whether others may take a lease over is still counted without it. Result: LeaseAgentTest#leaseEndsWhileTheVmIsSuspended was seen to fail on the code before (with the clock as an unused parameter) and passes now. #leaseIsNotTakenBackAfterSuspension passed before too: each renewal is a write that depends on the version which the holder wrote.

--- a/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -143,6 +143,7 @@
             self,
             store,
             environment.nanoClock(),
+            environment.epochClock(),
             environment.scheduler(),
             LeaseTiming.DEFAULT,
             () -> isWatcher(self),
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/LeaseAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/LeaseAgent.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.agrona.concurrent.EpochClock;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.configuration.errors.DocumentException;
 import org.clementineford.configuration.lease.Lease;
@@ -25,6 +26,7 @@
 
   private final VersionedObjectStore store;
   private final NanoClock clock;
+  private final EpochClock wallClock;
   private final Scheduler scheduler;
   private final LeaseTiming timing;
   private final BooleanSupplier candidate;
@@ -32,6 +34,10 @@
   private final String key;
   private final Lease lease;
   private boolean callInProgress;
+
+  /** Wall-clock time before the last write that succeeded, in milliseconds. */
+  private long termStartWallMs = Long.MIN_VALUE;
+
   private boolean stopped;
   private OptionalLong recordedFencingNumber = OptionalLong.empty();
   private Scheduler.Cancellable timer = () -> {};
@@ -42,6 +48,7 @@
    * @param self identity of this process
    * @param store the platform's object API
    * @param clock monotonic clock
+   * @param wallClock wall clock, which goes on while the VM is suspended
    * @param scheduler timers
    * @param timing times of the lease
    * @param candidate returns whether this process should compete for the lease now
@@ -51,12 +58,14 @@
       VmIdentity self,
       VersionedObjectStore store,
       NanoClock clock,
+      EpochClock wallClock,
       Scheduler scheduler,
       LeaseTiming timing,
       BooleanSupplier candidate,
       Timeline timeline) {
     this.store = store;
     this.clock = clock;
+    this.wallClock = wallClock;
     this.scheduler = scheduler;
     this.timing = timing;
     this.candidate = candidate;
@@ -74,17 +83,28 @@
 
   @Override
   public synchronized OptionalLong fencingNumber() {
-    return stopped ? OptionalLong.empty() : lease.fencingNumber(clock.nanoTime());
+    boolean valid = !stopped && !hasTermEndedByWallClock();
+    return valid ? lease.fencingNumber(clock.nanoTime()) : OptionalLong.empty();
+  }
+
+  /**
+   * Returns whether the term has ended by the wall clock, since the monotonic clock does not count
+   * the time for which the VM was suspended. A forward step of the wall clock ends the term early.
+   */
+  private boolean hasTermEndedByWallClock() {
+    long termNanos = timing.lengthNanos() - timing.marginNanos();
+    return wallClock.time() - TimeUnit.NANOSECONDS.toMillis(termNanos) >= termStartWallMs;
   }
 
   private void tick() {
     LeaseCall call;
+    final long wallMs = wallClock.time();
     synchronized (this) {
       if (callInProgress || stopped) {
         return;
       }
       long now = clock.nanoTime();
-      boolean holding = lease.fencingNumber(now).isPresent();
+      boolean holding = fencingNumber().isPresent();
       if (!candidate.getAsBoolean()) {
         call = lease.release(now);
       } else {
@@ -95,10 +115,11 @@
         recordChange();
       }
     }
-    execute(call);
+    execute(call, wallMs);
   }
 
-  private CompletableFuture<Void> execute(LeaseCall call) {
+  /** Sends a call that was decided on at a time of the wall clock, in milliseconds. */
+  private CompletableFuture<Void> execute(LeaseCall call, long wallMs) {
     return switch (call.kind()) {
       case NONE -> CompletableFuture.completedFuture(null);
       case READ ->
@@ -113,12 +134,17 @@
           write(call)
               .handle(
                   (version, failure) -> {
-                    onCallEnded(() -> lease.onWritten(version, clock.nanoTime()), failure, true);
+                    onCallEnded(() -> written(version, wallMs), failure, true);
                     return null;
                   });
     };
   }
 
+  private void written(long version, long wallMs) {
+    termStartWallMs = wallMs;
+    lease.onWritten(version, clock.nanoTime());
+  }
+
   private CompletableFuture<Long> write(LeaseCall call) {
     return call.expectedVersion() == 0
         ? store.create(key, call.value())
@@ -147,6 +173,7 @@
     }
     if (callAgain && candidate.getAsBoolean()) {
       LeaseCall next;
+      final long wallMs = wallClock.time();
       synchronized (this) {
         next = callInProgress ? null : lease.nextCall(clock.nanoTime());
         if (next == null || (next.kind() == LeaseCall.Kind.READ && failure == null)) {
@@ -154,12 +181,12 @@
         }
         callInProgress = next.kind() != LeaseCall.Kind.NONE;
       }
-      execute(next);
+      execute(next, wallMs);
     }
   }
 
   private void recordChange() {
-    OptionalLong now = stopped ? OptionalLong.empty() : lease.fencingNumber(clock.nanoTime());
+    OptionalLong now = fencingNumber();
     if (now.equals(recordedFencingNumber)) {
       return;
     }
@@ -191,7 +218,7 @@
       stopped = true;
       recordChange();
     }
-    return call == null ? CompletableFuture.completedFuture(null) : execute(call);
+    return call == null ? CompletableFuture.completedFuture(null) : execute(call, wallClock.time());
   }
 
   @FunctionalInterface
