Go on competing for a lease after a call that could not be sent

What callers saw: a process that held the lease lost it and never competed again, after one call of the store threw an error instead of failing; with all processes so, no orders were sent. Cause: the call was counted as in progress before it was sent, and only its future ended that. Change: each call is sent within a future, which fails if sending throws; then the lease is read.

--- a/org.clementineford.node.test/src/test/java/org/clementineford/node/internal/LeaseAgentTest.java
+++ b/org.clementineford.node.test/src/test/java/org/clementineford/node/internal/LeaseAgentTest.java
@@ -20,6 +20,8 @@
 import org.clementineford.kernel.timeline.Timeline;
 import org.clementineford.testing.VirtualTime;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class LeaseAgentTest {
   private static final String FAILURE = "by the test";
@@ -81,6 +83,21 @@
     assertThat(agent.fencingNumber()).isEmpty();
   }
 
+  // Guards against a process that never competes for the lease again after one error.
+  @ParameterizedTest
+  @ValueSource(ints = {1, 2, 3})
+  void competesAfterCallThatThrows(int call) {
+    store.failingCall = call;
+    try {
+      agent.start();
+    } catch (StackOverflowError e) {
+      assertThat(e).hasMessage(FAILURE);
+    }
+    advance(60);
+    assertThat(store.calls).isGreaterThan(call);
+    assertThat(agent.fencingNumber()).isPresent();
+  }
+
   /** A store of one object. */
   private static final class OneObject implements VersionedObjectStore {
     private StoredObject object;
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/LeaseAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/LeaseAgent.java
@@ -123,15 +123,16 @@
     return switch (call.kind()) {
       case NONE -> CompletableFuture.completedFuture(null);
       case READ ->
-          store
-              .get(key)
+          CompletableFuture.completedFuture(key)
+              .thenCompose(store::get)
               .handle(
                   (object, failure) -> {
                     onCallEnded(() -> lease.onRead(object, clock.nanoTime()), failure, false);
                     return null;
                   });
       case WRITE ->
-          write(call)
+          CompletableFuture.completedFuture(call)
+              .thenCompose(this::write)
               .handle(
                   (version, failure) -> {
                     onCallEnded(() -> written(version, wallMs), failure, true);
