Close silent idle connections before a call reports its failure

What callers saw: one timeout after the other after the connections to a server or to the platform went silent. Cause: the idle connections were closed by an action that was registered at the future of the call before its caller's own, and those run in the reverse order: a caller that sent again when it was told of the failure got the next silent connection. The connections are now closed before the future fails.

SilentIdleConnectionsTest#areClosedAfterOneCallWithoutAnswer failed once beside load, by this race between two threads; the new areClosedBeforeTheCallerIsTold failed on the code before without load on it.

--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/SilentIdleConnectionsTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/SilentIdleConnectionsTest.java
@@ -97,13 +97,32 @@
         timeoutMs);
   }
 
-  // Guards against one timeout after the other while connections that went silent are tried.
-  @Test
-  void areClosedAfterOneCallWithoutAnswer() throws Exception {
+  private void useFirstConnections() throws Exception {
     List<CompletableFuture<HttpResponse>> calls = List.of(call(5_000), call(5_000), call(5_000));
     for (CompletableFuture<HttpResponse> call : calls) {
       call.get(10, TimeUnit.SECONDS);
     }
+  }
+
+  // Guards against a retry on a silent connection, since its caller is told before they are closed.
+  @Test
+  void areClosedBeforeTheCallerIsTold() throws Exception {
+    useFirstConnections();
+    CompletableFuture<HttpResponse> again =
+        call(200)
+            .handle((response, failure) -> failure)
+            .thenCompose(
+                failure -> {
+                  assertThat(failure).isNotNull();
+                  return call(5_000);
+                });
+    assertThat(again.get(10, TimeUnit.SECONDS).status()).isEqualTo(200);
+  }
+
+  // Guards against one timeout after the other while connections that went silent are tried.
+  @Test
+  void areClosedAfterOneCallWithoutAnswer() throws Exception {
+    useFirstConnections();
     assertThatThrownBy(() -> call(200).get(10, TimeUnit.SECONDS))
         .isInstanceOf(ExecutionException.class);
     assertThat(call(5_000).get(10, TimeUnit.SECONDS).status()).isEqualTo(200);
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpClient.java
@@ -132,7 +132,8 @@
    */
   public CompletableFuture<HttpResponse> call(
       HostPort address, HttpRequest request, ResponseBounds bounds) {
-    ResponseCollector collector = new ResponseCollector(address, bounds.bodyBytes());
+    ResponseCollector collector =
+        new ResponseCollector(address, bounds.bodyBytes(), () -> closeIdleConnections(address));
     HttpCall call = send(address, request, bounds.idleMs(), collector);
     var deadline =
         eventLoops.schedule(
@@ -146,9 +147,6 @@
           deadline.cancel(false);
           if (failure != null) {
             call.cancel();
-            if (collector.status == 0 && !collector.future.isCancelled()) {
-              closeIdleConnections(address);
-            }
           }
         });
     return collector.future;
@@ -200,14 +198,16 @@
   private static final class ResponseCollector implements HttpResponseListener {
     private final HostPort address;
     private final int maxBodyBytes;
+    private final Runnable onSilence;
     private final CompletableFuture<HttpResponse> future = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private int status;
     private Map<String, String> headers = Map.of();
 
-    ResponseCollector(HostPort address, int maxBodyBytes) {
+    ResponseCollector(HostPort address, int maxBodyBytes, Runnable onSilence) {
       this.address = address;
       this.maxBodyBytes = maxBodyBytes;
+      this.onSilence = onSilence;
     }
 
     @Override
@@ -232,6 +232,10 @@
 
     @Override
     public void onFailure(ExchangeFailure failure, String cause) {
+      if (status == 0 && !future.isDone()) {
+        // A caller that is told of the failure may send again at once.
+        onSilence.run();
+      }
       ErrorKind kind =
           failure.isCertainlyNotReceived() ? ErrorKind.UNAVAILABLE : ErrorKind.OUTCOME_UNKNOWN;
       future.completeExceptionally(
