Give up unanswered idempotent runs of a server that answers no poll

A caller got no answer for 20 s while an engine hung: a lookup without streaming that was sent to it waited for the whole timeout of the request, although two other endpoints were idle.

An engine is marked down after three polls of 2 s without an answer, up to 9 s after it begins to hang. Its queued runs were refused then and retried elsewhere, but runs that were already sent to it went on. Their idle timeout is that of the request, since an answer that is not streamed arrives at once; a stream waited for 10 s.

When a poll or probe gets no answer and leaves the server down, its idempotent runs without any part of an answer now end with an unknown outcome, so the entry VM retries them elsewhere within its budget, and the engine sees their connections close. A run that is not idempotent goes on, so a late answer still arrives and nothing is started twice; so does an answer that has begun. A server that failed runs but answers the probe keeps its other runs. Callers of the only endpoint of a model get a refusal earlier than before, as those in its queue did already.

--- a/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/WholePathFaultsTest.java
+++ b/org.clementineford.daemons.test/src/test/java/org/clementineford/daemons/WholePathFaultsTest.java
@@ -125,6 +125,7 @@
     fleet.awaitEnded(traffic);
     fleet.awaitEnded(later);
     assertThat(traffic.lookups().wrongCount()).isZero();
+    assertThat(traffic.lookups().failures()).isEmpty();
     assertAtMostOneRun(traffic);
     assertThat(later.lookups().failures()).isEmpty();
     assertThat(later.lookups().refusedCount()).isZero();
--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
@@ -62,6 +62,7 @@
   private final List<Consumer<ConfigurationSnapshot>> configurationListeners = new ArrayList<>();
   private final List<PeerNetwork> entryVms = new ArrayList<>();
   private ConfigurationSnapshot configuration = ConfigurationSnapshot.EMPTY;
+  private volatile boolean pollsAnswered = true;
 
   EndpointFixture(int slots, HostPort... furtherEngines) throws Exception {
     startBackEnd(ANY_PORT);
@@ -113,12 +114,21 @@
 
   private void receive(HttpExchange exchange) {
     if (exchange.request().method().equals("GET")) {
+      if (!pollsAnswered) {
+        exchange.abort();
+        return;
+      }
       exchange.respond(200, Map.of(), "{\"slots\":0,\"ageMs\":0}".getBytes(StandardCharsets.UTF_8));
     } else {
       received.add(exchange);
     }
   }
 
+  /** Sets whether polls get an answer; others lose their connection, so that no timer is needed. */
+  void setPollsAnswered(boolean answered) {
+    pollsAnswered = answered;
+  }
+
   /** Adds an entry VM that confirms load reports; returns the queue of the reports it receives. */
   LinkedBlockingQueue<LoadReport> addEntryVm(String vm, String dataCentre) throws Exception {
     VmIdentity identity = new VmIdentity(vm, VmRole.ENTRY, dataCentre, "brittany", 1, ANY_PORT);
--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/LocalBackEndTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/LocalBackEndTest.java
@@ -3,11 +3,18 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.requests.RefusalKind;
+import org.clementineford.transport.http.HttpExchange;
+import org.clementineford.wire.Refusal;
+import org.clementineford.wire.RunState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -63,6 +70,97 @@
     }
   }
 
+  @Nested
+  class Unresponsive {
+    private static final int SLOTS = 4;
+    private static final int POLLS_UNTIL_DOWN = 3;
+    private static final long POLL_INTERVAL_MS = 1000;
+
+    private EndpointFixture endpoint;
+
+    @BeforeEach
+    void start() throws Exception {
+      endpoint = new EndpointFixture(SLOTS);
+    }
+
+    @AfterEach
+    void stop() {
+      endpoint.close();
+    }
+
+    private void failPollsUntilDown() throws Exception {
+      endpoint.setPollsAnswered(false);
+      for (int i = 0; i < POLLS_UNTIL_DOWN; i++) {
+        endpoint.advance(POLL_INTERVAL_MS);
+      }
+    }
+
+    // Guards against an idempotent request that waits for a hanging engine until its own deadline,
+    // although another endpoint would answer it.
+    @Test
+    void endsUnansweredIdempotentRunWithUnknownOutcome() throws Exception {
+      RecordingExchange exchange = endpoint.dispatch("1", dispatch -> {});
+      HttpExchange call = endpoint.nextCall();
+      CompletableFuture<Void> closed = new CompletableFuture<>();
+      call.onClosed(() -> closed.complete(null));
+      failPollsUntilDown();
+      Refusal refusal = exchange.awaitLast().getRefusal();
+      assertThat(refusal.getKind()).isEqualTo(RefusalKind.BACK_END_BROKEN.wireName());
+      assertThat(refusal.getRun()).isEqualTo(RunState.UNKNOWN);
+      assertThat(closed).succeedsWithin(5, TimeUnit.SECONDS);
+      endpoint.awaitIdle();
+    }
+
+    // Guards against a reservation that is given up, or made twice, because its engine is slow.
+    @Test
+    void keepsNonIdempotentRunForItsLateAnswer() throws Exception {
+      final RecordingExchange exchange =
+          endpoint.dispatch("1", dispatch -> dispatch.setIdempotent(false));
+      final HttpExchange call = endpoint.nextCall();
+      final RecordingExchange other = endpoint.dispatch("2", dispatch -> {});
+      endpoint.nextCall();
+      failPollsUntilDown();
+      other.awaitLast();
+      EndpointFixture.answer(call, "lot 5");
+      assertThat(exchange.awaitLast().isSetAnswerEnd()).isTrue();
+      assertThat(exchange.body()).isEqualTo("lot 5");
+      assertThat(endpoint.received).isEmpty();
+    }
+
+    // Guards against cutting an answer that arrives while the engine misses polls.
+    @Test
+    void keepsRunWhoseAnswerHasBegun() throws Exception {
+      RecordingExchange exchange = endpoint.dispatch("1", dispatch -> {});
+      HttpExchange call = endpoint.nextCall();
+      call.start(200, EndpointFixture.engineHeaders(call));
+      exchange.awaitFirst();
+      final RecordingExchange other = endpoint.dispatch("2", dispatch -> {});
+      endpoint.nextCall();
+      failPollsUntilDown();
+      other.awaitLast();
+      call.write("late".getBytes(StandardCharsets.UTF_8));
+      call.finish();
+      assertThat(exchange.awaitLast().isSetAnswerEnd()).isTrue();
+      assertThat(exchange.body()).isEqualTo("late");
+    }
+
+    // Guards against giving up sound runs because others failed at an engine that answers polls.
+    @Test
+    void keepsUnansweredRunIfEngineAnswersProbe() throws Exception {
+      RecordingExchange exchange = endpoint.dispatch("1", dispatch -> {});
+      final HttpExchange call = endpoint.nextCall();
+      for (int i = 0; i < POLLS_UNTIL_DOWN; i++) {
+        RecordingExchange broken = endpoint.dispatch("broken-" + i, dispatch -> {});
+        endpoint.nextCall().abort();
+        broken.awaitLast();
+      }
+      endpoint.advance(POLL_INTERVAL_MS);
+      assertThat(exchange.isFinished()).isFalse();
+      EndpointFixture.answer(call, "done");
+      assertThat(exchange.awaitLast().isSetAnswerEnd()).isTrue();
+    }
+  }
+
   private boolean isUp() {
     return fixture.timeline.after(0, 100).stream()
         .filter(event -> event.kind() == EventKind.BACK_END_UP)
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEndServer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEndServer.java
@@ -1,13 +1,16 @@
 package org.clementineford.endpoint.internal.requests;
 
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import org.clementineford.kernel.HostPort;
 
 /** One server process of a back end; a model may run on several engines of the VM. */
 final class BackEndServer {
   private final HostPort address;
   private final BackEndHealth health = new BackEndHealth();
+  private final Set<Run> runs = new LinkedHashSet<>();
   private int slots;
-  private int running;
 
   BackEndServer(HostPort address, int slots) {
     this.address = address;
@@ -32,14 +35,19 @@
   }
 
   synchronized int freeSlots() {
-    return usableSlots() - running;
+    return usableSlots() - runs.size();
   }
 
-  synchronized void occupySlot() {
-    running++;
+  synchronized void occupySlot(Run run) {
+    runs.add(run);
   }
 
-  synchronized void releaseSlot() {
-    running--;
+  synchronized void releaseSlot(Run run) {
+    runs.remove(run);
+  }
+
+  /** Returns the runs that occupy a slot, earliest first. */
+  synchronized List<Run> runs() {
+    return List.copyOf(runs);
   }
 }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoller.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoller.java
@@ -86,7 +86,7 @@
       pending = false;
     }
     if (failure != null) {
-      backEnd.recordFailure(server, false, String.valueOf(failure.getMessage()));
+      backEnd.recordUnansweredPoll(server, String.valueOf(failure.getMessage()));
       return;
     }
     backEnd.recordSuccess(server);
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LocalBackEnd.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LocalBackEnd.java
@@ -54,7 +54,7 @@
   }
 
   /** Selects the server with the most free slots and occupies one of them. */
-  BackEndServer acquireServer() {
+  BackEndServer acquireServer(Run run) {
     synchronized (servers) {
       BackEndServer best = servers.get(0);
       for (BackEndServer server : servers) {
@@ -62,7 +62,7 @@
           best = server;
         }
       }
-      best.occupySlot();
+      best.occupySlot(run);
       return best;
     }
   }
@@ -125,7 +125,7 @@
 
   /** Releases the slot of a run. Must not be called while holding the lock of a run. */
   void runFinished(QueuedRequest<Run> request, BackEndServer server, long actualCost) {
-    server.releaseSlot();
+    server.releaseSlot(request.work());
     queue.finish(request, actualCost);
     startNext();
   }
@@ -153,6 +153,18 @@
     }
   }
 
+  /**
+   * Records a poll or probe without an answer. If it leaves the server down, other endpoints may
+   * answer before this server does, so its unanswered runs end as far as they may run again. Must
+   * not be called while holding the lock of a run.
+   */
+  void recordUnansweredPoll(BackEndServer server, String cause) {
+    recordFailure(server, false, cause);
+    if (server.health().isDown()) {
+      server.runs().forEach(run -> run.giveUpIfRepeatable(server, cause));
+    }
+  }
+
   /** Sets the concurrency limit of the queue to the total slots of the servers that are up. */
   void updateSlots() {
     queue.setSlots(servers.stream().mapToInt(BackEndServer::usableSlots).sum());
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.requests.RefusalKind;
 import org.clementineford.requests.RunState;
@@ -171,7 +172,7 @@
         return false;
       }
       state = State.RUNNING;
-      server = backEnd.acquireServer();
+      server = backEnd.acquireServer(this);
     }
     send();
     return true;
@@ -315,17 +316,30 @@
       if (state == State.ENDED) {
         return true;
       }
-      server.releaseSlot();
-      server = backEnd.acquireServer();
+      server.releaseSlot(this);
+      server = backEnd.acquireServer(this);
       resent = false;
     }
     send();
     return true;
   }
 
+  /** Ends the run if it is idempotent and no part of its answer has arrived from the server. */
+  void giveUpIfRepeatable(BackEndServer unresponsive, String cause) {
+    fail(
+        RefusalKind.BACK_END_BROKEN,
+        RunState.UNKNOWN,
+        cause,
+        () -> server == unresponsive && attempt.idempotent() && !answer.hasStarted());
+  }
+
   private void fail(RefusalKind kind, RunState run, String detail) {
+    fail(kind, run, detail, () -> true);
+  }
+
+  private void fail(RefusalKind kind, RunState run, String detail, BooleanSupplier condition) {
     synchronized (this) {
-      if (state != State.RUNNING) {
+      if (state != State.RUNNING || !condition.getAsBoolean()) {
         return;
       }
       cancelCall();
