Refuse requests that may outlive a stopping entry VM daemon

The process knew when it would end, but no request was compared with that time. The end of the drain is now given to each component, and a request whose deadline lies behind it is refused at once as entry-leaving, not run, with a close announced. The same holds for a request in flight that is about to get its first or next attempt, if it surely was not run: it may have waited for a connection, for its claim or for the refusal of an endpoint. One that may have run goes on, because a refusal would only say "unknown". Refusals announce the close from the start of the drain.

--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/PlannedStops.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/requests/PlannedStops.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.agrona.concurrent.SystemNanoClock;
 import org.clementineford.kernel.errors.ClementinefordException;
 
 /** Restarts one daemon after the other as an operator does: drains it, then stops it. */
@@ -51,7 +52,8 @@
     boolean entry = number % 2 == 0;
     int index = number / 2 % (entry ? site.entryCount() : site.endpointCount());
     RequestVm daemon = entry ? site.entry(index) : site.endpoint(index);
-    daemon.component().drain().get(DRAIN_MS, TimeUnit.MILLISECONDS);
+    long endNanos = SystemNanoClock.INSTANCE.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DRAIN_MS);
+    daemon.component().drain(endNanos).get(DRAIN_MS, TimeUnit.MILLISECONDS);
     daemon.close();
     restart(entry, index);
   }
--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/EndpointFixture.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -140,6 +141,11 @@
     return reports;
   }
 
+  /** Starts a drain that lasts at most the given time. */
+  CompletableFuture<Void> drain(long milliseconds) {
+    return endpoint.drain(time.nanoTime() + TimeUnit.MILLISECONDS.toNanos(milliseconds));
+  }
+
   HttpExchange nextCall() throws Exception {
     HttpExchange call = received.poll(5, TimeUnit.SECONDS);
     if (call == null) {
--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/LeavingTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/LeavingTest.java
@@ -72,7 +72,7 @@
     log("entry-1", Payload.loadReport(next(near)));
 
     fixture.advance(200);
-    final CompletableFuture<Void> drained = fixture.endpoint.drain();
+    final CompletableFuture<Void> drained = fixture.drain(30_000);
     log("endpoint-1 starts to leave");
     log("entry-1", Payload.loadReport(next(near)));
     log("entry-2", Payload.loadReport(next(far)));
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
@@ -121,7 +121,7 @@
   }
 
   @Override
-  public CompletableFuture<Void> drain() {
+  public CompletableFuture<Void> drain(long endNanos) {
     draining = true;
     synchronized (this) {
       services.registry().setLeaving(true);
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponent.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/WeightsComponent.java
@@ -149,7 +149,7 @@
   }
 
   @Override
-  public CompletableFuture<Void> drain() {
+  public CompletableFuture<Void> drain(long endNanos) {
     return CompletableFuture.completedFuture(null);
   }
 
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/CallerRequestHandlerTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/CallerRequestHandlerTest.java
@@ -15,6 +15,10 @@
   private final VirtualTimeFleet fleet = new VirtualTimeFleet();
   private final VirtualTimeFleet.Entry entry = fleet.entry(1);
 
+  private long after(long milliseconds) {
+    return fleet.time.nanoTime() + TimeUnit.MILLISECONDS.toNanos(milliseconds);
+  }
+
   private void advanceBriefly() {
     fleet.time.advance(50, TimeUnit.MILLISECONDS);
   }
@@ -91,7 +95,7 @@
       fleet.endpoints.values().forEach(e -> e.behavior = FakeEndpoint.Behavior.KEEP_RUNNING);
       final FakeCall inFlight = fleet.chat(entry, true);
       advanceBriefly();
-      entry.requestHandler.failReadiness();
+      entry.requestHandler.startDrain(after(60_000));
       assertThat(entry.call("GET", "/ready", Map.of(), "").status).isEqualTo(503);
       assertThat(fleet.chat(entry, false).status).isZero();
       CompletableFuture<Void> idle = entry.requestHandler.refuseNewRequests();
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/EntryOverNetworkTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/EntryOverNetworkTest.java
@@ -159,7 +159,9 @@
   @Test
   void drainFailsReadinessAndEnds() throws Exception {
     assertThat(client.call(entry.httpAddress(), ready(), 5000).get().status()).isEqualTo(200);
-    entry.drain().get(5, TimeUnit.SECONDS);
+    entry
+        .drain(SystemNanoClock.INSTANCE.nanoTime() + TimeUnit.SECONDS.toNanos(60))
+        .get(5, TimeUnit.SECONDS);
     assertThat(client.call(entry.httpAddress(), ready(), 5000).get().status()).isEqualTo(503);
   }
 
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/VirtualTimeFleet.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/VirtualTimeFleet.java
@@ -22,6 +22,7 @@
 import org.clementineford.kernel.timeline.HybridLogicalClock;
 import org.clementineford.kernel.timeline.Timeline;
 import org.clementineford.node.ConfigurationView;
+import org.clementineford.requests.ProcessEnd;
 import org.clementineford.requests.attempts.RetryBudget;
 import org.clementineford.requests.routing.BackEndId;
 import org.clementineford.requests.routing.BackEndReport;
@@ -190,7 +191,8 @@
               time,
               time,
               metrics,
-              timeline);
+              timeline,
+              new ProcessEnd());
       requestHandler = new CallerRequestHandler(self, VirtualTimeFleet.this, services, 1 << 20);
     }
 
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/CallerRequestHandler.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/CallerRequestHandler.java
@@ -58,8 +58,13 @@
     services.endpoints().setLeavingByDocument(snapshot.leavingVms(), clock.nanoTime());
   }
 
-  /** Makes {@code /ready} fail. Requests are still accepted. */
-  void failReadiness() {
+  /**
+   * Makes {@code /ready} fail. Requests are still accepted if they end in time.
+   *
+   * @param endNanos monotonic time at which the requests in flight are ended, in nanoseconds
+   */
+  void startDrain(long endNanos) {
+    services.processEnd().set(endNanos);
     notReady = true;
   }
 
@@ -120,8 +125,10 @@
   private void accept(HttpExchange http, CallerRequest request, ClientAccount account) {
     // Counted before the check, so that a drain waits for every request that passes the check.
     inFlight.incrementAndGet();
-    if (refusing) {
-      lastArrivalNanos = services.clock().nanoTime();
+    long now = services.clock().nanoTime();
+    long deadlineNanos = now + TimeUnit.MILLISECONDS.toNanos(request.timeoutMs());
+    if (refusing || services.processEnd().isBefore(deadlineNanos)) {
+      lastArrivalNanos = now;
       refuse(http, EntryRefusal.ENTRY_LEAVING, request.requestId(), "");
       requestEnded();
       return;
@@ -139,7 +146,7 @@
     }
     services.metrics().inFlight.inc();
     double retryBudgetShare = configuration.current().policies().retryBudgetShare();
-    services.budget().deposit(retryBudgetShare, services.clock().nanoTime());
+    services.budget().deposit(retryBudgetShare, now);
     Runnable endAction =
         () -> {
           inFlightLimit.release(reservation);
@@ -162,7 +169,7 @@
     RefusalResponses.Response response =
         RefusalResponses.of(refusal, RunState.NOT_RUN, requestId, detail);
     Map<String, String> headers = new HashMap<>(response.headers());
-    if (refusing) {
+    if (notReady || refusing) {
       headers.put("Connection", "close");
     }
     http.respond(response.status(), headers, response.body());
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/EntryServices.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/EntryServices.java
@@ -3,6 +3,7 @@
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.kernel.timeline.Timeline;
+import org.clementineford.requests.ProcessEnd;
 import org.clementineford.requests.attempts.RetryBudget;
 import org.clementineford.requests.routing.EndpointTable;
 
@@ -18,6 +19,7 @@
  * @param scheduler scheduler of timers
  * @param metrics request metrics
  * @param timeline event timeline of this process
+ * @param processEnd when the requests end because the process stops
  */
 record EntryServices(
     PeerExchanges connections,
@@ -28,4 +30,5 @@
     NanoClock clock,
     Scheduler scheduler,
     EntryMetrics metrics,
-    Timeline timeline) {}
+    Timeline timeline,
+    ProcessEnd processEnd) {}
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/InFlightRequest.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/InFlightRequest.java
@@ -97,7 +97,7 @@
    * claim, the attempt is sent after the claim has been written.
    */
   synchronized void startNextAttempt() {
-    if (ended) {
+    if (ended || refuseIfProcessEndsFirst()) {
       return;
     }
     long now = services.clock().nanoTime();
@@ -128,6 +128,18 @@
     }
   }
 
+  /**
+   * Refuses a request that was surely not run if the process may end before its deadline. A request
+   * that may have run goes on, because the refusal would tell its caller less than another attempt.
+   */
+  private boolean refuseIfProcessEndsFirst() {
+    if (!services.processEnd().isBefore(deadlineNanos) || knownRunState() != RunState.NOT_RUN) {
+      return false;
+    }
+    refuse(EntryRefusal.ENTRY_LEAVING);
+    return true;
+  }
+
   private Optional<AttemptTarget> chooseTarget(Predicate<String> excluded, long now) {
     String attemptId = request.requestId() + "." + (attemptsCreated + 1);
     return services
@@ -137,7 +149,7 @@
 
   /** Sends an attempt to its endpoint. */
   synchronized void dispatch(AttemptTarget target) {
-    if (ended) {
+    if (ended || refuseIfProcessEndsFirst()) {
       return;
     }
     long now = services.clock().nanoTime();
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RefusalResponses.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RefusalResponses.java
@@ -21,13 +21,18 @@
   record Response(int status, Map<String, String> headers, byte[] body, String kind) {}
 
   static Response of(EntryRefusal refusal, RunState run, String requestId, String detail) {
-    return response(
-        refusal.wireName(),
-        refusal.status(),
-        refusal.retryAfterMs(),
-        run,
-        requestId,
-        MESSAGES.format(refusal.name(), detail));
+    Response response =
+        response(
+            refusal.wireName(),
+            refusal.status(),
+            refusal.retryAfterMs(),
+            run,
+            requestId,
+            MESSAGES.format(refusal.name(), detail));
+    if (refusal.closesConnection()) {
+      response.headers().put("Connection", "close");
+    }
+    return response;
   }
 
   static Response response(
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
@@ -11,6 +11,7 @@
 import org.clementineford.node.MembershipView;
 import org.clementineford.node.NodeComponent;
 import org.clementineford.node.NodeContext;
+import org.clementineford.requests.ProcessEnd;
 import org.clementineford.requests.attempts.RetryBudget;
 import org.clementineford.requests.routing.EndpointTable;
 import org.clementineford.requests.routing.Router;
@@ -49,7 +50,8 @@
             context.nanoClock(),
             context.scheduler(),
             new EntryMetrics(context.metrics()),
-            context.timeline());
+            context.timeline(),
+            new ProcessEnd());
   }
 
   @Override
@@ -100,8 +102,8 @@
   }
 
   @Override
-  public CompletableFuture<Void> drain() {
-    requestHandler.failReadiness();
+  public CompletableFuture<Void> drain(long endNanos) {
+    requestHandler.startDrain(endNanos);
     // Gives the load balancer time to see the readiness change before requests are refused.
     context
         .scheduler()
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/rollout/RolloutController.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/rollout/RolloutController.java
@@ -190,18 +190,18 @@
   }
 
   @Override
-  public CompletableFuture<Void> drain() {
+  public CompletableFuture<Void> drain(long endNanos) {
+    close();
+    return CompletableFuture.completedFuture(null);
+  }
+
+  @Override
+  public void close() {
     synchronized (this) {
       draining = true;
     }
     if (timer != null) {
       timer.cancel();
     }
-    return CompletableFuture.completedFuture(null);
-  }
-
-  @Override
-  public void close() {
-    drain();
   }
 }
--- a/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -270,7 +270,7 @@
     List<NodeComponent> reversed = new ArrayList<>(components);
     Collections.reverse(reversed);
     for (NodeComponent component : reversed) {
-      await(component.drain(), deadline);
+      await(component.drain(deadline), deadline);
     }
     await(
         leaveNotices,
--- a/org.clementineford.node/src/main/java/org/clementineford/node/NodeComponent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/NodeComponent.java
@@ -13,11 +13,12 @@
   void start() throws ClementinefordException;
 
   /**
-   * Stops accepting new work.
+   * Stops accepting new work, and work that may not end in time.
    *
+   * @param endNanos monotonic time at which the work in flight is aborted, in nanoseconds
    * @return a future that completes when the work in flight has ended
    */
-  CompletableFuture<Void> drain();
+  CompletableFuture<Void> drain(long endNanos);
 
   /** Releases resources. Called after {@link #drain} has completed or timed out. */
   void close();
--- a/org.clementineford.node/src/main/java/org/clementineford/node/NodeSettings.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/NodeSettings.java
@@ -84,9 +84,9 @@
   public static final Setting<Long> DRAIN_TIMEOUT_MS =
       new Setting<>(
           "drain-timeout-ms",
-          "Maximum duration of a graceful stop in milliseconds; work still in flight is then"
-              + " aborted.",
-          "30000",
+          "Maximum duration of a graceful stop in milliseconds. During it, requests whose deadline"
+              + " lies behind its end are refused; work still in flight at its end is aborted.",
+          "35000",
           SettingParser.wholeNumber(0, 3_600_000));
 
   /** Copies the seeds. */
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/attempts/EntryRefusal.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/attempts/EntryRefusal.java
@@ -25,7 +25,12 @@
   /** This entry VM started recently and has not received the client accounts yet. */
   NO_CONFIGURATION(503, 1000),
   /** This entry VM is stopping. */
-  ENTRY_LEAVING(503, 1000),
+  ENTRY_LEAVING(503, 1000) {
+    @Override
+    public boolean closesConnection() {
+      return true;
+    }
+  },
   /** The platform cannot record the claim. */
   PLATFORM_DOWN(503, 2000),
   /** It can no longer be determined whether the request ran. */
@@ -62,6 +67,16 @@
     return status;
   }
 
+  /**
+   * Returns whether the caller is asked to close its connection, because the next request on it
+   * would be refused as well.
+   *
+   * @return true if this process is stopping
+   */
+  public boolean closesConnection() {
+    return false;
+  }
+
   /**
    * Returns the time after which the caller may try again.
    *
