Answer the requests that a stopping entry VM daemon leaves

When the drain time was over, an entry VM daemon closed the connections of the requests that were left: their callers got no answer, could not tell "not run" from "unknown", and no line named them. No caller of this path reported it; it was found by reading and shown by the tests.

The close of the component only closed its HTTP server, and each request took that for a caller that had left. It now ends each request first, with the most that is known: entry-leaving, not run, if it was never dispatched; entry-stopped, unknown (502), if it may have run; a stream that has started is closed without its last chunk. The run of a request with a key goes on, so that a resend through another entry VM gets its answer. One warning in the log names each request. Later requests are refused.

PlannedStopTest$RequestLeftAtTheEnd (four of its five tests) and EntryOverNetworkTest#closeAnswersRequestsInFlight, where the caller saw "connection lost", were seen to fail before.

--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/EntryOverNetworkTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/EntryOverNetworkTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agrona.concurrent.SystemEpochClock;
@@ -41,8 +42,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** Tests an entry VM and a simulated endpoint over real network connections. */
+@Timeout(30)
 class EntryOverNetworkTest {
   private static final HostPort ANY = new HostPort("127.0.0.1", 0);
 
@@ -123,13 +126,17 @@
   }
 
   private HttpResponse call(String path, String body) throws Exception {
+    return send(path, body).get(5, TimeUnit.SECONDS);
+  }
+
+  private CompletableFuture<HttpResponse> send(String path, String body) {
     HttpRequest request =
         new HttpRequest(
             "POST",
             path,
             Map.of("Authorization", "Bearer " + VirtualTimeFleet.TOKEN, "Idempotency-Key", "k"),
             body.getBytes(StandardCharsets.UTF_8));
-    return client.call(entry.httpAddress(), request, 5000).get(5, TimeUnit.SECONDS);
+    return client.call(entry.httpAddress(), request, 5000);
   }
 
   private static String text(HttpResponse response) {
@@ -165,6 +172,19 @@
     assertThat(client.call(entry.httpAddress(), ready(), 5000).get().status()).isEqualTo(503);
   }
 
+  // Guards against a stop that closes connections before the answers of their requests.
+  @Test
+  void closeAnswersRequestsInFlight() throws Exception {
+    endpoint.behavior = FakeEndpoint.Behavior.KEEP_RUNNING;
+    CompletableFuture<HttpResponse> response = send("/services/reservations/reservations", "1 kg");
+    while (endpoint.dispatches.isEmpty()) {
+      Thread.onSpinWait();
+    }
+    entry.close();
+    assertThat(response.get(5, TimeUnit.SECONDS).headers())
+        .containsEntry("Clementineford-Run", "unknown");
+  }
+
   private static HttpRequest ready() {
     return new HttpRequest("GET", "/ready", Map.of(), new byte[0]);
   }
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/FakeEndpoint.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.zip.CRC32C;
@@ -33,6 +34,8 @@
     LOSE_ANSWER,
     /** The connection breaks after the first part of the answer. */
     BREAK_STREAM,
+    /** Nothing follows the first part of the answer. */
+    STALL_STREAM,
     /** The head of the answer has the ID of another request. */
     CROSS_ANSWER,
     /** A part of the answer is missing. */
@@ -47,7 +50,7 @@
 
   final String vm;
   final Map<String, Integer> runs = new TreeMap<>();
-  final List<Dispatch> dispatches = new ArrayList<>();
+  final List<Dispatch> dispatches = new CopyOnWriteArrayList<>();
   final List<String> refusals = new ArrayList<>();
   long incarnation = 1;
   Behavior behavior = Behavior.ANSWER;
@@ -200,8 +203,11 @@
           false);
       byte[] bytes = body();
       byte[] first = java.util.Arrays.copyOf(bytes, 3);
-      byte[] second = java.util.Arrays.copyOfRange(bytes, 3, bytes.length);
+      final byte[] second = java.util.Arrays.copyOfRange(bytes, 3, bytes.length);
       listener.onPayload(Payload.answerPart(part(id, 0, first)), false);
+      if (behavior == Behavior.STALL_STREAM) {
+        return;
+      }
       if (behavior == Behavior.BREAK_STREAM) {
         listener.onFailure(ExchangeFailure.UNKNOWN);
         return;
--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/PlannedStopTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/PlannedStopTest.java
@@ -2,12 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.read.ListAppender;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.entry.internal.requests.FakeEndpoint.Behavior;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.slf4j.LoggerFactory;
 
 /** Requests that an entry VM has or gets while it stops; their timeout is 30 s by default. */
 class PlannedStopTest {
@@ -15,6 +21,19 @@
 
   private final VirtualTimeFleet fleet = new VirtualTimeFleet();
   private final VirtualTimeFleet.Entry entry = fleet.entry(1);
+  private final Logger logger = (Logger) LoggerFactory.getLogger(RequestEvents.class);
+  private final ListAppender<ILoggingEvent> lines = new ListAppender<>();
+
+  @BeforeEach
+  void collectLines() {
+    lines.start();
+    logger.addAppender(lines);
+  }
+
+  @AfterEach
+  void detach() {
+    logger.detachAppender(lines);
+  }
 
   private void startDrain() {
     entry.requestHandler.startDrain(
@@ -25,6 +44,10 @@
     fleet.time.advance(50, TimeUnit.MILLISECONDS);
   }
 
+  private void setAllBehaviors(Behavior behavior) {
+    fleet.endpoints.values().forEach(endpoint -> endpoint.behavior = behavior);
+  }
+
   private int dispatches() {
     return fleet.endpoints.values().stream().mapToInt(e -> e.dispatches.size()).sum();
   }
@@ -103,4 +126,74 @@
       assertThat(fleet.runs("k")).isOne();
     }
   }
+
+  @Nested
+  class RequestLeftAtTheEnd {
+    private void assertNamedByOneLine(FakeCall call) {
+      String id = call.headers.get("Clementineford-Request");
+      assertThat(lines.list)
+          .filteredOn(
+              line -> line.getKeyValuePairs().stream().anyMatch(pair -> id.equals(pair.value)))
+          .hasSize(1);
+    }
+
+    // Guards against a connection that closes without saying that nothing was run.
+    @Test
+    void isRefusedAsNotRunIfNoEndpointGotIt() {
+      fleet.endpoints.values().forEach(endpoint -> endpoint.reachable = false);
+      FakeCall call = chat(1000);
+      entry.requestHandler.endRequests();
+      assertRefused(call, 503, "entry-leaving", "not-run");
+      assertNamedByOneLine(call);
+    }
+
+    // Guards against a connection that closes without an answer after a dispatch.
+    @Test
+    void isAnsweredAsUnknownIfAnEndpointGotIt() {
+      setAllBehaviors(Behavior.KEEP_RUNNING);
+      final FakeCall call = chat(30_000);
+      final FakeCall reservation = fleet.reserve(entry, "k");
+      advanceBriefly();
+      entry.requestHandler.endRequests();
+      assertRefused(call, 502, "entry-stopped", "unknown");
+      assertRefused(reservation, 502, "entry-stopped", "unknown");
+      assertNamedByOneLine(call);
+      assertNamedByOneLine(reservation);
+    }
+
+    // Guards against a resend that finds the run of a stopped entry VM cancelled.
+    @Test
+    void leavesTheRunOfItsKeyToResends() {
+      setAllBehaviors(Behavior.KEEP_RUNNING);
+      fleet.reserve(entry, "k");
+      advanceBriefly();
+      entry.requestHandler.endRequests();
+      final FakeCall resent = fleet.reserve(fleet.entry(2), "k");
+      advanceBriefly();
+      fleet.endpoints.values().forEach(FakeEndpoint::finishRuns);
+      advanceBriefly();
+      assertThat(resent.status).isEqualTo(200);
+      assertThat(fleet.runs("k")).isOne();
+    }
+
+    // Guards against a cut stream that looks complete or that no line names.
+    @Test
+    void isClosedWithoutItsLastChunkIfItsStreamHasStarted() {
+      setAllBehaviors(Behavior.STALL_STREAM);
+      FakeCall call = fleet.chat(entry, true);
+      advanceBriefly();
+      assertThat(call.status).isEqualTo(200);
+      entry.requestHandler.endRequests();
+      assertThat(call.aborted).isTrue();
+      assertThat(call.complete).isFalse();
+      assertNamedByOneLine(call);
+    }
+
+    // Guards against accepting requests after the last ones were ended.
+    @Test
+    void isNotFollowedByOthers() {
+      entry.requestHandler.endRequests();
+      assertRefused(chat(1000), 503, "entry-leaving", "not-run");
+    }
+  }
 }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/CallerRequestHandler.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/CallerRequestHandler.java
@@ -2,10 +2,13 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.configuration.ClientAccount;
 import org.clementineford.configuration.ConfigurationSnapshot;
@@ -38,8 +41,10 @@
   private final AtomicLong lastRequestNumber = new AtomicLong();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private final Set<InFlightRequest> requests = ConcurrentHashMap.newKeySet();
   private volatile boolean notReady;
   private volatile boolean refusing;
+  private volatile boolean requestsEnded;
   private volatile long lastArrivalNanos;
 
   CallerRequestHandler(
@@ -80,6 +85,13 @@
     return drained;
   }
 
+  /** Refuses new requests and ends those in flight with the most that is known about each. */
+  void endRequests() {
+    refusing = true;
+    requestsEnded = true;
+    requests.forEach(InFlightRequest::processEnds);
+  }
+
   private void completeWhenIdle() {
     long quietNanos = services.clock().nanoTime() - lastArrivalNanos;
     if (inFlight.get() == 0 && quietNanos >= QUIET_PERIOD_NANOS) {
@@ -147,16 +159,22 @@
     services.metrics().inFlight.inc();
     double retryBudgetShare = configuration.current().policies().retryBudgetShare();
     services.budget().deposit(retryBudgetShare, now);
-    Runnable endAction =
-        () -> {
+    Consumer<InFlightRequest> endAction =
+        ended -> {
           inFlightLimit.release(reservation);
           services.metrics().inFlight.dec();
+          requests.remove(ended);
           requestEnded();
         };
     InFlightRequest inFlightRequest = new InFlightRequest(services, request, http, endAction);
+    requests.add(inFlightRequest);
     http.onWritable(inFlightRequest::callerBecameWritable);
     http.onClosed(inFlightRequest::callerDisconnected);
     inFlightRequest.start();
+    if (requestsEnded) {
+      // It was accepted while the others were ended.
+      inFlightRequest.processEnds();
+    }
   }
 
   private void requestEnded() {
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/InFlightRequest.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/InFlightRequest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.requests.RefusalKind;
@@ -35,7 +36,7 @@
   private final ClaimCoordinator claimCoordinator;
   private final AttemptInquiry inquiry;
   private final RequestEvents events;
-  private final Runnable endAction;
+  private final Consumer<InFlightRequest> endAction;
   private final long startNanos;
   private final long deadlineNanos;
   private Scheduler.Cancellable deadlineTimer = () -> {};
@@ -46,7 +47,10 @@
   private boolean ended;
 
   InFlightRequest(
-      EntryServices services, CallerRequest request, HttpExchange http, Runnable endAction) {
+      EntryServices services,
+      CallerRequest request,
+      HttpExchange http,
+      Consumer<InFlightRequest> endAction) {
     this.services = services;
     this.request = request;
     this.response = new CallerResponse(http, request.stream());
@@ -295,6 +299,22 @@
     }
   }
 
+  /** Ends the request with the most that is known about it, because the process ends now. */
+  synchronized void processEnds() {
+    if (ended) {
+      return;
+    }
+    RunState run = knownRunState();
+    events.processEnded(run, response.isStarted());
+    EntryRefusal refusal =
+        run == RunState.NOT_RUN ? EntryRefusal.ENTRY_LEAVING : EntryRefusal.ENTRY_STOPPED;
+    // A claimed run continues, so that a resend with the same key gets its answer.
+    if (attempt != null) {
+      attempt.abandon(claimCoordinator == null);
+    }
+    refuse(refusal);
+  }
+
   synchronized void callerDisconnected() {
     if (ended) {
       return;
@@ -311,7 +331,7 @@
     if (!ended) {
       ended = true;
       deadlineTimer.cancel();
-      endAction.run();
+      endAction.accept(this);
     }
   }
 
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEntry.java
@@ -124,6 +124,7 @@
   @Override
   public void close() {
     pollTimer.cancel();
+    requestHandler.endRequests();
     server.closeAfterWrites(CLOSE_TIMEOUT_MS);
   }
 }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEvents.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/RequestEvents.java
@@ -1,9 +1,14 @@
 package org.clementineford.entry.internal.requests;
 
 import org.clementineford.kernel.timeline.EventKind;
+import org.clementineford.requests.RunState;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Records the events of one request in the timeline and in the metrics. */
 final class RequestEvents {
+  private static final Logger LOG = LoggerFactory.getLogger(RequestEvents.class);
+
   private final EntryServices services;
   private final CallerRequest request;
 
@@ -41,6 +46,15 @@
     record(EventKind.REQUEST_BROKEN, "reason", reason);
   }
 
+  void processEnded(RunState run, boolean answerStarted) {
+    LOG.atWarn()
+        .addKeyValue("request", request.requestId())
+        .addKeyValue("account", request.account())
+        .addKeyValue("run", run.headerValue())
+        .addKeyValue("answerStarted", answerStarted)
+        .log("request ended before its answer was complete, because this process stops");
+  }
+
   void claimWritten(EventKind kind, AttemptTarget target) {
     record(kind, "attempt", target.attemptId(), "endpoint", target.vm());
   }
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/attempts/EntryRefusal.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/attempts/EntryRefusal.java
@@ -31,6 +31,13 @@
       return true;
     }
   },
+  /** This entry VM stopped before the answer was complete. */
+  ENTRY_STOPPED(502, 1000) {
+    @Override
+    public boolean closesConnection() {
+      return true;
+    }
+  },
   /** The platform cannot record the claim. */
   PLATFORM_DOWN(503, 2000),
   /** It can no longer be determined whether the request ran. */
