Refuse queued runs that may outlive a stopping endpoint daemon

When an endpoint VM daemon began to stop, runs that waited in its fair queue stayed there whatever their deadline was. One with a deadline behind the end of the drain could be started in the last second and cut off.

New dispatches were refused from the start of the drain already, but nobody looked at what was queued. When the drain begins, queued runs whose deadline lies behind its end are now refused as leaving, not run, so that entry VMs send them elsewhere at once; those that surely end in time stay. A run that is queued in the same moment is checked after it was queued.

The race of a dispatch with the start of the drain has no test.

--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LocalBackEnd.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LocalBackEnd.java
@@ -79,7 +79,13 @@
       return RefusalKind.QUEUE_FULL;
     }
     // The back end may have gone down since the check above, after which its queue was emptied.
-    return isDown() && queue.remove(request) ? RefusalKind.BACK_END_DOWN : null;
+    if (isDown() && queue.remove(request)) {
+      return RefusalKind.BACK_END_DOWN;
+    }
+    // A stop may have begun since the admission, after which the queue was searched.
+    return services.processEnd().isBefore(request.deadlineNanos()) && queue.remove(request)
+        ? RefusalKind.LEAVING
+        : null;
   }
 
   /**
@@ -153,6 +159,13 @@
     }
   }
 
+  /** Refuses the queued runs that the end of the process may cut off. */
+  void refuseQueuedLaterThan(long endNanos) {
+    queue
+        .removeLaterThan(endNanos)
+        .forEach(request -> request.work().refuseQueued(RefusalKind.LEAVING));
+  }
+
   /** Sets the concurrency limit of the queue to the total slots of the servers that are up. */
   void updateSlots() {
     queue.setSlots(servers.stream().mapToInt(BackEndServer::usableSlots).sum());
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
@@ -13,6 +13,7 @@
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.node.NodeComponent;
 import org.clementineford.node.NodeContext;
+import org.clementineford.requests.ProcessEnd;
 import org.clementineford.requests.admission.FairQueue;
 import org.clementineford.requests.admission.FairQueueLimits;
 import org.clementineford.requests.admission.RunRegistry;
@@ -56,7 +57,8 @@
             context.scheduler(),
             context.timeline(),
             new RequestMetrics(context.metrics()),
-            new DrainTracker());
+            new DrainTracker(),
+            new ProcessEnd());
     engines.forEach((name, addresses) -> add(name, BackEndKind.ENGINE, addresses, slots));
     plainServices.forEach(
         (name, address) -> add(name, BackEndKind.SERVICE, List.of(address), slots));
@@ -123,10 +125,12 @@
   @Override
   public CompletableFuture<Void> drain(long endNanos) {
     draining = true;
+    services.processEnd().set(endNanos);
     synchronized (this) {
       services.registry().setLeaving(true);
       leavingNoticeSent = true;
     }
+    backEnds.values().forEach(backEnd -> backEnd.refuseQueuedLaterThan(endNanos));
     DrainTracker tracker = services.drainTracker();
     long now = context.nanoClock().nanoTime();
     List<HostPort> entryVms = reporter.entryVms();
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestServices.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestServices.java
@@ -3,6 +3,7 @@
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.kernel.timeline.Timeline;
+import org.clementineford.requests.ProcessEnd;
 import org.clementineford.requests.admission.RunRegistry;
 import org.clementineford.transport.http.HttpClient;
 
@@ -17,6 +18,7 @@
  * @param timeline event log of this process
  * @param metrics counters of the request component
  * @param drainTracker number of runs in progress, and state of a drain
+ * @param processEnd when the runs end because the process stops
  */
 record RequestServices(
     RunRegistry<Run, AnswerBuffer> registry,
@@ -26,4 +28,5 @@
     Scheduler scheduler,
     Timeline timeline,
     RequestMetrics metrics,
-    DrainTracker drainTracker) {}
+    DrainTracker drainTracker,
+    ProcessEnd processEnd) {}
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/admission/FairQueue.java
@@ -223,6 +223,19 @@
     return expired;
   }
 
+  /**
+   * Removes the waiting requests whose deadline is later than a time.
+   *
+   * @param nanos monotonic time in nanoseconds
+   * @return the requests, earliest deadline first
+   */
+  public synchronized List<QueuedRequest<T>> removeLaterThan(long nanos) {
+    List<QueuedRequest<T>> later =
+        waiting.stream().filter(request -> request.deadlineNanos() - nanos > 0).toList();
+    later.forEach(this::remove);
+    return later;
+  }
+
   /**
    * Returns the earliest deadline of a waiting request.
    *
