Answer the runs that a stopping endpoint daemon leaves

When the drain time was over, an endpoint VM daemon closed its connections to entry VMs without a word about the runs that were left. Callers got connection-lost, unknown, after up to four inquiries, also for runs that were still queued and could have run elsewhere, and no line named any of them. No caller of this path reported it; it was found by reading and shown by the tests.

The close of the component only cancelled its timers. It now ends each run first: a queued one as leaving, not run, which entry VMs send elsewhere; one that was sent to its back end as endpoint-stopped, a new kind (502), unknown, or ran if its answer has started. Queued runs end first, because the end of another one would start them. Inquiries that wait for a run get their report, and one warning in the log names each run. Entry VMs of an earlier version treat the new kind like any other that they do not know, by its run state.

--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/DispatchHandler.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/DispatchHandler.java
@@ -47,14 +47,14 @@
     Run run = new Run(dispatch, attempt, backEnd, services);
     long now = services.clock().nanoTime();
     // Counted before admission; otherwise a drain could complete between the two steps.
-    services.drainTracker().runStarted(now);
+    services.drainTracker().runStarted(run, now);
     AdmissionDecision<Run, AnswerBuffer> admission = services.registry().admit(attempt, run, now);
     if (admission.verdict() == AdmissionDecision.Verdict.START) {
       run.attach(exchange);
       start(run, backEnd);
       return;
     }
-    services.drainTracker().runEnded(now);
+    services.drainTracker().runEnded(run, now);
     switch (admission.verdict()) {
       case ATTACH -> admission.run().attach(exchange);
       case REPLAY -> {
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/DrainTracker.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/DrainTracker.java
@@ -1,5 +1,8 @@
 package org.clementineford.endpoint.internal.requests;
 
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
@@ -22,21 +25,21 @@
   private static final long QUIET_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
-  private int active;
+  private final Set<Run> runs = new HashSet<>();
   private int unconfirmedNotices;
   private boolean leaving;
   private long leavingSince;
   private long lastActivity;
 
   /** Counts a run that is being admitted. */
-  synchronized void runStarted(long nowNanos) {
-    active++;
+  synchronized void runStarted(Run run, long nowNanos) {
+    runs.add(run);
     lastActivity = nowNanos;
   }
 
   /** Removes a run that has ended or was not admitted. */
-  synchronized void runEnded(long nowNanos) {
-    active--;
+  synchronized void runEnded(Run run, long nowNanos) {
+    runs.remove(run);
     lastActivity = nowNanos;
   }
 
@@ -67,14 +70,14 @@
     boolean noticed =
         nowNanos - leavingSince >= MAX_NOTICE_NANOS
             || (unconfirmedNotices <= 0 && nowNanos - lastActivity >= QUIET_PERIOD_NANOS);
-    return leaving && active == 0 && noticed;
+    return leaving && runs.isEmpty() && noticed;
   }
 
   CompletableFuture<Void> drained() {
     return drained;
   }
 
-  synchronized int active() {
-    return active;
+  synchronized List<Run> active() {
+    return List.copyOf(runs);
   }
 }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
@@ -146,11 +146,16 @@
   }
 
   int activeRuns() {
-    return services.drainTracker().active();
+    return services.drainTracker().active().size();
   }
 
   @Override
   public void close() {
     timers.forEach(Scheduler.Cancellable::cancel);
+    services.registry().setLeaving(true);
+    List<Run> left = services.drainTracker().active();
+    // The end of a run that occupies a slot would start a queued one.
+    left.stream().filter(Run::isQueued).forEach(Run::processEnds);
+    left.forEach(Run::processEnds);
   }
 }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestServices.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestServices.java
@@ -17,7 +17,7 @@
  * @param scheduler timers
  * @param timeline event log of this process
  * @param metrics counters of the request component
- * @param drainTracker number of runs in progress, and state of a drain
+ * @param drainTracker runs in progress, and state of a drain
  * @param processEnd when the runs end because the process stops
  */
 record RequestServices(
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/Run.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
-import org.clementineford.kernel.timeline.EventKind;
 import org.clementineford.requests.RefusalKind;
 import org.clementineford.requests.RunState;
 import org.clementineford.requests.admission.Attempt;
@@ -45,6 +44,7 @@
   private final LocalBackEnd backEnd;
   private final RequestServices services;
   private final QueuedRequest<Run> request;
+  private final RunEvents events;
   private final AnswerBuffer answer;
   private final long timeoutMs;
   private final List<IncomingExchange> exchanges = new ArrayList<>(1);
@@ -60,6 +60,7 @@
     this.attempt = attempt;
     this.backEnd = backEnd;
     this.services = services;
+    this.events = new RunEvents(dispatch, services.timeline());
     this.answer = new AnswerBuffer(dispatch.getRequestId());
     this.timeoutMs = Math.min(dispatch.getTimeoutMs(), MAX_TIMEOUT_MS);
     this.request =
@@ -164,6 +165,28 @@
     afterEnd(false, 0);
   }
 
+  synchronized boolean isQueued() {
+    return state == State.QUEUED;
+  }
+
+  /** Ends the run with the most that is known about it, because the process ends now. */
+  void processEnds() {
+    boolean sent;
+    RunState run;
+    synchronized (this) {
+      if (state == State.ENDED) {
+        return;
+      }
+      sent = state == State.RUNNING;
+      run = !sent ? RunState.NOT_RUN : answer.hasStarted() ? RunState.RAN : RunState.UNKNOWN;
+      cancelCall();
+      RefusalKind kind = sent ? RefusalKind.ENDPOINT_STOPPED : RefusalKind.LEAVING;
+      end(kind, run, dispatch.getBackEnd());
+    }
+    events.processEnded(run);
+    afterEnd(sent, sent ? request.estimatedCost() : 0);
+  }
+
   /** Sends the request to the back end; returns false if the run has already started or ended. */
   boolean start() {
     synchronized (this) {
@@ -331,16 +354,7 @@
       cancelCall();
       end(kind, run, detail);
     }
-    services
-        .timeline()
-        .record(
-            EventKind.REQUEST_BROKEN,
-            "request",
-            dispatch.getRequestId(),
-            "kind",
-            kind.wireName(),
-            "detail",
-            detail);
+    events.broken(kind, detail);
     if (run != RunState.NOT_RUN && kind != RefusalKind.MIXED_WEIGHTS) {
       // Other weights are reported for a moment at each activation; the server itself is up.
       backEnd.recordFailure(server, false, detail);
@@ -376,7 +390,7 @@
         backEnd.queue().remove(request);
       }
     }
-    services.drainTracker().runEnded(services.clock().nanoTime());
+    services.drainTracker().runEnded(this, services.clock().nanoTime());
   }
 
   private enum State {
--- a/org.clementineford.requests/src/main/java/org/clementineford/requests/RefusalKind.java
+++ b/org.clementineford.requests/src/main/java/org/clementineford/requests/RefusalKind.java
@@ -37,6 +37,8 @@
   CANCELLED(RunState.NOT_RUN, 499, false),
   /** The back end closed the connection early or did not respond. */
   BACK_END_BROKEN(RunState.UNKNOWN, 502, true),
+  /** The endpoint stopped while the request ran. */
+  ENDPOINT_STOPPED(RunState.UNKNOWN, 502, true),
   /** The back end returned the identity of another request. */
   WRONG_REQUEST_ID(RunState.UNKNOWN, 502, true),
   /** The answer comes from weights that the endpoint did not activate. */
