Write the last answers to peers before a process closes

A process that stopped closed its connections to peers while bytes were still waiting to be written. An entry VM that reads slowly lost the end of an answer, or the refusal that says what became of a run, and had to treat it as unknown. Found by reading and shown by the test.

Closing a channel discards what its socket has not taken yet. Accepted connections are now closed after their pending frames, for at most 1 s at the end of a stop, as the HTTP server does for callers. Node#stop returns after that.

--- a/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -48,6 +48,9 @@
   // The platform and peers answer within milliseconds; the stop does not depend on their answers.
   private static final long LEAVE_NOTICE_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
+  // The last answers to slow peers.
+  private static final long CLOSE_TIMEOUT_MS = 1000;
+
   private final NodeSettings settings;
   private final NodeEnvironment environment;
   private final HybridLogicalClock hybridClock;
@@ -306,7 +309,7 @@
       admin.close();
     }
     if (network != null) {
-      network.close();
+      network.closeAfterWrites(CLOSE_TIMEOUT_MS);
     }
     httpClient.close();
   }
--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/PeerNetworkTest.java
@@ -8,16 +8,19 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.agrona.concurrent.SystemNanoClock;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.timeline.HybridLogicalClock;
 import org.clementineford.kernel.timeline.HybridTime;
 import org.clementineford.testing.FreePorts;
+import org.clementineford.wire.AnswerPart;
 import org.clementineford.wire.Payload;
 import org.clementineford.wire.RevisionAnnounce;
 import org.clementineford.wire.StatusFetch;
@@ -65,6 +68,45 @@
     return Payload.statusFetch(new StatusFetch());
   }
 
+  // Guards against a stop that drops answers that a slow peer has not read yet.
+  @Test
+  void closeAfterWritesDeliversPendingPayloads() throws Exception {
+    int parts = 32;
+    CompletableFuture<Void> answered = new CompletableFuture<>();
+    server.setHandler(
+        (opening, exchange) -> {
+          for (int i = 0; i < parts; i++) {
+            ByteBuffer bytes = ByteBuffer.allocate(1 << 20);
+            exchange.send(Payload.answerPart(new AnswerPart("request", 0, bytes)));
+          }
+          exchange.finish(status());
+          answered.complete(null);
+        });
+    AtomicInteger received = new AtomicInteger();
+    CompletableFuture<Boolean> complete = new CompletableFuture<>();
+    client.open(
+        address,
+        status(),
+        new ExchangeListener() {
+          @Override
+          public void onPayload(Payload payload, boolean last) {
+            received.incrementAndGet();
+            if (last) {
+              complete.complete(true);
+            }
+          }
+
+          @Override
+          public void onFailure(ExchangeFailure failure) {
+            complete.complete(false);
+          }
+        });
+    answered.get(5, TimeUnit.SECONDS);
+    server.closeAfterWrites(10_000);
+    assertThat(complete.get(5, TimeUnit.SECONDS)).isTrue();
+    assertThat(received).hasValue(parts + 1);
+  }
+
   @Nested
   class Address {
     // Guards against a close that returns while the socket still listens.
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
@@ -2,8 +2,10 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
@@ -259,6 +261,22 @@
         onClosed);
   }
 
+  /**
+   * Closes each accepted connection after its pending frames were written, then everything else.
+   *
+   * @param timeoutMs maximum time to wait for peers that read slowly, in milliseconds
+   */
+  public void closeAfterWrites(long timeoutMs) {
+    if (serverChannel != null) {
+      ListeningSocket.close(serverChannel);
+    }
+    for (Channel channel : acceptedChannels) {
+      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+    acceptedChannels.newCloseFuture().awaitUninterruptibly(timeoutMs);
+    close();
+  }
+
   @Override
   public void close() {
     if (serverChannel != null) {
