Answer pipelined requests before a stopping HTTP server closes

A caller that had sent several requests behind each other on one connection lost the later ones when an entry VM daemon stopped: they had been read, but only the first behind the one in progress was answered, and no line said so. Found by reading and shown by the test.

The close went into the connection's event loop between two requests. A connection is now closed when all requests that were read on it have been answered, at most after the timeout that slow callers had before; the handler refuses them as not run by then. If a connection closes with requests that were read and not handled, for example behind a stream that is aborted, a line gives their number.

--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -96,6 +97,36 @@
     assertThat(response.get(5, TimeUnit.SECONDS).body()).hasSize(large.length);
   }
 
+  // Guards against a planned stop that drops requests read behind one that is being answered.
+  @Test
+  void closeAfterWritesAnswersPipelinedRequests() throws Exception {
+    int requests = 4;
+    CompletableFuture<HttpExchange> first = new CompletableFuture<>();
+    server =
+        HttpServer.start(
+            eventLoops,
+            new HostPort("127.0.0.1", 0),
+            1 << 20,
+            LinkShaping.NONE,
+            exchange -> {
+              if (!first.complete(exchange)) {
+                exchange.respond(503, Map.of(), new byte[0]);
+              }
+            });
+    try (Socket caller = new Socket("127.0.0.1", server.address().port())) {
+      String request = "GET /lots HTTP/1.1\r\nHost: entry\r\n\r\n";
+      caller.getOutputStream().write(request.repeat(requests).getBytes(StandardCharsets.UTF_8));
+      final HttpExchange held = first.get(5, TimeUnit.SECONDS);
+      eventLoops.forEach(loop -> loop.submit(() -> {}).syncUninterruptibly());
+      held.respond(200, Map.of(), new byte[0]);
+      server.closeAfterWrites(5000);
+      caller.setSoTimeout(5000);
+      String responses = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertThat(responses.split("HTTP/1.1 503", -1)).hasSize(requests);
+      assertThat(responses).startsWith("HTTP/1.1 200");
+    }
+  }
+
   // Guards against a server that continues to work on a request that its client has cancelled.
   @Test
   void cancelledCallClosesTheExchange() throws Exception {
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
@@ -1,10 +1,8 @@
 package org.clementineford.transport.http;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -104,15 +102,17 @@
   }
 
   /**
-   * Stops accepting connections and closes each open connection after its pending bytes were
-   * written. Connections still open after the timeout are closed immediately.
+   * Stops accepting connections and closes each open connection after the requests that were read
+   * have been answered and their bytes were written. Connections still open after the timeout are
+   * closed immediately.
    *
-   * @param timeoutMs maximum time to wait for clients that read slowly, in milliseconds
+   * @param timeoutMs maximum time to wait for handlers and for clients that read slowly, in
+   *     milliseconds
    */
   public void closeAfterWrites(long timeoutMs) {
     stopAccepting();
     for (Channel channel : acceptedChannels) {
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      channel.pipeline().fireUserEventTriggered(HttpServerConnection.CLOSE_WHEN_ANSWERED);
     }
     acceptedChannels.newCloseFuture().awaitUninterruptibly(timeoutMs);
     acceptedChannels.close().awaitUninterruptibly();
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServerConnection.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServerConnection.java
@@ -25,12 +25,16 @@
 
 /** Passes the requests of one connection to the handler, one at a time and in order. */
 final class HttpServerConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+  /** User event: close the connection when the requests that were read have been answered. */
+  static final Object CLOSE_WHEN_ANSWERED = new Object();
+
   private static final Logger LOG = LoggerFactory.getLogger(HttpServerConnection.class);
   private static final int MAX_PIPELINED_REQUESTS = 64;
 
   private final HttpHandler handler;
   private final ArrayDeque<ServerExchange> waitingExchanges = new ArrayDeque<>();
   private ServerExchange current;
+  private boolean closing;
 
   HttpServerConnection(HttpHandler handler) {
     this.handler = handler;
@@ -61,6 +65,22 @@
     }
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event == CLOSE_WHEN_ANSWERED) {
+      closing = true;
+      closeIfAnswered(context);
+    } else {
+      context.fireUserEventTriggered(event);
+    }
+  }
+
+  private void closeIfAnswered(ChannelHandlerContext context) {
+    if (closing && current == null && waitingExchanges.isEmpty()) {
+      context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (current != null && context.channel().isWritable()) {
@@ -74,6 +94,12 @@
     if (current != null) {
       current.handleClosed();
     }
+    if (!waitingExchanges.isEmpty()) {
+      LOG.atInfo()
+          .addKeyValue("caller", context.channel().remoteAddress())
+          .addKeyValue("requests", waitingExchanges.size())
+          .log("connection closed with requests that were read and not handled");
+    }
     waitingExchanges.clear();
   }
 
@@ -167,6 +193,7 @@
                 if (current == this) {
                   current = null;
                   startNext();
+                  closeIfAnswered(context);
                 }
               });
     }
