Drain a daemon that is stopped while it starts

A daemon added its shutdown hook after its addresses were open, so that SIGTERM during the start ended it with code 143 and without a drain: whatever it had accepted until then was cut off, and peers did not hear that it left. A stop that did begin during the start drained what was there, closed the node, and the start went on to open the next component. Found by reading and shown by the tests.

The hook is now added before the node starts, and removed if the start fails, so that the exit code stays that of the failure. A stop during the start waits until the start has ended, which opens no further component, and then drains what has started; if the start fails, there is nothing left to stop.

--- a/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
+++ b/org.clementineford.daemons/src/main/java/org/clementineford/daemons/Daemon.java
@@ -87,13 +87,24 @@
                 LinkShaping.NONE,
                 HttpObjectStore::new,
                 HttpVmList::new));
+    Thread drain = new Thread(() -> stop(node, eventLoops), "drain");
+    // Added before the node listens: a signal during the start ends what was accepted until then.
+    Runtime.getRuntime().addShutdownHook(drain);
     try {
       node.start(factories, settings);
     } catch (ClementinefordException | RuntimeException e) {
+      removeShutdownHook(drain);
       eventLoops.shutdownGracefully(0, SHUTDOWN_MS, TimeUnit.MILLISECONDS);
       throw e;
     }
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, eventLoops), "drain"));
+  }
+
+  private static void removeShutdownHook(Thread hook) {
+    try {
+      Runtime.getRuntime().removeShutdownHook(hook);
+    } catch (IllegalStateException e) {
+      // The hook is running and ends the process.
+    }
   }
 
   private static void stop(Node node, EventLoopGroup eventLoops) {
--- a/org.clementineford.node.test/src/test/java/org/clementineford/node/TestFleet.java
+++ b/org.clementineford.node.test/src/test/java/org/clementineford/node/TestFleet.java
@@ -65,26 +65,33 @@
     HostPort any = new HostPort("127.0.0.1", 0);
     long chosen = incarnation == 0 ? EPOCH_MS : incarnation;
     Node node =
-        new Node(
+        unstarted(
             new NodeSettings(
                 new VmIdentity(vm, role, dataCentre, "region", chosen, any),
                 any,
                 platform.address(),
                 Arrays.stream(seeds).map(Node::peerAddress).toList(),
                 1000),
-            new NodeEnvironment(
-                eventLoops,
-                time,
-                time,
-                () -> time.epochClock().time() + clockOffsetMs,
-                LinkShaping.NONE,
-                HttpObjectStore::new,
-                HttpVmList::new));
+            clockOffsetMs);
     node.start(List.of(), Settings.read(List.of(), new String[0], Map.of()));
     nodes.add(node);
     return node;
   }
 
+  /** Creates a node that the test starts and stops. */
+  Node unstarted(NodeSettings settings, long clockOffsetMs) {
+    return new Node(
+        settings,
+        new NodeEnvironment(
+            eventLoops,
+            time,
+            time,
+            () -> time.epochClock().time() + clockOffsetMs,
+            LinkShaping.NONE,
+            HttpObjectStore::new,
+            HttpVmList::new));
+  }
+
   /** Advances the time until a condition holds or the rounds run out; returns whether it holds. */
   boolean advanceUntil(BooleanSupplier condition) {
     for (int i = 0; i < MAX_ROUNDS && !condition.getAsBoolean(); i++) {
--- a/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/Node.java
@@ -59,6 +59,7 @@
   private final List<NodeComponent> components = new ArrayList<>();
   private final AtomicBoolean leaving = new AtomicBoolean();
   private final AtomicBoolean started = new AtomicBoolean();
+  private final CompletableFuture<Void> startEnded = new CompletableFuture<>();
   private NodeContext context;
   private MembershipAgent membership;
   private LeaseAgent lease;
@@ -80,7 +81,8 @@
   }
 
   /**
-   * Starts the agents, then the components in the given order.
+   * Starts the agents, then the components in the given order. If a stop begins meanwhile, no
+   * further component is started.
    *
    * @param factories factories of the role, in the order in which the components start
    * @param allSettings validated settings of the node and of all factories
@@ -91,14 +93,10 @@
       throws ClementinefordException {
     try {
       startAgents();
-      for (NodeComponentFactory factory : factories) {
-        NodeComponent component = factory.create(context, allSettings);
-        component.start();
-        components.add(component);
-        LOG.info("component {} started", factory.name());
-      }
+      startComponents(factories, allSettings);
     } catch (ClementinefordException | RuntimeException e) {
       close();
+      startEnded.completeExceptionally(e);
       throw e;
     }
     started.set(true);
@@ -108,6 +106,21 @@
         context.self().vm(),
         peerAddress(),
         adminAddress());
+    startEnded.complete(null);
+  }
+
+  private void startComponents(List<NodeComponentFactory> factories, Settings allSettings)
+      throws ClementinefordException {
+    for (NodeComponentFactory factory : factories) {
+      if (leaving.get()) {
+        LOG.info("component {} is not started, because the process stops", factory.name());
+        continue;
+      }
+      NodeComponent component = factory.create(context, allSettings);
+      component.start();
+      components.add(component);
+      LOG.info("component {} started", factory.name());
+    }
   }
 
   private void startAgents() throws ClementinefordException {
@@ -258,18 +271,24 @@
 
   /**
    * Stops gracefully: announces that this process is leaving, drains the components in reverse
-   * order, and closes the node. Further calls have no effect.
+   * order, and closes the node. A stop during {@link #start} waits until that has ended. Further
+   * calls have no effect.
    */
   public void stop() {
     if (!leaving.compareAndSet(false, true)) {
       return;
     }
-    context.timeline().record(EventKind.PROCESS_LEAVING);
-    final CompletableFuture<Void> leaveNotices =
-        CompletableFuture.allOf(membership.leave(), lease.stop());
     long deadline =
         environment.nanoClock().nanoTime()
             + TimeUnit.MILLISECONDS.toNanos(settings.drainTimeoutMs());
+    await(startEnded, deadline);
+    if (!startEnded.isDone() || startEnded.isCompletedExceptionally()) {
+      // A start that failed has closed the node.
+      return;
+    }
+    context.timeline().record(EventKind.PROCESS_LEAVING);
+    final CompletableFuture<Void> leaveNotices =
+        CompletableFuture.allOf(membership.leave(), lease.stop());
     List<NodeComponent> reversed = new ArrayList<>(components);
     Collections.reverse(reversed);
     for (NodeComponent component : reversed) {
