--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/RequestEndpoint.java
@@ -13,6 +13,7 @@
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.node.NodeComponent;
 import org.clementineford.node.NodeContext;
+import org.clementineford.requests.ProcessEnd;
 import org.clementineford.requests.admission.FairQueue;
 import org.clementineford.requests.admission.FairQueueLimits;
 import org.clementineford.requests.admission.RunRegistry;
@@ -56,7 +57,8 @@
             context.scheduler(),
             context.timeline(),
             new RequestMetrics(context.metrics()),
-            new DrainTracker());
+            new DrainTracker(),
+            new ProcessEnd());
     engines.forEach((name, addresses) -> add(name, BackEndKind.ENGINE, addresses, slots));
     plainServices.forEach(
         (name, address) -> add(name, BackEndKind.SERVICE, List.of(address), slots));
@@ -121,12 +123,14 @@
   }
 
   @Override
-  public CompletableFuture<Void> drain() {
+  public CompletableFuture<Void> drain(long endNanos) {
     draining = true;
+    services.processEnd().set(endNanos);
     synchronized (this) {
       services.registry().setLeaving(true);
       leavingNoticeSent = true;
     }
+    backEnds.values().forEach(backEnd -> backEnd.refuseQueuedLaterThan(endNanos));
     DrainTracker tracker = services.drainTracker();
     long now = context.nanoClock().nanoTime();
     List<HostPort> entryVms = reporter.entryVms();
@@ -142,11 +146,16 @@
   }
 
   int activeRuns() {
-    return services.drainTracker().active();
+    return services.drainTracker().active().size();
   }
 
   @Override
   public void close() {
     timers.forEach(Scheduler.Cancellable::cancel);
+    services.registry().setLeaving(true);
+    List<Run> left = services.drainTracker().active();
+    // The end of a run that occupies a slot would start a queued one.
+    left.stream().filter(Run::isQueued).forEach(Run::processEnds);
+    left.forEach(Run::processEnds);
   }
 }
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/CallerRequestHandler.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/CallerRequestHandler.java
@@ -2,10 +2,13 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
 import org.clementineford.configuration.ClientAccount;
 import org.clementineford.configuration.ConfigurationSnapshot;
@@ -38,8 +41,10 @@
   private final AtomicLong lastRequestNumber = new AtomicLong();
   private final AtomicInteger inFlight = new AtomicInteger();
   private final CompletableFuture<Void> drained = new CompletableFuture<>();
+  private final Set<InFlightRequest> requests = ConcurrentHashMap.newKeySet();
   private volatile boolean notReady;
   private volatile boolean refusing;
+  private volatile boolean requestsEnded;
   private volatile long lastArrivalNanos;
 
   CallerRequestHandler(
@@ -58,8 +63,13 @@
     services.endpoints().setLeavingByDocument(snapshot.leavingVms(), clock.nanoTime());
   }
 
-  /** Makes {@code /ready} fail. Requests are still accepted. */
-  void failReadiness() {
+  /**
+   * Makes {@code /ready} fail. Requests are still accepted if they end in time.
+   *
+   * @param endNanos monotonic time at which the requests in flight are ended, in nanoseconds
+   */
+  void startDrain(long endNanos) {
+    services.processEnd().set(endNanos);
     notReady = true;
   }
 
@@ -75,6 +85,13 @@
     return drained;
   }
 
+  /** Refuses new requests and ends those in flight with the most that is known about each. */
+  void endRequests() {
+    refusing = true;
+    requestsEnded = true;
+    requests.forEach(InFlightRequest::processEnds);
+  }
+
   private void completeWhenIdle() {
     long quietNanos = services.clock().nanoTime() - lastArrivalNanos;
     if (inFlight.get() == 0 && quietNanos >= QUIET_PERIOD_NANOS) {
@@ -120,8 +137,10 @@
   private void accept(HttpExchange http, CallerRequest request, ClientAccount account) {
     // Counted before the check, so that a drain waits for every request that passes the check.
     inFlight.incrementAndGet();
-    if (refusing) {
-      lastArrivalNanos = services.clock().nanoTime();
+    long now = services.clock().nanoTime();
+    long deadlineNanos = now + TimeUnit.MILLISECONDS.toNanos(request.timeoutMs());
+    if (refusing || services.processEnd().isBefore(deadlineNanos)) {
+      lastArrivalNanos = now;
       refuse(http, EntryRefusal.ENTRY_LEAVING, request.requestId(), "");
       requestEnded();
       return;
@@ -139,17 +158,23 @@
     }
     services.metrics().inFlight.inc();
     double retryBudgetShare = configuration.current().policies().retryBudgetShare();
-    services.budget().deposit(retryBudgetShare, services.clock().nanoTime());
-    Runnable endAction =
-        () -> {
+    services.budget().deposit(retryBudgetShare, now);
+    Consumer<InFlightRequest> endAction =
+        ended -> {
           inFlightLimit.release(reservation);
           services.metrics().inFlight.dec();
+          requests.remove(ended);
           requestEnded();
         };
     InFlightRequest inFlightRequest = new InFlightRequest(services, request, http, endAction);
+    requests.add(inFlightRequest);
     http.onWritable(inFlightRequest::callerBecameWritable);
     http.onClosed(inFlightRequest::callerDisconnected);
     inFlightRequest.start();
+    if (requestsEnded) {
+      // It was accepted while the others were ended.
+      inFlightRequest.processEnds();
+    }
   }
 
   private void requestEnded() {
@@ -162,7 +187,7 @@
     RefusalResponses.Response response =
         RefusalResponses.of(refusal, RunState.NOT_RUN, requestId, detail);
     Map<String, String> headers = new HashMap<>(response.headers());
-    if (refusing) {
+    if (notReady || refusing) {
       headers.put("Connection", "close");
     }
     http.respond(response.status(), headers, response.body());
--- a/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/InFlightRequest.java
+++ b/org.clementineford.entry/src/main/java/org/clementineford/entry/internal/requests/InFlightRequest.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.clementineford.kernel.Scheduler;
 import org.clementineford.requests.RefusalKind;
@@ -35,7 +36,7 @@
   private final ClaimCoordinator claimCoordinator;
   private final AttemptInquiry inquiry;
   private final RequestEvents events;
-  private final Runnable endAction;
+  private final Consumer<InFlightRequest> endAction;
   private final long startNanos;
   private final long deadlineNanos;
   private Scheduler.Cancellable deadlineTimer = () -> {};
@@ -46,7 +47,10 @@
   private boolean ended;
 
   InFlightRequest(
-      EntryServices services, CallerRequest request, HttpExchange http, Runnable endAction) {
+      EntryServices services,
+      CallerRequest request,
+      HttpExchange http,
+      Consumer<InFlightRequest> endAction) {
     this.services = services;
     this.request = request;
     this.response = new CallerResponse(http, request.stream());
@@ -97,7 +101,7 @@
    * claim, the attempt is sent after the claim has been written.
    */
   synchronized void startNextAttempt() {
-    if (ended) {
+    if (ended || refuseIfProcessEndsFirst()) {
       return;
     }
     long now = services.clock().nanoTime();
@@ -128,6 +132,18 @@
     }
   }
 
+  /**
+   * Refuses a request that was surely not run if the process may end before its deadline. A request
+   * that may have run goes on, because the refusal would tell its caller less than another attempt.
+   */
+  private boolean refuseIfProcessEndsFirst() {
+    if (!services.processEnd().isBefore(deadlineNanos) || knownRunState() != RunState.NOT_RUN) {
+      return false;
+    }
+    refuse(EntryRefusal.ENTRY_LEAVING);
+    return true;
+  }
+
   private Optional<AttemptTarget> chooseTarget(Predicate<String> excluded, long now) {
     String attemptId = request.requestId() + "." + (attemptsCreated + 1);
     return services
@@ -137,7 +153,7 @@
 
   /** Sends an attempt to its endpoint. */
   synchronized void dispatch(AttemptTarget target) {
-    if (ended) {
+    if (ended || refuseIfProcessEndsFirst()) {
       return;
     }
     long now = services.clock().nanoTime();
@@ -283,6 +299,22 @@
     }
   }
 
+  /** Ends the request with the most that is known about it, because the process ends now. */
+  synchronized void processEnds() {
+    if (ended) {
+      return;
+    }
+    RunState run = knownRunState();
+    events.processEnded(run, response.isStarted());
+    EntryRefusal refusal =
+        run == RunState.NOT_RUN ? EntryRefusal.ENTRY_LEAVING : EntryRefusal.ENTRY_STOPPED;
+    // A claimed run continues, so that a resend with the same key gets its answer.
+    if (attempt != null) {
+      attempt.abandon(claimCoordinator == null);
+    }
+    refuse(refusal);
+  }
+
   synchronized void callerDisconnected() {
     if (ended) {
       return;
@@ -299,7 +331,7 @@
     if (!ended) {
       ended = true;
       deadlineTimer.cancel();
-      endAction.run();
+      endAction.accept(this);
     }
   }
 
