Keep the order of bytes when a delayed link of the soak recovers

The stand-in of a link scheduled each delayed read by itself and wrote later reads at once, so that bytes after the end of a delay overtook those before it. TCP never does that; the product was not at fault. Held bytes of one direction now wait in a queue, and whatever is written next is the oldest of it.

--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/LinkProxy.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/LinkProxy.java
@@ -12,6 +12,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -72,6 +74,8 @@
   /** A connection on both sides. */
   private final class Pair {
     private final Channel connecting;
+    private final Queue<Object> delayedThere = new ArrayDeque<>();
+    private final Queue<Object> delayedBack = new ArrayDeque<>();
     private Channel accepting;
 
     Pair(Channel connecting) {
@@ -129,13 +133,22 @@
         ReferenceCountUtil.release(bytes);
         return;
       }
+      Queue<Object> delayed = fromConnectingSide ? delayedThere : delayedBack;
       long delayMs = fault.delayMs();
+      delayed.add(bytes);
       if (delayMs == 0) {
-        receiver.writeAndFlush(bytes);
+        passOn(delayed, receiver, delayed.size());
       } else {
         receiver
             .eventLoop()
-            .schedule(() -> receiver.writeAndFlush(bytes), delayMs, TimeUnit.MILLISECONDS);
+            .schedule(() -> passOn(delayed, receiver, 1), delayMs, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    /** Writes the oldest of the held bytes, so that no bytes overtake others. */
+    private void passOn(Queue<Object> delayed, Channel receiver, int count) {
+      for (int i = 0; i < count && !delayed.isEmpty(); i++) {
+        receiver.writeAndFlush(delayed.remove());
       }
     }
 
@@ -143,8 +156,16 @@
       pairs.remove(this);
       Channel other = connectingSide ? accepting : connecting;
       if (other != null) {
-        // Delayed bytes go first.
-        other.eventLoop().schedule(() -> other.close(), fault.delayMs(), TimeUnit.MILLISECONDS);
+        Queue<Object> delayed = connectingSide ? delayedThere : delayedBack;
+        other
+            .eventLoop()
+            .schedule(
+                () -> {
+                  passOn(delayed, other, delayed.size());
+                  other.close();
+                },
+                fault.delayMs(),
+                TimeUnit.MILLISECONDS);
       }
     }
   }
