Compare the requests that stopped entry VMs had read and ended

StopLines reads the last line of each life that stopped as planned and was not killed, and reports it if read and ended differ or are missing, or if a life that listened ended without the line.

--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
@@ -117,6 +117,7 @@
     broken.addAll(lost.broken());
     broken.addAll(promises.checkRecovered(REMOVED_KEY, recoveredAt));
     broken.addAll(new RequestCounts(fleet, clock).check());
+    broken.addAll(new StopLines(fleet).check());
     watch.broken.stream().filter(text -> !broken.contains(text)).forEach(broken::add);
     List<CallerRecord> records = callers.records();
     int served = (int) records.stream().filter(CallerRecord::isServed).count();
