Let the soak judge requests that were read and reached no server

A request that waits in an entry VM when its process ends is lost as well, though no server ran it; the soak asked only for requests that ran. A request on a connection that has brought an answer before now counts as read if the connection ends over 1 s after it was sent, unless a fault explains it.

--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/CallerRecord.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/CallerRecord.java
@@ -11,6 +11,7 @@
  * @param target path that was asked for
  * @param key the caller's key
  * @param entry entry VM that it was sent to
+ * @param reused whether its connection is known to have brought an answer before
  * @param startedAt when it was sent, in monotonic nanoseconds
  * @param endedAt when its answer was whole or it failed, in monotonic nanoseconds
  * @param status status of the answer; 0 if none came or it was not whole
@@ -23,6 +24,7 @@
     String target,
     String key,
     String entry,
+    boolean reused,
     long startedAt,
     long endedAt,
     int status,
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Callers.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Callers.java
@@ -110,18 +110,18 @@
   }
 
   /** Begins a request that its caller sends now. */
-  Call begin(Random choices, CallKind kind, List<String> keys, Program entry) {
+  Call begin(Random choices, CallKind kind, List<String> keys, Program entry, boolean reused) {
     String key = keys.get(choices.nextInt(keys.size()));
     int count = number.incrementAndGet();
     String id = String.format(Locale.ROOT, "%016x", (choices.nextLong() << 20) + count);
     sent.add(id);
-    return new Call(id, kind, kind.path() + count, key, entry, clock.nanoTime());
+    return new Call(id, kind, kind.path() + count, key, entry, reused, clock.nanoTime());
   }
 
   private void send() {
     Program entry = anyReady(random);
     CallKind kind = CallKind.SHORT.get(random.nextInt(CallKind.SHORT.size()));
-    Call call = begin(random, kind, KEYS, entry);
+    Call call = begin(random, kind, KEYS, entry, false);
     client
         .call(
             new HostPort(fleet.host(entry), PlatformFiles.CALLER_PORT),
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/LastingCaller.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/LastingCaller.java
@@ -102,6 +102,7 @@
   private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final Program entry;
     private Call call;
+    private boolean answered;
 
     Connection(Program entry) {
       this.entry = entry;
@@ -120,7 +121,7 @@
       int tokens =
           CallKind.LONG_ANSWER_TOKENS
               + random.nextInt(CallKind.LONGEST_ANSWER_TOKENS - CallKind.LONG_ANSWER_TOKENS + 1);
-      Call sent = callers.begin(random, CallKind.LONG_STREAM, Callers.KEPT_KEYS, entry);
+      Call sent = callers.begin(random, CallKind.LONG_STREAM, Callers.KEPT_KEYS, entry, answered);
       call = sent;
       FullHttpRequest request =
           new DefaultFullHttpRequest(
@@ -145,6 +146,7 @@
       String body = response.content().toString(StandardCharsets.UTF_8);
       CallerRecord record = call.end(clock.nanoTime(), status, headers, body);
       call = null;
+      answered = true;
       callers.add(record);
       if (!HttpUtil.isKeepAlive(response)) {
         context.close();
--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/LostRequests.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/LostRequests.java
@@ -8,9 +8,11 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.clementineford.platform.standin.PlainServer;
 import org.clementineford.platform.standin.RunRecorder;
 
-/** Judges the requests that were passed on and whose callers got no whole answer. */
+/** Judges the requests that were read or passed on and whose callers got no whole answer. */
 final class LostRequests {
   /**
    * Time around a fault in which a request may remain unanswered until its caller's timeout, in
@@ -18,6 +20,12 @@
    */
   private static final long AFTERMATH_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /**
+   * Time in which a process that runs reads a request on a connection that it has answered on
+   * before, in nanoseconds.
+   */
+  private static final long READ_NANOS = TimeUnit.SECONDS.toNanos(1);
+
   /** Time after SIGTERM up to which a request may still be too long for the stop time. */
   private static final long EARLY_NANOS = TimeUnit.SECONDS.toNanos(3);
 
@@ -52,14 +60,19 @@
     Map<String, List<RunRecorder.Run>> runs = fleet.ledger().runs();
     for (CallerRecord record : callers.records()) {
       List<RunRecorder.Run> ran = runs.getOrDefault(record.id(), List.of());
-      if (record.status() == 0 && !ran.isEmpty() && !isExcused(record, ran, periods)) {
+      boolean taken = !ran.isEmpty() || wasSurelyRead(record);
+      if (record.status() == 0 && taken && !isExcused(record, ran, periods)) {
         add(verdict, record, ran);
       }
     }
     return verdict;
   }
 
-  private static boolean isExcused(
+  private static boolean wasSurelyRead(CallerRecord record) {
+    return record.reused() && record.endedAt() - record.startedAt() >= READ_NANOS;
+  }
+
+  private boolean isExcused(
       CallerRecord record, List<RunRecorder.Run> ran, List<FaultSeries.Period> periods) {
     if (record.hasWaitedToTimeout()) {
       long from = record.startedAt() - AFTERMATH_NANOS;
@@ -67,18 +80,21 @@
           .filter(period -> period.overlaps(from, record.endedAt()))
           .anyMatch(period -> !period.kind().isPlanned());
     }
+    // A request that reached no server may have been sent to any.
+    Stream<String> identities =
+        ran.isEmpty()
+            ? fleet.allServers().stream().map(PlainServer::identity)
+            : ran.stream().map(RunRecorder.Run::server);
     Set<String> servers =
-        ran.stream()
-            .map(run -> FaultKind.serverName(run.server()))
-            .collect(Collectors.toUnmodifiableSet());
+        identities.map(FaultKind::serverName).collect(Collectors.toUnmodifiableSet());
     return periods.stream()
         .filter(period -> period.overlaps(record.startedAt(), record.endedAt()))
         .anyMatch(period -> period.kind().breaksOff(period.target(), record.entry(), servers));
   }
 
   private void add(Verdict verdict, CallerRecord record, List<RunRecorder.Run> ran) {
-    String server = ran.get(ran.size() - 1).server();
-    String text = record.id() + " (" + record.kind() + ") ran at " + server;
+    String place = ran.isEmpty() ? "reached no server" : "ran at " + last(ran).server();
+    String text = record.id() + " (" + record.kind() + ") " + place;
     OptionalLong stop = stopBefore(record);
     if (stop.isEmpty()) {
       verdict.broken().add(text + " and was lost by " + record.entry() + " without a stop");
@@ -87,7 +103,8 @@
     long sentAfter = record.startedAt() - stop.getAsLong();
     long lostAfter = record.endedAt() - stop.getAsLong();
     boolean allowed =
-        sentAfter <= EARLY_NANOS
+        !ran.isEmpty()
+            && sentAfter <= EARLY_NANOS
             && lostAfter >= LAST_SIXTH_NANOS
             && wasAtWork(record, stop.getAsLong() + LAST_SIXTH_NANOS);
     (allowed ? verdict.atStopEnd() : verdict.broken())
@@ -101,6 +118,10 @@
                 TimeUnit.NANOSECONDS.toMillis(sentAfter)));
   }
 
+  private static RunRecorder.Run last(List<RunRecorder.Run> runs) {
+    return runs.get(runs.size() - 1);
+  }
+
   private boolean wasAtWork(CallerRecord record, long at) {
     OptionalLong completedAt = fleet.ledger().completedAt(record.id());
     return completedAt.isEmpty() || completedAt.getAsLong() - at >= 0;
