--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agrona.concurrent.NanoClock;
@@ -41,6 +42,9 @@
   /** Longest delay before a retry, in milliseconds. */
   private static final long MAX_RETRY_DELAY_MS = 800;
 
+  /** Times that the delay before a change is reported again doubles, if each report fails. */
+  private static final int MAX_REPORT_DOUBLINGS = 5;
+
   /** Shortest wait of a watch, in milliseconds. */
   private static final long MIN_WATCH_MS = 200;
 
@@ -247,7 +251,7 @@
     KindSync sync = kinds.get(kind);
     if (sync != null && sync.copy.addHigherVersions(newer)) {
       DirectoryCopyLog.kept(kind, sync.copy, clock.nanoTime());
-      onChange.accept(kind);
+      sync.reportChange(OptionalLong.empty());
     }
   }
 
@@ -259,7 +263,8 @@
    * @param position position of the peer's copy
    * @param entries the entries; null if the peer's copy is not newer than the local one
    * @param keptUntil times until which the peer keeps entries that the platform lacks, by name
-   * @param provenAt time at which the peer's copy was last known to be current
+   * @param provenAt time at which the peer's copy was last known to be current; a copy for which it
+   *     is in the future is ignored
    */
   public void applyPeerCopy(
       ObjectKind kind,
@@ -272,6 +277,14 @@
       return;
     }
     long now = clock.nanoTime();
+    if (provenAt - now > 0) {
+      // One such proof would make the copy current for good.
+      LOG.atWarn()
+          .addKeyValue("kind", kind)
+          .addKeyValue("position", position.toText())
+          .log("the copy of a peer has an age that cannot be; ignored it");
+      return;
+    }
     if (sync.isOverdue(now) && now - provenAt <= maxAgeNanos(kind)) {
       outageEnded(now);
     }
@@ -287,7 +300,7 @@
           .addKeyValue("position", position.toText())
           .addKeyValue("ageMs", TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - provenAt))
           .log("replaced the copy of platform objects with a newer one from a peer");
-      onChange.accept(kind);
+      sync.reportChange(OptionalLong.empty());
     }
   }
 
@@ -343,6 +356,10 @@
     private int failures;
     private int relists;
     private boolean suspended;
+    private int failedReports;
+
+    /** Repeats a report that failed; null if the last one did not fail. */
+    private Scheduler.Cancellable reportTimer;
 
     /** Time of the last answer before the watch was replaced; empty if it was not. */
     private OptionalLong interruptedAt = OptionalLong.empty();
@@ -422,10 +439,14 @@
       final boolean list = listNeeded || !watching;
       final long callWaitMs = callWaitMs(sentAt);
       final long copyEra = copy.position().era();
+      // A call that throws fails the future too, or no other one would ever be sent.
       var result =
-          list
-              ? directory.list(kind, watching)
-              : directory.watch(kind, copy.position().revision(), callWaitMs);
+          CompletableFuture.completedFuture(kind)
+              .thenCompose(
+                  wanted ->
+                      list
+                          ? directory.list(wanted, watching)
+                          : directory.watch(wanted, copy.position().revision(), callWaitMs));
       result.whenComplete(
           (listing, failure) -> {
             if (call != callCount) {
@@ -504,9 +525,7 @@
             .addKeyValue("kind", kind)
             .addKeyValue("position", copy.position().toText())
             .log("copy of platform objects changed");
-        changesAfter = changesAfter(sentAt, now);
-        onChange.accept(kind);
-        changesAfter = OptionalLong.empty();
+        reportChange(changesAfter(sentAt, now));
       }
       interruptedAt = OptionalLong.empty();
       if (watching && (!changed || batchDelayMs == 0)) {
@@ -584,7 +603,36 @@
         LOG.atInfo()
             .addKeyValue("kind", kind)
             .log("entries changed at the end of the time to register again after an outage");
+        reportChange(OptionalLong.empty());
+      }
+    }
+
+    /**
+     * Reports a change of the copy. The copy has the change already, so no later answer shows it
+     * again: a report that fails is repeated, with the time of the first one.
+     */
+    void reportChange(OptionalLong after) {
+      if (reportTimer != null) {
+        reportTimer.cancel();
+        reportTimer = null;
+      }
+      long firstAt = clock.nanoTime();
+      changesAfter = after;
+      try {
         onChange.accept(kind);
+        failedReports = 0;
+      } catch (RuntimeException | Error e) {
+        long delay = MAX_RETRY_DELAY_MS << Math.min(failedReports, MAX_REPORT_DOUBLINGS);
+        failedReports++;
+        LOG.atError()
+            .addKeyValue("kind", kind)
+            .addKeyValue("retryMs", delay)
+            .log("failed to process platform objects; reading on, and processing them again", e);
+        OptionalLong earliest = OptionalLong.of(after.orElse(firstAt));
+        reportTimer =
+            scheduler.schedule(() -> reportChange(earliest), delay, TimeUnit.MILLISECONDS);
+      } finally {
+        changesAfter = OptionalLong.empty();
       }
     }
   }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -30,6 +30,7 @@
 import org.clementineford.serving.directory.ObjectDirectory;
 import org.clementineford.serving.directory.ObjectKind;
 import org.clementineford.serving.directory.ObserverDuty;
+import org.clementineford.serving.draining.Drain;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.quarantine.RequestQuarantine;
 import org.clementineford.serving.routing.EntryVmPosition;
@@ -80,6 +81,12 @@
   /** Part of the stop time that is reserved for the exit of the process, in milliseconds. */
   private static final long STOP_MARGIN_MS = 700;
 
+  /** Longest time in which the last answers are written, in milliseconds. */
+  private static final long LAST_ANSWERS_MS = 200;
+
+  /** Longest time that the end of a stop waits for an action on the event loop, in milliseconds. */
+  private static final long LAST_ACTION_MS = 100;
+
   private static final int MAX_PEER_BODY_BYTES = 1 << 16;
 
   private final VmSettings settings;
@@ -349,17 +356,33 @@
 
   /**
    * Stops gracefully: reports "not ready" until the platform sends no new callers, then stops
-   * accepting connections and waits for the requests in progress. Returns when all have ended or
-   * the stop time is over.
+   * accepting connections and waits for the requests in progress. Those that last longer than the
+   * stop time are ended. Returns when all have ended.
    */
   public void stop() {
     long startedAt = clock.nanoTime();
     LOG.atInfo().addKeyValue("running", gateway.requestsInProgress()).log("stopping");
-    eventLoops.execute(gateway::beginStop);
+    final long limitMs = settings.bounds().stopTimeoutMs() - STOP_MARGIN_MS;
+    Drain drain =
+        new Drain(
+            startedAt + TimeUnit.MILLISECONDS.toNanos(NOT_READY_PERIOD_MS),
+            startedAt + TimeUnit.MILLISECONDS.toNanos(limitMs));
+    eventLoops.execute(() -> gateway.beginStop(drain));
     await(startedAt, NOT_READY_PERIOD_MS, false);
     eventLoops.execute(gateway::stopAccepting);
-    await(startedAt, settings.bounds().stopTimeoutMs() - STOP_MARGIN_MS, true);
-    LOG.atInfo().addKeyValue("running", gateway.requestsInProgress()).log("stopped");
+    await(startedAt, limitMs, true);
+    runOnEventLoop(gateway::endRequests);
+    await(startedAt, limitMs + LAST_ANSWERS_MS, true);
+    runOnEventLoop(gateway::closeCallers);
+    LOG.atInfo()
+        .addKeyValue("running", gateway.requestsInProgress())
+        .addKeyValue("read", gateway.requestsRead())
+        .addKeyValue("ended", gateway.requestsEnded())
+        .log("stopped");
+  }
+
+  private void runOnEventLoop(Runnable action) {
+    eventLoops.submit(action).awaitUninterruptibly(LAST_ACTION_MS);
   }
 
   private void await(long startedAt, long limitMs, boolean untilIdle) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -20,6 +20,7 @@
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.serving.directory.DirectoryCopyState;
 import org.clementineford.serving.directory.ObjectKind;
+import org.clementineford.serving.draining.Drain;
 import org.clementineford.serving.model.CallerLimits;
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.serving.model.EngineProfile;
@@ -339,11 +340,15 @@
 
   /**
    * Reports this VM as not ready and closes each connection after its next response, so that
-   * callers connect to other VMs. Requests are still served.
+   * callers connect to other VMs. Requests are still served if they end before this process.
+   *
+   * @param drain the stop
    */
-  public void beginStop() {
+  public void beginStop(Drain drain) {
     stopping = true;
+    state.stopAdmission().begin(drain);
     listener.beginStop();
+    router.dispatchAllWaiting();
   }
 
   /**
@@ -351,7 +356,10 @@
    * bytes arrived just before may hold a part of a request.
    */
   public void stopAccepting() {
-    listener.stopAccepting();
+    listener.stopAccepting(this::acceptedLast);
+  }
+
+  private void acceptedLast() {
     closeIdleWhileStopping();
     accepting = false;
     eventLoops.scheduleWithFixedDelay(
@@ -366,6 +374,18 @@
     countCallers();
   }
 
+  /** Ends all requests, each with the response that is true of it, because the process ends. */
+  public void endRequests() {
+    router.endForStop();
+    countCallers();
+  }
+
+  /** Closes the connections that are still open, because the process ends. */
+  public void closeCallers() {
+    listener.closeAll();
+    countCallers();
+  }
+
   private void countCallers() {
     requestsInProgress = router.requestsInProgress();
     openCallerConnections = listener.openConnections();
@@ -391,6 +411,24 @@
     return openCallerConnections;
   }
 
+  /**
+   * Returns the number of requests that were read completely. May be called from any thread.
+   *
+   * @return number of requests since the start
+   */
+  public long requestsRead() {
+    return metrics.read();
+  }
+
+  /**
+   * Returns the number of requests that ended. May be called from any thread.
+   *
+   * @return number of requests since the start; that of the requests read once all have ended
+   */
+  public long requestsEnded() {
+    return metrics.ended();
+  }
+
   /**
    * Returns the number of requests in progress. May be called from any thread.
    *
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -38,6 +38,9 @@
   /** Retry delay of callers that should retry soon, in seconds. */
   private static final double SHORT_RETRY_SECONDS = 0.2;
 
+  /** Retry delay of callers that another entry VM can serve at once, in seconds. */
+  private static final double RETRY_ELSEWHERE_SECONDS = 0.05;
+
   private final RequestRouter router;
   private final CallerExchange exchange;
   private final RequestMetadata metadata;
@@ -165,6 +168,16 @@
         : expected;
   }
 
+  /** Returns the largest number of tokens of the answer, or the mean if there is no limit. */
+  double mostAnswerTokens(EngineProfile profile) {
+    return metadata.maxAnswerTokens() > 0 ? metadata.maxAnswerTokens() : profile.meanAnswerTokens();
+  }
+
+  /** Returns the time at which the request ends at the latest, on the monotonic clock. */
+  long deadlineAt() {
+    return deadlineAt;
+  }
+
   double remainingMs() {
     return (deadlineAt - now()) / (double) TimeUnit.MILLISECONDS.toNanos(1);
   }
@@ -262,6 +275,7 @@
     boolean allowed =
         route.mayRunAgain()
             && mayTryAgain()
+            && router.state().stopAdmission().admits(this)
             && router.checkKey(this).isEmpty()
             && router.state().retryBudget(service).mayRetry(now());
     return allowed ? router.findEndpoint(this) : Optional.empty();
@@ -440,6 +454,26 @@
     finish(reason.name());
   }
 
+  /**
+   * Ends the request with what is known of it, because it would not end before this process. A
+   * caller that is told so can go to another entry VM at once.
+   */
+  void endForStop() {
+    if (finished) {
+      return;
+    }
+    attempts.cancel();
+    router.removeFromQueue(this);
+    if (exchange.isResponseStarted()) {
+      exchange.abort();
+      finish("CUT_BY_STOP");
+    } else if (attempts.mayHaveRun()) {
+      fail(FailureReason.STOPPED);
+    } else {
+      refuse(FailureReason.STOPPING, RETRY_ELSEWHERE_SECONDS);
+    }
+  }
+
   private void onDeadline() {
     attempts.onDeadline();
     if (finished) {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestRouter.java
@@ -3,9 +3,11 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.clementineford.gateway.RequestProtocol;
@@ -33,7 +35,7 @@
   private final QuarantineGuard quarantine;
   private final Map<String, EngineQueue> queues = new HashMap<>();
   private final ServiceChange serviceChange;
-  private int requestsInProgress;
+  private final Set<ProxiedRequest> requestsInProgress = new LinkedHashSet<>();
 
   RequestRouter(
       GatewayState state,
@@ -79,11 +81,16 @@
 
   /** Returns the number of requests without a final response. */
   int requestsInProgress() {
-    return requestsInProgress;
+    return requestsInProgress.size();
+  }
+
+  /** Ends all requests, because the process ends. */
+  void endForStop() {
+    List.copyOf(requestsInProgress).forEach(request -> request.guarded(request::endForStop).run());
   }
 
   void requestEnded(ProxiedRequest request) {
-    requestsInProgress--;
+    requestsInProgress.remove(request);
     quarantine.ended(request);
   }
 
@@ -94,16 +101,15 @@
 
   /** Accepts a request that was read completely. */
   void accept(CallerExchange exchange) {
-    requestsInProgress++;
     ProxiedRequest proxiedRequest;
     try {
       RequestMetadata metadata = protocol.decodeRequest(exchange.head());
       proxiedRequest = new ProxiedRequest(this, exchange, metadata);
     } catch (RuntimeException | Error e) {
-      requestsInProgress--;
       refuseUndecoded(exchange, e);
       return;
     }
+    requestsInProgress.add(proxiedRequest);
     proxiedRequest.guarded(() -> route(proxiedRequest)).run();
   }
 
@@ -154,8 +160,15 @@
     return TimeUnit.NANOSECONDS.toMillis(configurationAge.getAsLong());
   }
 
-  /** Chooses an endpoint and sends the request to it, or queues or refuses the request. */
+  /**
+   * Chooses an endpoint and sends the request to it, or queues or refuses the request. Each attempt
+   * of a request begins here, except a move away from a silent endpoint.
+   */
   void place(ProxiedRequest request) {
+    if (!state.stopAdmission().admits(request)) {
+      request.endForStop();
+      return;
+    }
     if (!serviceChange.followIfServiceIsGone(request)) {
       return;
     }
@@ -245,7 +258,7 @@
     EngineQueue queue = queues.get(service);
     if (queue != null) {
       try {
-        engineProfile(service).ifPresent(queue::dispatchWaiting);
+        state.engineProfile(service).ifPresent(queue::dispatchWaiting);
       } catch (RuntimeException | Error e) {
         // The caller may be another request, or the periodic task.
         LOG.atError()
@@ -263,12 +276,8 @@
   /** Applies a configuration that came into force to the waiting requests. */
   void reviewWaiting() {
     List<ProxiedRequest> unqueued = new ArrayList<>();
-    queues.forEach((service, queue) -> unqueued.addAll(queue.review(engineProfile(service))));
+    queues.forEach((service, queue) -> unqueued.addAll(queue.review(state.engineProfile(service))));
     unqueued.forEach(request -> request.guarded(() -> place(request)).run());
     dispatchAllWaiting();
   }
-
-  private Optional<EngineProfile> engineProfile(String service) {
-    return state.configuration().service(service).flatMap(Service::engine);
-  }
 }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -36,9 +36,9 @@
   private static final long DIGESTS_RETRY_MS = 300;
 
   private final TransferContext context;
-  private final LocalEngine engine;
   private final DigestsReader digestsReader;
   private final ChunkStaging staging;
+  private final LoadOrder loadOrder;
   private final ActivationSchedule schedule;
   private final EngineDrain drain;
   private final TreeMap<Long, ChunkTransfer> transfers = new TreeMap<>();
@@ -56,6 +56,7 @@
   private boolean digestsPending;
   private boolean activating;
   private boolean changing;
+  private boolean stopped;
   private long orderedVersion;
   private long orderedAt;
 
@@ -65,9 +66,9 @@
       ActivationSchedule schedule,
       Runnable onChanging) {
     this.context = context;
-    this.engine = engine;
     this.digestsReader = new DigestsReader(context.weights());
     this.staging = new ChunkStaging(engine);
+    this.loadOrder = new LoadOrder(engine, staging, context.clock());
     this.schedule = schedule;
     this.drain = new EngineDrain(schedule);
     this.onChanging = onChanging;
@@ -203,9 +204,29 @@
     }
   }
 
+  /**
+   * Ends the transfers and begins no further step. The engine takes requests again unless an order
+   * was sent to it, since it keeps running.
+   */
+  void stop() {
+    stopped = true;
+    staging.stop();
+    transfers.values().forEach(ChunkTransfer::stop);
+    drain.end();
+    activating = isOrdering();
+    if (!isOrdering() && orderedVersion <= status.weightVersion()) {
+      setChanging(false);
+    }
+  }
+
+  /** Returns whether an order was sent to the engine and not answered yet. */
+  boolean isOrdering() {
+    return loadOrder.isOrdering();
+  }
+
   /** Starts the steps that are due. Called after each event and each status of the engine. */
   void proceed() {
-    if (model == null) {
+    if (stopped || model == null) {
       return;
     }
     ChunkTransfer newest = transfers.isEmpty() ? null : transfers.lastEntry().getValue();
@@ -268,13 +289,14 @@
     }
     digestsPending = true;
     long wanted = target;
-    digestsReader
-        .read(origin, model, wanted, layout)
+    // A step that throws fails the future too, or no transfer would ever begin again.
+    CompletableFuture.completedFuture(wanted)
+        .thenCompose(version -> digestsReader.read(origin, model, version, layout))
+        .thenCompose(
+            digests -> readStaged(digests).thenAccept(staged -> startTransfer(digests, staged)))
         .whenComplete(
-            (digests, failure) -> {
-              if (failure == null) {
-                readStaged(digests);
-              } else {
+            (done, failure) -> {
+              if (failure != null) {
                 LOG.atWarn()
                     .addKeyValue("version", wanted)
                     .addKeyValue("reason", failure.getMessage())
@@ -296,45 +318,46 @@
    * Reads the digests of a transfer again, since chunks did not match, until an answer is right.
    */
   private void readDigestsAgain(ChunkTransfer transfer) {
-    if (!transfers.containsValue(transfer) || transfer.isComplete()) {
+    if (stopped || !transfers.containsValue(transfer) || transfer.isComplete()) {
       return;
     }
     HostPort origin = context.origin().get();
-    CompletableFuture<WeightDigests> read =
-        origin == null
-            ? CompletableFuture.failedFuture(new IllegalStateException("origin not known"))
-            : digestsReader.read(origin, model, transfer.digests().version(), layout);
-    read.whenComplete(
-        (digests, failure) -> {
-          if (failure == null) {
-            transfer.correctDigests(digests);
-          } else {
-            LOG.atWarn()
-                .addKeyValue("version", transfer.digests().version())
-                .addKeyValue("reason", failure.getMessage())
-                .log("failed to read chunk digests again; retrying");
-            context
-                .scheduler()
-                .schedule(
-                    () -> readDigestsAgain(transfer), DIGESTS_RETRY_MS, TimeUnit.MILLISECONDS);
-          }
-        });
+    CompletableFuture.completedFuture(transfer.digests().version())
+        .thenCompose(
+            version ->
+                origin == null
+                    ? CompletableFuture.failedFuture(new IllegalStateException("origin not known"))
+                    : digestsReader.read(origin, model, version, layout))
+        .thenAccept(transfer::correctDigests)
+        .whenComplete(
+            (done, failure) -> {
+              if (failure != null) {
+                LOG.atWarn()
+                    .addKeyValue("version", transfer.digests().version())
+                    .addKeyValue("reason", failure.getMessage())
+                    .log("failed to read chunk digests again; retrying");
+                context
+                    .scheduler()
+                    .schedule(
+                        () -> readDigestsAgain(transfer), DIGESTS_RETRY_MS, TimeUnit.MILLISECONDS);
+              }
+            });
   }
 
   /**
    * Reads the chunks staged at the engine if they may be of the given version. After a restart of
    * the engine or of this process, the VM then needs no transfer and can serve peers that do.
    */
-  private void readStaged(WeightDigests digests) {
-    if (status.weightVersion() != digests.version() && status.weightVersion() != 0) {
-      startTransfer(digests, Map.of());
-    } else {
-      staging.read(
-          digests.model(), digests.digests().size(), staged -> startTransfer(digests, staged));
-    }
+  private CompletableFuture<Map<Integer, byte[]>> readStaged(WeightDigests digests) {
+    return status.weightVersion() != digests.version() && status.weightVersion() != 0
+        ? CompletableFuture.completedFuture(Map.of())
+        : staging.read(digests.model(), digests.digests().size());
   }
 
   private void startTransfer(WeightDigests digests, Map<Integer, byte[]> staged) {
+    if (stopped) {
+      return;
+    }
     digestsPending = false;
     if (digests.version() > target) {
       updateTarget(digests.model(), digests.version(), context.clock().nanoTime(), false);
@@ -358,7 +381,7 @@
 
   private void activateIfDue() {
     ChunkTransfer complete = newestComplete();
-    if (complete == null || activating || status.busy() || status == EngineStatus.UNREACHABLE) {
+    if (complete == null || activating || !isLoadDue(complete, status)) {
       return;
     }
     long version = complete.digests().version();
@@ -366,16 +389,13 @@
     boolean ordered =
         orderedVersion == version
             && now - orderedAt < TimeUnit.MILLISECONDS.toNanos(ORDER_RETRY_MS);
-    if (status.weightVersion() >= version || ordered) {
+    if (ordered) {
       return;
     }
     boolean serving = isServing(now);
     if (now - beginAt(complete, serving) < 0) {
       return;
     }
-    if (version < target && !isWorthSwitching(complete, now)) {
-      return;
-    }
     activating = true;
     boolean alreadyDraining = drain.isActive();
     drain.end();
@@ -426,45 +446,68 @@
         namedAt(superseded.digests().version()), nextBeginsAt, status.running() == 0, now);
   }
 
-  /**
-   * Stages all chunks right before the order, since staged bytes may become corrupt over time and
-   * the engine does not verify them.
-   */
+  /** Stages all chunks and orders the engine to load them if it still should. */
   private void stage(ChunkTransfer transfer) {
-    staging
-        .write(model, transfer.allChunks())
+    if (stopped) {
+      return;
+    }
+    long version = transfer.digests().version();
+    long incarnation = status.incarnation();
+    loadOrder
+        .send(
+            model,
+            version,
+            transfer.allChunks(),
+            next -> !stopped && next.incarnation() == incarnation && isLoadDue(transfer, next))
         .whenComplete(
-            (done, failure) -> {
-              if (failure == null) {
-                orderLoad(transfer);
+            (notDue, failure) -> {
+              if (failure != null) {
+                activationFailed(failure);
+              } else if (notDue.isPresent()) {
+                orderWithheld(version, notDue.get());
               } else {
-                activationFailed("staging", failure);
+                orderAccepted(version);
               }
             });
   }
 
-  private void orderLoad(ChunkTransfer transfer) {
-    long version = transfer.digests().version();
-    engine
-        .load(model, version)
-        .whenComplete(
-            (done, failure) -> {
-              if (failure != null) {
-                activationFailed("order", failure);
-                return;
-              }
-              activating = false;
-              orderedVersion = version;
-              orderedAt = context.clock().nanoTime();
-              LOG.atInfo()
-                  .addKeyValue("version", version)
-                  .log("engine accepted the order to load weights");
-            });
+  /** Returns whether the engine may be ordered to load a version, apart from its turn. */
+  private boolean isLoadDue(ChunkTransfer complete, EngineStatus engineStatus) {
+    long version = complete.digests().version();
+    return engineStatus != EngineStatus.UNREACHABLE
+        && !engineStatus.busy()
+        && engineStatus.weightVersion() < version
+        && (version >= target || isWorthSwitching(complete, context.clock().nanoTime()));
   }
 
-  private void activationFailed(String step, Throwable failure) {
+  private void orderWithheld(long version, EngineStatus next) {
+    if (stopped) {
+      return;
+    }
+    LOG.atInfo()
+        .addKeyValue("version", version)
+        .addKeyValue("target", target)
+        .addKeyValue("incarnation", next.incarnation())
+        .addKeyValue("weights", next.weightVersion())
+        .addKeyValue("busy", next.busy())
+        .log("order to load weights not sent, since the engine or the target changed meanwhile");
+    activating = false;
+    statusChanged(next);
+  }
+
+  private void orderAccepted(long version) {
+    activating = false;
+    orderedVersion = version;
+    orderedAt = context.clock().nanoTime();
+    LOG.atInfo().addKeyValue("version", version).log("engine accepted the order to load weights");
+  }
+
+  private void activationFailed(Throwable failure) {
+    if (stopped) {
+      setChanging(false);
+      return;
+    }
     LOG.atWarn()
-        .addKeyValue("step", step)
         .addKeyValue("reason", failure.getMessage())
         .log("failed to activate weights; retrying");
     context
