Ask the origin again after an answer that is not the manifest

What callers saw: a VM that got one wrong answer of the origin, such as the manifest of another version or JSON without an object, never asked it again; without a peer that holds the manifest it kept its old weights. Cause: the flag of the request was reset after failed calls and invalid manifests only, not after a manifest of other weights, after an answer whose processing threw, or if sending the call threw. Change: all of these count as a failed read, which is repeated; "null" is an invalid manifest.

--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ManifestSearch.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/ManifestSearch.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.clementineford.kernel.HostPort;
@@ -89,7 +90,11 @@
       }
     }
     if (askOrigin) {
-      services.source().manifest(model, version).whenComplete(this::originAnswered);
+      // A call or an answer that throws counts as failed, or none would be sent any more.
+      CompletableFuture.completedFuture(services.source())
+          .thenCompose(source -> source.manifest(model, version))
+          .thenAccept(this::found)
+          .exceptionally(this::originFailed);
     }
     if (peer != null) {
       askPeer(peer);
@@ -123,10 +128,8 @@
 
   private void askPeer(HostPort address) {
     Payload request = Payload.manifestFetch(new ManifestFetch(model, version));
-    services
-        .context()
-        .network()
-        .call(address, request)
+    CompletableFuture.completedFuture(services.context().network())
+        .thenCompose(network -> network.call(address, request))
         .whenComplete(
             (reply, failure) -> {
               peerAnswered();
@@ -136,14 +139,11 @@
             });
   }
 
-  private void originAnswered(byte[] json, Throwable failure) {
-    if (failure == null) {
-      found(json);
-    } else {
-      LOG.warn(
-          "cannot read the manifest of {} {}; retrying: {}", model, version, failure.getMessage());
-      retryOrigin();
-    }
+  private Void originFailed(Throwable failure) {
+    LOG.warn(
+        "cannot read the manifest of {} {}; retrying: {}", model, version, failure.getMessage());
+    retryOrigin();
+    return null;
   }
 
   private synchronized void peerAnswered() {
@@ -164,8 +164,18 @@
       retryOrigin();
       return;
     }
+    if (!manifest.model().equals(model) || !manifest.version().equals(version)) {
+      LOG.warn(
+          "ignoring a manifest of {} {} instead of {} {}; retrying",
+          manifest.model(),
+          manifest.version(),
+          model,
+          version);
+      retryOrigin();
+      return;
+    }
     synchronized (this) {
-      if (ended || !manifest.model().equals(model) || !manifest.version().equals(version)) {
+      if (ended) {
         return;
       }
       stop();
--- a/org.clementineford.weights/src/main/java/org/clementineford/weights/Manifest.java
+++ b/org.clementineford.weights/src/main/java/org/clementineford/weights/Manifest.java
@@ -52,6 +52,10 @@
       throw new ClementinefordException(
           ErrorKind.CORRUPT_DATA, MESSAGES.format("manifest-not-json"), e);
     }
+    if (manifest == null) {
+      throw new ClementinefordException(
+          ErrorKind.CORRUPT_DATA, MESSAGES.format("manifest-not-json"));
+    }
     manifest.validate();
     return manifest;
   }
