Load again after an order to an engine that could not be sent

What callers saw: a VM without orders kept its old weights after one order to its engine threw an error instead of failing, and no longer noticed if the engine lost its weights. Cause: the timer for loading without an order and the expected digest were cleared before the order was sent; the code that sets them again runs when the future of the order ends, and there was none. Change: the order is sent within a future, which fails if sending throws. Result: WeightsErrorsTest#engineIsOrderedAgainAfterAnError was seen to fail before and passes now; the tests of WeightsComponentTest that were run with it passed too.

--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/weights/WeightsErrorsTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/weights/WeightsErrorsTest.java
@@ -13,6 +13,7 @@
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.weights.TransferLimits;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
@@ -84,6 +85,32 @@
     assertThat(serves(source, new WeightsTestNode.RecordingEngine())).isTrue();
   }
 
+  // Guards against a VM that never loads again after one order to its engine could not be sent.
+  @Test
+  void engineIsOrderedAgainAfterAnError() throws Exception {
+    origin.publish("v1", LENGTH);
+    WeightsTestNode.RecordingEngine engine = new WeightsTestNode.RecordingEngine();
+    ModelEngine failingOnce =
+        new ModelEngine() {
+          private boolean failed;
+
+          @Override
+          public CompletableFuture<LoadedVersion> load(LoadOrder order) {
+            if (!failed) {
+              failed = true;
+              throw new StackOverflowError(FAILURE);
+            }
+            return engine.load(order);
+          }
+
+          @Override
+          public CompletableFuture<EngineLoad> readLoad() {
+            return engine.readLoad();
+          }
+        };
+    assertThat(serves(origin, failingOnce)).isTrue();
+  }
+
   /** What the origin answers once instead of the manifest. */
   private enum WrongManifest {
     OTHER_VERSION {
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/Activation.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/weights/Activation.java
@@ -61,7 +61,12 @@
         String.valueOf(number.combined()));
     CompletableFuture<?>[] loads =
         engines.stream()
-            .map(engine -> engine.load(order).thenCompose(loaded -> check(manifest, loaded)))
+            .map(
+                engine ->
+                    // A load that throws fails the future, after which another one is due.
+                    CompletableFuture.completedFuture(order)
+                        .thenCompose(engine::load)
+                        .thenCompose(loaded -> check(manifest, loaded)))
             .toArray(CompletableFuture[]::new);
     return CompletableFuture.allOf(loads)
         .thenRun(() -> publish(manifest))
