Watch the platform on after a call or an answer that throws

What callers saw: a process that watches the platform no longer read documents from it after one error; it followed only what peers sent. Cause: the next step was started by the future of the call, after the answer was processed, so an error in sending or in processing ended the watch for good. Change: each step runs within a future; one that throws is logged and repeated like a failed call. Result: PlatformWatchTest#watchesOnAfterCallThatThrows lets one of the first four calls throw; the first three were seen to fail before.

--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/PlatformWatch.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/PlatformWatch.java
@@ -1,20 +1,27 @@
 package org.clementineford.node.internal;
 
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.clementineford.configuration.Document;
 import org.clementineford.configuration.errors.DocumentException;
 import org.clementineford.kernel.Scheduler;
+import org.clementineford.kernel.errors.ClementinefordException;
+import org.clementineford.kernel.errors.CompletionExceptions;
 import org.clementineford.kernel.platform.StoredObject;
 import org.clementineford.kernel.platform.VersionedObjectStore;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Watches the revision stored on the platform while this process is one of the watchers, and reads
  * the document if peers do not deliver it.
  */
 public final class PlatformWatch {
+  private static final Logger LOG = LoggerFactory.getLogger(PlatformWatch.class);
+
   private static final long WATCH_TIMEOUT_MS = 30_000;
   private static final long IDLE_DELAY_MS = 1000;
   private static final long MIN_RETRY_MS = 200;
@@ -66,37 +73,54 @@
     return stopped;
   }
 
+  /**
+   * Makes the next step. A step that throws counts as a failed call, or the watch would end for
+   * good.
+   */
   private void step() {
     if (isStopped()) {
       return;
     }
+    CompletableFuture.completedFuture(this)
+        .thenCompose(PlatformWatch::call)
+        .whenComplete(
+            (next, failure) -> {
+              if (failure == null) {
+                next.run();
+              } else {
+                logUnexpected(failure);
+                retry();
+              }
+            });
+  }
+
+  /** Sends the call that is due and processes its answer; returns what to do then. */
+  private CompletableFuture<Runnable> call() {
     if (!watcher.getAsBoolean()) {
-      scheduler.schedule(this::step, IDLE_DELAY_MS, TimeUnit.MILLISECONDS);
-    } else if (!documentRead) {
-      readDocument();
-    } else {
-      watch();
+      return CompletableFuture.completedFuture(
+          () -> scheduler.schedule(this::step, IDLE_DELAY_MS, TimeUnit.MILLISECONDS));
     }
+    return documentRead ? watch() : readDocument();
   }
 
-  private void watch() {
+  private CompletableFuture<Runnable> watch() {
     long version;
     synchronized (this) {
       version = knownVersion;
     }
-    store
+    return store
         .watch(StoredRevision.OBJECT_KEY, version, WATCH_TIMEOUT_MS)
-        .whenComplete(
-            (object, failure) -> {
-              if (failure == null) {
-                onWatchResult(object);
-              } else {
-                retry();
-              }
-            });
+        .thenApply(this::onWatchResult);
+  }
+
+  private static void logUnexpected(Throwable failure) {
+    Throwable cause = CompletionExceptions.unwrap(failure);
+    if (!(cause instanceof ClementinefordException)) {
+      LOG.error("failed to process what the platform stores; watching on", cause);
+    }
   }
 
-  private void onWatchResult(Optional<StoredObject> object) {
+  private Runnable onWatchResult(Optional<StoredObject> object) {
     long platformRevision = object.map(StoredRevision::revision).orElse(0L);
     long ownRevision = configuration.current().revision();
     boolean stale;
@@ -113,22 +137,19 @@
       // the stored revision.
       storedRevision.raise(ownRevision);
     }
-    if (stale) {
-      // An immediate retry would get the same outdated copy.
-      retry();
-    } else {
-      step();
-    }
+    // An immediate retry would get the same outdated copy.
+    return stale ? this::retry : this::step;
   }
 
   private void readIfBehind(long revision) {
     if (!isStopped() && configuration.current().revision() < revision) {
-      store
-          .get(Document.OBJECT_KEY)
+      CompletableFuture.completedFuture(Document.OBJECT_KEY)
+          .thenCompose(store::get)
+          .thenAccept(this::offer)
           .whenComplete(
-              (object, failure) -> {
-                if (failure == null) {
-                  offer(object);
+              (done, failure) -> {
+                if (failure != null) {
+                  logUnexpected(failure);
                 }
                 if (configuration.current().revision() < revision) {
                   scheduler.schedule(
@@ -138,19 +159,15 @@
     }
   }
 
-  private void readDocument() {
-    store
+  private CompletableFuture<Runnable> readDocument() {
+    return store
         .get(Document.OBJECT_KEY)
-        .whenComplete(
-            (object, failure) -> {
-              if (failure != null) {
-                retry();
-                return;
-              }
+        .thenApply(
+            object -> {
               documentRead = true;
               offer(object);
               storedRevision.raise(configuration.current().revision());
-              step();
+              return this::step;
             });
   }
 
