Deliver revisions on after an error of one listener

What callers saw: after one component threw an error while it applied a revision of the configuration, no component of the process got that revision or any later one, until a restart; the process still reported the new revisions as in force. Cause: the mark that one thread delivers stayed set when a listener threw, so nobody delivered again. Change: the error of a listener is logged, and the other listeners and later revisions go on. A failure to announce a revision to peers does not keep it from the listeners either. The listener that failed gets the next revision; it is not told the same one again.

--- a/org.clementineford.node.test/src/test/java/org/clementineford/node/internal/PlatformWatchTest.java
+++ b/org.clementineford.node.test/src/test/java/org/clementineford/node/internal/PlatformWatchTest.java
@@ -6,6 +6,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,6 +24,7 @@
 import org.clementineford.wire.VmIdentity;
 import org.clementineford.wire.VmRole;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -88,6 +90,27 @@
     assertThat(configuration.current().revision()).isEqualTo(3);
   }
 
+  // Guards against the same after an error of a component that a change is passed to.
+  @Test
+  void watchesOnAfterAnErrorOfListener() {
+    List<Long> seen = new ArrayList<>();
+    List<Error> errors = new ArrayList<>(List.of(new StackOverflowError(FAILURE)));
+    configuration.onChange(
+        snapshot -> {
+          if (!errors.isEmpty()) {
+            throw errors.remove(0);
+          }
+        });
+    configuration.onChange(snapshot -> seen.add(snapshot.revision()));
+    storeDocument(2);
+    run(new PlatformWatch(store, configuration, time, () -> true)::start);
+    advance(5);
+    storeDocument(3);
+    advance(20);
+    assertThat(errors).isEmpty();
+    assertThat(seen).containsExactly(2L, 3L);
+  }
+
   /** A store of a document and its revision, whose watches end when the revision changes. */
   private static final class Store implements VersionedObjectStore {
     private StoredObject document;
--- a/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
+++ b/org.clementineford.node/src/main/java/org/clementineford/node/internal/ConfigurationAgent.java
@@ -239,8 +239,11 @@
       }
     }
     if (outcome.changed()) {
-      announce(next.revision());
-      deliver();
+      try {
+        announce(next.revision());
+      } finally {
+        deliver();
+      }
     }
     return outcome;
   }
@@ -248,13 +251,18 @@
   /**
    * Notifies the listeners in the order of the revisions. One thread at a time does this, without
    * holding the lock of this object: listeners take other locks under which this object is called,
-   * so holding it could cause a deadlock.
+   * so holding it could cause a deadlock. A listener that fails does not keep the others, and later
+   * revisions, from being notified.
    */
   private void deliver() {
     ConfigurationSnapshot next = nextToDeliver(false);
     while (next != null) {
       for (Consumer<ConfigurationSnapshot> listener : listeners) {
-        listener.accept(next);
+        try {
+          listener.accept(next);
+        } catch (RuntimeException | Error e) {
+          LOG.error("a component failed to apply revision {}", next.revision(), e);
+        }
       }
       next = nextToDeliver(true);
     }
