End the runs of an unresponsive server one after another

All runs of an unresponsive engine ended at the same moment.

The runs now end evenly over 2 s, in which the budget of each entry VM gains 20, and a run is kept if the server answers a probe before its turn. A poll counts as pending until its result is recorded, so that a test can wait for it.

--- a/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/LocalBackEndTest.java
+++ b/org.clementineford.endpoint.test/src/test/java/org/clementineford/endpoint/internal/requests/LocalBackEndTest.java
@@ -95,15 +95,24 @@
       }
     }
 
+    private void giveUpNext() {
+      endpoint.time.advance(1, TimeUnit.MILLISECONDS);
+    }
+
+    private void giveUpAll() {
+      endpoint.time.advance(2, TimeUnit.SECONDS);
+    }
+
     // Guards against an idempotent request that waits for a hanging engine until its own deadline,
     // although another endpoint would answer it.
     @Test
     void endsUnansweredIdempotentRunWithUnknownOutcome() throws Exception {
-      RecordingExchange exchange = endpoint.dispatch("1", dispatch -> {});
+      final RecordingExchange exchange = endpoint.dispatch("1", dispatch -> {});
       HttpExchange call = endpoint.nextCall();
       CompletableFuture<Void> closed = new CompletableFuture<>();
       call.onClosed(() -> closed.complete(null));
       failPollsUntilDown();
+      giveUpNext();
       Refusal refusal = exchange.awaitLast().getRefusal();
       assertThat(refusal.getKind()).isEqualTo(RefusalKind.BACK_END_BROKEN.wireName());
       assertThat(refusal.getRun()).isEqualTo(RunState.UNKNOWN);
@@ -111,6 +120,25 @@
       endpoint.awaitIdle();
     }
 
+    // Guards against more retries at once than the retry budgets of entry VMs allow.
+    @Test
+    void endsRunsOneAfterAnotherWhileTheEngineStaysDown() throws Exception {
+      final RecordingExchange first = endpoint.dispatch("1", dispatch -> {});
+      endpoint.nextCall();
+      final RecordingExchange last = endpoint.dispatch("2", dispatch -> {});
+      final HttpExchange call = endpoint.nextCall();
+      failPollsUntilDown();
+      giveUpNext();
+      assertThat(first.isFinished()).isTrue();
+      assertThat(last.isFinished()).isFalse();
+      endpoint.setPollsAnswered(true);
+      endpoint.advance(POLL_INTERVAL_MS / 2);
+      endpoint.advance(POLL_INTERVAL_MS);
+      assertThat(last.isFinished()).isFalse();
+      EndpointFixture.answer(call, "done");
+      assertThat(last.awaitLast().isSetAnswerEnd()).isTrue();
+    }
+
     // Guards against a reservation that is given up, or made twice, because its engine is slow.
     @Test
     void keepsNonIdempotentRunForItsLateAnswer() throws Exception {
@@ -120,6 +148,7 @@
       final RecordingExchange other = endpoint.dispatch("2", dispatch -> {});
       endpoint.nextCall();
       failPollsUntilDown();
+      giveUpAll();
       other.awaitLast();
       EndpointFixture.answer(call, "lot 5");
       assertThat(exchange.awaitLast().isSetAnswerEnd()).isTrue();
@@ -137,6 +166,7 @@
       final RecordingExchange other = endpoint.dispatch("2", dispatch -> {});
       endpoint.nextCall();
       failPollsUntilDown();
+      giveUpAll();
       other.awaitLast();
       call.write("late".getBytes(StandardCharsets.UTF_8));
       call.finish();
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEndServer.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/BackEndServer.java
@@ -1,5 +1,6 @@
 package org.clementineford.endpoint.internal.requests;
 
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -10,6 +11,7 @@
   private final HostPort address;
   private final BackEndHealth health = new BackEndHealth();
   private final Set<Run> runs = new LinkedHashSet<>();
+  private final Set<Run> givenUp = new HashSet<>();
   private int slots;
 
   BackEndServer(HostPort address, int slots) {
@@ -46,8 +48,12 @@
     runs.remove(run);
   }
 
-  /** Returns the runs that occupy a slot, earliest first. */
-  synchronized List<Run> runs() {
-    return List.copyOf(runs);
+  /** Returns the runs that occupy a slot and are not being given up yet, earliest first. */
+  synchronized List<Run> startGivingUp() {
+    return runs.stream().filter(givenUp::add).toList();
+  }
+
+  synchronized void endGivingUp(Run run) {
+    givenUp.remove(run);
   }
 }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoller.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LoadPoller.java
@@ -82,15 +82,18 @@
   }
 
   private void completed(Throwable failure) {
-    synchronized (this) {
-      pending = false;
-    }
-    if (failure != null) {
-      backEnd.recordUnansweredPoll(server, String.valueOf(failure.getMessage()));
-      return;
+    try {
+      if (failure == null) {
+        backEnd.recordSuccess(server);
+        backEnd.updateSlots();
+        backEnd.startNext();
+      } else {
+        backEnd.recordUnansweredPoll(server, String.valueOf(failure.getMessage()));
+      }
+    } finally {
+      synchronized (this) {
+        pending = false;
+      }
     }
-    backEnd.recordSuccess(server);
-    backEnd.updateSlots();
-    backEnd.startNext();
   }
 }
--- a/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LocalBackEnd.java
+++ b/org.clementineford.endpoint/src/main/java/org/clementineford/endpoint/internal/requests/LocalBackEnd.java
@@ -11,6 +11,12 @@
 
 /** A model or plain service of this VM: its request queue and the servers that run the requests. */
 final class LocalBackEnd {
+  /**
+   * Time over which the runs of an unresponsive server end, in milliseconds. The retry budgets of
+   * entry VMs refill meanwhile.
+   */
+  private static final long GIVE_UP_PERIOD_MS = 2000;
+
   private final String name;
   private final BackEndKind kind;
   private final List<BackEndServer> servers;
@@ -155,13 +161,30 @@
 
   /**
    * Records a poll or probe without an answer. If it leaves the server down, other endpoints may
-   * answer before this server does, so its unanswered runs end as far as they may run again. Must
-   * not be called while holding the lock of a run.
+   * answer before this server does, so its unanswered runs end as far as they may run again, unless
+   * the server recovers. Must not be called while holding the lock of a run.
    */
   void recordUnansweredPoll(BackEndServer server, String cause) {
     recordFailure(server, false, cause);
+    if (!server.health().isDown()) {
+      return;
+    }
+    List<Run> runs = server.startGivingUp();
+    for (int i = 0; i < runs.size(); i++) {
+      Run run = runs.get(i);
+      services
+          .scheduler()
+          .schedule(
+              () -> giveUp(run, server, cause),
+              GIVE_UP_PERIOD_MS * i / runs.size(),
+              TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void giveUp(Run run, BackEndServer server, String cause) {
+    server.endGivingUp(run);
     if (server.health().isDown()) {
-      server.runs().forEach(run -> run.giveUpIfRepeatable(server, cause));
+      run.giveUpIfRepeatable(server, cause);
     }
   }
 
