Decide on lost requests of the soak apart from its fleet

LossRule decides from the request, its runs, the stop and the faults; LostRequests collects these and describes what was found.

--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
@@ -113,7 +113,7 @@
     watch.end();
     writeFaults(series);
     List<String> broken = new ArrayList<>(promises.check(REMOVED_KEY, removal.acknowledgedAt));
-    LostRequests.Verdict lost = new LostRequests(fleet, callers).judge(series.periods());
+    LostRequests.Findings lost = new LostRequests(fleet, callers).find(series.periods());
     broken.addAll(lost.broken());
     broken.addAll(promises.checkRecovered(REMOVED_KEY, recoveredAt));
     broken.addAll(new RequestCounts(fleet, clock).check());
