Count the time of a stop from the signal, not from the end of the start

An entry VM that gets SIGTERM during its start stops once the start is through, and counted its stop time from then. The platform counts from the signal. If the start lasts more than about 0.5 s longer, the platform ends the process before it tells callers about their requests: what was accepted because it would end before the process is cut without an answer or a line.

The time of the signal is taken before the wait for the start, and passed to the stop of the entry VM. The stop of an endpoint VM accepts no work of callers and stays as it was.

Found by reading; no caller was seen to be cut. The test failed with the time taken after the wait, as before (3000 instead of 0), and passes now; ProcessLifecycleTest and MainSignalsTest passed once.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -358,21 +358,23 @@
    * Stops gracefully: reports "not ready" until the platform sends no new callers, then stops
    * accepting connections and waits for the requests in progress. Those that last longer than the
    * stop time are ended. Returns when all have ended.
+   *
+   * @param requestedAt time at which the stop was requested, in monotonic nanoseconds; the stop
+   *     time counts from it
    */
-  public void stop() {
-    long startedAt = clock.nanoTime();
+  public void stop(long requestedAt) {
     LOG.atInfo().addKeyValue("running", gateway.requestsInProgress()).log("stopping");
     final long limitMs = settings.bounds().stopTimeoutMs() - STOP_MARGIN_MS;
     Drain drain =
         new Drain(
-            startedAt + TimeUnit.MILLISECONDS.toNanos(NOT_READY_PERIOD_MS),
-            startedAt + TimeUnit.MILLISECONDS.toNanos(limitMs));
+            requestedAt + TimeUnit.MILLISECONDS.toNanos(NOT_READY_PERIOD_MS),
+            requestedAt + TimeUnit.MILLISECONDS.toNanos(limitMs));
     eventLoops.execute(() -> gateway.beginStop(drain));
-    await(startedAt, NOT_READY_PERIOD_MS, false);
+    await(requestedAt, NOT_READY_PERIOD_MS, false);
     eventLoops.execute(gateway::stopAccepting);
-    await(startedAt, limitMs, true);
+    await(requestedAt, limitMs, true);
     runOnEventLoop(gateway::endRequests);
-    await(startedAt, limitMs + LAST_ANSWERS_MS, true);
+    await(requestedAt, limitMs + LAST_ANSWERS_MS, true);
     runOnEventLoop(gateway::closeCallers);
     LOG.atInfo()
         .addKeyValue("running", gateway.requestsInProgress())
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/ClassArchive.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/ClassArchive.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import org.agrona.concurrent.SystemNanoClock;
 import org.clementineford.fleet.VmSettings;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.kernel.errors.ClementinefordException;
@@ -27,14 +28,14 @@
   /** Runs both programs, sends one request, and ends the process. */
   static void loadClasses(EventLoopGroup eventLoops) throws ClementinefordException {
     VmSettings settings = settings();
-    final Runnable stopEntryVm = VmStart.startEntryVm(settings, eventLoops);
-    final Runnable stopEndpointVm = VmStart.startEndpointVm(settings, eventLoops);
+    final ProcessLifecycle.Stop stopEntryVm = VmStart.startEntryVm(settings, eventLoops);
+    final ProcessLifecycle.Stop stopEndpointVm = VmStart.startEndpointVm(settings, eventLoops);
     HttpClient client = new HttpClient(eventLoops, LinkShaping.NONE);
     HttpRequest request = new HttpRequest("GET", "/", Map.of("host", "localhost"), new byte[0]);
     client.call(settings.callerAddress().orElseThrow(), request, 500);
     LockSupport.parkNanos(RUN_NANOS);
-    stopEndpointVm.run();
-    stopEntryVm.run();
+    stopEndpointVm.run(SystemNanoClock.INSTANCE.nanoTime());
+    stopEntryVm.run(SystemNanoClock.INSTANCE.nanoTime());
     Runtime.getRuntime().exit(0);
   }
 
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/Main.java
@@ -1,5 +1,6 @@
 package org.clementineford.launcher;
 
+import org.agrona.concurrent.SystemNanoClock;
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.transport.ChannelNames;
@@ -21,7 +22,7 @@
     // Signals come first: without a handler, each of them would end the process at once.
     SettingsCheck settingsCheck = new SettingsCheck();
     Signal.handle(new Signal("HUP"), signal -> settingsCheck.request());
-    ProcessLifecycle lifecycle = new ProcessLifecycle();
+    ProcessLifecycle lifecycle = new ProcessLifecycle(SystemNanoClock.INSTANCE);
     Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(lifecycle), "stop"));
     ChannelNames.useRandomNumbers();
     LogConfiguration.apply();
--- a/org.clementineford.launcher/src/main/java/org/clementineford/launcher/VmStart.java
+++ b/org.clementineford.launcher/src/main/java/org/clementineford/launcher/VmStart.java
@@ -135,7 +135,7 @@
     }
   }
 
-  static Runnable startEntryVm(VmSettings settings, EventLoopGroup eventLoops)
+  static ProcessLifecycle.Stop startEntryVm(VmSettings settings, EventLoopGroup eventLoops)
       throws ClementinefordException {
     NanoClock clock = SystemNanoClock.INSTANCE;
     EntryVm vm =
@@ -154,7 +154,7 @@
     return vm::stop;
   }
 
-  static Runnable startEndpointVm(VmSettings settings, EventLoopGroup eventLoops)
+  static ProcessLifecycle.Stop startEndpointVm(VmSettings settings, EventLoopGroup eventLoops)
       throws ClementinefordException {
     EndpointVm vm =
         new EndpointVm(
@@ -168,7 +168,7 @@
             new SuspensionAwareClock(SystemNanoClock.INSTANCE, SystemEpochClock.INSTANCE),
             SystemEpochClock.INSTANCE.time());
     vm.start();
-    return vm::stop;
+    return requestedAt -> vm.stop();
   }
 
   private static PlatformObjects objects(VmSettings settings, EventLoopGroup eventLoops) {
--- a/org.clementineford.launcher/src/test/java/org/clementineford/launcher/ProcessLifecycleTest.java
+++ b/org.clementineford.launcher/src/test/java/org/clementineford/launcher/ProcessLifecycleTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
 import org.clementineford.kernel.errors.SettingException;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -13,13 +14,14 @@
 
 @Timeout(30)
 class ProcessLifecycleTest {
-  private final ProcessLifecycle lifecycle = new ProcessLifecycle();
+  private final AtomicLong now = new AtomicLong();
+  private final ProcessLifecycle lifecycle = new ProcessLifecycle(now::get);
   private final List<String> steps = Collections.synchronizedList(new ArrayList<>());
   private final Thread stopping = new Thread(lifecycle::stop);
 
-  private Runnable started() {
+  private ProcessLifecycle.Stop started() {
     steps.add("started");
-    return () -> steps.add("stopped");
+    return requestedAt -> steps.add("stopped");
   }
 
   /** Begins a stop in another thread and returns once it waits for this one. */
@@ -45,6 +47,20 @@
       assertThat(steps).containsExactly("started", "stopped");
     }
 
+    // Guards against a stop whose end is behind that of the process by the time of the start.
+    @Test
+    void duringTheStartCountsItsTimeFromItsArrival() throws Exception {
+      AtomicLong stopRequestedAt = new AtomicLong(-1);
+      lifecycle.start(
+          () -> {
+            beginStop();
+            now.set(3_000);
+            return stopRequestedAt::set;
+          });
+      stopping.join();
+      assertThat(stopRequestedAt).hasValue(0);
+    }
+
     @Test
     void beforeTheStartLeavesNothingThatAcceptsWork() throws Exception {
       lifecycle.stop();
@@ -56,7 +72,7 @@
     void calledTwiceStopsOnceAndIsNotCutShortByTheSecond() throws Exception {
       lifecycle.start(
           () ->
-              () -> {
+              requestedAt -> {
                 beginStop();
                 steps.add("stopped");
               });
