Test that a stop knows the answer times of plain services

Without the record of complete answers of plain services, a stopping entry VM refuses each of their requests whose deadline is behind its end, and no test saw it. The new test failed with that record removed and passes with the code as it is.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RequestOutlastingStopTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RequestOutlastingStopTest.java
@@ -163,6 +163,19 @@
       assertThat(send("/patient/a", "stream").get(5, TimeUnit.SECONDS).body()).isEqualTo(WHOLE);
     }
 
+    // Guards against refusals by a plain service whose answers are known to be short.
+    @Test
+    void isServedIfPlainServiceAnsweredInTimeBefore() throws Exception {
+      fixture.configure(draft -> draft.setTimeoutMs(10_000));
+      assertThat(sendShort("short-1").statusCode()).isEqualTo(200);
+      fixture.beginStop();
+      assertThat(sendShort("short-2").statusCode()).isEqualTo(200);
+    }
+
+    private HttpResponse<String> sendShort(String id) throws Exception {
+      return fixture.send("POST", "/post/a", id, "timeout", "10000");
+    }
+
     // Guards against an estimate that ignores how long answers took.
     @Test
     void isRefusedIfRecentAnswersLastedLonger() throws Exception {
