Let tests of idle connections wait for the check whose counts they see

StoppingGatewayTest.IdleConnection.isClosed failed once ("Read timed out") in a suite run beside other work, load average above 40. The test sees the count of connections that a check makes before it looks at them, and advances the paused clock; the check then begins the idle time at the new time, which never advances again. It now waits for the rest of that check.

With a pause between the two steps of the check and one in the test, both removed again, the test failed without the wait and passed with it. The process only measures the idle time from its first check.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/StoppingGatewayTest.java
@@ -47,6 +47,8 @@
           fixture.runUnchecked(fixture.gateway()::closeIdle);
           return condition.getAsBoolean();
         });
+    // The counts come before the check of idle connections, which is to see the time of this one.
+    fixture.run(() -> {});
   }
 
   private static void awaitConnection(GatewayFixture fixture) throws Exception {
