Continue a started stream during a stop if it is expected to end in time

What callers saw: a stream that had begun was broken off when its engine failed in the last seconds of a stop, though another engine could have ended it before the process. The rule for new requests was applied, whose alternative is a refusal; that of a started answer is its end. It is now continued if recent answers did not last too long for the time left, whenever its engine fails. A silent engine keeps its request as before. The counts in the line `stopped` include the connections closed last. Both found by review.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -376,6 +376,8 @@
     runOnEventLoop(gateway::endRequests);
     await(requestedAt, limitMs + LAST_ANSWERS_MS, true);
     runOnEventLoop(gateway::closeCallers);
+    // The closes are counted in later tasks of the event loop.
+    runOnEventLoop(() -> {});
     LOG.atInfo()
         .addKeyValue("running", gateway.requestsInProgress())
         .addKeyValue("read", gateway.requestsRead())
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/ProxiedRequest.java
@@ -275,7 +275,7 @@
     boolean allowed =
         route.mayRunAgain()
             && mayTryAgain()
-            && router.state().stopAdmission().admits(this)
+            && router.state().stopAdmission().admitsMove(this)
             && router.checkKey(this).isEmpty()
             && router.state().retryBudget(service).mayRetry(now());
     return allowed ? router.findEndpoint(this) : Optional.empty();
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/StopAdmission.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/StopAdmission.java
@@ -54,8 +54,16 @@
         service, name -> new AnswerTimes(RECENT_NANOS, clock.nanoTime()));
   }
 
-  /** Returns whether a request may be sent to an endpoint now. */
+  /** Returns whether a request may be sent to an endpoint now, if none works on it. */
   boolean admits(ProxiedRequest request) {
+    return request.isStarted()
+        ? drain.isEmpty()
+            || drain.get().continues(clock.nanoTime(), request.deadlineAt(), expectedNanos(request))
+        : admitsMove(request);
+  }
+
+  /** Returns whether a request may be taken from an endpoint that is silent and may be sound. */
+  boolean admitsMove(ProxiedRequest request) {
     return drain.isEmpty()
         || drain.get().serves(clock.nanoTime(), request.deadlineAt(), expectedNanos(request));
   }
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/draining/DrainTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/draining/DrainTest.java
@@ -41,6 +41,18 @@
     }
   }
 
+  @Nested
+  class StartedAnswer {
+    // Guards against answers that are broken off though another endpoint can end them in time.
+    @Test
+    void isContinuedAsLongAsLongerAnswersEndInTime() {
+      assertThat(drain.continues(3_300, 8_300, OptionalLong.of(3_200))).isTrue();
+      assertThat(drain.continues(3_300, 8_300, OptionalLong.of(3_201))).isFalse();
+      assertThat(drain.continues(3_300, 8_300, UNKNOWN)).isFalse();
+      assertThat(drain.continues(7_200, 7_300, UNKNOWN)).isTrue();
+    }
+  }
+
   @Nested
   class ClockNearItsLargestValue {
     @Test
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/draining/Drain.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/draining/Drain.java
@@ -23,15 +23,30 @@
    * @param deadlineAt time at which the request ends in any case
    * @param expectedNanos upper estimate of the time from now to the end of the answer, in
    *     nanoseconds; empty if unknown
-   * @return false if the request is to be refused or, if a part of it has run, ended
+   * @return false if the request is to be refused
    */
   public boolean serves(long now, long deadlineAt, OptionalLong expectedNanos) {
-    if (deadlineAt - endsAt <= 0) {
-      return true;
-    }
-    boolean expectedInTime =
-        expectedNanos.isPresent()
-            && expectedNanos.getAsLong() * LONGER_ANSWER_FACTOR <= endsAt - now;
-    return expectedInTime && now - elsewhereAt < 0;
+    return deadlineAt - endsAt <= 0
+        || (now - elsewhereAt < 0 && isExpectedInTime(now, expectedNanos));
+  }
+
+  /**
+   * Returns whether the process lets another endpoint continue an answer of which the caller has
+   * received a part. The alternative is to break it off, so it does if that is likely to be
+   * complete in time.
+   *
+   * @param now the present time
+   * @param deadlineAt time at which the request ends in any case
+   * @param expectedNanos upper estimate of the time from now to the end of the answer, in
+   *     nanoseconds; empty if unknown
+   * @return false if the answer is to be broken off
+   */
+  public boolean continues(long now, long deadlineAt, OptionalLong expectedNanos) {
+    return deadlineAt - endsAt <= 0 || isExpectedInTime(now, expectedNanos);
+  }
+
+  private boolean isExpectedInTime(long now, OptionalLong expectedNanos) {
+    return expectedNanos.isPresent()
+        && expectedNanos.getAsLong() * LONGER_ANSWER_FACTOR <= endsAt - now;
   }
 }
