Reset connections of the soak's links on their own event loops

No change for callers. Each connection is now reset by its own event loop. LinkProxyTest passes; the race itself has no test.

--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/LinkProxy.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/LinkProxy.java
@@ -120,13 +120,20 @@
     void reset() {
       pairs.remove(this);
       for (Channel channel : new Channel[] {connecting, accepting}) {
-        if (channel != null && channel.isOpen()) {
-          channel.config().setOption(ChannelOption.SO_LINGER, 0);
-          channel.close();
+        if (channel != null) {
+          // Only its event loop knows whether a channel is still open.
+          channel.eventLoop().execute(() -> reset(channel));
         }
       }
     }
 
+    private static void reset(Channel channel) {
+      if (channel.isOpen()) {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        channel.close();
+      }
+    }
+
     void forward(boolean fromConnectingSide, Object bytes) {
       Channel receiver = fromConnectingSide ? accepting : connecting;
       if (receiver == null) {
