Test that a stop asks how long an answer may become

A mutant that takes the mean answer in place of the longest that the request allows passed all tests of stops (found by review). The new test fails on it and passes on the code, one run each.

--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RequestOutlastingStopTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/RequestOutlastingStopTest.java
@@ -178,6 +178,25 @@
       return fixture.send("POST", "/post/a", id, "timeout", "10000");
     }
 
+    // Guards against an estimate that ignores how long the answer may become.
+    @Test
+    void isRefusedIfItsLongestAnswerWouldNotEndInTime() throws Exception {
+      fixture.beginStop();
+      fixture.advance(time, 2_000);
+      released.countDown();
+      CompletableFuture<HttpResponse<String>> answer =
+          fixture.sendAsync(
+              "POST",
+              "/patient/a",
+              "long",
+              "timeout",
+              Integer.toString(TIMEOUT_MS),
+              "tokens",
+              "2000");
+      assertRefused(answer.get(5, TimeUnit.SECONDS));
+      assertThat(requests()).isZero();
+    }
+
     // Guards against an estimate that ignores how long answers took.
     @Test
     void isRefusedIfRecentAnswersLastedLonger() throws Exception {
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/TestProtocol.java
@@ -55,7 +55,7 @@
         timeout == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(timeout)),
         Optional.ofNullable(request.headers().get("key")),
         100,
-        100,
+        request.headers().getInt("tokens", 100),
         OptionalInt.empty(),
         Optional.ofNullable(request.headers().get("resume")),
         parts == null ? List.of() : List.of(parts.split(",")));
