End connections to peers in order at a stop, not by a close with unread input

What callers saw: an entry VM daemon lost the end of an answer, and had to treat it as unknown, although a stopping endpoint daemon had written it. Cause: closed a connection once its frames were written; heartbeats of the peer that were not read by then turned the close into a reset, which drops what the peer has not read. The output is now shut down first, and the peer closes when it has read all, bounded by the same time.

--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/PeerNetwork.java
@@ -5,11 +5,11 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -262,7 +262,8 @@
   }
 
   /**
-   * Closes each accepted connection after its pending frames were written, then everything else.
+   * Ends each accepted connection after its pending frames were written, waits for the peers to
+   * close their sides, and closes everything else.
    *
    * @param timeoutMs maximum time to wait for peers that read slowly, in milliseconds
    */
@@ -271,7 +272,10 @@
       ListeningSocket.close(serverChannel);
     }
     for (Channel channel : acceptedChannels) {
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+      // A close with unread input would reset the connection, and the peer would lose the rest.
+      channel
+          .writeAndFlush(Unpooled.EMPTY_BUFFER)
+          .addListener(written -> ((DuplexChannel) channel).shutdownOutput());
     }
     acceptedChannels.newCloseFuture().awaitUninterruptibly(timeoutMs);
     close();
