--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/OldWeightsAfterTheBoundTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/OldWeightsAfterTheBoundTest.java
@@ -12,6 +12,7 @@
 import org.clementineford.serving.model.Endpoint;
 import org.clementineford.testing.VirtualTime;
 import org.clementineford.wire.EngineReport;
+import org.clementineford.wire.NamedVersion;
 import org.junit.jupiter.api.Test;
 
 class OldWeightsAfterTheBoundTest {
@@ -45,10 +46,16 @@
     return new Endpoint(id, 1, "pool", endpoint.address(), "x", false, weightVersion);
   }
 
-  /** Reports that version 2 was set some time ago, with an incarnation that has no weights here. */
-  private static void nameVersion(GatewayFixture fixture, int ageMs) throws Exception {
-    EngineReport report =
-        new EngineReport().setIncarnation(9).setNumber(1).setTargetVersion(2).setTargetAgeMs(ageMs);
+  /** Returns a report of an incarnation that has no weights here: version 2 was named before. */
+  private static EngineReport version2Named(int ageMs) {
+    return new EngineReport()
+        .setIncarnation(9)
+        .setNumber(1)
+        .setTargetVersion(2)
+        .setTargetAgeMs(ageMs);
+  }
+
+  private static void report(GatewayFixture fixture, EngineReport report) throws Exception {
     fixture.run(() -> fixture.gateway().onReport("127.0.0.1", report));
   }
 
@@ -60,7 +67,8 @@
   }
 
   /** Returns the answer to a stream that waits at old weights, with new ones listed meanwhile. */
-  private String answerToWaitingStream(boolean namedBeforeItIsSent) throws Exception {
+  private String answerToWaitingStream(EngineReport report, boolean namedBeforeItIsSent)
+      throws Exception {
     try (ScriptedHttpEndpoint old = new ScriptedHttpEndpoint(this::keepWaiting);
         ScriptedHttpEndpoint next =
             new ScriptedHttpEndpoint((r, c) -> answer(r, c, "id: 1\ndata: new\n\n"));
@@ -68,13 +76,13 @@
       List<Endpoint> engines = new ArrayList<>(List.of(engine(old, "old", 1)));
       fixture.list(List.copyOf(engines));
       if (namedBeforeItIsSent) {
-        nameVersion(fixture, BOUND_MS - 1_200);
+        report(fixture, report);
       }
       final CompletableFuture<HttpResponse<String>> answer =
           fixture.sendAsync("POST", "/patient/a", "r", "timeout", "6000");
       Latches.await(arrived);
       if (!namedBeforeItIsSent) {
-        nameVersion(fixture, BOUND_MS - 1_200);
+        report(fixture, report);
       }
       engines.add(engine(next, "next", 2));
       fixture.list(List.copyOf(engines));
@@ -88,13 +96,26 @@
   // Guards against a request that waits at an engine with old weights until after the bound.
   @Test
   void waitingStreamIsSentToNewWeightsBeforeTheBound() throws Exception {
-    assertThat(answerToWaitingStream(true)).contains("data: new");
+    assertThat(answerToWaitingStream(version2Named(BOUND_MS - 1_200), true)).contains("data: new");
   }
 
   // Guards against a request that is not recalled since its version was named after it was sent.
   @Test
   void streamSentBeforeItsVersionWasNamedIsRecalledToo() throws Exception {
-    assertThat(answerToWaitingStream(false)).contains("data: new");
+    assertThat(answerToWaitingStream(version2Named(BOUND_MS - 1_200), false)).contains("data: new");
+  }
+
+  // Guards against an entry VM that starts between two versions and misses the first one's bound.
+  @Test
+  void boundOfTheVersionBeforeTheNewestHoldsForVmsThatStartLater() throws Exception {
+    EngineReport report =
+        new EngineReport()
+            .setIncarnation(9)
+            .setNumber(1)
+            .setTargetVersion(3)
+            .setTargetAgeMs(0)
+            .setEarlierTargets(List.of(new NamedVersion(2, BOUND_MS - 1_200)));
+    assertThat(answerToWaitingStream(report, true)).contains("data: new");
   }
 
   // Guards against cutting a stream that the old weights have begun in time.
@@ -111,7 +132,7 @@
                 });
         GatewayFixture fixture = new GatewayFixture(time)) {
       fixture.run(() -> fixture.gateway().updateEndpoints(List.of(engine(old, "old", 1))));
-      nameVersion(fixture, BOUND_MS - 1_200);
+      report(fixture, version2Named(BOUND_MS - 1_200));
       final CompletableFuture<HttpResponse<String>> answer =
           fixture.sendAsync("POST", "/patient/a", "r", "timeout", "6000");
       fixture.awaitFirstAnswers(1);
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -242,23 +242,13 @@
     if (engine == null || report.getNumber() <= engine.report().number()) {
       return;
     }
-    if (report.getTargetVersion() > 0) {
-      MinimumWeightVersion minimumWeightVersion =
-          state.minimumWeightVersion(engine.endpoint().service());
-      if (!minimumWeightVersion.hasTarget(report.getTargetVersion())) {
-        LOG.atInfo()
-            .addKeyValue("version", report.getTargetVersion())
-            .addKeyValue("ageMs", report.getTargetAgeMs())
-            .log("version of weights named");
-      }
-      if (report.getTargetAgeMs() < 0) {
-        minimumWeightVersion.addTargetWithUnknownTime(report.getTargetVersion(), now);
-      } else {
-        minimumWeightVersion.addTarget(
-            report.getTargetVersion(),
-            now - TimeUnit.MILLISECONDS.toNanos(report.getTargetAgeMs()));
-      }
+    String service = engine.endpoint().service();
+    if (report.isSetEarlierTargets()) {
+      report
+          .getEarlierTargets()
+          .forEach(named -> recordTarget(service, named.getVersion(), named.getAgeMs(), now));
     }
+    recordTarget(service, report.getTargetVersion(), report.getTargetAgeMs(), now);
     if (engine.weightVersion() != report.getWeightVersion()) {
       LOG.atInfo()
           .addKeyValue("endpoint", engine.endpoint().id())
@@ -275,7 +265,7 @@
     int slots =
         state
             .configuration()
-            .service(engine.endpoint().service())
+            .service(service)
             .flatMap(Service::engine)
             .map(EngineProfile::slots)
             .orElse(0);
@@ -290,7 +280,25 @@
             report.getWaiting(),
             report.getPace()),
         SlotShare.requestsUntilNextReport(freeSlots, slots, state.entryVms(), state::random));
-    router.dispatchWaiting(engine.endpoint().service());
+    router.dispatchWaiting(service);
+  }
+
+  /** Records a version of weights that was named; age -1 if it is not known when. */
+  private void recordTarget(String service, long version, int ageMs, long now) {
+    if (version <= 0) {
+      return;
+    }
+    MinimumWeightVersion minimumVersion = state.minimumWeightVersion(service);
+    boolean isNew =
+        ageMs < 0
+            ? minimumVersion.addTargetWithUnknownTime(version, now)
+            : minimumVersion.addTarget(version, now - TimeUnit.MILLISECONDS.toNanos(ageMs));
+    if (isNew) {
+      LOG.atInfo()
+          .addKeyValue("version", version)
+          .addKeyValue("ageMs", ageMs)
+          .log("version of weights named");
+    }
   }
 
   /**
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestTrace.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/RequestTrace.java
@@ -14,6 +14,7 @@
   private long sentAfterMs = -1;
   private int loadAtSend = -1;
   private long reportNumberAtSend = -1;
+  private long weightsAtSend = -1;
   private long predictedWaitMs = -1;
   private double retryAfterSeconds;
   private String quarantinedSuspect = "";
@@ -34,6 +35,7 @@
     sentAfterMs = ageMs();
     loadAtSend = endpoint.load();
     reportNumberAtSend = endpoint.report().number();
+    weightsAtSend = endpoint.weightVersion();
   }
 
   /** Records the first event or complete response, and returns the age of the request. */
@@ -74,6 +76,7 @@
         .addKeyValue("retryAfterSeconds", Math.round(retryAfterSeconds * 100) / 100.0)
         .addKeyValue("quarantinedSuspect", quarantinedSuspect)
         .addKeyValue("marks", marks)
+        .addKeyValue("weightsAtSend", weightsAtSend)
         .addKeyValue("weights", lastEndpoint == null ? -1 : lastEndpoint.weightVersion());
   }
 }
--- a/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/EngineReportsTest.java
+++ b/org.clementineford.replica.test/src/test/java/org/clementineford/replica/internal/EngineReportsTest.java
@@ -15,6 +15,7 @@
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.weights.TransferLimits;
 import org.clementineford.wire.EngineReport;
+import org.clementineford.wire.NamedVersion;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -81,4 +82,20 @@
     status(1);
     assertThat(sent.get(0).getTargetAgeMs()).isEqualTo(-1);
   }
+
+  // Guards against an entry VM that starts between two versions and misses the first one's bound.
+  @Test
+  void nameTheVersionsBeforeTheTarget() {
+    reports.subscribe(entryVm);
+    rollout.setModel("m", Optional.empty());
+    rollout.updateTarget("m", 2, time.nanoTime(), false);
+    rollout.updateTarget("m", 3, time.nanoTime(), true);
+    time.advance(2, TimeUnit.SECONDS);
+    reports.subscribe(entryVm);
+    rollout.updateTarget("m", 4, time.nanoTime(), true);
+    status(1);
+    assertThat(sent.get(0).getTargetVersion()).isEqualTo(4);
+    assertThat(sent.get(0).getEarlierTargets())
+        .containsExactly(new NamedVersion(2, -1), new NamedVersion(3, 2_000));
+  }
 }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EngineReports.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/EngineReports.java
@@ -73,7 +73,12 @@
     sentAt = now;
     number++;
     FleetDatagram datagram = new FleetDatagram();
-    datagram.setReport(report.deepCopy().setTargetAgeMs(rollout.targetAgeMs()).setNumber(number));
+    datagram.setReport(
+        report
+            .deepCopy()
+            .setTargetAgeMs(rollout.named().ageMs(rollout.target()))
+            .setEarlierTargets(rollout.named().before(rollout.target()))
+            .setNumber(number));
     subscribers.values().removeIf(heardAt -> now - heardAt > SUBSCRIPTION_NANOS);
     subscribers.keySet().forEach(entryVm -> sender.accept(entryVm, datagram));
   }
--- a/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
+++ b/org.clementineford.replica/src/main/java/org/clementineford/replica/internal/WeightRollout.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -46,10 +47,7 @@
   private String model;
   private Optional<WeightLayout> layout = Optional.empty();
   private long target;
-  private boolean targetTimeKnown;
-
-  /** Times at which this VM learned of the versions, in monotonic nanoseconds. */
-  private final TreeMap<Long, Long> namedAt = new TreeMap<>();
+  private final NamedVersions named;
 
   private EngineStatus status = EngineStatus.UNREACHABLE;
   private List<VmIdentity> peers = List.of();
@@ -70,6 +68,7 @@
     this.staging = new ChunkStaging(engine);
     this.loadOrder = new LoadOrder(engine, staging, context.clock());
     this.schedule = schedule;
+    this.named = new NamedVersions(context.clock(), schedule.timeLimitNanos());
     this.drain = new EngineDrain(schedule);
     this.onChanging = onChanging;
   }
@@ -82,18 +81,8 @@
     return model;
   }
 
-  /**
-   * Returns the time since the target version was named, in milliseconds; -1 if that time is not
-   * known because this process may not have seen the version being named.
-   */
-  int targetAgeMs() {
-    if (!targetTimeKnown) {
-      return -1;
-    }
-    return (int)
-        Math.min(
-            Integer.MAX_VALUE,
-            TimeUnit.NANOSECONDS.toMillis(context.clock().nanoTime() - namedAt(target)));
+  NamedVersions named() {
+    return named;
   }
 
   boolean isChanging() {
@@ -134,12 +123,7 @@
       return;
     }
     target = version;
-    targetTimeKnown = timeKnown;
-    // A version that was named at an unknown time is due immediately.
-    namedAt.put(version, timeKnown ? learnedAt : learnedAt - schedule.timeLimitNanos());
-    while (namedAt.size() > MAX_KEPT_VERSIONS) {
-      namedAt.pollFirstEntry();
-    }
+    named.add(version, learnedAt, timeKnown);
     LOG.atInfo()
         .addKeyValue("model", namedModel)
         .addKeyValue("version", version)
@@ -147,12 +131,6 @@
     proceed();
   }
 
-  /** Returns when this VM learned of a version, or of the next one that it knows. */
-  private long namedAt(long version) {
-    Map.Entry<Long, Long> known = namedAt.ceilingEntry(version);
-    return known == null ? context.clock().nanoTime() : known.getValue();
-  }
-
   void setPeers(Collection<VmIdentity> listed) {
     peers = List.copyOf(listed);
     transfers.values().forEach(transfer -> transfer.setPeers(peers));
@@ -236,7 +214,7 @@
             && schedule.isWorthCompleting(
                 newest.progress(),
                 newest.elapsedNanos(),
-                namedAt(target),
+                named.namedAt(target),
                 context.clock().nanoTime());
     boolean transferNeeded =
         target > 0 ? newest == null || newest.digests().version() < target : isWithoutWeights();
@@ -421,14 +399,14 @@
     long version = transfer.digests().version();
     double turn = ActivationTurn.of(context.self(), peers, model + "/" + version);
     long endsAt = transfer.endsAt(schedule, usualNanos(version));
-    return schedule.beginAt(namedAt(version), endsAt, turn, serving);
+    return schedule.beginAt(named.namedAt(version), endsAt, turn, serving);
   }
 
   /** Returns whether the engine has weights that are still allowed to answer. */
   private boolean isServing(long now) {
-    Map.Entry<Long, Long> next = namedAt.higherEntry(status.weightVersion());
+    OptionalLong next = named.namedAtAfter(status.weightVersion());
     return status.weightVersion() > 0
-        && (next == null || now - schedule.requiredAt(next.getValue()) < 0);
+        && (next.isEmpty() || now - schedule.requiredAt(next.getAsLong()) < 0);
   }
 
   /** Returns the duration of the transfer before that of a version. */
@@ -443,7 +421,7 @@
     long nextBeginsAt =
         next == null ? now + superseded.durationNanos() : Math.max(now, beginAt(next, true));
     return schedule.isWorthSwitching(
-        namedAt(superseded.digests().version()), nextBeginsAt, status.running() == 0, now);
+        named.namedAt(superseded.digests().version()), nextBeginsAt, status.running() == 0, now);
   }
 
   /** Stages all chunks and orders the engine to load them if it still should. */
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/MinimumWeightVersionTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/routing/MinimumWeightVersionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class MinimumWeightVersionTest {
@@ -97,4 +98,52 @@
     assertThat(minimumVersion.recallDelayNanos(1, ms(9_000))).hasValue(0);
     assertThat(minimumVersion.recallDelayNanos(2, ms(9_000))).isEmpty();
   }
+
+  /** Versions that become known in another order than they were named in. */
+  @Nested
+  class KnownOutOfOrder {
+    // Guards against an entry VM that starts between two versions and misses the first one's bound.
+    @Test
+    void keepsTheBoundOfTheVersionBefore() {
+      minimumVersion.addTarget(3, ms(6_000));
+      minimumVersion.addTarget(2, 0);
+      assertThat(minimumVersion.minimum(ms(BOUND_MS))).isEqualTo(2);
+      assertThat(minimumVersion.minimum(ms(6_000 + BOUND_MS))).isEqualTo(3);
+    }
+
+    // Guards against a recall by the bound of the newest version in place of the first one's.
+    @Test
+    void recallsByTheBoundOfTheVersionBefore() {
+      minimumVersion.addTarget(3, ms(400));
+      minimumVersion.addTarget(2, 0);
+      assertThat(minimumVersion.minimum(ms(BOUND_MS))).isEqualTo(3);
+      assertThat(minimumVersion.recallDelayNanos(1, ms(BOUND_MS))).hasValue(0);
+      assertThat(minimumVersion.recallDelayNanos(2, ms(BOUND_MS)).orElseThrow()).isPositive();
+    }
+
+    // Guards against a version of unknown age that is taken for as young as the one after it.
+    @Test
+    void requiresTheVersionBeforeSoonIfItsSetTimeIsUnknown() {
+      minimumVersion.addTarget(3, 0);
+      minimumVersion.addTargetWithUnknownTime(2, 0);
+      assertThat(minimumVersion.minimum(ms(1_000))).isEqualTo(2);
+    }
+  }
+
+  /** More versions within one bound than are kept. */
+  @Nested
+  class ManyVersions {
+    // Guards against versions that are required later, or never, since others were named after
+    // them.
+    @Test
+    void areRequiredByTheirBounds() {
+      for (int version = 2; version < 40; version++) {
+        minimumVersion.addTarget(version, ms(100 * version));
+      }
+      for (int version = 2; version < 40; version++) {
+        assertThat(minimumVersion.minimum(ms(100 * version + BOUND_MS)))
+            .isGreaterThanOrEqualTo(version);
+      }
+    }
+  }
 }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/MinimumWeightVersion.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/routing/MinimumWeightVersion.java
@@ -1,6 +1,8 @@
 package org.clementineford.serving.routing;
 
+import java.util.Map;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -38,22 +40,26 @@
    */
   private static final double WAIT_MARGIN = 1.5;
 
+  /** Number of target versions whose bounds are kept; more are not named within one bound. */
+  private static final int MAX_TARGETS = 16;
+
   private final long recallAfterNanos;
   private final long requiredAfterNanos;
-  private long minimum;
-  private long minimumSetAt;
-  private Target next = Target.NONE;
-  private Target later = Target.NONE;
 
-  /** A target version, the time from which its bound counts, and whether that time was reported. */
-  private record Target(long version, long setAt, boolean timeKnown) {
-    private static final Target NONE = new Target(0, 0, false);
+  /** Target versions, each with its bound: pending ones, and the newest that are required. */
+  private final TreeMap<Long, Target> targets = new TreeMap<>();
+
+  private long minimum;
 
+  /** The time from which the bound of a version counts, and whether that time was reported. */
+  private record Target(long setAt, boolean timeKnown) {
     /** Merges two reports of one version: a known time takes precedence, then the earlier time. */
     Target merge(Target other) {
-      if (timeKnown != other.timeKnown) {
-        return timeKnown ? this : other;
-      }
+      return timeKnown == other.timeKnown ? earlier(other) : timeKnown ? this : other;
+    }
+
+    /** Returns the target of which the bound ends first. */
+    Target earlier(Target other) {
       return other.setAt - setAt < 0 ? other : this;
     }
   }
@@ -71,14 +77,15 @@
   }
 
   /**
-   * Records a target version that was set at a known time.
+   * Records a target version that was set at a known time. Versions may become known in any order.
    *
    * @param version the version
    * @param setAt monotonic time at which a process first received the target version, in
    *     nanoseconds
+   * @return true if the version was not known and is newer than the minimum
    */
-  public void addTarget(long version, long setAt) {
-    addPending(new Target(version, setAt, true));
+  public boolean addTarget(long version, long setAt) {
+    return add(version, new Target(setAt, true));
   }
 
   /**
@@ -88,36 +95,30 @@
    *
    * @param version the version
    * @param now monotonic time in nanoseconds
+   * @return true if the version was not known and is newer than the minimum
    */
-  public void addTargetWithUnknownTime(long version, long now) {
-    addPending(new Target(version, now - requiredAfterNanos + SET_TIME_REPORT_NANOS, false));
+  public boolean addTargetWithUnknownTime(long version, long now) {
+    return add(version, new Target(now - requiredAfterNanos + SET_TIME_REPORT_NANOS, false));
   }
 
-  private void addPending(Target target) {
-    if (target.version() <= minimum) {
-      return;
-    }
-    if (next.version() <= minimum) {
-      next = target;
-    } else if (target.version() == next.version()) {
-      next = next.merge(target);
-    } else if (target.version() == later.version()) {
-      later = later.merge(target);
-    } else if (target.version() > Math.max(next.version(), later.version())) {
-      // At most two pending targets are kept. The newest replaces the second and takes its bound.
-      later = later.version() > next.version() ? later.merge(target) : target;
-      later = new Target(target.version(), later.setAt(), later.timeKnown());
+  private boolean add(long version, Target target) {
+    final boolean isNew = version > minimum && !targets.containsKey(version);
+    targets.merge(version, target, Target::merge);
+    if (targets.size() > MAX_TARGETS) {
+      dropOldest();
     }
+    return isNew;
   }
 
   /**
-   * Returns whether a target version of this number or a higher one was recorded.
-   *
-   * @param version the version
-   * @return false if it is newer than all recorded target versions
+   * Drops the oldest version. If it was pending, the next one takes its bound if that is sooner.
    */
-  public boolean hasTarget(long version) {
-    return version <= Math.max(minimum, Math.max(next.version(), later.version()));
+  private void dropOldest() {
+    Map.Entry<Long, Target> oldest = targets.pollFirstEntry();
+    if (oldest.getKey() > minimum) {
+      targets.computeIfPresent(
+          targets.firstKey(), (version, target) -> target.earlier(oldest.getValue()));
+    }
   }
 
   /**
@@ -127,15 +128,20 @@
    * @return a version number; it never decreases
    */
   public long minimum(long now) {
-    if (next.version() > minimum && now - next.setAt() >= requiredAfterNanos) {
-      minimum = next.version();
-      minimumSetAt = next.setAt();
-      next = later;
-      later = Target.NONE;
-    }
+    minimum = Math.max(minimum, newestSetBefore(now - requiredAfterNanos));
     return minimum;
   }
 
+  /** Returns the newest target version that was set at a time or before it; 0 if there is none. */
+  private long newestSetBefore(long time) {
+    for (Map.Entry<Long, Target> entry : targets.descendingMap().entrySet()) {
+      if (entry.getValue().setAt() - time <= 0) {
+        return entry.getKey();
+      }
+    }
+    return 0;
+  }
+
   /**
    * Returns the lowest version of the weights that may answer a request sent now.
    *
@@ -144,14 +150,8 @@
    * @return a version number, not lower than {@link #minimum}
    */
   public long minimumFor(long now, double firstTokenMs) {
-    long required = minimum(now);
     long afterNanos = recallAfterNanos - (long) (WAIT_MARGIN * firstTokenMs * NANOS_PER_MS);
-    for (Target target : new Target[] {next, later}) {
-      if (target.version() > required && now - target.setAt() >= afterNanos) {
-        required = target.version();
-      }
-    }
-    return required;
+    return Math.max(minimum(now), newestSetBefore(now - afterNanos));
   }
 
   /**
@@ -163,18 +163,8 @@
    * @return delay in nanoseconds; empty if no newer version is pending or required
    */
   public OptionalLong recallDelayNanos(long version, long now) {
-    if (version < minimum(now)) {
-      return recallDelay(minimumSetAt, now);
-    }
-    for (Target target : new Target[] {next, later}) {
-      if (target.version() > version) {
-        return recallDelay(target.setAt(), now);
-      }
-    }
-    return OptionalLong.empty();
-  }
-
-  private OptionalLong recallDelay(long setAt, long now) {
-    return OptionalLong.of(Math.max(0, setAt + recallAfterNanos - now));
+    return targets.tailMap(version, false).values().stream()
+        .mapToLong(target -> Math.max(0, target.setAt() + recallAfterNanos - now))
+        .min();
   }
 }
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/CopyPositions.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/CopyPositions.java
@@ -500,14 +500,14 @@
           case 2: // POSITIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
-                struct.positions = new java.util.ArrayList<CopyPosition>(_list16.size);
-                @org.apache.thrift.annotation.Nullable CopyPosition _elem17;
-                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
+                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
+                struct.positions = new java.util.ArrayList<CopyPosition>(_list24.size);
+                @org.apache.thrift.annotation.Nullable CopyPosition _elem25;
+                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
                 {
-                  _elem17 = new CopyPosition();
-                  _elem17.read(iprot);
-                  struct.positions.add(_elem17);
+                  _elem25 = new CopyPosition();
+                  _elem25.read(iprot);
+                  struct.positions.add(_elem25);
                 }
                 iprot.readListEnd();
               }
@@ -547,9 +547,9 @@
         oprot.writeFieldBegin(POSITIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.positions.size()));
-          for (CopyPosition _iter19 : struct.positions)
+          for (CopyPosition _iter27 : struct.positions)
           {
-            _iter19.write(oprot);
+            _iter27.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -595,9 +595,9 @@
       if (struct.isSetPositions()) {
         {
           oprot.writeI32(struct.positions.size());
-          for (CopyPosition _iter20 : struct.positions)
+          for (CopyPosition _iter28 : struct.positions)
           {
-            _iter20.write(oprot);
+            _iter28.write(oprot);
           }
         }
       }
@@ -616,14 +616,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.positions = new java.util.ArrayList<CopyPosition>(_list21.size);
-          @org.apache.thrift.annotation.Nullable CopyPosition _elem22;
-          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
+          org.apache.thrift.protocol.TList _list29 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.positions = new java.util.ArrayList<CopyPosition>(_list29.size);
+          @org.apache.thrift.annotation.Nullable CopyPosition _elem30;
+          for (int _i31 = 0; _i31 < _list29.size; ++_i31)
           {
-            _elem22 = new CopyPosition();
-            _elem22.read(iprot);
-            struct.positions.add(_elem22);
+            _elem30 = new CopyPosition();
+            _elem30.read(iprot);
+            struct.positions.add(_elem30);
           }
         }
         struct.setPositionsIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
@@ -436,14 +436,14 @@
           case 1: // COPIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list40.size);
-                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
+                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list48.size);
+                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem49;
+                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
                 {
-                  _elem41 = new DirectoryCopy();
-                  _elem41.read(iprot);
-                  struct.copies.add(_elem41);
+                  _elem49 = new DirectoryCopy();
+                  _elem49.read(iprot);
+                  struct.copies.add(_elem49);
                 }
                 iprot.readListEnd();
               }
@@ -455,13 +455,13 @@
           case 2: // ENTRY_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
-                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list43.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem44;
-                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
+                org.apache.thrift.protocol.TList _list51 = iprot.readListBegin();
+                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list51.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem52;
+                for (int _i53 = 0; _i53 < _list51.size; ++_i53)
                 {
-                  _elem44 = iprot.readString();
-                  struct.entryVms.add(_elem44);
+                  _elem52 = iprot.readString();
+                  struct.entryVms.add(_elem52);
                 }
                 iprot.readListEnd();
               }
@@ -490,9 +490,9 @@
         oprot.writeFieldBegin(COPIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.copies.size()));
-          for (DirectoryCopy _iter46 : struct.copies)
+          for (DirectoryCopy _iter54 : struct.copies)
           {
-            _iter46.write(oprot);
+            _iter54.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -502,9 +502,9 @@
         oprot.writeFieldBegin(ENTRY_VMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.entryVms.size()));
-          for (java.lang.String _iter47 : struct.entryVms)
+          for (java.lang.String _iter55 : struct.entryVms)
           {
-            oprot.writeString(_iter47);
+            oprot.writeString(_iter55);
           }
           oprot.writeListEnd();
         }
@@ -539,18 +539,18 @@
       if (struct.isSetCopies()) {
         {
           oprot.writeI32(struct.copies.size());
-          for (DirectoryCopy _iter48 : struct.copies)
+          for (DirectoryCopy _iter56 : struct.copies)
           {
-            _iter48.write(oprot);
+            _iter56.write(oprot);
           }
         }
       }
       if (struct.isSetEntryVms()) {
         {
           oprot.writeI32(struct.entryVms.size());
-          for (java.lang.String _iter49 : struct.entryVms)
+          for (java.lang.String _iter57 : struct.entryVms)
           {
-            oprot.writeString(_iter49);
+            oprot.writeString(_iter57);
           }
         }
       }
@@ -562,27 +562,27 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list50.size);
-          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem51;
-          for (int _i52 = 0; _i52 < _list50.size; ++_i52)
+          org.apache.thrift.protocol.TList _list58 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list58.size);
+          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem59;
+          for (int _i60 = 0; _i60 < _list58.size; ++_i60)
           {
-            _elem51 = new DirectoryCopy();
-            _elem51.read(iprot);
-            struct.copies.add(_elem51);
+            _elem59 = new DirectoryCopy();
+            _elem59.read(iprot);
+            struct.copies.add(_elem59);
           }
         }
         struct.setCopiesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list53.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem54;
-          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
+          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list61.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem62;
+          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
           {
-            _elem54 = iprot.readString();
-            struct.entryVms.add(_elem54);
+            _elem62 = iprot.readString();
+            struct.entryVms.add(_elem62);
           }
         }
         struct.setEntryVmsIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
@@ -774,14 +774,14 @@
           case 4: // OBJECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list24 = iprot.readListBegin();
-                struct.objects = new java.util.ArrayList<DirectoryObject>(_list24.size);
-                @org.apache.thrift.annotation.Nullable DirectoryObject _elem25;
-                for (int _i26 = 0; _i26 < _list24.size; ++_i26)
+                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
+                struct.objects = new java.util.ArrayList<DirectoryObject>(_list32.size);
+                @org.apache.thrift.annotation.Nullable DirectoryObject _elem33;
+                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
                 {
-                  _elem25 = new DirectoryObject();
-                  _elem25.read(iprot);
-                  struct.objects.add(_elem25);
+                  _elem33 = new DirectoryObject();
+                  _elem33.read(iprot);
+                  struct.objects.add(_elem33);
                 }
                 iprot.readListEnd();
               }
@@ -801,14 +801,14 @@
           case 6: // HIGHER_VERSIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list27 = iprot.readListBegin();
-                struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list27.size);
-                @org.apache.thrift.annotation.Nullable DirectoryObject _elem28;
-                for (int _i29 = 0; _i29 < _list27.size; ++_i29)
+                org.apache.thrift.protocol.TList _list35 = iprot.readListBegin();
+                struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list35.size);
+                @org.apache.thrift.annotation.Nullable DirectoryObject _elem36;
+                for (int _i37 = 0; _i37 < _list35.size; ++_i37)
                 {
-                  _elem28 = new DirectoryObject();
-                  _elem28.read(iprot);
-                  struct.higherVersions.add(_elem28);
+                  _elem36 = new DirectoryObject();
+                  _elem36.read(iprot);
+                  struct.higherVersions.add(_elem36);
                 }
                 iprot.readListEnd();
               }
@@ -848,9 +848,9 @@
         oprot.writeFieldBegin(OBJECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.objects.size()));
-          for (DirectoryObject _iter30 : struct.objects)
+          for (DirectoryObject _iter38 : struct.objects)
           {
-            _iter30.write(oprot);
+            _iter38.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -863,9 +863,9 @@
         oprot.writeFieldBegin(HIGHER_VERSIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.higherVersions.size()));
-          for (DirectoryObject _iter31 : struct.higherVersions)
+          for (DirectoryObject _iter39 : struct.higherVersions)
           {
-            _iter31.write(oprot);
+            _iter39.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -921,9 +921,9 @@
       if (struct.isSetObjects()) {
         {
           oprot.writeI32(struct.objects.size());
-          for (DirectoryObject _iter32 : struct.objects)
+          for (DirectoryObject _iter40 : struct.objects)
           {
-            _iter32.write(oprot);
+            _iter40.write(oprot);
           }
         }
       }
@@ -933,9 +933,9 @@
       if (struct.isSetHigherVersions()) {
         {
           oprot.writeI32(struct.higherVersions.size());
-          for (DirectoryObject _iter33 : struct.higherVersions)
+          for (DirectoryObject _iter41 : struct.higherVersions)
           {
-            _iter33.write(oprot);
+            _iter41.write(oprot);
           }
         }
       }
@@ -959,14 +959,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list34 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.objects = new java.util.ArrayList<DirectoryObject>(_list34.size);
-          @org.apache.thrift.annotation.Nullable DirectoryObject _elem35;
-          for (int _i36 = 0; _i36 < _list34.size; ++_i36)
+          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.objects = new java.util.ArrayList<DirectoryObject>(_list42.size);
+          @org.apache.thrift.annotation.Nullable DirectoryObject _elem43;
+          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
           {
-            _elem35 = new DirectoryObject();
-            _elem35.read(iprot);
-            struct.objects.add(_elem35);
+            _elem43 = new DirectoryObject();
+            _elem43.read(iprot);
+            struct.objects.add(_elem43);
           }
         }
         struct.setObjectsIsSet(true);
@@ -977,14 +977,14 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list37 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list37.size);
-          @org.apache.thrift.annotation.Nullable DirectoryObject _elem38;
-          for (int _i39 = 0; _i39 < _list37.size; ++_i39)
+          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list45.size);
+          @org.apache.thrift.annotation.Nullable DirectoryObject _elem46;
+          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
           {
-            _elem38 = new DirectoryObject();
-            _elem38.read(iprot);
-            struct.higherVersions.add(_elem38);
+            _elem46 = new DirectoryObject();
+            _elem46.read(iprot);
+            struct.higherVersions.add(_elem46);
           }
         }
         struct.setHigherVersionsIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/EngineReport.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/EngineReport.java
@@ -22,6 +22,7 @@
   private static final org.apache.thrift.protocol.TField PACE_FIELD_DESC = new org.apache.thrift.protocol.TField("pace", org.apache.thrift.protocol.TType.DOUBLE, (short)10);
   private static final org.apache.thrift.protocol.TField LEAVING_FIELD_DESC = new org.apache.thrift.protocol.TField("leaving", org.apache.thrift.protocol.TType.BOOL, (short)12);
   private static final org.apache.thrift.protocol.TField NUMBER_FIELD_DESC = new org.apache.thrift.protocol.TField("number", org.apache.thrift.protocol.TType.I64, (short)11);
+  private static final org.apache.thrift.protocol.TField EARLIER_TARGETS_FIELD_DESC = new org.apache.thrift.protocol.TField("earlierTargets", org.apache.thrift.protocol.TType.LIST, (short)13);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new EngineReportStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new EngineReportTupleSchemeFactory();
@@ -38,6 +39,7 @@
   public double pace; // required
   public boolean leaving; // required
   public long number; // required
+  public @org.apache.thrift.annotation.Nullable java.util.List<NamedVersion> earlierTargets; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -52,7 +54,8 @@
     MEMORY_TOTAL((short)9, "memoryTotal"),
     PACE((short)10, "pace"),
     LEAVING((short)12, "leaving"),
-    NUMBER((short)11, "number");
+    NUMBER((short)11, "number"),
+    EARLIER_TARGETS((short)13, "earlierTargets");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -92,6 +95,8 @@
           return LEAVING;
         case 11: // NUMBER
           return NUMBER;
+        case 13: // EARLIER_TARGETS
+          return EARLIER_TARGETS;
         default:
           return null;
       }
@@ -175,6 +180,9 @@
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
     tmpMap.put(_Fields.NUMBER, new org.apache.thrift.meta_data.FieldMetaData("number", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+    tmpMap.put(_Fields.EARLIER_TARGETS, new org.apache.thrift.meta_data.FieldMetaData("earlierTargets", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
+            new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, NamedVersion.class))));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(EngineReport.class, metaDataMap);
   }
@@ -194,7 +202,8 @@
     long memoryTotal,
     double pace,
     boolean leaving,
-    long number)
+    long number,
+    java.util.List<NamedVersion> earlierTargets)
   {
     this();
     this.incarnation = incarnation;
@@ -221,6 +230,7 @@
     setLeavingIsSet(true);
     this.number = number;
     setNumberIsSet(true);
+    this.earlierTargets = earlierTargets;
   }
 
   /**
@@ -240,6 +250,13 @@
     this.pace = other.pace;
     this.leaving = other.leaving;
     this.number = other.number;
+    if (other.isSetEarlierTargets()) {
+      java.util.List<NamedVersion> __this__earlierTargets = new java.util.ArrayList<NamedVersion>(other.earlierTargets.size());
+      for (NamedVersion other_element : other.earlierTargets) {
+        __this__earlierTargets.add(new NamedVersion(other_element));
+      }
+      this.earlierTargets = __this__earlierTargets;
+    }
   }
 
   @Override
@@ -273,6 +290,7 @@
     this.leaving = false;
     setNumberIsSet(false);
     this.number = 0;
+    this.earlierTargets = null;
   }
 
   public long getIncarnation() {
@@ -551,6 +569,47 @@
     __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __NUMBER_ISSET_ID, value);
   }
 
+  public int getEarlierTargetsSize() {
+    return (this.earlierTargets == null) ? 0 : this.earlierTargets.size();
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.Iterator<NamedVersion> getEarlierTargetsIterator() {
+    return (this.earlierTargets == null) ? null : this.earlierTargets.iterator();
+  }
+
+  public void addToEarlierTargets(NamedVersion elem) {
+    if (this.earlierTargets == null) {
+      this.earlierTargets = new java.util.ArrayList<NamedVersion>();
+    }
+    this.earlierTargets.add(elem);
+  }
+
+  @org.apache.thrift.annotation.Nullable
+  public java.util.List<NamedVersion> getEarlierTargets() {
+    return this.earlierTargets;
+  }
+
+  public EngineReport setEarlierTargets(@org.apache.thrift.annotation.Nullable java.util.List<NamedVersion> earlierTargets) {
+    this.earlierTargets = earlierTargets;
+    return this;
+  }
+
+  public void unsetEarlierTargets() {
+    this.earlierTargets = null;
+  }
+
+  /** Returns true if field earlierTargets is set (has been assigned a value) and false otherwise */
+  public boolean isSetEarlierTargets() {
+    return this.earlierTargets != null;
+  }
+
+  public void setEarlierTargetsIsSet(boolean value) {
+    if (!value) {
+      this.earlierTargets = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -650,6 +709,14 @@
       }
       break;
 
+    case EARLIER_TARGETS:
+      if (value == null) {
+        unsetEarlierTargets();
+      } else {
+        setEarlierTargets((java.util.List<NamedVersion>)value);
+      }
+      break;
+
     }
   }
 
@@ -693,6 +760,9 @@
     case NUMBER:
       return getNumber();
 
+    case EARLIER_TARGETS:
+      return getEarlierTargets();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -729,6 +799,8 @@
       return isSetLeaving();
     case NUMBER:
       return isSetNumber();
+    case EARLIER_TARGETS:
+      return isSetEarlierTargets();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -854,6 +926,15 @@
         return false;
     }
 
+    boolean this_present_earlierTargets = true && this.isSetEarlierTargets();
+    boolean that_present_earlierTargets = true && that.isSetEarlierTargets();
+    if (this_present_earlierTargets || that_present_earlierTargets) {
+      if (!(this_present_earlierTargets && that_present_earlierTargets))
+        return false;
+      if (!this.earlierTargets.equals(that.earlierTargets))
+        return false;
+    }
+
     return true;
   }
 
@@ -885,6 +966,10 @@
 
     hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(number);
 
+    hashCode = hashCode * 8191 + ((isSetEarlierTargets()) ? 131071 : 524287);
+    if (isSetEarlierTargets())
+      hashCode = hashCode * 8191 + earlierTargets.hashCode();
+
     return hashCode;
   }
 
@@ -1016,6 +1101,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetEarlierTargets(), other.isSetEarlierTargets());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetEarlierTargets()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.earlierTargets, other.earlierTargets);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -1087,6 +1182,14 @@
     sb.append("number:");
     sb.append(this.number);
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("earlierTargets:");
+    if (this.earlierTargets == null) {
+      sb.append("null");
+    } else {
+      sb.append(this.earlierTargets);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -1230,6 +1333,25 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 13: // EARLIER_TARGETS
+            if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
+              {
+                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
+                struct.earlierTargets = new java.util.ArrayList<NamedVersion>(_list0.size);
+                @org.apache.thrift.annotation.Nullable NamedVersion _elem1;
+                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                {
+                  _elem1 = new NamedVersion();
+                  _elem1.read(iprot);
+                  struct.earlierTargets.add(_elem1);
+                }
+                iprot.readListEnd();
+              }
+              struct.setEarlierTargetsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -1282,6 +1404,18 @@
       oprot.writeFieldBegin(LEAVING_FIELD_DESC);
       oprot.writeBool(struct.leaving);
       oprot.writeFieldEnd();
+      if (struct.earlierTargets != null) {
+        oprot.writeFieldBegin(EARLIER_TARGETS_FIELD_DESC);
+        {
+          oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.earlierTargets.size()));
+          for (NamedVersion _iter3 : struct.earlierTargets)
+          {
+            _iter3.write(oprot);
+          }
+          oprot.writeListEnd();
+        }
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -1337,7 +1471,10 @@
       if (struct.isSetNumber()) {
         optionals.set(11);
       }
-      oprot.writeBitSet(optionals, 12);
+      if (struct.isSetEarlierTargets()) {
+        optionals.set(12);
+      }
+      oprot.writeBitSet(optionals, 13);
       if (struct.isSetIncarnation()) {
         oprot.writeI64(struct.incarnation);
       }
@@ -1374,12 +1511,21 @@
       if (struct.isSetNumber()) {
         oprot.writeI64(struct.number);
       }
+      if (struct.isSetEarlierTargets()) {
+        {
+          oprot.writeI32(struct.earlierTargets.size());
+          for (NamedVersion _iter4 : struct.earlierTargets)
+          {
+            _iter4.write(oprot);
+          }
+        }
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, EngineReport struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(12);
+      java.util.BitSet incoming = iprot.readBitSet(13);
       if (incoming.get(0)) {
         struct.incarnation = iprot.readI64();
         struct.setIncarnationIsSet(true);
@@ -1428,6 +1574,20 @@
         struct.number = iprot.readI64();
         struct.setNumberIsSet(true);
       }
+      if (incoming.get(12)) {
+        {
+          org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.earlierTargets = new java.util.ArrayList<NamedVersion>(_list5.size);
+          @org.apache.thrift.annotation.Nullable NamedVersion _elem6;
+          for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+          {
+            _elem6 = new NamedVersion();
+            _elem6.read(iprot);
+            struct.earlierTargets.add(_elem6);
+          }
+        }
+        struct.setEarlierTargetsIsSet(true);
+      }
     }
   }
 
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/SuspectRecord.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/SuspectRecord.java
@@ -672,14 +672,14 @@
           case 3: // CRASHES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list0 = iprot.readListBegin();
-                struct.crashes = new java.util.ArrayList<PromptCrash>(_list0.size);
-                @org.apache.thrift.annotation.Nullable PromptCrash _elem1;
-                for (int _i2 = 0; _i2 < _list0.size; ++_i2)
+                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
+                struct.crashes = new java.util.ArrayList<PromptCrash>(_list8.size);
+                @org.apache.thrift.annotation.Nullable PromptCrash _elem9;
+                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
                 {
-                  _elem1 = new PromptCrash();
-                  _elem1.read(iprot);
-                  struct.crashes.add(_elem1);
+                  _elem9 = new PromptCrash();
+                  _elem9.read(iprot);
+                  struct.crashes.add(_elem9);
                 }
                 iprot.readListEnd();
               }
@@ -734,9 +734,9 @@
         oprot.writeFieldBegin(CRASHES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.crashes.size()));
-          for (PromptCrash _iter3 : struct.crashes)
+          for (PromptCrash _iter11 : struct.crashes)
           {
-            _iter3.write(oprot);
+            _iter11.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -794,9 +794,9 @@
       if (struct.isSetCrashes()) {
         {
           oprot.writeI32(struct.crashes.size());
-          for (PromptCrash _iter4 : struct.crashes)
+          for (PromptCrash _iter12 : struct.crashes)
           {
-            _iter4.write(oprot);
+            _iter12.write(oprot);
           }
         }
       }
@@ -822,14 +822,14 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list5 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.crashes = new java.util.ArrayList<PromptCrash>(_list5.size);
-          @org.apache.thrift.annotation.Nullable PromptCrash _elem6;
-          for (int _i7 = 0; _i7 < _list5.size; ++_i7)
+          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.crashes = new java.util.ArrayList<PromptCrash>(_list13.size);
+          @org.apache.thrift.annotation.Nullable PromptCrash _elem14;
+          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
           {
-            _elem6 = new PromptCrash();
-            _elem6.read(iprot);
-            struct.crashes.add(_elem6);
+            _elem14 = new PromptCrash();
+            _elem14.read(iprot);
+            struct.crashes.add(_elem14);
           }
         }
         struct.setCrashesIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/SuspectRecords.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/SuspectRecords.java
@@ -498,14 +498,14 @@
           case 2: // RECORDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.records = new java.util.ArrayList<SuspectRecord>(_list8.size);
-                @org.apache.thrift.annotation.Nullable SuspectRecord _elem9;
-                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                org.apache.thrift.protocol.TList _list16 = iprot.readListBegin();
+                struct.records = new java.util.ArrayList<SuspectRecord>(_list16.size);
+                @org.apache.thrift.annotation.Nullable SuspectRecord _elem17;
+                for (int _i18 = 0; _i18 < _list16.size; ++_i18)
                 {
-                  _elem9 = new SuspectRecord();
-                  _elem9.read(iprot);
-                  struct.records.add(_elem9);
+                  _elem17 = new SuspectRecord();
+                  _elem17.read(iprot);
+                  struct.records.add(_elem17);
                 }
                 iprot.readListEnd();
               }
@@ -545,9 +545,9 @@
         oprot.writeFieldBegin(RECORDS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.records.size()));
-          for (SuspectRecord _iter11 : struct.records)
+          for (SuspectRecord _iter19 : struct.records)
           {
-            _iter11.write(oprot);
+            _iter19.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -591,9 +591,9 @@
       if (struct.isSetRecords()) {
         {
           oprot.writeI32(struct.records.size());
-          for (SuspectRecord _iter12 : struct.records)
+          for (SuspectRecord _iter20 : struct.records)
           {
-            _iter12.write(oprot);
+            _iter20.write(oprot);
           }
         }
       }
@@ -612,14 +612,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.records = new java.util.ArrayList<SuspectRecord>(_list13.size);
-          @org.apache.thrift.annotation.Nullable SuspectRecord _elem14;
-          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+          org.apache.thrift.protocol.TList _list21 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.records = new java.util.ArrayList<SuspectRecord>(_list21.size);
+          @org.apache.thrift.annotation.Nullable SuspectRecord _elem22;
+          for (int _i23 = 0; _i23 < _list21.size; ++_i23)
           {
-            _elem14 = new SuspectRecord();
-            _elem14.read(iprot);
-            struct.records.add(_elem14);
+            _elem22 = new SuspectRecord();
+            _elem22.read(iprot);
+            struct.records.add(_elem22);
           }
         }
         struct.setRecordsIsSet(true);
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -6,6 +6,12 @@
 // An entry VM that wants the load reports of an engine.
 struct ReportSubscription { 1: string vm }
 
+// A version of weights that was named, and may not have been required yet.
+struct NamedVersion {
+  1: i64 version,
+  2: i32 ageMs, // time since it was named; -1 if before the sender's start
+}
+
 // Load and weights of the engine on the sender's VM.
 struct EngineReport {
   1: i64 incarnation, // start of the engine, Unix ms; 0 if the engine does not state it
@@ -20,6 +26,7 @@
   10: double pace, // above 1 if the engine is slower than its profile
   12: bool leaving, // the engine says that it is leaving
   11: i64 number, // increases with each report of one incarnation of the sender
+  13: list<NamedVersion> earlierTargets, // versions named before the target, each with a bound of its own
 }
 
 // Chunks of one version that the sender holds and serves.
