Log when a listing says that an endpoint leaves, and calls for copies that fail

No change of behaviour. A request that reached a leaving endpoint could not be explained: no line told when its entry VM learned that the endpoint leaves, and a call to a peer that failed left a line at debug level only. Both tell apart whether followers of observers get no copies, or the observers themselves are late.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -196,7 +196,13 @@
         .whenComplete(
             (response, failure) -> {
               if (failure != null || response.status() != 200) {
-                LOG.debug("peer {} returned no copies of platform objects", peer, failure);
+                LOG.atInfo()
+                    .addKeyValue("peer", peer)
+                    .addKeyValue("kinds", kinds)
+                    .addKeyValue(
+                        "reason",
+                        failure == null ? "HTTP status " + response.status() : failure.getMessage())
+                    .log("a peer returned no copies of platform objects");
                 return;
               }
               try {
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/Gateway.java
@@ -175,6 +175,7 @@
    * @param endpoints all endpoints that the platform lists
    */
   public void updateEndpoints(Collection<Endpoint> endpoints) {
+    endpoints.stream().filter(Endpoint::leaving).forEach(this::logLeaving);
     listedEndpoints = List.copyOf(endpoints);
     for (EndpointState removed : state.endpoints().update(listedEndpoints)) {
       pool.remove(removed);
@@ -186,6 +187,17 @@
     router.dispatchAllWaiting();
   }
 
+  /** Logs that an endpoint is listed as leaving which was in use until now. */
+  private void logLeaving(Endpoint listed) {
+    boolean inUse =
+        state.endpoints().ofService(listed.service()).stream()
+            .anyMatch(
+                known -> known.endpoint().id().equals(listed.id()) && known.acceptsRequests());
+    if (inUse) {
+      LOG.atInfo().addKeyValue("endpoint", listed.id()).log("endpoint is listed as leaving");
+    }
+  }
+
   private void indexEnginesByHost() {
     enginesByHost.clear();
     for (EndpointState endpoint : state.endpoints().all()) {
