Compress the copies that followers fetch from their observers

Followers of a data centre missed for seconds that an endpoint leaves while configurations followed each other, and sent it requests. A call for a copy is given up after 600 ms, so that a full link delivers nothing. The class is work for each change that grows with the followers and with the size of what did not change.

A peer that asks for it gets the objects deflated; each observer compresses a copy once and keeps the result while its position stands. Peers of an earlier release get plain objects.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectoryExchangeTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -20,7 +21,10 @@
 import org.clementineford.transport.EventLoopScheduler;
 import org.clementineford.transport.LinkShaping;
 import org.clementineford.transport.http.HttpClient;
+import org.clementineford.transport.http.HttpRequest;
 import org.clementineford.transport.http.HttpServer;
+import org.clementineford.wire.DirectoryCopies;
+import org.clementineford.wire.DirectoryCopy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -142,6 +146,32 @@
     }
   }
 
+  @Nested
+  class Compression {
+    private DirectoryCopy copy(String parameter) throws Exception {
+      Vm vm = new Vm(true);
+      vm.start(null);
+      awaitCopy(vm);
+      HttpRequest request =
+          new HttpRequest(
+              "GET", DirectoryExchange.PATH + parameter + KIND + "=0.0", Map.of(), new byte[0]);
+      byte[] body = run(() -> vm.peers.copiesFor(request));
+      return ThriftCodec.decode(new DirectoryCopies(), body).getCopies().get(0);
+    }
+
+    // Guards against an answer that a VM of an earlier release takes for a copy without objects.
+    @Test
+    void isUsedOnlyForPeersThatAskForIt() throws Exception {
+      DirectoryCopy plain = copy("?");
+      assertThat(plain.getObjects()).hasSize(1);
+      assertThat(plain.isSetCompressedObjects()).isFalse();
+      DirectoryCopy compressed = copy("?compressed=1&");
+      assertThat(compressed.isSetObjects()).isFalse();
+      assertThat(ObjectCompression.decompress(compressed.getCompressedObjects()))
+          .isEqualTo(plain.getObjects());
+    }
+  }
+
   @Nested
   class VmThatStartsAfterRestoration {
     // Guards against a VM that follows a restored platform, although its peer knows that a higher
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -25,9 +26,11 @@
 import org.clementineford.transport.http.HttpRequest;
 import org.clementineford.transport.http.HttpResponse;
 import org.clementineford.wire.FleetDatagram;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Entry VMs of several data centres that follow their observers, with random faults. */
 class ObserverFleetTest {
@@ -42,6 +45,27 @@
 
   private static final long STEP_MS = 20;
 
+  /**
+   * Sizes of objects, and the bandwidth that bounds the answers of a VM.
+   *
+   * @param linkBytesPerSecond 0 if answers arrive at once
+   */
+  private record Load(long linkBytesPerSecond, int routes, int endpointFields) {
+    private static final Load NONE = new Load(0, 0, 0);
+
+    /** Returns text like that of a platform's object, with names that are drawn at random. */
+    private static byte[] content(int parts, Random random) {
+      StringBuilder text = new StringBuilder("[");
+      for (int i = 0; i < parts; i++) {
+        text.append("{\"name\":\"r-").append(Long.toString(random.nextLong(1L << 40), 36));
+        text.append("\",\"host\":\"").append(Integer.toString(random.nextInt(1 << 24), 36));
+        text.append(".example\",\"path_prefix\":\"/").append(random.nextInt(1 << 20));
+        text.append("/\",\"route_type\":\"idempotent\",\"timeout_ms\":6000,\"max_attempts\":2},");
+      }
+      return text.append("]").toString().getBytes(StandardCharsets.UTF_8);
+    }
+  }
+
   private static long nanos(long ms) {
     return TimeUnit.MILLISECONDS.toNanos(ms);
   }
@@ -57,16 +81,22 @@
     private final Map<Long, Long> confirmedAt = new HashMap<>();
     private final Map<String, Long> removedAt = new HashMap<>();
     private final List<String> endpoints = new ArrayList<>();
+    private final Load load;
     private long version;
     private int endpointNumber;
     private boolean away;
     private long platformDisturbedUntil;
 
     Fleet(int size, int dataCentres, long seed) {
+      this(size, dataCentres, seed, 12, Load.NONE);
+    }
+
+    Fleet(int size, int dataCentres, long seed, int listedEndpoints, Load load) {
       this.seed = seed;
+      this.load = load;
       random = new Random(seed);
       write();
-      for (int i = 0; i < 12; i++) {
+      for (int i = 0; i < listedEndpoints; i++) {
         addEndpoint();
       }
       for (int i = 0; i < size; i++) {
@@ -83,7 +113,8 @@
     private void write() {
       if (!away) {
         version++;
-        platform.put(ObjectKind.CONFIGURATION, "main", version);
+        byte[] content = Load.content(load.routes(), random);
+        platform.put(ObjectKind.CONFIGURATION, "main", content, version);
         confirmedAt.put(version, time.nanoTime());
       }
     }
@@ -92,7 +123,8 @@
       if (!away) {
         endpointNumber++;
         endpoints.add("e" + endpointNumber);
-        platform.put(ObjectKind.ENDPOINTS, "e" + endpointNumber);
+        byte[] content = Load.content(load.endpointFields(), random);
+        platform.put(ObjectKind.ENDPOINTS, "e" + endpointNumber, content, 0);
       }
     }
 
@@ -146,6 +178,21 @@
       after(durationMs, () -> vms.get(vm.host).recover());
     }
 
+    /** Replaces endpoints while configurations follow each other. */
+    void playChanges(long durationMs, long configurationIntervalMs, long endpointIntervalMs) {
+      for (long ms = 0; ms < durationMs; ms += STEP_MS) {
+        if (ms % configurationIntervalMs < STEP_MS) {
+          write();
+        }
+        if (ms % endpointIntervalMs < STEP_MS) {
+          addEndpoint();
+          removeEndpoint();
+        }
+        time.advance(STEP_MS, TimeUnit.MILLISECONDS);
+        vms.values().forEach(this::check);
+      }
+    }
+
     void play(long durationMs, int faultsPerSecond) {
       for (long ms = 0; ms < durationMs; ms += STEP_MS) {
         if (random.nextInt(1_000) < faultsPerSecond * STEP_MS) {
@@ -238,6 +285,7 @@
       private boolean receivesNothing;
       private long disturbedUntil;
       private long inForce;
+      private long linkFreeAt;
 
       Vm(String host, String dataCentre) {
         this.host = host;
@@ -353,19 +401,28 @@
         if (cut || vm.stopped) {
           after(ms, () -> deliver(() -> future.completeExceptionally(new Exception("silent"))));
         } else {
-          after(
-              3,
-              () ->
-                  vm.deliver(
-                      () -> {
-                        byte[] body = vm.copies.copiesFor(request);
-                        HttpResponse response = new HttpResponse(200, Map.of(), body);
-                        after(3, () -> deliver(() -> future.complete(response)));
-                      }));
+          after(ms, () -> deliver(() -> future.completeExceptionally(new Exception("timeout"))));
+          after(3, () -> vm.deliver(() -> vm.answer(this, request, future)));
         }
         return future;
       }
 
+      /** Answers over this VM's link, which sends one answer after the other. */
+      private void answer(Vm peer, HttpRequest request, CompletableFuture<HttpResponse> future) {
+        byte[] body = copies.copiesFor(request);
+        HttpResponse response = new HttpResponse(200, Map.of(), body);
+        if (load.linkBytesPerSecond() == 0) {
+          after(3, () -> peer.deliver(() -> future.complete(response)));
+          return;
+        }
+        long now = time.nanoTime();
+        long startsAt = Math.max(now, linkFreeAt);
+        long sendingNanos = nanos(1_000) * body.length / load.linkBytesPerSecond();
+        linkFreeAt = startsAt + sendingNanos;
+        Runnable arrive = () -> peer.deliver(() -> future.complete(response));
+        time.schedule(arrive, linkFreeAt + nanos(3) - now, TimeUnit.NANOSECONDS);
+      }
+
       private <T> CompletableFuture<T> buffered(CompletableFuture<T> answer) {
         CompletableFuture<T> future = new CompletableFuture<>();
         answer.whenComplete(
@@ -425,6 +482,24 @@
     }
   }
 
+  /** Many changes of large objects, over links that bound how soon copies arrive. */
+  @Nested
+  class BusyLinks {
+    private void playChanges(long linkBytesPerSecond, long seed) {
+      Fleet fleet = new Fleet(57, 3, seed, 52, new Load(linkBytesPerSecond, 800, 3));
+      fleet.play(6_000, 0);
+      fleet.playChanges(8_000, 250, 150);
+      fleet.play(5_000, 0);
+    }
+
+    // Guards against endpoints that leave unnoticed since whole copies fill the observers' links.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void followersAreCurrentWhileConfigurationsFollowEachOther(long seed) {
+      playChanges(3_500_000, seed);
+    }
+  }
+
   // Guards against calls to the platform that grow with the entry VMs.
   @Test
   void callsDependOnTheDataCentresAndNotOnTheVms() {
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/SimulatedPlatform.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/SimulatedPlatform.java
@@ -47,10 +47,15 @@
     put(kind, name, 0);
   }
 
-  /** Writes an object. */
+  /** Writes an object without content. */
   void put(ObjectKind kind, String name, long operatorVersion) {
+    put(kind, name, new byte[0], operatorVersion);
+  }
+
+  /** Writes an object. */
+  void put(ObjectKind kind, String name, byte[] content, long operatorVersion) {
     revision++;
-    change(kind, new DirectoryEntry(name, revision, new byte[0], false, operatorVersion));
+    change(kind, new DirectoryEntry(name, revision, content, false, operatorVersion));
   }
 
   /** Removes an object. */
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -3,6 +3,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,7 @@
 import org.clementineford.transport.http.HttpResponse;
 import org.clementineford.wire.DirectoryCopies;
 import org.clementineford.wire.DirectoryCopy;
+import org.clementineford.wire.DirectoryObject;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -39,6 +41,9 @@
   /** Suffix of the query parameter with the operators' versions of a kind's objects. */
   private static final String VERSIONS_SUFFIX = ".versions";
 
+  /** Query parameter of VMs that can read compressed objects. */
+  private static final String COMPRESSED = "compressed";
+
   private static final Logger LOG = LoggerFactory.getLogger(DirectoryExchange.class);
 
   /** Interval at which the age of the copies is checked, in milliseconds. */
@@ -56,6 +61,11 @@
   private final ToLongFunction<ObjectKind> staleNanos;
   private final Set<HostPort> peers = new LinkedHashSet<>();
 
+  /** The last answer of each kind, since many peers ask for the same one. */
+  private final Map<ObjectKind, CompressedCopy> compressed = new EnumMap<>(ObjectKind.class);
+
+  private record CompressedCopy(HistoryPosition position, byte[] objects) {}
+
   /** Sends requests to peers. */
   @FunctionalInterface
   public interface PeerClient {
@@ -179,10 +189,12 @@
    *
    * @param peer address of the peer
    * @param kinds the kinds
+   * @return completes when the answer was processed or the call has failed, with or without copies
    */
-  public void requestCopies(HostPort peer, List<ObjectKind> kinds) {
+  public CompletableFuture<Void> requestCopies(HostPort peer, List<ObjectKind> kinds) {
     final long sentAt = clock.nanoTime();
     StringBuilder query = new StringBuilder(PATH).append("?vm=").append(self);
+    query.append('&').append(COMPRESSED).append("=1");
     for (ObjectKind kind : kinds) {
       DirectoryCopyState copy = sync.copy(kind);
       query.append('&').append(kind).append('=').append(copy.position().toText());
@@ -191,9 +203,9 @@
         query.append(URLEncoder.encode(DirectoryCopyCodec.versions(copy), StandardCharsets.UTF_8));
       }
     }
-    client
+    return client
         .call(peer, new HttpRequest("GET", query.toString(), Map.of(), new byte[0]), TIMEOUT_MS)
-        .whenComplete(
+        .handle(
             (response, failure) -> {
               if (failure != null || response.status() != 200) {
                 LOG.atInfo()
@@ -203,7 +215,7 @@
                         "reason",
                         failure == null ? "HTTP status " + response.status() : failure.getMessage())
                     .log("a peer returned no copies of platform objects");
-                return;
+                return null;
               }
               try {
                 applyCopies(ThriftCodec.decode(new DirectoryCopies(), response.body()), sentAt);
@@ -212,6 +224,7 @@
                     .addKeyValue("peer", peer)
                     .log("cannot decode the copies from a peer; ignored them", e);
               }
+              return null;
             });
   }
 
@@ -225,11 +238,15 @@
       if (copy.isSetHigherVersions()) {
         sync.addHigherVersions(kind, DirectoryCopyCodec.decode(copy.getHigherVersions()));
       }
+      List<DirectoryObject> objects =
+          copy.isSetCompressedObjects()
+              ? ObjectCompression.decompress(copy.getCompressedObjects())
+              : copy.getObjects();
       sync.applyPeerCopy(
           kind,
           new HistoryPosition(copy.getEra(), copy.getRevision()),
-          copy.isSetObjects() ? DirectoryCopyCodec.decode(copy.getObjects()) : null,
-          copy.isSetObjects() ? DirectoryCopyCodec.keptUntil(copy.getObjects(), sentAt) : Map.of(),
+          objects == null ? null : DirectoryCopyCodec.decode(objects),
+          objects == null ? Map.of() : DirectoryCopyCodec.keptUntil(objects, sentAt),
           provenAt);
     }
   }
@@ -250,17 +267,35 @@
       String peerPosition = request.queryParameter(kind.name(), "");
       DirectoryCopyState copy = sync.copy(kind);
       if (!peerPosition.isEmpty() && copy.isProven()) {
-        copies.addToCopies(
+        DirectoryCopy encoded =
             DirectoryCopyCodec.encode(
                 kind,
                 copy,
                 HistoryPosition.parse(peerPosition),
                 request.queryParameter(kind + VERSIONS_SUFFIX, ""),
-                clock.nanoTime()));
+                clock.nanoTime());
+        if (encoded.isSetObjects() && !request.queryParameter(COMPRESSED, "").isEmpty()) {
+          encoded.setCompressedObjects(compress(kind, copy, encoded.getObjects()));
+          encoded.unsetObjects();
+        }
+        copies.addToCopies(encoded);
       }
     }
     peers.forEach(peer -> copies.addToEntryVms(peer.toString()));
     copies.addToEntryVms(self.toString());
     return ThriftCodec.encode(copies);
   }
+
+  private byte[] compress(ObjectKind kind, DirectoryCopyState copy, List<DirectoryObject> objects) {
+    CompressedCopy last = compressed.get(kind);
+    if (last != null && last.position().equals(copy.position())) {
+      return last.objects();
+    }
+    byte[] bytes = ObjectCompression.compress(objects);
+    // What is kept or withheld changes with time, at the same position.
+    if (copy.kept().isEmpty() && copy.withheld().isEmpty()) {
+      compressed.put(kind, new CompressedCopy(copy.position(), bytes));
+    }
+    return bytes;
+  }
 }
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopies.java
@@ -436,14 +436,14 @@
           case 1: // COPIES
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list48 = iprot.readListBegin();
-                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list48.size);
-                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem49;
-                for (int _i50 = 0; _i50 < _list48.size; ++_i50)
+                org.apache.thrift.protocol.TList _list56 = iprot.readListBegin();
+                struct.copies = new java.util.ArrayList<DirectoryCopy>(_list56.size);
+                @org.apache.thrift.annotation.Nullable DirectoryCopy _elem57;
+                for (int _i58 = 0; _i58 < _list56.size; ++_i58)
                 {
-                  _elem49 = new DirectoryCopy();
-                  _elem49.read(iprot);
-                  struct.copies.add(_elem49);
+                  _elem57 = new DirectoryCopy();
+                  _elem57.read(iprot);
+                  struct.copies.add(_elem57);
                 }
                 iprot.readListEnd();
               }
@@ -455,13 +455,13 @@
           case 2: // ENTRY_VMS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list51 = iprot.readListBegin();
-                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list51.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem52;
-                for (int _i53 = 0; _i53 < _list51.size; ++_i53)
+                org.apache.thrift.protocol.TList _list59 = iprot.readListBegin();
+                struct.entryVms = new java.util.ArrayList<java.lang.String>(_list59.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem60;
+                for (int _i61 = 0; _i61 < _list59.size; ++_i61)
                 {
-                  _elem52 = iprot.readString();
-                  struct.entryVms.add(_elem52);
+                  _elem60 = iprot.readString();
+                  struct.entryVms.add(_elem60);
                 }
                 iprot.readListEnd();
               }
@@ -490,9 +490,9 @@
         oprot.writeFieldBegin(COPIES_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.copies.size()));
-          for (DirectoryCopy _iter54 : struct.copies)
+          for (DirectoryCopy _iter62 : struct.copies)
           {
-            _iter54.write(oprot);
+            _iter62.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -502,9 +502,9 @@
         oprot.writeFieldBegin(ENTRY_VMS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.entryVms.size()));
-          for (java.lang.String _iter55 : struct.entryVms)
+          for (java.lang.String _iter63 : struct.entryVms)
           {
-            oprot.writeString(_iter55);
+            oprot.writeString(_iter63);
           }
           oprot.writeListEnd();
         }
@@ -539,18 +539,18 @@
       if (struct.isSetCopies()) {
         {
           oprot.writeI32(struct.copies.size());
-          for (DirectoryCopy _iter56 : struct.copies)
+          for (DirectoryCopy _iter64 : struct.copies)
           {
-            _iter56.write(oprot);
+            _iter64.write(oprot);
           }
         }
       }
       if (struct.isSetEntryVms()) {
         {
           oprot.writeI32(struct.entryVms.size());
-          for (java.lang.String _iter57 : struct.entryVms)
+          for (java.lang.String _iter65 : struct.entryVms)
           {
-            oprot.writeString(_iter57);
+            oprot.writeString(_iter65);
           }
         }
       }
@@ -562,27 +562,27 @@
       java.util.BitSet incoming = iprot.readBitSet(2);
       if (incoming.get(0)) {
         {
-          org.apache.thrift.protocol.TList _list58 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list58.size);
-          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem59;
-          for (int _i60 = 0; _i60 < _list58.size; ++_i60)
+          org.apache.thrift.protocol.TList _list66 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.copies = new java.util.ArrayList<DirectoryCopy>(_list66.size);
+          @org.apache.thrift.annotation.Nullable DirectoryCopy _elem67;
+          for (int _i68 = 0; _i68 < _list66.size; ++_i68)
           {
-            _elem59 = new DirectoryCopy();
-            _elem59.read(iprot);
-            struct.copies.add(_elem59);
+            _elem67 = new DirectoryCopy();
+            _elem67.read(iprot);
+            struct.copies.add(_elem67);
           }
         }
         struct.setCopiesIsSet(true);
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list61 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list61.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem62;
-          for (int _i63 = 0; _i63 < _list61.size; ++_i63)
+          org.apache.thrift.protocol.TList _list69 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.entryVms = new java.util.ArrayList<java.lang.String>(_list69.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem70;
+          for (int _i71 = 0; _i71 < _list69.size; ++_i71)
           {
-            _elem62 = iprot.readString();
-            struct.entryVms.add(_elem62);
+            _elem70 = iprot.readString();
+            struct.entryVms.add(_elem70);
           }
         }
         struct.setEntryVmsIsSet(true);
--- a/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
+++ b/org.clementineford.wire/src/main/gen-java/org/clementineford/wire/DirectoryCopy.java
@@ -16,6 +16,7 @@
   private static final org.apache.thrift.protocol.TField OBJECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("objects", org.apache.thrift.protocol.TType.LIST, (short)4);
   private static final org.apache.thrift.protocol.TField ERA_FIELD_DESC = new org.apache.thrift.protocol.TField("era", org.apache.thrift.protocol.TType.I64, (short)5);
   private static final org.apache.thrift.protocol.TField HIGHER_VERSIONS_FIELD_DESC = new org.apache.thrift.protocol.TField("higherVersions", org.apache.thrift.protocol.TType.LIST, (short)6);
+  private static final org.apache.thrift.protocol.TField COMPRESSED_OBJECTS_FIELD_DESC = new org.apache.thrift.protocol.TField("compressedObjects", org.apache.thrift.protocol.TType.STRING, (short)7);
 
   private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new DirectoryCopyStandardSchemeFactory();
   private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new DirectoryCopyTupleSchemeFactory();
@@ -26,6 +27,7 @@
   public @org.apache.thrift.annotation.Nullable java.util.List<DirectoryObject> objects; // required
   public long era; // required
   public @org.apache.thrift.annotation.Nullable java.util.List<DirectoryObject> higherVersions; // required
+  public @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer compressedObjects; // required
 
   /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
   public enum _Fields implements org.apache.thrift.TFieldIdEnum {
@@ -34,7 +36,8 @@
     PROVEN_AGE_MS((short)3, "provenAgeMs"),
     OBJECTS((short)4, "objects"),
     ERA((short)5, "era"),
-    HIGHER_VERSIONS((short)6, "higherVersions");
+    HIGHER_VERSIONS((short)6, "higherVersions"),
+    COMPRESSED_OBJECTS((short)7, "compressedObjects");
 
     private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -62,6 +65,8 @@
           return ERA;
         case 6: // HIGHER_VERSIONS
           return HIGHER_VERSIONS;
+        case 7: // COMPRESSED_OBJECTS
+          return COMPRESSED_OBJECTS;
         default:
           return null;
       }
@@ -126,6 +131,8 @@
     tmpMap.put(_Fields.HIGHER_VERSIONS, new org.apache.thrift.meta_data.FieldMetaData("higherVersions", org.apache.thrift.TFieldRequirementType.DEFAULT, 
         new org.apache.thrift.meta_data.ListMetaData(org.apache.thrift.protocol.TType.LIST, 
             new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DirectoryObject.class))));
+    tmpMap.put(_Fields.COMPRESSED_OBJECTS, new org.apache.thrift.meta_data.FieldMetaData("compressedObjects", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+        new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING        , true)));
     metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
     org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(DirectoryCopy.class, metaDataMap);
   }
@@ -139,7 +146,8 @@
     long provenAgeMs,
     java.util.List<DirectoryObject> objects,
     long era,
-    java.util.List<DirectoryObject> higherVersions)
+    java.util.List<DirectoryObject> higherVersions,
+    java.nio.ByteBuffer compressedObjects)
   {
     this();
     this.kind = kind;
@@ -151,6 +159,7 @@
     this.era = era;
     setEraIsSet(true);
     this.higherVersions = higherVersions;
+    this.compressedObjects = org.apache.thrift.TBaseHelper.copyBinary(compressedObjects);
   }
 
   /**
@@ -178,6 +187,9 @@
       }
       this.higherVersions = __this__higherVersions;
     }
+    if (other.isSetCompressedObjects()) {
+      this.compressedObjects = org.apache.thrift.TBaseHelper.copyBinary(other.compressedObjects);
+    }
   }
 
   @Override
@@ -196,6 +208,7 @@
     setEraIsSet(false);
     this.era = 0;
     this.higherVersions = null;
+    this.compressedObjects = null;
   }
 
   @org.apache.thrift.annotation.Nullable
@@ -374,6 +387,40 @@
     }
   }
 
+  public byte[] getCompressedObjects() {
+    setCompressedObjects(org.apache.thrift.TBaseHelper.rightSize(compressedObjects));
+    return compressedObjects == null ? null : compressedObjects.array();
+  }
+
+  public java.nio.ByteBuffer bufferForCompressedObjects() {
+    return org.apache.thrift.TBaseHelper.copyBinary(compressedObjects);
+  }
+
+  public DirectoryCopy setCompressedObjects(byte[] compressedObjects) {
+    this.compressedObjects = compressedObjects == null ? (java.nio.ByteBuffer)null   : java.nio.ByteBuffer.wrap(compressedObjects.clone());
+    return this;
+  }
+
+  public DirectoryCopy setCompressedObjects(@org.apache.thrift.annotation.Nullable java.nio.ByteBuffer compressedObjects) {
+    this.compressedObjects = org.apache.thrift.TBaseHelper.copyBinary(compressedObjects);
+    return this;
+  }
+
+  public void unsetCompressedObjects() {
+    this.compressedObjects = null;
+  }
+
+  /** Returns true if field compressedObjects is set (has been assigned a value) and false otherwise */
+  public boolean isSetCompressedObjects() {
+    return this.compressedObjects != null;
+  }
+
+  public void setCompressedObjectsIsSet(boolean value) {
+    if (!value) {
+      this.compressedObjects = null;
+    }
+  }
+
   @Override
   public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
     switch (field) {
@@ -425,6 +472,18 @@
       }
       break;
 
+    case COMPRESSED_OBJECTS:
+      if (value == null) {
+        unsetCompressedObjects();
+      } else {
+        if (value instanceof byte[]) {
+          setCompressedObjects((byte[])value);
+        } else {
+          setCompressedObjects((java.nio.ByteBuffer)value);
+        }
+      }
+      break;
+
     }
   }
 
@@ -450,6 +509,9 @@
     case HIGHER_VERSIONS:
       return getHigherVersions();
 
+    case COMPRESSED_OBJECTS:
+      return getCompressedObjects();
+
     }
     throw new java.lang.IllegalStateException();
   }
@@ -474,6 +536,8 @@
       return isSetEra();
     case HIGHER_VERSIONS:
       return isSetHigherVersions();
+    case COMPRESSED_OBJECTS:
+      return isSetCompressedObjects();
     }
     throw new java.lang.IllegalStateException();
   }
@@ -545,6 +609,15 @@
         return false;
     }
 
+    boolean this_present_compressedObjects = true && this.isSetCompressedObjects();
+    boolean that_present_compressedObjects = true && that.isSetCompressedObjects();
+    if (this_present_compressedObjects || that_present_compressedObjects) {
+      if (!(this_present_compressedObjects && that_present_compressedObjects))
+        return false;
+      if (!this.compressedObjects.equals(that.compressedObjects))
+        return false;
+    }
+
     return true;
   }
 
@@ -570,6 +643,10 @@
     if (isSetHigherVersions())
       hashCode = hashCode * 8191 + higherVersions.hashCode();
 
+    hashCode = hashCode * 8191 + ((isSetCompressedObjects()) ? 131071 : 524287);
+    if (isSetCompressedObjects())
+      hashCode = hashCode * 8191 + compressedObjects.hashCode();
+
     return hashCode;
   }
 
@@ -641,6 +718,16 @@
         return lastComparison;
       }
     }
+    lastComparison = java.lang.Boolean.compare(isSetCompressedObjects(), other.isSetCompressedObjects());
+    if (lastComparison != 0) {
+      return lastComparison;
+    }
+    if (isSetCompressedObjects()) {
+      lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.compressedObjects, other.compressedObjects);
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+    }
     return 0;
   }
 
@@ -700,6 +787,14 @@
       sb.append(this.higherVersions);
     }
     first = false;
+    if (!first) sb.append(", ");
+    sb.append("compressedObjects:");
+    if (this.compressedObjects == null) {
+      sb.append("null");
+    } else {
+      org.apache.thrift.TBaseHelper.toString(this.compressedObjects, sb);
+    }
+    first = false;
     sb.append(")");
     return sb.toString();
   }
@@ -774,14 +869,14 @@
           case 4: // OBJECTS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list32 = iprot.readListBegin();
-                struct.objects = new java.util.ArrayList<DirectoryObject>(_list32.size);
-                @org.apache.thrift.annotation.Nullable DirectoryObject _elem33;
-                for (int _i34 = 0; _i34 < _list32.size; ++_i34)
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.objects = new java.util.ArrayList<DirectoryObject>(_list40.size);
+                @org.apache.thrift.annotation.Nullable DirectoryObject _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                  _elem33 = new DirectoryObject();
-                  _elem33.read(iprot);
-                  struct.objects.add(_elem33);
+                  _elem41 = new DirectoryObject();
+                  _elem41.read(iprot);
+                  struct.objects.add(_elem41);
                 }
                 iprot.readListEnd();
               }
@@ -801,14 +896,14 @@
           case 6: // HIGHER_VERSIONS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list35 = iprot.readListBegin();
-                struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list35.size);
-                @org.apache.thrift.annotation.Nullable DirectoryObject _elem36;
-                for (int _i37 = 0; _i37 < _list35.size; ++_i37)
+                org.apache.thrift.protocol.TList _list43 = iprot.readListBegin();
+                struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list43.size);
+                @org.apache.thrift.annotation.Nullable DirectoryObject _elem44;
+                for (int _i45 = 0; _i45 < _list43.size; ++_i45)
                 {
-                  _elem36 = new DirectoryObject();
-                  _elem36.read(iprot);
-                  struct.higherVersions.add(_elem36);
+                  _elem44 = new DirectoryObject();
+                  _elem44.read(iprot);
+                  struct.higherVersions.add(_elem44);
                 }
                 iprot.readListEnd();
               }
@@ -817,6 +912,14 @@
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
             }
             break;
+          case 7: // COMPRESSED_OBJECTS
+            if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+              struct.compressedObjects = iprot.readBinary();
+              struct.setCompressedObjectsIsSet(true);
+            } else { 
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+            }
+            break;
           default:
             org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
         }
@@ -848,9 +951,9 @@
         oprot.writeFieldBegin(OBJECTS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.objects.size()));
-          for (DirectoryObject _iter38 : struct.objects)
+          for (DirectoryObject _iter46 : struct.objects)
           {
-            _iter38.write(oprot);
+            _iter46.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -863,14 +966,19 @@
         oprot.writeFieldBegin(HIGHER_VERSIONS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.higherVersions.size()));
-          for (DirectoryObject _iter39 : struct.higherVersions)
+          for (DirectoryObject _iter47 : struct.higherVersions)
           {
-            _iter39.write(oprot);
+            _iter47.write(oprot);
           }
           oprot.writeListEnd();
         }
         oprot.writeFieldEnd();
       }
+      if (struct.compressedObjects != null) {
+        oprot.writeFieldBegin(COMPRESSED_OBJECTS_FIELD_DESC);
+        oprot.writeBinary(struct.compressedObjects);
+        oprot.writeFieldEnd();
+      }
       oprot.writeFieldStop();
       oprot.writeStructEnd();
     }
@@ -908,7 +1016,10 @@
       if (struct.isSetHigherVersions()) {
         optionals.set(5);
       }
-      oprot.writeBitSet(optionals, 6);
+      if (struct.isSetCompressedObjects()) {
+        optionals.set(6);
+      }
+      oprot.writeBitSet(optionals, 7);
       if (struct.isSetKind()) {
         oprot.writeString(struct.kind);
       }
@@ -921,9 +1032,9 @@
       if (struct.isSetObjects()) {
         {
           oprot.writeI32(struct.objects.size());
-          for (DirectoryObject _iter40 : struct.objects)
+          for (DirectoryObject _iter48 : struct.objects)
           {
-            _iter40.write(oprot);
+            _iter48.write(oprot);
           }
         }
       }
@@ -933,18 +1044,21 @@
       if (struct.isSetHigherVersions()) {
         {
           oprot.writeI32(struct.higherVersions.size());
-          for (DirectoryObject _iter41 : struct.higherVersions)
+          for (DirectoryObject _iter49 : struct.higherVersions)
           {
-            _iter41.write(oprot);
+            _iter49.write(oprot);
           }
         }
       }
+      if (struct.isSetCompressedObjects()) {
+        oprot.writeBinary(struct.compressedObjects);
+      }
     }
 
     @Override
     public void read(org.apache.thrift.protocol.TProtocol prot, DirectoryCopy struct) throws org.apache.thrift.TException {
       org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-      java.util.BitSet incoming = iprot.readBitSet(6);
+      java.util.BitSet incoming = iprot.readBitSet(7);
       if (incoming.get(0)) {
         struct.kind = iprot.readString();
         struct.setKindIsSet(true);
@@ -959,14 +1073,14 @@
       }
       if (incoming.get(3)) {
         {
-          org.apache.thrift.protocol.TList _list42 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.objects = new java.util.ArrayList<DirectoryObject>(_list42.size);
-          @org.apache.thrift.annotation.Nullable DirectoryObject _elem43;
-          for (int _i44 = 0; _i44 < _list42.size; ++_i44)
+          org.apache.thrift.protocol.TList _list50 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.objects = new java.util.ArrayList<DirectoryObject>(_list50.size);
+          @org.apache.thrift.annotation.Nullable DirectoryObject _elem51;
+          for (int _i52 = 0; _i52 < _list50.size; ++_i52)
           {
-            _elem43 = new DirectoryObject();
-            _elem43.read(iprot);
-            struct.objects.add(_elem43);
+            _elem51 = new DirectoryObject();
+            _elem51.read(iprot);
+            struct.objects.add(_elem51);
           }
         }
         struct.setObjectsIsSet(true);
@@ -977,18 +1091,22 @@
       }
       if (incoming.get(5)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list45.size);
-          @org.apache.thrift.annotation.Nullable DirectoryObject _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list53 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.higherVersions = new java.util.ArrayList<DirectoryObject>(_list53.size);
+          @org.apache.thrift.annotation.Nullable DirectoryObject _elem54;
+          for (int _i55 = 0; _i55 < _list53.size; ++_i55)
           {
-            _elem46 = new DirectoryObject();
-            _elem46.read(iprot);
-            struct.higherVersions.add(_elem46);
+            _elem54 = new DirectoryObject();
+            _elem54.read(iprot);
+            struct.higherVersions.add(_elem54);
           }
         }
         struct.setHigherVersionsIsSet(true);
       }
+      if (incoming.get(6)) {
+        struct.compressedObjects = iprot.readBinary();
+        struct.setCompressedObjectsIsSet(true);
+      }
     }
   }
 
--- a/org.clementineford.wire/src/main/thrift/fleet.thrift
+++ b/org.clementineford.wire/src/main/thrift/fleet.thrift
@@ -93,6 +93,8 @@
   5: optional i64 keptMs, // the platform lacks it, and the sender drops it after this time
 }
 
+struct DirectoryObjects { 1: list<DirectoryObject> objects }
+
 // The sender's copy of one kind of platform objects.
 struct DirectoryCopy {
   1: string kind,
@@ -102,6 +104,8 @@
   5: i64 era, // of the platform's history in which the revision counts; 0 if not known
   // Objects that operators versioned higher than those of the receiver; absent if objects is set.
   6: list<DirectoryObject> higherVersions,
+  // In place of objects for a receiver that asks for it: deflated DirectoryObjects.
+  7: binary compressedObjects,
 }
 
 struct DirectoryCopies {
