Have one call for a copy on its way to each observer

A follower called again for each newer position that was announced, also while a call to the same observer was on its way. On a link that carries few copies these calls piled up, each took longer than its 600 ms, and followers got no copy at all: they used endpoints that had left.

A follower now has one call a kind and observer on its way, and calls again when the answer is there if a newer position was announced meanwhile; a newer position of another observer is fetched at once.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
@@ -498,6 +498,13 @@
     void followersAreCurrentWhileConfigurationsFollowEachOther(long seed) {
       playChanges(3_500_000, seed);
     }
+
+    // Guards against calls for copies that pile up on a link, so that all of them time out.
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void followersAreCurrentOverLinksThatCarryFewCopies(long seed) {
+      playChanges(800_000, seed);
+    }
   }
 
   // Guards against calls to the platform that grow with the entry VMs.
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
@@ -44,7 +44,7 @@
   /** Time after which a question is forgotten. */
   private static final long QUESTION_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-  /** Time after which a copy that did not arrive is requested again. */
+  /** Time after which a copy that did not arrive is requested from another VM. */
   private static final long REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
   private final DirectorySync sync;
@@ -58,12 +58,19 @@
   private final BiConsumer<HostPort, FleetDatagram> sender;
   private final Set<HostPort> members = new LinkedHashSet<>();
   private final Map<Long, Long> questions = new HashMap<>();
-  private final Map<ObjectKind, CopyRequest> requests = new EnumMap<>(ObjectKind.class);
+  private final Map<ObjectKind, List<CopyRequest>> requests = new EnumMap<>(ObjectKind.class);
+
+  /** Newest positions that were announced while a request was on its way. */
+  private final Map<ObjectKind, Announcement> announced = new EnumMap<>(ObjectKind.class);
+
   private long nextQuestion;
   private int ticks;
 
-  /** The last request for a copy. */
-  private record CopyRequest(HistoryPosition position, long at) {}
+  /** A request for a copy that is on its way. */
+  private record CopyRequest(HostPort member, HistoryPosition position, long at) {}
+
+  /** A position that a VM has announced. */
+  private record Announcement(HostPort member, HistoryPosition position) {}
 
   /**
    * Creates the exchange of a VM that observes.
@@ -267,16 +274,41 @@
     return kinds.stream().filter(kind -> kind.name().equals(name)).findFirst().orElse(null);
   }
 
-  /** Requests a copy, unless the same or a newer one was requested just before. */
+  /**
+   * Requests a copy, unless it is on its way, or another one from the same VM is. Further ones
+   * would fill the link of that VM, so that none arrives in time.
+   */
   private void requestCopy(HostPort member, ObjectKind kind, HistoryPosition position, long now) {
-    CopyRequest before = requests.get(kind);
+    List<CopyRequest> pending = requests.computeIfAbsent(kind, key -> new ArrayList<>());
     boolean isPending =
-        before != null
-            && now - before.at() < REQUEST_NANOS
-            && before.position().compareTo(position) >= 0;
-    if (!isPending) {
-      requests.put(kind, new CopyRequest(position, now));
-      copies.requestCopies(new HostPort(member.host(), peerPort), List.of(kind));
+        pending.stream()
+            .anyMatch(
+                before ->
+                    before.member().equals(member)
+                        || (now - before.at() < REQUEST_NANOS
+                            && before.position().compareTo(position) >= 0));
+    if (isPending) {
+      announced.merge(
+          kind,
+          new Announcement(member, position),
+          (old, next) -> next.position().compareTo(old.position()) > 0 ? next : old);
+      return;
+    }
+    CopyRequest request = new CopyRequest(member, position, now);
+    pending.add(request);
+    copies
+        .requestCopies(new HostPort(member.host(), peerPort), List.of(kind))
+        .thenRun(() -> answered(kind, request));
+  }
+
+  /** Requests what was announced while a request was on its way. */
+  private void answered(ObjectKind kind, CopyRequest request) {
+    requests.get(kind).remove(request);
+    Announcement next = announced.remove(kind);
+    if (next != null
+        && !duty.isObserving()
+        && next.position().compareTo(sync.copy(kind).position()) > 0) {
+      requestCopy(next.member(), kind, next.position(), clock.nanoTime());
     }
   }
 }
