Take no failure from before a VM followed its observers for an outage

A VM that watches the platform again after it had followed observers kept endpoints that had left for 1.9 s, and sent them requests. A call that had failed before it began to follow was never answered, so that its first answer, long after, ended an outage that nobody had had.

The failure is forgotten when the watches end, since peers prove the copies from then on.

DirectorySyncTest$Follower#takesAnEarlierFailureForNoOutageWhenItWatchesAgain failed before.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/DirectorySyncTest.java
@@ -188,6 +188,24 @@
       assertThat(names()).containsExactly("b");
     }
 
+    // Guards against requests to an endpoint that left, since a call had failed before the VM
+    // followed others.
+    @Test
+    void takesAnEarlierFailureForNoOutageWhenItWatchesAgain() {
+      start();
+      directory.failLast(failure(ErrorKind.UNAVAILABLE));
+      sync.setSuspended(KIND, true);
+      for (int i = 0; i < 10; i++) {
+        time.advance(1, TimeUnit.SECONDS);
+        confirm(2);
+      }
+      time.advance(1_500, TimeUnit.MILLISECONDS);
+      sync.setSuspended(KIND, false);
+      directory.answerLast(
+          new DirectoryEntries(List.of(new DirectoryEntry("a", 5, new byte[0], true)), 5));
+      assertThat(names()).containsExactly("b");
+    }
+
     // Guards against an outage that is counted from the last answer before the VM followed others.
     @Test
     void takesOneFailedCallForNoOutageWhenItWatchesAgain() {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -403,6 +403,8 @@
     void setSuspended(boolean suspended) {
       this.suspended = suspended;
       if (suspended) {
+        // Peers prove the copy from now on; earlier failures tell nothing of a later outage.
+        failedSinceAnswer = false;
         callCount++;
         callPending = false;
         cancelTimer();
