Count only observers that answer, not those that announce

A follower whose questions were lost on their way to an observer still heard its announcements, and counted it. It stayed with copies that nobody proved for up to 5 s, used endpoints that had left, and then took the late copy for the end of an outage. The class: what is heard is taken for a connection that works both ways.

Observers count while they answer a follower's own questions; one that is heard and not yet counted is asked at once.

ObserverDutyTest$Vm#countsOnlyObserversThatAnswer is new; the old code has no call for it.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
@@ -267,7 +267,14 @@
       }
     }
     boolean isSoundObserver = message.isObserving() && sound.containsAll(kinds);
-    duty.heard(member.host(), isSoundObserver, now);
+    if (askedAt != null) {
+      duty.answered(member.host(), isSoundObserver, now);
+    } else {
+      duty.heard(member.host(), isSoundObserver, now);
+      if (duty.lacksAnswer(member.host())) {
+        ask(member.host());
+      }
+    }
   }
 
   private ObjectKind kind(String name) {
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/ObserverDutyTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/ObserverDutyTest.java
@@ -42,7 +42,7 @@
       now += STEP_NANOS;
       for (int vm : observing()) {
         if (!silent.contains(vm)) {
-          duties.forEach(duty -> duty.heard(name(vm), true, now));
+          duties.forEach(duty -> duty.answered(name(vm), true, now));
         }
       }
       for (int i = 0; i < duties.size(); i++) {
@@ -92,7 +92,7 @@
 
     private void hear(int vms) {
       for (int vm = 0; vm < vms; vm++) {
-        duty.heard(name(vm), true, now);
+        duty.answered(name(vm), true, now);
       }
     }
 
@@ -123,6 +123,30 @@
       assertThat(after(100, false)).isEqualTo(ObserverDuty.Step.OBSERVE);
     }
 
+    // Guards against following observers that are heard but do not hear this VM.
+    @Test
+    void countsOnlyObserversThatAnswer() {
+      becomeFollower();
+      for (int i = 0; i < 10; i++) {
+        for (int vm = 0; vm < 60; vm++) {
+          duty.heard(name(vm), true, now);
+        }
+        after(100, true);
+      }
+      assertThat(duty.isObserving()).isTrue();
+    }
+
+    // Guards against asking observers that do not answer in place of those that do.
+    @Test
+    void asksThoseFirstThatAnswer() {
+      becomeFollower();
+      after(800, true);
+      duty.heard(name(1), true, now);
+      duty.heard(name(2), true, now);
+      duty.answered(name(3), true, now);
+      assertThat(duty.observers()).hasSize(2).first().isEqualTo(name(3));
+    }
+
     // Guards against following an observer that lost the platform.
     @Test
     void doesNotCountObserversWithOverdueCopies() {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/ObserverDuty.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/ObserverDuty.java
@@ -34,6 +34,10 @@
   private final String self;
   private final DoubleSupplier random;
   private final Map<String, Long> heardAt = new HashMap<>();
+
+  /** Times of the answers to this VM's questions; what only announces may not hear it. */
+  private final Map<String, Long> answeredAt = new HashMap<>();
+
   private boolean observing = true;
   private OptionalLong surplusSince = OptionalLong.empty();
   private OptionalLong lackingSince = OptionalLong.empty();
@@ -61,7 +65,7 @@
   }
 
   /**
-   * Records what another VM of the data centre said of its copy.
+   * Records what another VM of the data centre announced of its copy.
    *
    * @param vm name of the VM
    * @param isSoundObserver true if it watches the platform and its copies are not overdue
@@ -72,9 +76,37 @@
       heardAt.put(vm, now);
     } else {
       heardAt.remove(vm);
+      answeredAt.remove(vm);
     }
   }
 
+  /**
+   * Records what another VM of the data centre answered to a question of this VM.
+   *
+   * @param vm name of the VM
+   * @param isSoundObserver true if it watches the platform and its copies are not overdue
+   * @param now present time
+   */
+  public void answered(String vm, boolean isSoundObserver, long now) {
+    heard(vm, isSoundObserver, now);
+    if (isSoundObserver) {
+      answeredAt.put(vm, now);
+    }
+  }
+
+  /**
+   * Returns whether this VM follows and lacks the answer of an observer that it hears.
+   *
+   * @param vm name of the observer
+   * @return true if the observer should be asked at once
+   */
+  public boolean lacksAnswer(String vm) {
+    return !observing
+        && heardAt.containsKey(vm)
+        && !answeredAt.containsKey(vm)
+        && answeredAt.size() < OBSERVERS;
+  }
+
   /**
    * Decides what to do now.
    *
@@ -84,6 +116,7 @@
    */
   public Step update(boolean isSound, long now) {
     heardAt.values().removeIf(at -> now - at > LOST_NANOS);
+    answeredAt.values().removeIf(at -> now - at > LOST_NANOS);
     return observing ? updateObserver(isSound, now) : updateFollower(isSound, now);
   }
 
@@ -101,11 +134,13 @@
     }
     observing = false;
     lackingSince = OptionalLong.empty();
+    // The first answers are still to come.
+    answeredAt.putAll(heardAt);
     return Step.FOLLOW;
   }
 
   private Step updateFollower(boolean isSound, long now) {
-    if (heardAt.size() >= OBSERVERS && isSound) {
+    if (answeredAt.size() >= OBSERVERS && isSound) {
       lackingSince = OptionalLong.empty();
       return Step.NONE;
     }
@@ -113,8 +148,7 @@
       lackingSince = OptionalLong.of(now);
       spread = random.getAsDouble();
     }
-    // Observers that are heard but prove nothing here do not hear this VM, for example.
-    boolean urgent = heardAt.isEmpty() || !isSound;
+    boolean urgent = answeredAt.isEmpty() || !isSound;
     long delay = (long) (spread * (urgent ? URGENT_SPREAD_NANOS : SPREAD_NANOS));
     if (now - lackingSince.getAsLong() < delay) {
       return Step.NONE;
@@ -136,11 +170,14 @@
   /**
    * Returns the observers to follow.
    *
-   * @return names of up to two observers that were heard lately, the best first
+   * @return names of up to two observers that were heard lately, those first that answered, and the
+   *     best of them
    */
   public List<String> observers() {
+    Comparator<String> answeredFirst =
+        Comparator.comparing((String vm) -> !answeredAt.containsKey(vm));
     return heardAt.keySet().stream()
-        .sorted(Comparator.comparingLong(ObserverDuty::rank).thenComparing(vm -> vm))
+        .sorted(answeredFirst.thenComparingLong(ObserverDuty::rank).thenComparing(vm -> vm))
         .limit(OBSERVERS)
         .toList();
   }
