Pause between a change of the configuration and the next watch

While configurations followed each other, every observer fetched each one at once: whole documents over the links between regions, which requests, load reports and the notices of leaving endpoints share.

Observers wait for 0.15 of the time to apply a configuration after a change, as they do with endpoints, so that one call returns several changes. A change that comes alone is still reported at once. WatchTimesTest bounds the pause, and the age of a copy with it.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
@@ -329,7 +329,10 @@
         hosts.stream().limit(3).forEach(seed -> copies.addPeers(List.of(new HostPort(seed, 8000))));
         sync.start();
         WatchTimes watchTimes = WatchTimes.of(BOUNDS);
-        sync.watch(ObjectKind.CONFIGURATION, watchTimes.configurationMs(), 0);
+        sync.watch(
+            ObjectKind.CONFIGURATION,
+            watchTimes.configurationMs(),
+            watchTimes.configurationPauseMs());
         sync.watch(ObjectKind.ENDPOINTS, watchTimes.endpointsMs(), watchTimes.endpointsPauseMs());
         sync.poll(ObjectKind.ENTRY_VMS, 10_000);
         schedule(() -> sync.refresh(ObjectKind.ENTRY_VMS), 2_000, TimeUnit.MILLISECONDS);
--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/WatchTimesTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/WatchTimesTest.java
@@ -24,11 +24,13 @@
             8_000, revokeMs, true, 8_000, 0.2, 100, 10, 3_600, applyMs, drainMs, contactMs);
     WatchTimes times = WatchTimes.of(bounds);
     assertThat(times.configurationMs()).isBetween(400L, applyMs / 2);
+    assertThat(times.configurationPauseMs()).isLessThanOrEqualTo(applyMs / 5);
     assertThat(times.endpointsPauseMs()).isLessThanOrEqualTo(drainMs / 5);
     assertThat(times.endpointsMs()).isLessThan(contactMs);
     // An age that is normal must not refuse keys, where the limits leave room for any calls.
     if (revokeMs >= 5_000) {
-      assertThat(times.configurationMs() + LAG_MS).isLessThan(revokeMs - 400);
+      long ageMs = times.configurationMs() + times.configurationPauseMs() + LAG_MS;
+      assertThat(ageMs).isLessThan(revokeMs - 400);
     }
   }
 }
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/WatchTimes.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/WatchTimes.java
@@ -5,12 +5,16 @@
  * deployment, since each call to the platform is billed.
  *
  * @param configurationMs time between two confirmations of the configuration, in milliseconds
+ * @param configurationPauseMs pause between a change of the configuration and the next watch, in
+ *     milliseconds, so that one call returns several changes: observers of all data centres fetch
+ *     the whole document over the links to the platform's region
  * @param endpointsMs time between two confirmations of the endpoints, in milliseconds
  * @param endpointsPauseMs pause between a change of the endpoints and the next watch, in
  *     milliseconds, so that one call returns several changes: engines write their entries often
  *     while they load
  */
-public record WatchTimes(long configurationMs, long endpointsMs, long endpointsPauseMs) {
+public record WatchTimes(
+    long configurationMs, long configurationPauseMs, long endpointsMs, long endpointsPauseMs) {
   /**
    * Part of the time to apply a configuration in which an observer that lost the platform is
    * noticed; the rest is left to its followers to read the configuration themselves.
@@ -28,10 +32,11 @@
   private static final long CONTACT_OVERHEAD_MS = 500;
 
   /**
-   * Part of the time to drain an endpoint that the pause takes; the rest is left to followers that
-   * lose their observers at that moment, and to the way of the last requests.
+   * Part of the time to apply a configuration, or to drain an endpoint, that the pause takes; the
+   * rest is left to followers that lose their observers at that moment, and to the way of the last
+   * requests.
    */
-  private static final double DRAIN_PART = 0.15;
+  private static final double PAUSE_PART = 0.15;
 
   private static final long MIN_MS = 400;
 
@@ -47,7 +52,8 @@
         bounds.failClosedOnStaleKeys() ? bounds.keyRevocationMs() - KEY_OVERHEAD_MS : apply;
     return new WatchTimes(
         Math.max(MIN_MS, (long) Math.min(apply, keys)),
+        (long) (PAUSE_PART * bounds.configurationApplyMs()),
         Math.max(MIN_MS, bounds.contactMs() - CONTACT_OVERHEAD_MS),
-        (long) (DRAIN_PART * bounds.drainMs()));
+        (long) (PAUSE_PART * bounds.drainMs()));
   }
 }
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/EntryVm.java
@@ -244,7 +244,8 @@
   private void startDirectory() {
     directoryExchange.addPeers(settings.seeds());
     directorySync.start();
-    directorySync.watch(ObjectKind.CONFIGURATION, watchTimes.configurationMs(), 0);
+    directorySync.watch(
+        ObjectKind.CONFIGURATION, watchTimes.configurationMs(), watchTimes.configurationPauseMs());
     directorySync.watch(
         ObjectKind.ENDPOINTS, watchTimes.endpointsMs(), watchTimes.endpointsPauseMs());
     directorySync.poll(ObjectKind.ENTRY_VMS, ENTRY_VMS_POLL_INTERVAL_MS);
