Let followers that lost their observers begin to watch one after the other

A follower waits for a time that grows with its rank among the entry VMs of its data centre, at first by little and then by more. The first ones are as quick as before; the others follow them once their copies are sound.

ObserverDutyTest$SlowPlatform#isNotAskedByAllFollowersAtOnce: with the rule before, 20 of 20 VMs watch within a second.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
@@ -162,7 +162,7 @@
   }
 
   private void updateDuty() {
-    ObserverDuty.Step step = duty.update(isSound(), clock.nanoTime());
+    ObserverDuty.Step step = duty.update(isSound(), memberHosts(), clock.nanoTime());
     if (step == ObserverDuty.Step.NONE) {
       return;
     }
@@ -181,6 +181,10 @@
     }
   }
 
+  private List<String> memberHosts() {
+    return members.stream().map(HostPort::host).toList();
+  }
+
   private boolean isSound() {
     long lag = duty.isObserving() ? 0 : DirectorySync.FOLLOWER_LAG_NANOS;
     long now = clock.nanoTime();
--- a/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/ObserverDutyTest.java
+++ b/org.clementineford.serving.test/src/test/java/org/clementineford/serving/directory/ObserverDutyTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -18,6 +19,10 @@
     return "10.0.0." + vm;
   }
 
+  private List<String> names() {
+    return IntStream.range(0, duties.size()).mapToObj(ObserverDutyTest::name).toList();
+  }
+
   private void create(int count) {
     for (int i = 0; i < count; i++) {
       double spread = (i + 0.5) / count;
@@ -47,7 +52,7 @@
       }
       for (int i = 0; i < duties.size(); i++) {
         if (!silent.contains(i)) {
-          duties.get(i).update(true, now);
+          duties.get(i).update(true, names(), now);
         }
       }
     }
@@ -81,13 +86,35 @@
     }
   }
 
+  /** The observers lose the platform's answers, and so does each VM that takes over from them. */
+  @Nested
+  class SlowPlatform {
+    private static final int VMS = 20;
+
+    private void update(boolean isSound) {
+      now += STEP_NANOS;
+      duties.forEach(duty -> duty.update(isSound, names(), now));
+    }
+
+    // Guards against all followers at once fetching whole copies over a link that is already full.
+    @Test
+    void isNotAskedByAllFollowersAtOnce() {
+      create(VMS);
+      advance(4_000, List.of());
+      for (int i = 0; i < 10; i++) {
+        update(false);
+      }
+      assertThat(observing()).hasSizeBetween(4, VMS / 2);
+    }
+  }
+
   @Nested
   class Vm {
     private final ObserverDuty duty = new ObserverDuty("vm", () -> 0.5);
 
     private ObserverDuty.Step after(long ms, boolean isSound) {
       now += TimeUnit.MILLISECONDS.toNanos(ms);
-      return duty.update(isSound, now);
+      return duty.update(isSound, List.of(name(0), name(1)), now);
     }
 
     private void hear(int vms) {
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/ObserverDuty.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/ObserverDuty.java
@@ -1,5 +1,6 @@
 package org.clementineford.serving.directory;
 
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -25,8 +26,15 @@
   /** Time for which enough better observers must be heard before a VM ends its own watches. */
   static final long SURPLUS_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-  /** Time over which followers spread when they lost all observers. */
-  static final long URGENT_SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+  /**
+   * Unit of the time for which a follower waits that lost all observers. The best one waits for 1,
+   * the next for 3, 6, 10 and so on: the first ones get their copies over a busy link before all
+   * others ask for theirs.
+   */
+  static final long URGENT_STEP_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+  /** Longest time for which a follower waits that lost all observers. */
+  static final long MAX_URGENT_NANOS = TimeUnit.MILLISECONDS.toNanos(2_500);
 
   /** Time over which followers spread when an observer is left. */
   static final long SPREAD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
@@ -111,13 +119,14 @@
    * Decides what to do now.
    *
    * @param isSound false if the copies of this VM are overdue
+   * @param vms names of the other entry VMs in the data centre
    * @param now present time
    * @return the step
    */
-  public Step update(boolean isSound, long now) {
+  public Step update(boolean isSound, Collection<String> vms, long now) {
     heardAt.values().removeIf(at -> now - at > LOST_NANOS);
     answeredAt.values().removeIf(at -> now - at > LOST_NANOS);
-    return observing ? updateObserver(isSound, now) : updateFollower(isSound, now);
+    return observing ? updateObserver(isSound, now) : updateFollower(isSound, vms, now);
   }
 
   private Step updateObserver(boolean isSound, long now) {
@@ -139,7 +148,7 @@
     return Step.FOLLOW;
   }
 
-  private Step updateFollower(boolean isSound, long now) {
+  private Step updateFollower(boolean isSound, Collection<String> vms, long now) {
     if (answeredAt.size() >= OBSERVERS && isSound) {
       lackingSince = OptionalLong.empty();
       return Step.NONE;
@@ -149,7 +158,7 @@
       spread = random.getAsDouble();
     }
     boolean urgent = answeredAt.isEmpty() || !isSound;
-    long delay = (long) (spread * (urgent ? URGENT_SPREAD_NANOS : SPREAD_NANOS));
+    long delay = urgent ? urgentDelayNanos(vms) : (long) (spread * SPREAD_NANOS);
     if (now - lackingSince.getAsLong() < delay) {
       return Step.NONE;
     }
@@ -158,6 +167,11 @@
     return Step.OBSERVE;
   }
 
+  private long urgentDelayNanos(Collection<String> vms) {
+    long better = vms.stream().filter(vm -> rank(vm) < rank(self)).count();
+    return Math.min(MAX_URGENT_NANOS, URGENT_STEP_NANOS * (better + 1) * (better + 2) / 2);
+  }
+
   /**
    * Returns whether this VM watches the platform.
    *
