Fetch copies from observers that answer, not from those that are only heard

Two observers whose announcements arrived but that received nothing kept a follower of theirs from the copies of sound ones: each call to one of them took its 600 ms, held back the next call, and was followed by one to the other. The follower used endpoints for more than 2 s after they had left.

A follower calls what answers its questions, and others only if none does.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
@@ -246,7 +246,19 @@
     }
 
     long observers() {
-      return vms.values().stream().filter(vm -> vm.observers.isObserving()).count();
+      return watching().size();
+    }
+
+    private List<Vm> watching() {
+      return vms.values().stream().filter(vm -> vm.observers.isObserving()).toList();
+    }
+
+    /** Lets the VMs that observe now receive nothing any more from others. */
+    void deafenObservers() {
+      for (Vm vm : watching()) {
+        vm.receivesNothing = true;
+        vm.disturbedUntil = Long.MAX_VALUE;
+      }
     }
 
     @Override
@@ -485,6 +497,17 @@
     }
   }
 
+  // Guards against calls for copies to VMs that announce but do not answer, in place of others.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void followersAreCurrentBesideVmsThatAreOnlyHeard(long seed) {
+    Fleet fleet = new Fleet(10, 1, seed);
+    fleet.play(6_000, 0);
+    fleet.deafenObservers();
+    fleet.play(3_000, 0);
+    fleet.playChanges(20_000, 700, 900);
+  }
+
   /** Many changes of large objects, over links that bound how soon copies arrive. */
   @Nested
   class BusyLinks {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
@@ -264,7 +264,9 @@
       if (!duty.isObserving()) {
         HistoryPosition of = new HistoryPosition(position.getEra(), position.getRevision());
         if (of.compareTo(sync.copy(kind).position()) > 0) {
-          requestCopy(member, kind, of, now);
+          if (askedAt != null || duty.mayAnswer(member.host())) {
+            requestCopy(member, kind, of, now);
+          }
         } else if (askedAt != null) {
           sync.applyPeerCopy(kind, of, null, Map.of(), askedAt - ageNanos);
         }
--- a/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/ObserverDuty.java
+++ b/org.clementineford.serving/src/main/java/org/clementineford/serving/directory/ObserverDuty.java
@@ -115,6 +115,17 @@
         && answeredAt.size() < OBSERVERS;
   }
 
+  /**
+   * Returns whether a VM may answer a call. What is heard but does not answer questions would only
+   * delay a call to another one.
+   *
+   * @param vm name of the VM
+   * @return true if it answered lately, or none did
+   */
+  public boolean mayAnswer(String vm) {
+    return answeredAt.containsKey(vm) || answeredAt.isEmpty();
+  }
+
   /**
    * Decides what to do now.
    *
