Call for copies again after a call that could not be sent

Since a follower has one call a kind and observer on its way, a call that throws, or an answer whose processing does, would have stayed pending, and the follower would never have called that observer again.

A call that throws fails its future, and the pending call ends with any outcome.

ObserverFleetTest$BusyLinks and the others pass; ObserverFleetTest#followersCallAgainAfterCallsThatThrow failed before with the exception of the call itself.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
@@ -82,6 +82,10 @@
     private final Map<String, Long> removedAt = new HashMap<>();
     private final List<String> endpoints = new ArrayList<>();
     private final Load load;
+
+    /** Number of calls to peers that throw before they are sent. */
+    private int callsToThrow;
+
     private long version;
     private int endpointNumber;
     private boolean away;
@@ -410,6 +414,10 @@
       }
 
       private CompletableFuture<HttpResponse> call(HostPort peer, HttpRequest request, long ms) {
+        if (callsToThrow > 0) {
+          callsToThrow--;
+          throw new IllegalStateException("cannot be sent");
+        }
         CompletableFuture<HttpResponse> future = new CompletableFuture<>();
         Vm vm = vms.get(peer.host());
         boolean cut = sendsNothing || receivesNothing || vm.sendsNothing || vm.receivesNothing;
@@ -508,6 +516,16 @@
     fleet.playChanges(20_000, 700, 900);
   }
 
+  // Guards against a call that could not be sent and stays pending.
+  @Test
+  void followersCallAgainAfterCallsThatThrow() {
+    Fleet fleet = new Fleet(10, 1, 1);
+    fleet.play(6_000, 0);
+    fleet.callsToThrow = 40;
+    fleet.playChanges(10_000, 700, 900);
+    assertThat(fleet.callsToThrow).isZero();
+  }
+
   /** Many changes of large objects, over links that bound how soon copies arrive. */
   @Nested
   class BusyLinks {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectoryExchange.java
@@ -203,8 +203,10 @@
         query.append(URLEncoder.encode(DirectoryCopyCodec.versions(copy), StandardCharsets.UTF_8));
       }
     }
-    return client
-        .call(peer, new HttpRequest("GET", query.toString(), Map.of(), new byte[0]), TIMEOUT_MS)
+    HttpRequest request = new HttpRequest("GET", query.toString(), Map.of(), new byte[0]);
+    // A call that throws fails the future too, or it would stay pending.
+    return CompletableFuture.completedFuture(peer)
+        .thenCompose(address -> client.call(address, request, TIMEOUT_MS))
         .handle(
             (response, failure) -> {
               if (failure != null || response.status() != 200) {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
@@ -311,7 +311,7 @@
     pending.add(request);
     copies
         .requestCopies(new HostPort(member.host(), peerPort), List.of(kind))
-        .thenRun(() -> answered(kind, request));
+        .whenComplete((done, failure) -> answered(kind, request));
   }
 
   /** Requests what was announced while a request was on its way. */
