Name the fields of the test's objects in the project's words

No change of the product. The objects whose size ObserverFleetTest plays had names of the platform's fields. All 16 tests of the class pass.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
@@ -59,8 +59,8 @@
       for (int i = 0; i < parts; i++) {
         text.append("{\"name\":\"r-").append(Long.toString(random.nextLong(1L << 40), 36));
         text.append("\",\"host\":\"").append(Integer.toString(random.nextInt(1 << 24), 36));
-        text.append(".example\",\"path_prefix\":\"/").append(random.nextInt(1 << 20));
-        text.append("/\",\"route_type\":\"idempotent\",\"timeout_ms\":6000,\"max_attempts\":2},");
+        text.append(".example\",\"route_begins\":\"/").append(random.nextInt(1 << 20));
+        text.append("/\",\"repetition\":\"idempotent\",\"timeout_ms\":6000,\"max_attempts\":2},");
       }
       return text.append("]").toString().getBytes(StandardCharsets.UTF_8);
     }
