Refuse malformed requests at the servers of own interfaces

Seen: a request that is not HTTP was handled as one for /bad-request, the path that Netty's decoder makes up; one with a malformed header field got no answer at all within 5 s, and its connection stayed open.

Cause: HttpServerConnection passed requests to the handler without looking at the result of the decoder.

Change: such a request is answered 400 in its turn, with the close announced, and leaves a line.

Evidence: HttpTest#malformedRequestIsRefused fails on the code before in both cases (handled, and read timed out after 5 s) and passes now.

--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.clementineford.kernel.HostPort;
 import org.clementineford.transport.http.HttpClient;
 import org.clementineford.transport.http.HttpExchange;
@@ -20,6 +21,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpTest {
   private EventLoopGroup eventLoops;
@@ -127,6 +130,30 @@
     }
   }
 
+  // Guards against a malformed request that is handled as one for a path which the decoder made up.
+  @ParameterizedTest
+  @ValueSource(strings = {"NOT HTTP\r\n\r\n", "GET / HTTP/1.1\r\n: x\r\n\r\n"})
+  void malformedRequestIsRefused(String request) throws Exception {
+    AtomicInteger handled = new AtomicInteger();
+    server =
+        HttpServer.start(
+            eventLoops,
+            new HostPort("127.0.0.1", 0),
+            1 << 20,
+            LinkShaping.NONE,
+            exchange -> {
+              handled.incrementAndGet();
+              exchange.respond(200, Map.of(), new byte[0]);
+            });
+    try (Socket caller = new Socket("127.0.0.1", server.address().port())) {
+      caller.setSoTimeout(5000);
+      caller.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      String responses = new String(caller.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertThat(responses).startsWith("HTTP/1.1 400 ");
+      assertThat(handled).hasValue(0);
+    }
+  }
+
   // Guards against a server that continues to work on a request that its client has cancelled.
   @Test
   void cancelledCallClosesTheExchange() throws Exception {
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServerConnection.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServerConnection.java
@@ -54,14 +54,26 @@
             message.uri(),
             headers,
             ByteBufUtil.getBytes(message.content()));
-    waitingExchanges.add(new ServerExchange(context, request, HttpUtil.isKeepAlive(message)));
+    boolean malformed = message.decoderResult().isFailure();
+    if (malformed) {
+      LOG.atInfo()
+          .addKeyValue("caller", context.channel().remoteAddress())
+          .addKeyValue("reason", message.decoderResult().cause().getMessage())
+          .log("malformed request refused");
+    }
+    boolean keepAlive = !malformed && HttpUtil.isKeepAlive(message);
+    waitingExchanges.add(new ServerExchange(context, request, malformed, keepAlive));
     startNext();
   }
 
   private void startNext() {
     if (current == null && !waitingExchanges.isEmpty()) {
       current = waitingExchanges.poll();
-      handler.handle(current);
+      if (current.malformed) {
+        current.respond(HttpResponseStatus.BAD_REQUEST.code(), Map.of(), new byte[0]);
+      } else {
+        handler.handle(current);
+      }
     }
   }
 
@@ -112,6 +124,7 @@
   private final class ServerExchange implements HttpExchange {
     private final ChannelHandlerContext context;
     private final HttpRequest request;
+    private final boolean malformed;
     private final boolean keepAlive;
     private Runnable closedAction;
     private Runnable writableAction;
@@ -119,9 +132,11 @@
     private boolean ended;
     private boolean closed;
 
-    ServerExchange(ChannelHandlerContext context, HttpRequest request, boolean keepAlive) {
+    ServerExchange(
+        ChannelHandlerContext context, HttpRequest request, boolean malformed, boolean keepAlive) {
       this.context = context;
       this.request = request;
+      this.malformed = malformed;
       this.keepAlive = keepAlive;
     }
 
