Bound what small chunks of requests cost an event loop

The path of callers (RequestAggregator) and the servers of own interfaces (HttpServer) collect bodies in the same way.

Cause: the bound counts bytes of bodies only. And the aggregator copies the whole body again for every 1,024 parts, so that the cost grows with the square of their number.

Change: RequestInput stands around the decoder of both. It joins parts below 8 KB, so that a body of 4 MB has 512 parts at most, and fails a request with over 1 MB more overhead than body: 400, and nothing is read after it. A body of 260 KB still fits in chunks of one byte, one of any length in chunks of six bytes.

--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerListener.java
@@ -25,6 +25,7 @@
 import org.clementineford.kernel.errors.ClementinefordException;
 import org.clementineford.kernel.errors.ErrorKind;
 import org.clementineford.serving.model.CallerLimits;
+import org.clementineford.transport.http.RequestInput;
 
 /** Accepts connections of callers and closes idle ones. */
 final class CallerListener {
@@ -96,14 +97,10 @@
                           }
                         };
                     RequestBodyLimit bodyLimit = new RequestBodyLimit(limits, connection);
-                    accepted
-                        .pipeline()
-                        .addLast(
-                            activity,
-                            new HttpServerCodec(8192, MAX_HEADER_BYTES, 8192),
-                            bodyLimit,
-                            bodyLimit.aggregator(),
-                            connection);
+                    accepted.pipeline().addLast(activity);
+                    RequestInput.addTo(
+                        accepted.pipeline(), new HttpServerCodec(8192, MAX_HEADER_BYTES, 8192));
+                    accepted.pipeline().addLast(bodyLimit, bodyLimit.aggregator(), connection);
                   }
                 });
     ChannelFuture bound = bootstrap.bind(address.toSocketAddress()).awaitUninterruptibly();
--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/HttpServer.java
@@ -68,10 +68,10 @@
                   protected void initChannel(Channel channel) {
                     acceptedChannels.add(channel);
                     shaping.shape(channel.pipeline());
+                    RequestInput.addTo(channel.pipeline(), new HttpServerCodec());
                     channel
                         .pipeline()
                         .addLast(
-                            new HttpServerCodec(),
                             new HttpObjectAggregator(maxBodyBytes),
                             new HttpServerConnection(handler));
                   }
