Pass on joined chunks at the end of each read

Seen: PipelinedRequestTest$TooLargeRequest failed on (closesAfterItsAnswerIfTheEndOfItsBodyIsUncertain, case 1): a body above a limit of a few hundred bytes was not refused with 413 until 8 KB or its end had arrived.

Change: what has been joined is passed on when a read is complete. Chunks that arrive together, which are what made the copies quadratic, are still joined.

--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/RequestInput.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/RequestInput.java
@@ -14,8 +14,9 @@
 
 /**
  * Bounds what it costs to read the requests of a connection, however their senders divide bodies
- * into chunks. Small chunks are joined. A request with more overhead than body and a fixed bound
- * ends with a part whose decoder result is a failure, and nothing is read after it.
+ * into chunks. Small chunks that arrive together are joined. A request with more overhead than body
+ * and a fixed bound ends with a part whose decoder result is a failure, and nothing is read after
+ * it.
  */
 public final class RequestInput {
   /** Length from which parts of a body are passed on as they are, in bytes. */
@@ -84,6 +85,13 @@
       context.fireChannelRead(part);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+      // A limit of the body may be passed already.
+      passOnJoined();
+      context.fireChannelReadComplete();
+    }
+
     private void join(HttpContent part) {
       if (joined == null) {
         joined = context.alloc().buffer(JOINED_BYTES);
