Count a caller that leaves inside its body as one that closed

Seen: each caller that closed its connection before the end of a body left an error with its stack in the log, "error while handling a request", and counted as a close for the reason ERROR. Such callers are ordinary, and their lines are unbounded under load.

Cause: the aggregator reports a PrematureChannelClosureException, which is no IOException, before the connection sees that it is closed.

Change: it leaves a line at debug level, and the close counts as BY_CALLER. The log line for a peer's copy with a negative age says so now.

Evidence: UnexpectedErrorTest$UnfinishedRequest fails on the code before (no close counted as BY_CALLER) and passes now.

--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -282,7 +282,7 @@
       LOG.atWarn()
           .addKeyValue("kind", kind)
           .addKeyValue("position", position.toText())
-          .log("the copy of a peer has an age that cannot be; ignored it");
+          .log("ignored the copy of a peer with a negative age");
       return;
     }
     if (sync.isOverdue(now) && now - provenAt <= maxAgeNanos(kind)) {
--- a/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnexpectedErrorTest.java
+++ b/org.clementineford.gateway.test/src/test/java/org/clementineford/gateway/internal/UnexpectedErrorTest.java
@@ -24,6 +24,7 @@
 class UnexpectedErrorTest {
   private static final String READ = "clementineford_entry_requests_read_total";
   private static final String ENDED = "clementineford_entry_requests_total";
+  private static final String CLOSES = "clementineford_entry_caller_closes_total";
 
   private final Logger logger =
       (Logger) LoggerFactory.getLogger("org.clementineford.gateway.internal");
@@ -107,6 +108,27 @@
     }
   }
 
+  @Nested
+  class UnfinishedRequest {
+    // Guards against an error with its stack for each caller that leaves before its body ends.
+    @Test
+    void isNoErrorIfItsCallerLeaves() throws Exception {
+      try (ScriptedHttpEndpoint endpoint = new ScriptedHttpEndpoint(answering);
+          GatewayFixture fixture = new GatewayFixture(endpoint)) {
+        try (Socket caller = new Socket("127.0.0.1", fixture.address().port())) {
+          caller
+              .getOutputStream()
+              .write(
+                  "POST /post/a HTTP/1.1\r\nHost: h\r\nid: 1\r\nContent-Length: 9\r\n\r\nhalf"
+                      .getBytes(StandardCharsets.US_ASCII));
+        }
+        fixture.awaitCounter(CLOSES, "BY_CALLER", 1);
+        fixture.run(() -> {});
+        assertThat(lines.list).noneMatch(line -> line.getLevel() == Level.ERROR);
+      }
+    }
+  }
+
   @Nested
   class RequestThatMayHaveRun {
     // Guards against an error after a send that is taken for one before it, or goes unanswered.
--- a/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
+++ b/org.clementineford.gateway/src/main/java/org/clementineford/gateway/internal/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
@@ -257,6 +258,10 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (cause instanceof PrematureChannelClosureException) {
+      LOG.debug("{} closed its connection inside a request", context.channel().remoteAddress());
+      return;
+    }
     if (cause instanceof IOException) {
       LOG.debug("connection of {} lost", context.channel().remoteAddress(), cause);
       close(CallerClose.LOST);
