Require that calls fail by themselves in three tests

Seen: by reading only.

Change: each requires the ExecutionException of the call; a timeout of the assertion is a TimeoutException. Evidence: the 13 tests of the two classes pass.

--- a/org.clementineford.standins.test/src/test/java/org/clementineford/standins/EngineStandInTest.java
+++ b/org.clementineford.standins.test/src/test/java/org/clementineford/standins/EngineStandInTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.clementineford.kernel.platform.ModelEngine.LoadedVersion;
 import org.clementineford.transport.http.HttpResponse;
@@ -122,7 +123,9 @@
     abandoned.cancel();
     awaitCount(engine, "abandoned", 1);
     assertThat(call(engine, "POST", "/cancel/q-2", Map.of(), "").status()).isEqualTo(200);
-    assertThat(cancelled).failsWithin(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertThat(cancelled)
+        .failsWithin(WAIT_SECONDS, TimeUnit.SECONDS)
+        .withThrowableOfType(ExecutionException.class);
     time.advance(1, TimeUnit.SECONDS);
     assertThat(last.get(WAIT_SECONDS, TimeUnit.SECONDS).status()).isEqualTo(200);
     assertThat(engine.counters().get("finished")).isEqualTo(1);
@@ -133,7 +136,9 @@
   void brokenStreamsHaveNoEnd() throws Exception {
     EngineStandIn engine = engine(EngineOptions.IMMEDIATE);
     engine.faults().setNext(StandInFaultKind.BROKEN_STREAM, 1);
-    assertThat(ask(engine, "q-1", "pods", true)).failsWithin(WAIT_SECONDS, TimeUnit.SECONDS);
+    assertThat(ask(engine, "q-1", "pods", true))
+        .failsWithin(WAIT_SECONDS, TimeUnit.SECONDS)
+        .withThrowableOfType(ExecutionException.class);
     engine.faults().setNext(StandInFaultKind.WRONG_REQUEST_ID, 1);
     assertThat(ask(engine, "q-2", "pods", true).get(WAIT_SECONDS, TimeUnit.SECONDS).headers())
         .containsEntry("X-Request-Id", "other-q-2");
--- a/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
+++ b/org.clementineford.transport.test/src/test/java/org/clementineford/transport/HttpTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.clementineford.kernel.HostPort;
@@ -80,7 +81,9 @@
               exchange.abort();
             },
             "");
-    assertThat(response).failsWithin(5, TimeUnit.SECONDS);
+    assertThat(response)
+        .failsWithin(5, TimeUnit.SECONDS)
+        .withThrowableOfType(ExecutionException.class);
   }
 
   // Guards against a planned stop that truncates a response in progress.
