Repeat unanswered polls of the quickstart within its limit

Its logs show all processes late: peers closed connections after 3 s without a frame, and orders to two engines timed out and were sent again.

Cause: the quickstart's client waits up to 30 s for a version to be loaded everywhere, but ended at the first poll that took over 2 s. The system it shows did repeat its calls.

Change: a poll without an answer is printed and repeated until the limit of the wait; other failures end the client as before.

--- a/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Caller.java
+++ b/org.clementineford.bench/src/main/java/org/clementineford/bench/quickstart/Caller.java
@@ -176,16 +176,31 @@
     }
   }
 
+  /** Waits until a condition holds. A poll that gets no answer is repeated, within the limit. */
   private void await(Supplier<String> reason, Condition condition) throws ClementinefordException {
     long limitNanos = TimeUnit.SECONDS.toNanos(settings.get(LIMIT_SECONDS));
     long start = SystemNanoClock.INSTANCE.nanoTime();
-    while (!condition.holds()) {
-      if (SystemNanoClock.INSTANCE.nanoTime() - start > limitNanos) {
+    boolean holds = false;
+    while (!holds) {
+      ClementinefordException unanswered = null;
+      try {
+        holds = condition.holds();
+      } catch (ClementinefordException e) {
+        if (!e.kind().isRetryable()) {
+          throw e;
+        }
+        unanswered = e;
+        System.err.println(e.getMessage());
+      }
+      if (!holds && SystemNanoClock.INSTANCE.nanoTime() - start > limitNanos) {
         throw new ClementinefordException(
             ErrorKind.UNAVAILABLE,
-            reason.get() + " after " + settings.get(LIMIT_SECONDS) + " s; see run/*.log");
+            reason.get() + " after " + settings.get(LIMIT_SECONDS) + " s; see run/*.log",
+            unanswered);
+      }
+      if (!holds) {
+        pause(POLL_MS);
       }
-      pause(POLL_MS);
     }
   }
 
