Pass on the rest of a body before the end of a request that fails

Seen: by reading only. When RequestInput ended a request for its overhead, the part of the body that it had joined followed the failed end, where the aggregator drops it. No caller could see this, since such a request is answered 400.

Change: the parts of a request keep their order. The 35 tests of RequestInputTest, HttpTest, SmallChunksTest, PipelinedRequestTest, ChangedBodyLimitTest and UnexpectedErrorTest pass.

--- a/org.clementineford.transport/src/main/java/org/clementineford/transport/http/RequestInput.java
+++ b/org.clementineford.transport/src/main/java/org/clementineford/transport/http/RequestInput.java
@@ -112,6 +112,7 @@
     }
 
     void fail() {
+      passOnJoined();
       LastHttpContent part = new DefaultLastHttpContent();
       part.setDecoderResult(DecoderResult.failure(overhead.failure()));
       context.fireChannelRead(part);
