Play pauses of 0.5 to 70 s between a claim and its dispatch

One test did, with a pause of 70 s, when endpoints have forgotten the revocation and refuse by the tick; shorter pauses, in which the revocation must hold, were not played.

Change: heldByThePausedEntryNeverRunsTwice plays seven pauses around both bounds, and also requires that the first caller gets the answer of the one run.

--- a/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/ClaimFailuresTest.java
+++ b/org.clementineford.entry.test/src/test/java/org/clementineford/entry/internal/requests/ClaimFailuresTest.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class ClaimFailuresTest {
   private static final String KEY = "order-1";
@@ -189,19 +191,21 @@
     }
 
     // Guards against an entry VM that pauses after writing its claim and then dispatches with
-    // a new tick.
-    @Test
-    void heldByThePausedEntryNeverRunsTwice() {
+    // a new tick. Endpoints refuse ticks older than 10 s and keep revocations for 60 s.
+    @ParameterizedTest
+    @ValueSource(longs = {500, 9_000, 11_000, 30_000, 59_000, 61_000, 70_000})
+    void heldByThePausedEntryNeverRunsTwice(long pauseMs) {
       fleet.store.fault(FakeStore.Fault.HOLD_REPLIES);
-      fleet.reserve(fleet.entry(1), KEY, BODY, Map.of("Clementineford-Timeout-Ms", "600000"));
+      final FakeCall first =
+          fleet.reserve(fleet.entry(1), KEY, BODY, Map.of("Clementineford-Timeout-Ms", "600000"));
       fleet.store.fault(FakeStore.Fault.NONE);
       FakeCall second = fleet.reserve(fleet.entry(2), KEY);
       advanceBriefly();
       assertAnswered(second);
-      // Longer than the 60 s for which endpoints keep revocations.
-      fleet.advanceWithReports(70_000);
+      fleet.advanceWithReports(pauseMs);
       fleet.store.releaseReplies();
       advanceBriefly();
+      assertAnswered(first);
       assertThat(fleet.runs(KEY)).isEqualTo(1);
     }
   }
