Record when the soak's own event loops are late

Change: event loops of the soak that are 250 ms late or more leave a line in late.txt beside faults.txt. They excuse nothing, the promises are judged as before.

--- a/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
+++ b/org.clementineford.soak/src/main/java/org/clementineford/soak/Soak.java
@@ -89,9 +89,13 @@
           ErrorKind.LOCAL_RESOURCE, "cannot create " + directory + "; give another one", e);
     }
     try (SoakFleet fleet = new SoakFleet(block, size, directory, seed, clock, wallClock)) {
+      StandInLateness lateness = new StandInLateness(clock, wallClock);
+      lateness.record(fleet.eventLoops());
       fleet.start(START_MS + size.vms() * START_PER_VM_MS);
       try (Callers callers = new Callers(fleet, seed, clock)) {
         return play(fleet, callers);
+      } finally {
+        write("late.txt", lateness.describe());
       }
     }
   }
@@ -111,7 +115,7 @@
     callers.stop();
     callers.awaitEnds();
     watch.end();
-    writeFaults(series);
+    write("faults.txt", series.describe());
     List<String> broken = new ArrayList<>(promises.check(REMOVED_KEY, removal.acknowledgedAt));
     LostRequests.Findings lost = new LostRequests(fleet, callers).find(series.periods());
     broken.addAll(lost.broken());
@@ -125,10 +129,10 @@
   }
 
   /** Writes what was played beside the logs, which tell what came of it. */
-  private void writeFaults(FaultSeries series) throws ClementinefordException {
-    Path file = directory.resolve("faults.txt");
+  private void write(String name, List<String> lines) throws ClementinefordException {
+    Path file = directory.resolve(name);
     try {
-      Files.write(file, series.describe());
+      Files.write(file, lines);
     } catch (IOException e) {
       throw new ClementinefordException(
           ErrorKind.LOCAL_RESOURCE, "cannot write " + file + "; check the directory", e);
