Let observers that cannot reach the platform leave their followers

Callers saw: requests went to an engine more than the bound after it had said that it leaves.

Cause: both observers of a data centre lost the platform at 16.60 s, and their calls failed from then on. The class is a role that is kept although what it needs has failed.

Change: an observer whose calls for a watched kind have failed for 400 ms, by when one that was cut off has been repeated twice, no longer announces itself as observing. Its followers then watch the platform one after the other, as they do when an observer is lost. With the first answer it is an observer again.

--- a/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
+++ b/org.clementineford.fleet.test/src/test/java/org/clementineford/fleet/ObserverFleetTest.java
@@ -265,6 +265,14 @@
       }
     }
 
+    /** Cuts the VMs that observe now off from the platform. */
+    void cutOffObservers() {
+      for (Vm vm : watching()) {
+        vm.client.setCutOff(true);
+        vm.disturbedUntil = Long.MAX_VALUE;
+      }
+    }
+
     @Override
     public RoutingConfiguration configuration(DirectoryEntry entry) {
       throw new UnsupportedOperationException();
@@ -516,6 +524,17 @@
     fleet.playChanges(20_000, 700, 900);
   }
 
+  // Guards against observers that cannot reach the platform and are followed until their copies are
+  // overdue.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void followersAreCurrentWhileTheirObserversCannotReachThePlatform(long seed) {
+    Fleet fleet = new Fleet(10, 1, seed);
+    fleet.play(6_000, 0);
+    fleet.cutOffObservers();
+    fleet.playChanges(20_000, 700, 900);
+  }
+
   // Guards against a call that could not be sent and stays pending.
   @Test
   void followersCallAgainAfterCallsThatThrow() {
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/DirectorySync.java
@@ -205,6 +205,17 @@
         + SLOW_ANSWER_NANOS;
   }
 
+  /**
+   * Returns the time for which calls for a kind have failed, one after the other.
+   *
+   * @param kind a kind that is watched
+   * @return nanoseconds since the first failure after the last answer; 0 if there was none
+   */
+  public long failingNanos(ObjectKind kind) {
+    OptionalLong since = kinds.get(kind).failingSince;
+    return since.isPresent() ? clock.nanoTime() - since.getAsLong() : 0;
+  }
+
   /** Starts to expire entries of VMs that do not register again after an outage. */
   public void start() {
     scheduler.scheduleWithFixedDelay(this::expire, EXPIRY_INTERVAL_MS, TimeUnit.MILLISECONDS);
@@ -354,6 +365,10 @@
     private Scheduler.Cancellable timer;
     private Scheduler.Cancellable settledTimer;
     private int failures;
+
+    /** Time of the first failure after the last answer. */
+    private OptionalLong failingSince = OptionalLong.empty();
+
     private int relists;
     private boolean suspended;
     private int failedReports;
@@ -405,6 +420,7 @@
       if (suspended) {
         // Peers prove the copy from now on; earlier failures tell nothing of a later outage.
         failedSinceAnswer = false;
+        failingSince = OptionalLong.empty();
         callCount++;
         callPending = false;
         cancelTimer();
@@ -482,6 +498,7 @@
       long now = clock.nanoTime();
       long answeredBefore = answeredAt;
       answered(now);
+      failingSince = OptionalLong.empty();
       if (failures > 0) {
         LOG.atInfo().addKeyValue("kind", kind).log("platform reached again");
         failures = 0;
@@ -593,6 +610,9 @@
             .addKeyValue("reason", failure.getMessage())
             .log("platform not reached");
       }
+      if (failingSince.isEmpty()) {
+        failingSince = OptionalLong.of(clock.nanoTime());
+      }
       // A follower calls too seldom to tell an outage from a call that was cut off.
       failedSinceAnswer |= watching && !suspended;
       long delay = Math.min(MAX_RETRY_DELAY_MS, FIRST_RETRY_DELAY_MS << Math.min(failures, 3));
--- a/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
+++ b/org.clementineford.fleet/src/main/java/org/clementineford/fleet/ObserverExchange.java
@@ -47,6 +47,13 @@
   /** Time after which a copy that did not arrive is requested from another VM. */
   private static final long REQUEST_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
+  /**
+   * Time for which an observer's calls to the platform fail before it no longer announces itself as
+   * one. A call that was cut off is repeated twice by then, so that a platform that answers is
+   * reached.
+   */
+  private static final long FAILING_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
   private final DirectorySync sync;
   private final DirectoryExchange copies;
   private final ObserverDuty duty;
@@ -227,7 +234,13 @@
                     TimeUnit.NANOSECONDS.toMillis(copy.ageNanos(clock.nanoTime())) + 1));
       }
     }
-    return new CopyPositions().setObserving(duty.isObserving()).setPositions(positions);
+    return new CopyPositions().setObserving(reachesPlatform()).setPositions(positions);
+  }
+
+  /** Returns whether this VM watches the platform and is answered. */
+  private boolean reachesPlatform() {
+    return duty.isObserving()
+        && kinds.stream().allMatch(kind -> sync.failingNanos(kind) < FAILING_NANOS);
   }
 
   /**
